--- /dev/null
+++ b/plantainhinge/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Thin adapters to the platform, workers, targets, callers and peers."""
--- /dev/null
+++ b/plantainhinge/adapters/callers_http.py
@@ -0,0 +1,208 @@
+"""The callers' door: WSGI in, typed requests and answers out."""
+
+import math
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import msgspec
+
+from ..core.calls import CallerAnswer, CallerRequest
+from ..core.errors import BadInputError, PlantainhingeError, UnavailableError
+from ..core.ids import KindId, RequestId, RequestKey, TaskId
+from ..core.messages import JobAccount
+from ..core.states import Outcome
+
+STATUS_LINES = {
+    200: "200 OK",
+    202: "202 Accepted",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    429: "429 Too Many Requests",
+    502: "502 Bad Gateway",
+    503: "503 Service Unavailable",
+    504: "504 Gateway Timeout",
+}
+
+StartResponse = Callable[..., Any]
+Environ = dict[str, Any]
+
+
+class JobRequest(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The body of ``POST /jobs``."""
+
+    id: TaskId
+    kind: KindId
+    run_seconds: float = 0.0
+
+
+class Gateway(Protocol):
+    """What the door needs of the gateway."""
+
+    def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Return what the caller is told about a request."""
+
+    def submit(self, job: JobRequest) -> JobAccount:
+        """Accept a job."""
+
+    def query(self, task: TaskId) -> JobAccount:
+        """Return a job's account."""
+
+    def cancel(self, task: TaskId) -> JobAccount:
+        """Cancel a job."""
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+
+
+class CallersApplication:
+    """The WSGI application that waitress serves."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        try:
+            answer = self._route(environ)
+        except PlantainhingeError as error:
+            answer = _answer_error(error)
+        return _respond(answer, start_response)
+
+    def _route(self, environ: Environ) -> CallerAnswer:
+        path = environ["PATH_INFO"]
+        if path == "/healthz":
+            return CallerAnswer(status=200, outcome=Outcome.DONE)
+        if path == "/readyz":
+            status = 200 if self._gateway.is_ready() else 503
+            return CallerAnswer(status=status, outcome=Outcome.DONE)
+        if path == "/jobs" or path.startswith("/jobs/"):
+            return self._route_job(environ, path.removeprefix("/jobs").strip("/"))
+        return self._gateway.handle(_read_request(environ))
+
+    def _route_job(self, environ: Environ, task: str) -> CallerAnswer:
+        method = environ["REQUEST_METHOD"]
+        if method == "POST" and not task:
+            return _answer_job(202, self._gateway.submit(_read_job(environ)))
+        if method == "GET" and task:
+            return _answer_job(200, self._gateway.query(TaskId(task)))
+        if method == "DELETE" and task:
+            return _answer_job(200, self._gateway.cancel(TaskId(task)))
+        raise BadInputError(
+            f"{method} is not for this path; valid: POST /jobs, GET and DELETE "
+            "/jobs/<id>",
+            step="job.route",
+        )
+
+
+def _read_request(environ: Environ) -> CallerRequest:
+    kind = environ.get("HTTP_PLANTAINHINGE_KIND", "")
+    if not kind:
+        raise BadInputError("header Plantainhinge-Kind is missing", step="call.read")
+    key = environ.get("HTTP_IDEMPOTENCY_KEY")
+    return CallerRequest(
+        request=RequestId(uuid.uuid4().hex),
+        kind=KindId(kind),
+        method=environ["REQUEST_METHOD"],
+        path=_read_path(environ),
+        body=environ["wsgi.input"].read(),
+        content_type=environ.get("CONTENT_TYPE", ""),
+        key=RequestKey(key) if key else None,
+        deadline_ms=_read_deadline(environ),
+    )
+
+
+def _read_path(environ: Environ) -> str:
+    query = environ.get("QUERY_STRING", "")
+    path = environ["PATH_INFO"]
+    return f"{path}?{query}" if query else str(path)
+
+
+def _read_deadline(environ: Environ) -> int | None:
+    text = environ.get("HTTP_PLANTAINHINGE_DEADLINE_MS")
+    if text is None:
+        return None
+    if not text.isdecimal() or int(text) == 0:
+        raise BadInputError(
+            f"Plantainhinge-Deadline-Ms is {text!r}; valid: a whole number above 0",
+            step="call.read",
+        )
+    return int(text)
+
+
+def _read_job(environ: Environ) -> JobRequest:
+    try:
+        return msgspec.json.decode(environ["wsgi.input"].read(), type=JobRequest)
+    except msgspec.MsgspecError as error:
+        raise BadInputError(str(error), step="job.read") from error
+
+
+def _answer_job(status: int, account: JobAccount) -> CallerAnswer:
+    body = msgspec.json.encode(account)
+    return CallerAnswer(status=status, outcome=Outcome.DONE, body=body)
+
+
+def _answer_error(error: PlantainhingeError) -> CallerAnswer:
+    if isinstance(error, BadInputError):
+        status, retry_after = 400, None
+    elif isinstance(error, UnavailableError):
+        status, retry_after = 503, error.retry_after
+    else:
+        return CallerAnswer(
+            status=502,
+            outcome=Outcome.UNKNOWN,
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            detail=error.message,
+        )
+    return CallerAnswer(
+        status=status,
+        outcome=Outcome.NOT_RUN,
+        retry_after=retry_after,
+        code=error.code,
+        step=error.step,
+        peer=error.peer,
+        detail=error.message,
+    )
+
+
+def _respond(answer: CallerAnswer, start_response: StartResponse) -> list[bytes]:
+    body = answer.body
+    content_type = answer.content_type
+    if answer.code:
+        body = msgspec.json.encode(_describe_problem(answer))
+        content_type = "application/problem+json"
+    headers = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+        ("Plantainhinge-Outcome", answer.outcome.value),
+    ]
+    if answer.retry_after is not None:
+        headers.append(("Retry-After", str(math.ceil(answer.retry_after))))
+    status = STATUS_LINES.get(answer.status, f"{answer.status} Answered")
+    start_response(status, headers)
+    return [body]
+
+
+class _Problem(msgspec.Struct, kw_only=True):
+    title: str
+    status: int
+    detail: str
+    code: str
+    step: str
+    peer: str
+
+
+def _describe_problem(answer: CallerAnswer) -> _Problem:
+    return _Problem(
+        title=answer.outcome.value,
+        status=answer.status,
+        detail=answer.detail,
+        code=answer.code,
+        step=answer.step,
+        peer=answer.peer,
+    )
--- /dev/null
+++ b/plantainhinge/adapters/log_http.py
@@ -0,0 +1,53 @@
+"""The platform's log over HTTP."""
+
+import msgspec
+
+from ..core.ids import Offset, StreamName
+from ..core.messages import Page
+from .http_calls import call, check_status, decode
+from .http_pool import HttpPool
+from .registry import LOGS
+
+LOG_TIMEOUT_SECONDS = 2.0
+
+
+class Appended(msgspec.Struct, frozen=True):
+    """The log's answer to an append."""
+
+    offset: Offset
+
+
+@LOGS.register("http")
+class HttpLog:
+    """The platform's log at ``ip:port``."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._pool = HttpPool()
+
+    def append(self, stream: StreamName, data: bytes) -> Offset:
+        """Append one entry and return its offset."""
+        step = "log.append"
+        raw = self._pool.exchange(
+            self.address,
+            "POST",
+            f"/streams/{stream}",
+            step=step,
+            timeout=LOG_TIMEOUT_SECONDS,
+            body=data,
+        )
+        check_status(raw, step=step, peer=self.address)
+        return decode(raw.body, Appended, step=step, peer=self.address).offset
+
+    def read(self, stream: StreamName, start: Offset, max_bytes: int) -> Page:
+        """Return entries from ``start`` on."""
+        path = f"/streams/{stream}?start={start}&max_bytes={max_bytes}"
+        return call(
+            self._pool,
+            self.address,
+            "GET",
+            path,
+            step="log.read",
+            answer=Page,
+            timeout=LOG_TIMEOUT_SECONDS,
+        )
--- /dev/null
+++ b/plantainhinge/adapters/log_memory.py
@@ -0,0 +1,69 @@
+"""The platform's log in memory, for tests and for the stand-in server."""
+
+import threading
+from dataclasses import dataclass, field
+
+from ..core.errors import TrimmedError
+from ..core.ids import Offset, StreamName
+from ..core.messages import Entry, Page
+from .registry import LOGS
+
+
+@dataclass
+class _Stream:
+    first: int = 0
+    entries: list[bytes] = field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.entries)
+
+
+@LOGS.register("memory")
+class MemoryLog:
+    """Streams of entries; safe to use from any thread."""
+
+    def __init__(self, address: str = "") -> None:
+        self.address = address
+        self._streams: dict[StreamName, _Stream] = {}
+        self._lock = threading.Lock()
+
+    def append(self, stream: StreamName, data: bytes) -> Offset:
+        """Append one entry and return its offset."""
+        with self._lock:
+            held = self._streams.setdefault(stream, _Stream())
+            held.entries.append(data)
+            return Offset(held.end - 1)
+
+    def read(self, stream: StreamName, start: Offset, max_bytes: int) -> Page:
+        """Return entries from ``start`` on, at least one if there is any."""
+        with self._lock:
+            held = self._streams.get(stream, _Stream())
+            if start < held.first:
+                raise TrimmedError(
+                    f"offset {start} is gone; the oldest is {held.first}",
+                    step="log.read",
+                    peer=stream,
+                    first=held.first,
+                )
+            entries = self._collect(held, start, max_bytes)
+            return Page(entries=entries, first=Offset(held.first), end=Offset(held.end))
+
+    def trim(self, stream: StreamName, first: Offset) -> None:
+        """Forget the entries before ``first``."""
+        with self._lock:
+            held = self._streams.setdefault(stream, _Stream())
+            cut = max(0, min(first, held.end) - held.first)
+            del held.entries[:cut]
+            held.first += cut
+
+    def _collect(self, held: _Stream, start: int, max_bytes: int) -> list[Entry]:
+        entries: list[Entry] = []
+        size = 0
+        for offset in range(start, held.end):
+            data = held.entries[offset - held.first]
+            size += len(data)
+            if entries and size > max_bytes:
+                break
+            entries.append(Entry(offset=Offset(offset), data=data))
+        return entries
--- /dev/null
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -0,0 +1,258 @@
+"""Calls between our processes: grpclib with MessagePack in place of protobuf.
+
+One asyncio loop runs in one thread. The rest of the process sees only
+``concurrent.futures.Future``. grpclib takes any codec, so the typed messages of
+``core.messages`` go over the wire as they are and no code is generated.
+"""
+
+import asyncio
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from ..core.errors import (
+    NotOwnerError,
+    PlantainhingeError,
+    UnavailableError,
+    UncertainError,
+)
+from ..core.events import EventList
+from ..core.messages import (
+    AcknowledgeClosure,
+    CancelJob,
+    ClaimAnswer,
+    ClaimRequest,
+    Empty,
+    FinishClaim,
+    Heartbeat,
+    JobAccount,
+    OfferAnswer,
+    OfferAttempt,
+    QueryEvents,
+    QueryJob,
+    QueryTargets,
+    SubmitJob,
+    TargetList,
+)
+
+SERVICE = "plantainhinge.Peers"
+CALL_TIMEOUT_SECONDS = 2.0
+
+Request = TypeVar("Request")
+Answer = TypeVar("Answer")
+
+
+@dataclass(frozen=True)
+class Method(Generic[Request, Answer]):
+    """One unary call: its name and the types of its messages."""
+
+    name: str
+    request: type[Request]
+    answer: type[Answer]
+
+    @property
+    def path(self) -> str:
+        """The path of the call on the wire."""
+        return f"/{SERVICE}/{self.name}"
+
+
+HEARTBEAT = Method("Heartbeat", Heartbeat, Heartbeat)
+SUBMIT = Method("Submit", SubmitJob, JobAccount)
+CANCEL = Method("Cancel", CancelJob, JobAccount)
+QUERY_JOB = Method("QueryJob", QueryJob, JobAccount)
+CLAIM = Method("Claim", ClaimRequest, ClaimAnswer)
+FINISH_CLAIM = Method("FinishClaim", FinishClaim, Empty)
+OFFER = Method("Offer", OfferAttempt, OfferAnswer)
+ACKNOWLEDGE = Method("Acknowledge", AcknowledgeClosure, Empty)
+QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
+QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
+
+METHODS: list[Method[Any, Any]] = [
+    HEARTBEAT,
+    SUBMIT,
+    CANCEL,
+    QUERY_JOB,
+    CLAIM,
+    FINISH_CLAIM,
+    OFFER,
+    ACKNOWLEDGE,
+    QUERY_TARGETS,
+    QUERY_EVENTS,
+]
+
+
+class MessageCodec(CodecBase):
+    """Encodes the typed messages as MessagePack."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: object, message_type: type) -> bytes:
+        """Return the bytes of a message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: type[Answer]) -> Answer:
+        """Return the typed message in ``data``."""
+        return msgspec.msgpack.decode(data, type=message_type)
+
+
+@dataclass
+class Call:
+    """A peer's call, to be answered through its future."""
+
+    method: Method[Any, Any]
+    request: Any
+    answer: Future[Any]
+
+
+class Peers:
+    """The peer-to-peer side of one process: a server and its channels."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+        self._loop = asyncio.new_event_loop()
+
+    def call(
+        self,
+        address: str,
+        method: Method[Request, Answer],
+        request: Request,
+        *,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> Future[Answer]:
+        """Call a peer at ``ip:port``; the future raises a ``PlantainhingeError``."""
+        coroutine = self._call(address, method, request, timeout)
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    @contextmanager
+    def connect(self) -> Iterator[None]:
+        """Allow calls to peers until the block ends."""
+        thread = threading.Thread(target=self._loop.run_forever, name="peers")
+        thread.start()
+        try:
+            yield
+        finally:
+            asyncio.run_coroutine_threadsafe(self._hang_up(), self._loop).result()
+            self._loop.call_soon_threadsafe(self._loop.stop)
+            thread.join()
+
+    @contextmanager
+    def serve(
+        self, ip: str, port: int, accept: Callable[[Call], None]
+    ) -> Iterator[None]:
+        """Allow calls, and answer peers at ``ip:port``, until the block ends.
+
+        Parameters
+        ----------
+        accept : callable
+            Takes each call that comes in, on the asyncio thread; must not block.
+        """
+        with self.connect():
+            starting = asyncio.run_coroutine_threadsafe(
+                self._start(ip, port, accept), self._loop
+            )
+            server = starting.result()
+            try:
+                yield
+            finally:
+                stopping = asyncio.run_coroutine_threadsafe(_stop(server), self._loop)
+                stopping.result()
+
+    async def _start(
+        self, ip: str, port: int, accept: Callable[[Call], None]
+    ) -> Server:
+        server = Server([_Service(accept)], codec=MessageCodec())
+        await server.start(ip, port)
+        return server
+
+    async def _hang_up(self) -> None:
+        for channel in self._channels.values():
+            channel.close()
+
+    async def _call(
+        self,
+        address: str,
+        method: Method[Request, Answer],
+        request: Request,
+        timeout: float,
+    ) -> Answer:
+        step = f"peer.{method.name}"
+        call = UnaryUnaryMethod(
+            self._find_channel(address), method.path, method.request, method.answer
+        )
+        try:
+            return await call(request, timeout=timeout)
+        except ConnectionRefusedError as error:
+            raise UnavailableError(str(error), step=step, peer=address) from error
+        except GRPCError as error:
+            raise _translate(error, step, address) from error
+        except (OSError, TimeoutError, StreamTerminatedError) as error:
+            message = str(error) or type(error).__name__
+            raise UncertainError(message, step=step, peer=address) from error
+
+    def _find_channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            ip, _, port = address.rpartition(":")
+            channel = Channel(ip, int(port), codec=MessageCodec())
+            self._channels[address] = channel
+        return channel
+
+
+class _Service:
+    def __init__(self, accept: Callable[[Call], None]) -> None:
+        self._accept = accept
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            method.path: Handler(
+                self._make_handler(method),
+                Cardinality.UNARY_UNARY,
+                method.request,
+                method.answer,
+            )
+            for method in METHODS
+        }
+
+    def _make_handler(self, method: Method[Any, Any]) -> Callable[..., Any]:
+        async def handle(stream: Stream[Any, Any]) -> None:
+            request = await stream.recv_message()
+            answer: Future[Any] = Future()
+            self._accept(Call(method, request, answer))
+            try:
+                await stream.send_message(await asyncio.wrap_future(answer))
+            except PlantainhingeError as error:
+                raise _to_status(error) from error
+
+        return handle
+
+
+async def _stop(server: Server) -> None:
+    server.close()
+    await server.wait_closed()
+
+
+def _to_status(error: PlantainhingeError) -> GRPCError:
+    if isinstance(error, NotOwnerError):
+        return GRPCError(Status.FAILED_PRECONDITION, error.message)
+    if isinstance(error, UnavailableError):
+        return GRPCError(Status.UNAVAILABLE, error.message)
+    return GRPCError(Status.UNKNOWN, str(error))
+
+
+def _translate(error: GRPCError, step: str, peer: str) -> PlantainhingeError:
+    message = error.message or error.status.name
+    if error.status is Status.FAILED_PRECONDITION:
+        return NotOwnerError(message, step=step, peer=peer)
+    if error.status is Status.UNAVAILABLE:
+        return UnavailableError(message, step=step, peer=peer)
+    return UncertainError(message, step=step, peer=peer)
--- /dev/null
+++ b/plantainhinge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/plantainhinge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, records, messages and interfaces shared by every layer."""
--- /dev/null
+++ b/plantainhinge/core/configuration.py
@@ -0,0 +1,148 @@
+"""The operators' configuration: one checked document, applied whole."""
+
+from typing import Annotated
+
+import json5
+import msgspec
+
+from .errors import BadInputError
+from .ids import DomainId, KindId, RegionId, ServiceId, TeamId
+from .resources import Resources
+from .states import DomainState, TaskClass
+
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class Amount(_Section, frozen=True):
+    """Declared resources of a task, in the operators' units."""
+
+    processors: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_gib: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    accelerators: Count = 0
+
+    def to_resources(self) -> Resources:
+        """Return the amount in millicores, MiB and whole accelerators."""
+        return Resources(
+            round(self.processors * 1000),
+            round(self.memory_gib * 1024),
+            self.accelerators,
+        )
+
+
+class Domain(_Section, frozen=True):
+    """A failure domain and whether it takes work."""
+
+    region: RegionId
+    state: DomainState = DomainState.IN
+
+
+class Team(_Section, frozen=True):
+    """A team and the most it may have running at once."""
+
+    quota: Amount
+
+
+class Service(_Section, frozen=True):
+    """A latency-critical service kept at a count of replicas."""
+
+    team: TeamId
+    replicas: Count
+    task: Amount
+    slots: PositiveInt = 8
+    connections: PositiveInt = 64
+
+
+class Kind(_Section, frozen=True):
+    """A kind of work: requests to a service, or batch jobs.
+
+    Parameters
+    ----------
+    service : ServiceId or None
+        The service that answers requests of this kind; none for batch jobs.
+    task_class : TaskClass
+        Latency-critical work goes first.
+    idempotent : bool
+        Whether a request may run twice without harm.
+    deadline_seconds : float
+        Time a request has when its caller names none.
+    task : Amount
+        What a batch job of this kind declares.
+    priority : int
+        Higher goes first among batch jobs.
+    urgent : bool
+        Whether it starts ahead of all work that is not urgent.
+    """
+
+    team: TeamId
+    task_class: TaskClass
+    service: ServiceId | None = None
+    idempotent: bool = True
+    deadline_seconds: PositiveSeconds = 2.0
+    task: Amount = Amount()
+    priority: int = 0
+    urgent: bool = False
+
+
+class Limits(_Section, frozen=True):
+    """Bounds that hold for the whole site."""
+
+    ledger_partitions: PositiveInt = 4
+    attempts_per_task: PositiveInt = 5
+
+
+class Configuration(_Section, frozen=True):
+    """Everything the operators declare."""
+
+    schema: Annotated[int, msgspec.Meta(ge=1, le=1)]
+    domains: dict[DomainId, Domain]
+    teams: dict[TeamId, Team]
+    services: dict[ServiceId, Service]
+    kinds: dict[KindId, Kind]
+    limits: Limits = Limits()
+
+
+def find_faults(configuration: Configuration) -> list[str]:
+    """Return every broken reference, each as ``path: what is wrong``."""
+    faults = []
+    teams = sorted(configuration.teams)
+    services = sorted(configuration.services)
+    for name, service in configuration.services.items():
+        if service.team not in configuration.teams:
+            faults.append(
+                f"services.{name}.team: {service.team!r} is unknown; valid: {teams}"
+            )
+    for kind_name, kind in configuration.kinds.items():
+        where = f"kinds.{kind_name}"
+        if kind.team not in configuration.teams:
+            faults.append(f"{where}.team: {kind.team!r} is unknown; valid: {teams}")
+        if kind.service is not None and kind.service not in configuration.services:
+            faults.append(
+                f"{where}.service: {kind.service!r} is unknown; valid: {services}"
+            )
+    return faults
+
+
+def parse_configuration(text: str, *, source: str = "configuration") -> Configuration:
+    """Return the checked configuration in a JSON document with comments.
+
+    Raises
+    ------
+    BadInputError
+        If the text is no JSON, or fails any check.
+    """
+    step = "configuration.check"
+    try:
+        document = json5.loads(text)
+        configuration = msgspec.convert(document, Configuration)
+    except (ValueError, msgspec.ValidationError) as error:
+        raise BadInputError(str(error), step=step, peer=source) from error
+    faults = find_faults(configuration)
+    if faults:
+        raise BadInputError("; ".join(faults), step=step, peer=source)
+    return configuration
--- /dev/null
+++ b/plantainhinge/core/events.py
@@ -0,0 +1,88 @@
+"""Typed events with a hybrid logical clock, kept in a bounded ring.
+
+The clock follows Kulkarni et al., "Logical Physical Clocks" (2014): the larger
+of wall time and the last stamp seen, with a counter that breaks ties.
+"""
+
+import threading
+from collections import deque
+
+import msgspec
+
+from .clock import read_wall
+from .ids import ProcessId
+
+RING_EVENTS = 4096
+
+
+class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A point on the time line of all processes.
+
+    Parameters
+    ----------
+    wall : float
+        Seconds since the Unix epoch.
+    """
+
+    wall: float
+    counter: int
+    process: ProcessId
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True):
+    """Something that happened to a subject in one process."""
+
+    stamp: Stamp
+    name: str
+    subject: str
+    detail: dict[str, str] = {}
+
+
+class EventList(msgspec.Struct, frozen=True, kw_only=True):
+    """The events one process keeps about a subject."""
+
+    events: list[Event]
+
+
+class EventRing:
+    """The most recent events of one process; safe to use from any thread."""
+
+    def __init__(self, process: ProcessId, *, size: int = RING_EVENTS) -> None:
+        self.process = process
+        self._events: deque[Event] = deque(maxlen=size)
+        self._last = Stamp(0.0, 0, process)
+        self._lock = threading.Lock()
+
+    def add(self, name: str, subject: str, **detail: str) -> Event:
+        """Record an event now and return it."""
+        with self._lock:
+            stamp = self._advance(read_wall())
+            event = Event(stamp=stamp, name=name, subject=subject, detail=detail)
+            self._events.append(event)
+        return event
+
+    def witness(self, stamp: Stamp) -> None:
+        """Order later events after ``stamp``, which came with a message."""
+        with self._lock:
+            if stamp > self._last:
+                self._last = Stamp(stamp.wall, stamp.counter, self.process)
+
+    def select(self, subject: str = "") -> list[Event]:
+        """Return the events about ``subject``, oldest first; all when empty."""
+        with self._lock:
+            events = list(self._events)
+        if not subject:
+            return events
+        return [e for e in events if _concerns(e, subject)]
+
+    def _advance(self, wall: float) -> Stamp:
+        if wall > self._last.wall:
+            self._last = Stamp(wall, 0, self.process)
+        else:
+            counter = self._last.counter + 1
+            self._last = Stamp(self._last.wall, counter, self.process)
+        return self._last
+
+
+def _concerns(event: Event, subject: str) -> bool:
+    return event.subject == subject or subject in event.detail.values()
--- /dev/null
+++ b/plantainhinge/core/ids.py
@@ -0,0 +1,27 @@
+"""Distinct types for the identifiers and quantities that cross module borders."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+ProcessId = NewType("ProcessId", str)
+WorkerId = NewType("WorkerId", str)
+TargetId = NewType("TargetId", str)
+TaskId = NewType("TaskId", str)
+TeamId = NewType("TeamId", str)
+ServiceId = NewType("ServiceId", str)
+KindId = NewType("KindId", str)
+DomainId = NewType("DomainId", str)
+RegionId = NewType("RegionId", str)
+RackId = NewType("RackId", str)
+RequestId = NewType("RequestId", str)
+RequestKey = NewType("RequestKey", str)
+StreamName = NewType("StreamName", str)
+WriterId = NewType("WriterId", str)
+
+Attempt = NewType("Attempt", int)
+Epoch = NewType("Epoch", int)
+Offset = NewType("Offset", int)
+Revision = NewType("Revision", int)
+Sequence = NewType("Sequence", int)
+
+Seconds = NewType("Seconds", float)
--- /dev/null
+++ b/plantainhinge/core/messages.py
@@ -0,0 +1,397 @@
+"""Typed messages between our processes and with the platform and workers."""
+
+import msgspec
+
+from .ids import (
+    Attempt,
+    DomainId,
+    Epoch,
+    InstanceId,
+    KindId,
+    Offset,
+    ProcessId,
+    RackId,
+    RegionId,
+    RequestId,
+    RequestKey,
+    Revision,
+    ServiceId,
+    StreamName,
+    TargetId,
+    TaskId,
+    TeamId,
+    WorkerId,
+)
+from .resources import Resources
+from .states import (
+    AttemptOutcome,
+    DaemonRole,
+    InstanceRole,
+    InstanceState,
+    TaskClass,
+    TaskState,
+)
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all messages."""
+
+
+# The platform's log.
+
+
+class Entry(Message, frozen=True):
+    """One log entry at its offset."""
+
+    offset: Offset
+    data: bytes
+
+
+class Page(Message, frozen=True):
+    """Entries from one offset on, and where to read next.
+
+    Parameters
+    ----------
+    first : Offset
+        The oldest offset that the log still holds.
+    end : Offset
+        The offset that the next append will get.
+    """
+
+    entries: list[Entry]
+    first: Offset
+    end: Offset
+
+
+# The platform's instance list.
+
+
+class Instance(Message, frozen=True):
+    """One row of the platform's list of instances."""
+
+    instance: InstanceId
+    role: InstanceRole
+    state: InstanceState
+    address: str
+    domain: DomainId
+    region: RegionId
+    rack: RackId = RackId("")
+    capacity: Resources = Resources()
+
+
+# Workers.
+
+
+class StartTask(Message, frozen=True):
+    """Asks a worker to start an attempt under a lease.
+
+    Parameters
+    ----------
+    cell_epoch : Epoch
+        A worker refuses an epoch older than the newest it has seen.
+    lease_seconds : float
+        The attempt ends by itself when it is not renewed for this long.
+    as_of : float
+        The worker's own clock as last told to the owner; a worker refuses a
+        start whose reading is older than its start window.
+    """
+
+    task: TaskId
+    attempt: Attempt
+    kind: KindId
+    task_class: TaskClass
+    resources: Resources
+    cell_epoch: Epoch
+    lease_seconds: float
+    as_of: float
+    service: ServiceId = ServiceId("")
+    checkpoint: str = ""
+    run_seconds: float = 0.0
+
+
+class AttemptRef(Message, frozen=True):
+    """Names one attempt of one task."""
+
+    task: TaskId
+    attempt: Attempt
+
+
+class RenewLeases(Message, frozen=True):
+    """Renews the leases of the attempts named, and fences older epochs."""
+
+    cell_epoch: Epoch
+    lease_seconds: float
+    attempts: list[AttemptRef]
+
+
+class AttemptReport(Message, frozen=True):
+    """What a worker says of one attempt.
+
+    Parameters
+    ----------
+    outcome : AttemptOutcome or None
+        None while it runs.
+    address : str
+        Where a service replica answers requests.
+    usage : Resources
+        Mean use over the last reporting window.
+    slowdown : float
+        Service time or progress relative to running alone; 1.0 is no loss.
+    usage_age : float
+        Seconds since the reporting window ended.
+    """
+
+    task: TaskId
+    attempt: Attempt
+    outcome: AttemptOutcome | None = None
+    address: str = ""
+    checkpoint: str = ""
+    reason: str = ""
+    usage: Resources = Resources()
+    slowdown: float = 1.0
+    usage_age: float = 0.0
+
+
+class WorkerReport(Message, frozen=True):
+    """A worker's answer to a renewal: its clock and all its attempts."""
+
+    worker: WorkerId
+    now: float
+    attempts: list[AttemptReport]
+
+
+class StopTask(Message, frozen=True):
+    """Asks a worker to stop an attempt, or never to start it."""
+
+    task: TaskId
+    attempt: Attempt
+    cell_epoch: Epoch
+    checkpoint: bool = True
+
+
+class ThrottleTask(Message, frozen=True):
+    """Limits the processors of a running batch attempt."""
+
+    task: TaskId
+    attempt: Attempt
+    cell_epoch: Epoch
+    millicores: int
+
+
+# Targets.
+
+
+class TargetRequest(Message, frozen=True):
+    """One request as it goes to a target."""
+
+    request: RequestId
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    timeout: float
+
+
+class TargetAnswer(Message, frozen=True):
+    """A whole answer of a target to its request.
+
+    Parameters
+    ----------
+    refused : bool
+        The target says that it did not run the request.
+    leaving : bool
+        The target says that it takes no new work.
+    in_flight : int
+        Requests the target is running or queueing, over all gateways.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    refused: bool = False
+    leaving: bool = False
+    in_flight: int = 0
+
+
+class Target(Message, frozen=True):
+    """A service replica that answers requests."""
+
+    target: TargetId
+    service: ServiceId
+    address: str
+    domain: DomainId
+    rack: RackId
+    worker: WorkerId
+    leaving: bool = False
+
+
+# Peers.
+
+
+class CellDigest(Message, frozen=True):
+    """What a cell can still take, for the ledgers that assign work to it."""
+
+    domain: DomainId
+    free: Resources
+    capacity: Resources
+    largest_free: Resources
+    workers: int
+
+
+class LoadDigest(Message, frozen=True):
+    """What one gateway has in flight at one service."""
+
+    service: ServiceId
+    in_flight: int
+    arrivals_per_second: float
+
+
+class Heartbeat(Message, frozen=True):
+    """What a process tells its peers about itself.
+
+    Parameters
+    ----------
+    incarnation : int
+        Rises with each start of a process at one address.
+    owned : dict of StreamName to Epoch
+        The streams it owns.
+    """
+
+    process: ProcessId
+    incarnation: int
+    role: DaemonRole
+    address: str
+    domain: DomainId
+    revision: Revision
+    ready: bool
+    owned: dict[StreamName, Epoch] = {}
+    cells: list[CellDigest] = []
+    loads: list[LoadDigest] = []
+
+
+class SubmitJob(Message, frozen=True):
+    """Asks a ledger's owner to accept a batch job."""
+
+    task: TaskId
+    kind: KindId
+    team: TeamId
+    run_seconds: float
+
+
+class CancelJob(Message, frozen=True):
+    """Asks a ledger's owner to cancel a task."""
+
+    task: TaskId
+    team: TeamId
+
+
+class QueryJob(Message, frozen=True):
+    """Asks a ledger's owner for a task's account."""
+
+    task: TaskId
+    team: TeamId
+
+
+class JobAccount(Message, frozen=True):
+    """A job's account for callers and operators.
+
+    Parameters
+    ----------
+    waits_for : str
+        Which limit holds the job back; empty when none does.
+    look_again : float
+        Seconds after which another look is worthwhile.
+    """
+
+    task: TaskId
+    team: TeamId
+    kind: KindId
+    state: TaskState
+    attempts: int
+    cell: DomainId | None = None
+    reason: str = ""
+    waits_for: str = ""
+    look_again: float = 0.0
+
+
+class ClaimRequest(Message, frozen=True):
+    """Asks a ledger's owner for the only right to send a request."""
+
+    key: RequestKey
+    request: RequestId
+    team: TeamId
+    gateway: ProcessId
+
+
+class ClaimAnswer(Message, frozen=True):
+    """Whether the claim was granted; if not, the request may have run."""
+
+    granted: bool
+
+
+class FinishClaim(Message, frozen=True):
+    """Tells a ledger's owner how a claimed request went."""
+
+    key: RequestKey
+    request: RequestId
+    team: TeamId
+    ran: bool
+
+
+class OfferAttempt(Message, frozen=True):
+    """A ledger's owner hands an assigned attempt to a cell's owner."""
+
+    ledger: int
+    ledger_epoch: Epoch
+    task: TaskId
+    attempt: Attempt
+    cell: DomainId
+    kind: KindId
+    task_class: TaskClass
+    resources: Resources
+    service: ServiceId = ServiceId("")
+    checkpoint: str = ""
+    run_seconds: float = 0.0
+    cancelled: bool = False
+
+
+class OfferAnswer(Message, frozen=True):
+    """Where the attempt stands in the cell; an outcome once it is closed."""
+
+    closed: bool
+    outcome: AttemptOutcome | None = None
+    checkpoint: str = ""
+    reason: str = ""
+
+
+class AcknowledgeClosure(Message, frozen=True):
+    """A ledger's owner has recorded the end of an attempt."""
+
+    ledger: int
+    ledger_epoch: Epoch
+    cell: DomainId
+    task: TaskId
+    attempt: Attempt
+
+
+class QueryTargets(Message, frozen=True):
+    """Asks a cell's owner for the replicas it runs, for a known service."""
+
+    cell: DomainId
+    service: ServiceId
+
+
+class TargetList(Message, frozen=True):
+    """The replicas of one service in one cell."""
+
+    targets: list[Target]
+
+
+class QueryEvents(Message, frozen=True):
+    """Asks a process for its events about a subject; empty asks for all."""
+
+    subject: str = ""
+
+
+class Empty(Message, frozen=True):
+    """No content."""
--- /dev/null
+++ b/plantainhinge/core/records.py
@@ -0,0 +1,265 @@
+"""Typed records of the platform's log and the batch that carries them.
+
+Every stream is replayed from these records. A field is only ever added at the
+end with a default; any other change takes a new ``RECORD_VERSION``.
+"""
+
+import msgspec
+
+from .errors import UnknownVersionError
+from .ids import (
+    Attempt,
+    DomainId,
+    Epoch,
+    KindId,
+    ProcessId,
+    RackId,
+    RequestId,
+    RequestKey,
+    Revision,
+    Sequence,
+    ServiceId,
+    TaskId,
+    TeamId,
+    WorkerId,
+    WriterId,
+)
+from .resources import Resources
+from .states import AttemptOutcome, TaskClass
+
+RECORD_VERSION = 1
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all records."""
+
+
+class ConfigurationPublished(Record, frozen=True, tag="conf"):
+    """A whole configuration, made from the revision ``based_on``."""
+
+    document: str
+    based_on: Revision
+    operator: str
+
+
+class OwnershipClaimed(Record, frozen=True, tag="own"):
+    """A process takes over the stream under the next epoch."""
+
+    epoch: Epoch
+    owner: ProcessId
+    address: str
+
+
+class OwnershipConfirmed(Record, frozen=True, tag="beat"):
+    """The owner of the stream is alive; its heartbeat on an idle stream."""
+
+    epoch: Epoch
+
+
+class OwnershipReleased(Record, frozen=True, tag="rel"):
+    """The owner leaves in an orderly way; a successor need not wait."""
+
+    epoch: Epoch
+
+
+class TaskAccepted(Record, frozen=True, tag="acc"):
+    """A batch job or service replica enters the ledger."""
+
+    task: TaskId
+    team: TeamId
+    kind: KindId
+    task_class: TaskClass
+    resources: Resources
+    priority: int
+    urgent: bool
+    run_seconds: float
+    service: ServiceId = ServiceId("")
+
+
+class TaskCancelled(Record, frozen=True, tag="can"):
+    """A caller no longer wants the task."""
+
+    task: TaskId
+
+
+class TaskRejected(Record, frozen=True, tag="rej"):
+    """The task can never run; its final state is failed with ``reason``."""
+
+    task: TaskId
+    reason: str
+
+
+class AttemptAssigned(Record, frozen=True, tag="asg"):
+    """The ledger gives an attempt to the cell of one failure domain."""
+
+    task: TaskId
+    attempt: Attempt
+    cell: DomainId
+
+
+class AttemptEnded(Record, frozen=True, tag="end"):
+    """The ledger takes note that a cell closed an attempt."""
+
+    task: TaskId
+    attempt: Attempt
+    outcome: AttemptOutcome
+    checkpoint: str
+    reason: str = ""
+
+
+class RequestClaimed(Record, frozen=True, tag="clm"):
+    """A gateway is the only one to send a non-idempotent request."""
+
+    key: RequestKey
+    request: RequestId
+    gateway: ProcessId
+
+
+class RequestReleased(Record, frozen=True, tag="unc"):
+    """The claiming gateway never sent the request and never will."""
+
+    key: RequestKey
+    request: RequestId
+
+
+class RequestSettled(Record, frozen=True, tag="set"):
+    """The claimed request ran to a whole answer."""
+
+    key: RequestKey
+    request: RequestId
+
+
+class WorkerJoined(Record, frozen=True, tag="wrk"):
+    """A worker of the cell's failure domain with its capacity."""
+
+    worker: WorkerId
+    address: str
+    rack: RackId
+    capacity: Resources
+
+
+class WorkerLeft(Record, frozen=True, tag="wrl"):
+    """A worker is gone and all its attempts are closed."""
+
+    worker: WorkerId
+
+
+class AttemptPlaced(Record, frozen=True, tag="plc"):
+    """The cell commits a worker's resources to an attempt before it starts."""
+
+    task: TaskId
+    attempt: Attempt
+    worker: WorkerId
+    kind: KindId
+    task_class: TaskClass
+    resources: Resources
+    ledger: int
+    service: ServiceId = ServiceId("")
+    checkpoint: str = ""
+    run_seconds: float = 0.0
+
+
+class AttemptClosed(Record, frozen=True, tag="cls"):
+    """The attempt surely does not run and never will."""
+
+    task: TaskId
+    attempt: Attempt
+    outcome: AttemptOutcome
+    checkpoint: str
+    ledger: int
+    reason: str = ""
+
+
+class ClosureAcknowledged(Record, frozen=True, tag="ack"):
+    """The ledger has recorded the end of the attempt; the cell may forget it."""
+
+    task: TaskId
+    attempt: Attempt
+
+
+class SnapshotTaken(Record, frozen=True, tag="snap"):
+    """The whole state of a stream up to this record, encoded by its reducer."""
+
+    state: bytes
+
+
+AnyRecord = (
+    ConfigurationPublished
+    | OwnershipClaimed
+    | OwnershipConfirmed
+    | OwnershipReleased
+    | TaskAccepted
+    | TaskCancelled
+    | TaskRejected
+    | AttemptAssigned
+    | AttemptEnded
+    | RequestClaimed
+    | RequestReleased
+    | RequestSettled
+    | WorkerJoined
+    | WorkerLeft
+    | AttemptPlaced
+    | AttemptClosed
+    | ClosureAcknowledged
+    | SnapshotTaken
+)
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """The records of one append.
+
+    Parameters
+    ----------
+    version : int
+        ``RECORD_VERSION`` of the writer.
+    writer : WriterId
+        A process incarnation; never reused.
+    sequence : Sequence
+        Rises by one with each batch of the writer on this stream.
+    epoch : Epoch
+        The epoch of ownership the writer acts under; 0 for none.
+    records : list of Record
+        Applied in order.
+    """
+
+    version: int
+    writer: WriterId
+    sequence: Sequence
+    epoch: Epoch
+    records: list[AnyRecord]
+
+
+class _Header(msgspec.Struct, array_like=True):
+    version: int
+
+
+_encoder = msgspec.msgpack.Encoder()
+_header_decoder = msgspec.msgpack.Decoder(_Header)
+_batch_decoder = msgspec.msgpack.Decoder(Batch)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Return the bytes of one log entry."""
+    return _encoder.encode(batch)
+
+
+def decode_batch(data: bytes) -> Batch:
+    """Return the batch in one log entry.
+
+    Raises
+    ------
+    UnknownVersionError
+        If a newer release wrote it, or if it is no batch at all.
+    """
+    try:
+        version = _header_decoder.decode(data).version
+        if version > RECORD_VERSION:
+            raise UnknownVersionError(
+                f"record version {version} is newer than {RECORD_VERSION}",
+                step="record.decode",
+            )
+        return _batch_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise UnknownVersionError(
+            f"not a batch of records: {error}", step="record.decode"
+        ) from error
--- /dev/null
+++ b/plantainhinge/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway and scheduler daemons."""
--- /dev/null
+++ b/plantainhinge/daemons/process.py
@@ -0,0 +1,155 @@
+"""Running a daemon: threads, sockets, signals and their clean-up."""
+
+import logging
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+
+from pythonjsonlogger.json import JsonFormatter
+from waitress.server import create_server
+
+from ..adapters.callers_http import CallersApplication
+from ..adapters.instances_http import HttpInstanceList
+from ..adapters.log_http import HttpLog
+from ..adapters.peers_grpc import Call, Peers
+from ..adapters.targets_http import HttpTargets
+from ..adapters.workers_http import HttpWorkers
+from ..core.clock import read_monotonic
+from ..core.ids import Seconds
+from ..core.settings import Settings
+from ..core.states import DaemonRole
+from ..core.tick import TickLoop
+from .executor import Commander, Event
+from .gateway import Gateway
+from .log_driver import LogDriver
+from .node import Node
+from .scheduler import Scheduler
+
+Tick = Callable[[list[Event], Seconds], None]
+
+TICK_PERIOD = Seconds(0.05)
+POOL_THREADS = 16
+DRAIN_SECONDS = 5.0
+DRAIN_POLL_SECONDS = 0.05
+
+
+def configure_logging(level: str) -> None:
+    """Write JSON log lines to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        JsonFormatter("{asctime}{levelname}{name}{message}", style="{")
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
+@contextmanager
+def run_loop(loop: TickLoop[Event], tick: Tick) -> Iterator[None]:
+    """Tick in a thread of its own until the block ends."""
+    thread = threading.Thread(target=loop.run, args=(tick,), name="tick")
+    thread.start()
+    try:
+        yield
+    finally:
+        loop.stop()
+        thread.join()
+
+
+@contextmanager
+def await_stop() -> Iterator[threading.Event]:
+    """Give an event that SIGTERM or SIGINT sets."""
+    stopped = threading.Event()
+    previous = {
+        number: signal.signal(number, lambda *_: stopped.set())
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield stopped
+    finally:
+        for number, handler in previous.items():
+            signal.signal(number, handler)
+
+
+@contextmanager
+def serve_callers(gateway: Gateway, settings: Settings) -> Iterator[None]:
+    """Answer callers by waitress until the block ends."""
+    server = create_server(
+        CallersApplication(gateway),
+        host=settings.address,
+        port=settings.ports.callers,
+        threads=settings.callers.threads,
+        connection_limit=settings.callers.connections,
+        max_request_body_size=settings.callers.body_bytes,
+        max_request_header_size=settings.callers.header_bytes,
+        ident="plantainhinge",
+    )
+    thread = threading.Thread(target=server.run, name="callers")
+    thread.start()
+    try:
+        yield
+    finally:
+        server.close()
+        server.trigger.pull_trigger()
+        thread.join(DRAIN_SECONDS)
+
+
+def run_gateway(settings: Settings) -> None:
+    """Run a gateway until a signal asks it to stop."""
+    with ExitStack() as stack:
+        stopped = stack.enter_context(await_stop())
+        loop: TickLoop[Event] = TickLoop(period=TICK_PERIOD)
+        node = _build_node(settings, DaemonRole.GATEWAY, loop, stack)
+        gateway = Gateway(node, HttpTargets())
+        stack.enter_context(_serve_peers(node, loop, gateway.answer))
+        stack.enter_context(run_loop(loop, gateway.tick))
+        stack.enter_context(serve_callers(gateway, settings))
+        stopped.wait()
+        gateway.stop()
+
+
+def run_scheduler(settings: Settings) -> None:
+    """Run a scheduler until a signal asks it to stop."""
+    with ExitStack() as stack:
+        stopped = stack.enter_context(await_stop())
+        loop: TickLoop[Event] = TickLoop(period=TICK_PERIOD)
+        node = _build_node(settings, DaemonRole.SCHEDULER, loop, stack)
+        scheduler = Scheduler(node, HttpWorkers())
+        stack.enter_context(_serve_peers(node, loop, scheduler.answer))
+        stack.enter_context(run_loop(loop, scheduler.tick))
+        stopped.wait()
+        loop.post(lambda now: scheduler.stop())
+        _wait_until(scheduler.has_stopped)
+
+
+def _serve_peers(
+    node: Node, loop: TickLoop[Event], answer: Callable[[Call, Seconds], None]
+) -> AbstractContextManager[None]:
+    ip, _, port = node.address.rpartition(":")
+
+    def accept(call: Call) -> None:
+        loop.post(lambda now: answer(call, now))
+
+    return node.peers.serve(ip, int(port), accept)
+
+
+def _build_node(
+    settings: Settings, role: DaemonRole, loop: TickLoop[Event], stack: ExitStack
+) -> Node:
+    executor = stack.enter_context(ThreadPoolExecutor(POOL_THREADS))
+    commander = Commander(loop, executor)
+    return Node(
+        settings,
+        role,
+        instances=HttpInstanceList(settings.instance_list_address),
+        commander=commander,
+        driver=LogDriver(HttpLog(settings.log_address), commander),
+        peers=Peers(),
+    )
+
+
+def _wait_until(condition: Callable[[], bool]) -> None:
+    deadline = read_monotonic() + DRAIN_SECONDS
+    while read_monotonic() < deadline and not condition():
+        time.sleep(DRAIN_POLL_SECONDS)
--- /dev/null
+++ b/plantainhinge/daemons/scheduler.py
@@ -0,0 +1,130 @@
+"""The scheduler daemon: owns ledger partitions and cells."""
+
+from collections.abc import Iterable
+
+from ..adapters.peers_grpc import Call
+from ..core.errors import NotOwnerError
+from ..core.ids import DomainId, Epoch, ProcessId, Seconds, StreamName, WriterId
+from ..core.messages import (
+    AcknowledgeClosure,
+    Heartbeat,
+    OfferAttempt,
+    QueryTargets,
+)
+from ..core.protocols import WorkerClient
+from ..ledgers.cell import CellState
+from ..ledgers.ledger import LedgerState
+from ..streams.names import (
+    find_partition,
+    name_cell,
+    name_ledger,
+    rank_candidates,
+)
+from ..streams.replica import Replica
+from .cell_owner import CellOwner
+from .executor import Event
+from .ledger_owner import LedgerOwner
+from .node import Node
+
+STANDBYS = 2
+
+
+class Scheduler:
+    """Steps every stream that this process owns or stands by for."""
+
+    def __init__(self, node: Node, workers: WorkerClient) -> None:
+        self.node = node
+        self.ledgers: dict[int, LedgerOwner] = {}
+        self.cells: dict[DomainId, CellOwner] = {}
+        self._workers = workers
+        self._stopping = False
+        node.describe = self.describe
+
+    def tick(self, events: Iterable[Event], now: Seconds) -> None:
+        """Take in events, then step everything."""
+        for event in events:
+            event(now)
+        self.node.step(now)
+        if self.node.current is None:
+            return
+        self._follow_streams()
+        live = list({self.node.process, *self.node.table.list_schedulers(now)})
+        for owner in self._list_owners():
+            owner.step(now, self._rank(owner.replica.stream, live))
+
+    def answer(self, call: Call, now: Seconds) -> None:
+        """Answer a peer's call, or pass it to the stream it is about."""
+        if self.node.answer(call, now):
+            return
+        owner = self._find_owner(call)
+        if owner is None:
+            error = NotOwnerError("no such stream here", step="scheduler.call")
+            call.answer.set_exception(error)
+        else:
+            owner.answer(call, now)
+
+    def stop(self) -> None:
+        """Begin a planned stop: release all streams and claim no more."""
+        self._stopping = True
+        for owner in self._list_owners():
+            owner.release()
+
+    def has_stopped(self) -> bool:
+        """Return whether no release is undecided."""
+        return not any(o.replica.has_undecided() for o in self._list_owners())
+
+    def describe(self) -> Heartbeat:
+        """Return this process's heartbeat with the streams it owns."""
+        alone = self.node.describe_alone()
+        owned: dict[StreamName, Epoch] = {}
+        for owner in self._list_owners():
+            if owner.state.ownership.owner == self.node.process:
+                owned[owner.replica.stream] = owner.state.ownership.epoch
+        cells = [
+            cell.digest()
+            for cell in self.cells.values()
+            if cell.replica.stream in owned
+        ]
+        return Heartbeat(
+            process=alone.process,
+            incarnation=alone.incarnation,
+            role=alone.role,
+            address=alone.address,
+            domain=alone.domain,
+            revision=alone.revision,
+            ready=alone.ready,
+            owned=owned,
+            cells=cells,
+        )
+
+    def _follow_streams(self) -> None:
+        configuration = self.node.current
+        assert configuration is not None
+        writer = WriterId(self.node.process)
+        for partition in range(configuration.limits.ledger_partitions):
+            if partition not in self.ledgers:
+                ledger = Replica(name_ledger(partition), writer, LedgerState(partition))
+                self.ledgers[partition] = LedgerOwner(self.node, ledger)
+        for domain in configuration.domains:
+            if domain not in self.cells:
+                cell = Replica(name_cell(domain), writer, CellState(domain))
+                self.cells[domain] = CellOwner(self.node, cell, self._workers)
+
+    def _list_owners(self) -> list[LedgerOwner | CellOwner]:
+        return [*self.ledgers.values(), *self.cells.values()]
+
+    def _rank(self, stream: StreamName, live: list[ProcessId]) -> int | None:
+        if self._stopping:
+            return None
+        place = rank_candidates(stream, live).index(self.node.process)
+        return place if place < STANDBYS else None
+
+    def _find_owner(self, call: Call) -> LedgerOwner | CellOwner | None:
+        request = call.request
+        if isinstance(request, OfferAttempt | AcknowledgeClosure | QueryTargets):
+            return self.cells.get(request.cell)
+        configuration = self.node.current
+        if configuration is None:
+            return None
+        partitions = configuration.limits.ledger_partitions
+        return self.ledgers.get(find_partition(request.team, partitions))
--- /dev/null
+++ b/plantainhinge/ledgers/__init__.py
@@ -0,0 +1,1 @@
+"""Replayed state of ledger partitions and cells."""
--- /dev/null
+++ b/plantainhinge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons and instances are believed to be alive."""
--- /dev/null
+++ b/plantainhinge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: target choice, limits, admission and retries."""
--- /dev/null
+++ b/plantainhinge/streams/__init__.py
@@ -0,0 +1,1 @@
+"""The log client: proposing, reading back and replaying records."""
--- /dev/null
+++ b/plantainhinge/streams/names.py
@@ -0,0 +1,36 @@
+"""Names of the streams in the platform's log."""
+
+import hashlib
+
+from ..core.ids import DomainId, ProcessId, StreamName, TeamId
+
+CONFIGURATION = StreamName("config")
+
+
+def name_cell(domain: DomainId) -> StreamName:
+    """Return the stream of the cell of one failure domain."""
+    return StreamName(f"cell.{domain}")
+
+
+def name_ledger(partition: int) -> StreamName:
+    """Return the stream of one ledger partition."""
+    return StreamName(f"ledger.{partition}")
+
+
+def find_partition(team: TeamId, partitions: int) -> int:
+    """Return the ledger partition that keeps a team's accounts."""
+    digest = hashlib.blake2b(team.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % partitions
+
+
+def rank_candidates(stream: StreamName, candidates: list[ProcessId]) -> list[ProcessId]:
+    """Return the candidates for a stream's ownership, best first.
+
+    Rendezvous hashing (Thaler and Ravishankar, 1998): a change of one candidate
+    moves only the streams it held or now gains.
+    """
+    return sorted(candidates, key=lambda name: _weigh(stream, name), reverse=True)
+
+
+def _weigh(stream: StreamName, candidate: str) -> bytes:
+    return hashlib.blake2b(f"{stream}|{candidate}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/plantainhinge/streams/ownership.py
@@ -0,0 +1,82 @@
+"""Who owns a stream: one process at a time, under rising epochs.
+
+An owner may act only while ``may_act`` holds on its own clock; a candidate may
+claim only once ``may_claim`` holds on its own clock. Both count from the owner's
+last record: the owner from before it was sent, the candidate from after it was
+read. So, clocks of about equal rate given, the intervals never overlap.
+"""
+
+from dataclasses import dataclass
+
+from ..core.ids import Epoch, ProcessId, Seconds
+from ..core.records import (
+    AnyRecord,
+    OwnershipClaimed,
+    OwnershipConfirmed,
+    OwnershipReleased,
+)
+
+OWNER_LEASE_SECONDS = 4.0
+CLOCK_MARGIN_SECONDS = 0.5
+CLAIM_STAGGER_SECONDS = 1.0
+CONFIRM_PERIOD_SECONDS = 1.0
+
+
+@dataclass
+class Ownership:
+    """The replayed ownership of one stream.
+
+    Parameters
+    ----------
+    read_at : Seconds
+        When this reader last read a record of the owner, on its own clock.
+    """
+
+    epoch: Epoch = Epoch(0)
+    owner: ProcessId | None = None
+    address: str = ""
+    read_at: Seconds = Seconds(0.0)
+
+    def apply(self, record: AnyRecord) -> str | None:
+        """Apply a record about ownership; return why it is rejected, or None."""
+        match record:
+            case OwnershipClaimed():
+                return self._claim(record)
+            case OwnershipReleased():
+                return self._release(record)
+            case OwnershipConfirmed():
+                return self.reject_epoch(record.epoch)
+        raise TypeError(f"not a record about ownership: {record!r}")
+
+    def reject_epoch(self, epoch: Epoch) -> str | None:
+        """Return why a record under ``epoch`` is rejected, or None."""
+        if epoch == self.epoch and self.owner is not None:
+            return None
+        return f"epoch {epoch} does not own the stream; epoch is {self.epoch}"
+
+    def may_claim(self, now: Seconds, rank: int) -> bool:
+        """Return whether the candidate at place ``rank`` may try to take over."""
+        stagger = rank * CLAIM_STAGGER_SECONDS
+        if self.owner is None:
+            return now >= self.read_at + stagger
+        expiry = self.read_at + OWNER_LEASE_SECONDS + CLOCK_MARGIN_SECONDS
+        return now >= expiry + stagger
+
+    def _claim(self, record: OwnershipClaimed) -> str | None:
+        if record.epoch != self.epoch + 1:
+            return f"epoch {record.epoch} does not follow epoch {self.epoch}"
+        self.epoch = record.epoch
+        self.owner = record.owner
+        self.address = record.address
+        return None
+
+    def _release(self, record: OwnershipReleased) -> str | None:
+        rejection = self.reject_epoch(record.epoch)
+        if rejection is None:
+            self.owner = None
+        return rejection
+
+
+def may_act(confirmed_at: Seconds | None, now: Seconds) -> bool:
+    """Return whether an owner whose record was sent at ``confirmed_at`` may act."""
+    return confirmed_at is not None and now < confirmed_at + OWNER_LEASE_SECONDS
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,288 @@
+"""Starts a small site on loopback and shows it at work.
+
+The only program of the project that starts processes. Each site takes the
+loopback network ``127.<octet>.0.0/16`` for itself, so several can run at once.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import msgspec
+
+from plantainhinge.core.ids import DomainId, InstanceId, RackId, RegionId
+from plantainhinge.core.messages import Instance
+from plantainhinge.core.resources import Resources
+from plantainhinge.core.states import InstanceRole, InstanceState
+
+PLATFORM_LOG_PORT = 9100
+INSTANCES_PORT = 9101
+WORKER_PORT = 9200
+CALLERS_PORT = 8080
+FIRST_OCTET = 16
+OCTETS = 200
+WAIT_SECONDS = 60.0
+POLL_SECONDS = 0.1
+STOP_SECONDS = 10.0
+WORKER_CAPACITY = Resources(30_000, 125 * 1024, 0)
+REGION = RegionId("scotland")
+
+
+class CallerReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What the site told a caller."""
+
+    status: int
+    outcome: str
+    retry_after: str
+    body: bytes
+
+
+class Site:
+    """The processes of one site and their addresses."""
+
+    def __init__(self, folder: Path, *, instances: int, domains: list[str]) -> None:
+        self.folder = folder
+        self.domains = domains
+        self.octet = _pick_octet()
+        self.entries = [f"127.{self.octet}.1.{n + 1}" for n in range(instances)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.platform = f"127.{self.octet}.0.1"
+        self.rows: list[Instance] = []
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Start a process of the site; its output goes to a file."""
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdout=output, stderr=output
+            )
+
+    def start_platform(self) -> None:
+        """Start the log and the instance list."""
+        for kind, port in (("log", PLATFORM_LOG_PORT), ("instances", INSTANCES_PORT)):
+            self._start_standin(kind, kind, self.platform, port)
+            await_port(self.platform, port)
+
+    def start_workers(self, count: int) -> None:
+        """Start workers, spread over the failure domains."""
+        for number in range(count):
+            name = f"worker-{number + 1}"
+            ip = f"127.{self.octet}.2.{number + 1}"
+            self._start_standin("worker", name, ip, WORKER_PORT)
+            domain = self.domains[number % len(self.domains)]
+            self.rows.append(_list_worker(name, ip, domain))
+
+    def start_daemons(self) -> None:
+        """Start a gateway and a scheduler on each entry instance."""
+        for number, ip in enumerate(self.entries):
+            name = f"entry-{number + 1}"
+            domain = self.domains[number % len(self.domains)]
+            self.rows.append(_list_entry(name, ip, domain))
+            settings = self.write_settings(name, ip, domain)
+            for daemon in ("gateway", "scheduler"):
+                self.start_daemon(daemon, name, settings)
+
+    def start_daemon(self, daemon: str, instance: str, settings: Path) -> None:
+        """Start one daemon of an entry instance."""
+        self.start(
+            f"{instance}-{daemon}",
+            "plantainhinge",
+            daemon,
+            "--settings",
+            str(settings),
+        )
+
+    def write_settings(self, name: str, ip: str, domain: str) -> Path:
+        """Write the settings of one entry instance and return their path."""
+        settings = {
+            "instance": name,
+            "address": ip,
+            "domain": domain,
+            "region": REGION,
+            "log_address": f"{self.platform}:{PLATFORM_LOG_PORT}",
+            "instance_list_address": f"{self.platform}:{INSTANCES_PORT}",
+        }
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        return path
+
+    def publish_instances(self) -> None:
+        """Put all rows on the platform's list."""
+        address = f"{self.platform}:{INSTANCES_PORT}"
+        connection = http.client.HTTPConnection(address, timeout=5)
+        connection.request("PUT", "/instances", msgspec.json.encode(self.rows))
+        connection.getresponse().read()
+        connection.close()
+
+    def run_command(self, *arguments: str) -> str:
+        """Run the operators' command and return what it printed."""
+        finished = subprocess.run(
+            [sys.executable, "-m", "plantainhinge", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=WAIT_SECONDS,
+            check=False,
+        )
+        return (finished.stdout + finished.stderr).strip()
+
+    def apply(self, path: Path) -> str:
+        """Apply a configuration file."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command("apply", str(path), "--settings", settings)
+
+    def show_timeline(self, subject: str) -> str:
+        """Return the time line of one subject."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command("timeline", subject, "--settings", settings)
+
+    def call(
+        self,
+        entry: int,
+        method: str,
+        path: str,
+        *,
+        kind: str = "",
+        key: str = "",
+        body: bytes = b"",
+    ) -> CallerReply:
+        """Call the gateway of one entry instance as a caller would."""
+        address = f"{self.entries[entry]}:{CALLERS_PORT}"
+        headers = {}
+        if kind:
+            headers["Plantainhinge-Kind"] = kind
+        if key:
+            headers["Idempotency-Key"] = key
+        connection = http.client.HTTPConnection(address, timeout=15)
+        connection.request(method, path, body or None, headers)
+        response = connection.getresponse()
+        reply = CallerReply(
+            status=response.status,
+            outcome=response.headers.get("Plantainhinge-Outcome", ""),
+            retry_after=response.headers.get("Retry-After", ""),
+            body=response.read(),
+        )
+        connection.close()
+        return reply
+
+    def stop(self) -> None:
+        """Stop all processes, daemons first."""
+        for process in reversed(self.processes.values()):
+            process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in self.processes.values():
+            _reap(process, deadline)
+
+    def _start_standin(self, kind: str, name: str, ip: str, port: int) -> None:
+        options = ("--name", name, "--ip", ip, "--port", str(port))
+        self.start(name, "standins.main", kind, *options)
+
+
+@contextmanager
+def run_site(
+    *, instances: int = 2, workers: int = 4, domains: list[str]
+) -> Iterator[Site]:
+    """Start a site and stop all its processes when the block ends."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        site = Site(folder, instances=instances, domains=domains)
+        stack.callback(site.stop)
+        site.start_platform()
+        site.start_workers(workers)
+        site.start_daemons()
+        site.publish_instances()
+        for ip in site.entries:
+            await_port(ip, CALLERS_PORT)
+        yield site
+
+
+def await_condition(what: str, condition: Callable[[], bool]) -> None:
+    """Wait until a condition is witnessed.
+
+    Raises
+    ------
+    TimeoutError
+        If it is not within the limit.
+    """
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"not within {WAIT_SECONDS} s: {what}")
+
+
+def await_port(ip: str, port: int) -> None:
+    """Wait until something listens."""
+    await_condition(f"a listener at {ip}:{port}", lambda: _is_listening(ip, port))
+
+
+def _is_listening(ip: str, port: int) -> bool:
+    try:
+        with socket.create_connection((ip, port), timeout=1):
+            return True
+    except OSError:
+        return False
+
+
+def _pick_octet() -> int:
+    for step in range(OCTETS):
+        octet = FIRST_OCTET + (os.getpid() + step) % OCTETS
+        if not _is_listening(f"127.{octet}.0.1", PLATFORM_LOG_PORT):
+            return octet
+    raise TimeoutError("every loopback network is taken")
+
+
+def _list_worker(name: str, ip: str, domain: str) -> Instance:
+    return Instance(
+        instance=InstanceId(name),
+        role=InstanceRole.WORKER,
+        state=InstanceState.LIVE,
+        address=f"{ip}:{WORKER_PORT}",
+        domain=DomainId(domain),
+        region=REGION,
+        rack=RackId(f"{domain}-rack-1"),
+        capacity=WORKER_CAPACITY,
+    )
+
+
+def _list_entry(name: str, ip: str, domain: str) -> Instance:
+    return Instance(
+        instance=InstanceId(name),
+        role=InstanceRole.ENTRY,
+        state=InstanceState.LIVE,
+        address=ip,
+        domain=DomainId(domain),
+        region=REGION,
+    )
+
+
+def _reap(process: subprocess.Popen[bytes], deadline: float) -> None:
+    try:
+        process.wait(max(0.1, deadline - time.monotonic()))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def main() -> int:
+    """Run the demonstration; return non-zero if a promise broke."""
+    from .demonstration import demonstrate  # noqa: PLC0415
+
+    parser = argparse.ArgumentParser(prog="python -m standins.site")
+    parser.add_argument("--keep", action="store_true", help="leave the site up")
+    options = parser.parse_args()
+    with run_site(domains=["scot-a", "scot-b"]) as site:
+        return demonstrate(site, keep=options.keep)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,33 @@
+"""Fixed seeds, and the known faults that CI passes over and prints."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+settings.register_profile("ci", derandomize=True, deadline=None, print_blob=True)
+settings.load_profile("ci")
+
+
+def read_known_red() -> dict[str, str]:
+    entries = {}
+    for line in KNOWN_RED.read_text(encoding="utf-8").splitlines():
+        if line.strip() and not line.startswith("#"):
+            test = line.split("|")[0].strip()
+            entries[test] = line
+    return entries
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    known = read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=True))
+
+
+def pytest_terminal_summary(terminalreporter) -> None:
+    terminalreporter.write_line("seeds: hypothesis is derandomized; time is paused")
+    for line in read_known_red().values():
+        terminalreporter.write_line(f"known red: {line}")
