--- a/plantainhinge/adapters/http_pool.py
+++ b/plantainhinge/adapters/http_pool.py
@@ -1,20 +1,26 @@
 """Persistent HTTP/1.1 connections, one exchange at a time each.
 
-A connection on which an exchange failed, timed out or came back short is closed
-and never reused, so no answer can reach another request.
+A connection on which an exchange failed, timed out, came back short or crossed
+is closed and never reused, so no answer can reach another request.
 """
 
 import http.client
+import select
+import socket
 import threading
-from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping
+from typing import Any
 
 import msgspec
 
+from ..core.clock import read_monotonic
 from ..core.errors import UnavailableError, UncertainError
 
+CONNECTIONS_PER_PEER = 64
 IDLE_CONNECTIONS_PER_PEER = 8
-BODY_BYTES_MAX = 16 * 1024 * 1024
+IDLE_SECONDS = 10.0
+CONNECT_SECONDS = 0.5
+BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
@@ -25,12 +31,122 @@
     body: bytes
 
 
+class _DeadlineSocket(socket.socket):
+    """A socket whose every wait ends at one deadline."""
+
+    deadline = 0.0
+
+    def recv_into(self, *arguments: Any, **options: Any) -> int:
+        self._set_time_left()
+        return super().recv_into(*arguments, **options)
+
+    def sendall(self, *arguments: Any, **options: Any) -> None:
+        self._set_time_left()
+        super().sendall(*arguments, **options)
+
+    def _set_time_left(self) -> None:
+        left = self.deadline - read_monotonic()
+        if left <= 0.0:
+            raise TimeoutError("the deadline passed")
+        self.settimeout(left)
+
+
+class _Connection(http.client.HTTPConnection):
+    sock: _DeadlineSocket
+    idle_since = 0.0
+
+    def connect(self) -> None:
+        super().connect()
+        plain: socket.socket = self.sock
+        self.sock = _DeadlineSocket(
+            plain.family, plain.type, plain.proto, fileno=plain.detach()
+        )
+
+
+class HttpExchange:
+    """A request that was sent; its answer is received or abandoned once."""
+
+    def __init__(
+        self, pool: "HttpPool", address: str, connection: _Connection, step: str
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._connection = connection
+        self._step = step
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor, for waiting on it."""
+        return self._connection.sock.fileno()
+
+    def receive(
+        self, is_own: Callable[[HttpAnswer], bool] = lambda answer: True
+    ) -> HttpAnswer:
+        """Return the whole answer.
+
+        Parameters
+        ----------
+        is_own : callable
+            Whether an answer belongs to this request.
+
+        Raises
+        ------
+        UncertainError
+            If there is no whole answer before the deadline, or another's.
+        """
+        reusable = False
+        try:
+            answer = self._read()
+            if not is_own(answer):
+                raise self._fail("the answer belongs to another request")
+            reusable = self._connection.sock is not None
+            return answer
+        except (OSError, http.client.HTTPException) as error:
+            raise self._fail(str(error) or type(error).__name__) from error
+        finally:
+            self._pool.give_back(self._address, self._connection, reusable=reusable)
+
+    def abandon(self) -> None:
+        """Close the connection, so that a late answer reaches nobody."""
+        self._pool.give_back(self._address, self._connection, reusable=False)
+
+    def _read(self) -> HttpAnswer:
+        response = self._connection.getresponse()
+        length = response.length
+        if length is None and not response.chunked:
+            raise self._fail("the end of the answer cannot be known")
+        content = response.read(BODY_BYTES_MAX)
+        if length is not None and length > len(content):
+            raise self._fail(f"{len(content)} of {length} bytes came")
+        if not response.isclosed():
+            raise self._fail(f"the answer is longer than {BODY_BYTES_MAX} bytes")
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return HttpAnswer(response.status, names, content)
+
+    def _fail(self, message: str) -> UncertainError:
+        return UncertainError(message, step=self._step, peer=self._address)
+
+
 class HttpPool:
-    """Idle connections by peer address; safe to use from any thread."""
+    """Connections by peer address; safe to use from any thread.
 
-    def __init__(self, *, idle_per_peer: int = IDLE_CONNECTIONS_PER_PEER) -> None:
+    Parameters
+    ----------
+    per_peer : int
+        The most connections to one peer, idle or not.
+    idle_per_peer : int
+        The most idle connections kept to one peer.
+    """
+
+    def __init__(
+        self,
+        *,
+        per_peer: int = CONNECTIONS_PER_PEER,
+        idle_per_peer: int = IDLE_CONNECTIONS_PER_PEER,
+    ) -> None:
+        self._per_peer = per_peer
         self._idle_per_peer = idle_per_peer
-        self._idle: dict[str, list[http.client.HTTPConnection]] = {}
+        self._idle: dict[str, list[_Connection]] = {}
+        self._open: dict[str, int] = {}
         self._lock = threading.Lock()
 
     def exchange(
@@ -44,96 +160,148 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
-        """Send one request and return its whole answer.
+        """Send one request and return its whole answer; see ``send``.
+
+        Raises
+        ------
+        UnavailableError
+            If no connection could be made, so that nothing was sent.
+        UncertainError
+            If anything failed after that.
+        """
+        return self.send(
+            address,
+            method,
+            path,
+            step=step,
+            timeout=timeout,
+            body=body,
+            headers=headers,
+        ).receive()
+
+    def send(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        timeout: float,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpExchange:
+        """Send one request.
 
         Parameters
         ----------
         address : str
             ``ip:port`` of the peer.
         timeout : float
-            Seconds for connecting and for each wait on the socket.
+            Seconds for the whole exchange, answer included.
 
         Raises
         ------
         UnavailableError
             If no connection could be made, so that nothing was sent.
         UncertainError
-            If anything failed after that.
+            If sending failed.
         """
-        with self._borrow(address, step, timeout) as connection:
-            return _converse(
-                connection, address, method, path, step, body, headers or {}
-            )
+        deadline = read_monotonic() + timeout
+        connection = self._take(address, step) or self._connect(address, step, timeout)
+        connection.sock.deadline = deadline
+        try:
+            connection.request(method, path, body=body or None, headers=headers or {})
+        except (OSError, http.client.HTTPException) as error:
+            self.give_back(address, connection, reusable=False)
+            message = str(error) or type(error).__name__
+            raise UncertainError(message, step=step, peer=address) from error
+        return HttpExchange(self, address, connection, step)
+
+    def give_back(
+        self, address: str, connection: _Connection, *, reusable: bool
+    ) -> None:
+        """Keep a connection for another exchange, or close it."""
+        if reusable and self._keep(address, connection):
+            return
+        connection.close()
+        self._count_closed(address)
+
+    def close_idle(self, *, older_than: float = IDLE_SECONDS) -> None:
+        """Close the connections that have been idle for ``older_than`` seconds."""
+        oldest = read_monotonic() - older_than
+        with self._lock:
+            closing = [
+                (address, connection)
+                for address, connections in self._idle.items()
+                for connection in connections
+                if connection.idle_since <= oldest
+            ]
+            for address, connection in closing:
+                self._idle[address].remove(connection)
+            self._idle = {a: kept for a, kept in self._idle.items() if kept}
+        for address, connection in closing:
+            connection.close()
+            self._count_closed(address)
 
     def close(self) -> None:
         """Close all idle connections."""
+        self.close_idle(older_than=0.0)
+
+    def count_open(self, address: str) -> int:
+        """Return the connections to a peer, idle or not."""
+        return self._open.get(address, 0)
+
+    def _keep(self, address: str, connection: _Connection) -> bool:
+        connection.idle_since = read_monotonic()
         with self._lock:
-            idle, self._idle = self._idle, {}
-        for connections in idle.values():
-            for connection in connections:
-                connection.close()
-
-    @contextmanager
-    def _borrow(
-        self, address: str, step: str, timeout: float
-    ) -> Iterator[http.client.HTTPConnection]:
-        connection = self._take(address) or _connect(address, step, timeout)
-        if connection.sock is not None:
-            connection.sock.settimeout(timeout)
-        reusable = False
+            idle = self._idle.setdefault(address, [])
+            if len(idle) >= self._idle_per_peer:
+                return False
+            idle.append(connection)
+            return True
+
+    def _take(self, address: str, step: str) -> _Connection | None:
+        """Return a live idle connection, or None with one more counted as open."""
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                if not idle:
+                    self._count_opened(address, step)
+                    return None
+                connection = idle.pop()
+            if not _has_input(connection.sock):
+                return connection
+            connection.close()
+            self._count_closed(address)
+
+    def _connect(self, address: str, step: str, timeout: float) -> _Connection:
+        connection = _Connection(address, timeout=min(timeout, CONNECT_SECONDS))
         try:
-            yield connection
-            reusable = connection.sock is not None
-        finally:
-            if reusable:
-                self._give_back(address, connection)
-            else:
-                connection.close()
+            connection.connect()
+        except OSError as error:
+            self._count_closed(address)
+            raise UnavailableError(str(error), step=step, peer=address) from error
+        return connection
 
-    def _take(self, address: str) -> http.client.HTTPConnection | None:
-        with self._lock:
-            idle = self._idle.get(address)
-            return idle.pop() if idle else None
+    def _count_opened(self, address: str, step: str) -> None:
+        count = self._open.get(address, 0)
+        if count >= self._per_peer:
+            raise UnavailableError(
+                f"all {self._per_peer} connections are in use", step=step, peer=address
+            )
+        self._open[address] = count + 1
 
-    def _give_back(self, address: str, connection: http.client.HTTPConnection) -> None:
+    def _count_closed(self, address: str) -> None:
         with self._lock:
-            idle = self._idle.setdefault(address, [])
-            if len(idle) < self._idle_per_peer:
-                idle.append(connection)
-                return
-        connection.close()
+            left = self._open[address] - 1
+            if left:
+                self._open[address] = left
+            else:
+                del self._open[address]
 
 
-def _connect(address: str, step: str, timeout: float) -> http.client.HTTPConnection:
-    connection = http.client.HTTPConnection(address, timeout=timeout)
-    try:
-        connection.connect()
-    except OSError as error:
-        raise UnavailableError(str(error), step=step, peer=address) from error
-    return connection
-
-
-def _converse(
-    connection: http.client.HTTPConnection,
-    address: str,
-    method: str,
-    path: str,
-    step: str,
-    body: bytes,
-    headers: Mapping[str, str],
-) -> HttpAnswer:
-    try:
-        connection.request(method, path, body=body or None, headers=dict(headers))
-        response = connection.getresponse()
-        content = response.read(BODY_BYTES_MAX)
-        whole = response.isclosed()
-    except (OSError, http.client.HTTPException) as error:
-        raise UncertainError(
-            str(error) or type(error).__name__, step=step, peer=address
-        ) from error
-    if not whole:
-        raise UncertainError(
-            f"answer is longer than {BODY_BYTES_MAX} bytes", step=step, peer=address
-        )
-    names = {name.lower(): value for name, value in response.getheaders()}
-    return HttpAnswer(response.status, names, content)
+def _has_input(sock: socket.socket) -> bool:
+    """Return whether an idle connection was closed or sent what nobody asked for."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
--- a/plantainhinge/adapters/targets_http.py
+++ b/plantainhinge/adapters/targets_http.py
@@ -1,56 +1,105 @@
 """Exchanges with targets over HTTP."""
 
-from ..core.errors import UncertainError
+import math
+import select
+from collections.abc import Sequence
+
 from ..core.messages import TargetAnswer, TargetRequest
-from .http_pool import HttpPool
+from ..core.protocols import Exchange
+from .http_pool import HttpAnswer, HttpExchange, HttpPool
 
 REQUEST_HEADER = "Plantainhinge-Request-Id"
 REFUSED_HEADER = "plantainhinge-refused"
 LEAVING_HEADER = "plantainhinge-leaving"
 IN_FLIGHT_HEADER = "plantainhinge-in-flight"
+CONNECTIONS_PER_TARGET = 64
+MILLISECONDS = 1000
+
+
+class TargetExchange:
+    """A request sent to a target."""
+
+    def __init__(self, exchange: HttpExchange, request: TargetRequest) -> None:
+        self._exchange = exchange
+        self._request = request
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor, for waiting on it."""
+        return self._exchange.fileno()
+
+    def receive(self) -> TargetAnswer:
+        """Return the whole answer.
+
+        Raises
+        ------
+        UncertainError
+            If there is no whole answer in time, or it is another request's.
+        """
+        raw = self._exchange.receive(self._is_own)
+        return TargetAnswer(
+            status=raw.status,
+            headers=raw.headers,
+            body=raw.body,
+            refused=REFUSED_HEADER in raw.headers,
+            leaving=LEAVING_HEADER in raw.headers,
+            in_flight=_read_count(raw.headers.get(IN_FLIGHT_HEADER, "0")),
+        )
+
+    def abandon(self) -> None:
+        """Close the connection, so that a late answer reaches nobody."""
+        self._exchange.abandon()
+
+    def _is_own(self, answer: HttpAnswer) -> bool:
+        return answer.headers.get(REQUEST_HEADER.lower()) == self._request.request
 
 
 class HttpTargets:
-    """All targets, reached by their addresses."""
+    """All targets, reached by their addresses.
+
+    Parameters
+    ----------
+    per_target : int
+        The most connections to one target, idle or not.
+    """
 
-    def __init__(self, *, idle_per_target: int = 8) -> None:
-        self._pool = HttpPool(idle_per_peer=idle_per_target)
+    def __init__(self, *, per_target: int = CONNECTIONS_PER_TARGET) -> None:
+        self._pool = HttpPool(per_peer=per_target)
 
-    def exchange(self, address: str, request: TargetRequest) -> TargetAnswer:
-        """Send a request and return its whole answer.
+    def send(self, address: str, request: TargetRequest) -> TargetExchange:
+        """Send a request.
 
         Raises
         ------
         UnavailableError
             If no connection could be made, so that nothing was sent.
         UncertainError
-            If the exchange failed later, or the answer is another request's.
+            If sending failed.
         """
-        step = "target.exchange"
-        raw = self._pool.exchange(
+        exchange = self._pool.send(
             address,
             request.method,
             request.path,
-            step=step,
+            step="target.exchange",
             timeout=request.timeout,
             body=request.body,
             headers={**request.headers, REQUEST_HEADER: request.request},
         )
-        echoed = raw.headers.get(REQUEST_HEADER.lower())
-        if echoed != request.request:
-            raise UncertainError(
-                f"answer to request {echoed!r}, not {request.request!r}",
-                step=step,
-                peer=address,
-            )
-        return TargetAnswer(
-            status=raw.status,
-            headers=raw.headers,
-            body=raw.body,
-            refused=REFUSED_HEADER in raw.headers,
-            leaving=LEAVING_HEADER in raw.headers,
-            in_flight=_read_count(raw.headers.get(IN_FLIGHT_HEADER, "0")),
-        )
+        return TargetExchange(exchange, request)
+
+    def wait(self, exchanges: Sequence[Exchange], timeout: float) -> list[Exchange]:
+        """Return the exchanges with input, none after ``timeout`` seconds."""
+        poll = select.poll()
+        by_descriptor = {}
+        for exchange in exchanges:
+            assert isinstance(exchange, TargetExchange)
+            by_descriptor[exchange.fileno()] = exchange
+            poll.register(exchange, select.POLLIN)
+        ready = poll.poll(math.ceil(max(0.0, timeout) * MILLISECONDS))
+        return [by_descriptor[descriptor] for descriptor, _ in ready]
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for long."""
+        self._pool.close_idle()
 
 
 def _read_count(text: str) -> int:
--- a/plantainhinge/core/configuration.py
+++ b/plantainhinge/core/configuration.py
@@ -90,8 +90,17 @@
 
 
 class Limits(_Section, frozen=True):
-    """Bounds that hold for the whole site."""
+    """Bounds that hold for the whole site.
 
+    Parameters
+    ----------
+    gateways : int
+        The most gateways that run at once in one region, replaced ones that
+        may not have ended included. Each may use this part of the connections
+        that a target takes.
+    """
+
+    gateways: PositiveInt = 16
     ledger_partitions: PositiveInt = 4
     attempts_per_task: PositiveInt = 5
 
@@ -117,6 +126,11 @@
             faults.append(
                 f"services.{name}.team: {service.team!r} is unknown; valid: {teams}"
             )
+        if service.connections < configuration.limits.gateways:
+            faults.append(
+                f"services.{name}.connections: {service.connections} is below "
+                f"limits.gateways; valid: at least {configuration.limits.gateways}"
+            )
     for kind_name, kind in configuration.kinds.items():
         where = f"kinds.{kind_name}"
         if kind.team not in configuration.teams:
--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -25,6 +25,7 @@
 from .resources import Resources
 from .states import (
     AttemptOutcome,
+    ClaimState,
     DaemonRole,
     InstanceRole,
     InstanceState,
@@ -321,12 +322,24 @@
     request: RequestId
     team: TeamId
     gateway: ProcessId
+    key_at: float = 0.0
 
 
 class ClaimAnswer(Message, frozen=True):
-    """Whether the claim was granted; if not, the request may have run."""
+    """Whether the claim was granted; if not, the request may have run.
+
+    Parameters
+    ----------
+    state : ClaimState or None
+        Where the claim of an earlier request with this key stands; None if the
+        key is too old to know.
+    reason : str
+        Why it was not granted.
+    """
 
     granted: bool
+    state: ClaimState | None = None
+    reason: str = ""
 
 
 class FinishClaim(Message, frozen=True):
@@ -375,16 +388,39 @@
 
 
 class QueryTargets(Message, frozen=True):
-    """Asks a cell's owner for the replicas it runs, for a known service."""
+    """Asks a cell's owner for the replicas it runs, for a known service.
+
+    Parameters
+    ----------
+    gateway : ProcessId
+        Who asks; a large cell tells each gateway another part of its replicas.
+    limit : int
+        The most replicas wanted; 0 for all.
+    seen : int
+        The version that the gateway has; 0 if none.
+    """
 
     cell: DomainId
     service: ServiceId
+    gateway: ProcessId = ProcessId("")
+    limit: int = 0
+    seen: int = 0
 
 
 class TargetList(Message, frozen=True):
-    """The replicas of one service in one cell."""
+    """The replicas of one service in one cell.
+
+    Parameters
+    ----------
+    version : int
+        Changes with the list; never 0.
+    unchanged : bool
+        The gateway's version is still right and no replicas are listed.
+    """
 
     targets: list[Target]
+    version: int = 1
+    unchanged: bool = False
 
 
 class QueryEvents(Message, frozen=True):
--- a/plantainhinge/core/protocols.py
+++ b/plantainhinge/core/protocols.py
@@ -5,6 +5,7 @@
 ``UncertainError`` if its answer was lost.
 """
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from .ids import Offset, StreamName
@@ -65,8 +66,27 @@
         """Stop the attempt, leave a tombstone, and return its outcome."""
 
 
+class Exchange(Protocol):
+    """A request that was sent and whose answer has not been received."""
+
+    def receive(self) -> TargetAnswer:
+        """Return the whole answer; raise ``UncertainError`` if there is none.
+
+        Ends within the time that the request was sent with.
+        """
+
+    def abandon(self) -> None:
+        """Give up the answer; it can reach no other request."""
+
+
 class TargetClient(Protocol):
     """Exchanges with targets; ``address`` is ``ip:port``."""
 
-    def exchange(self, address: str, request: TargetRequest) -> TargetAnswer:
-        """Send a request and return its whole answer."""
+    def send(self, address: str, request: TargetRequest) -> Exchange:
+        """Send a request, of which the answer is received later."""
+
+    def wait(self, exchanges: Sequence[Exchange], timeout: float) -> list[Exchange]:
+        """Return the exchanges that can be received, none after ``timeout`` seconds."""
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for long."""
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -12,7 +12,6 @@
     OfferAttempt,
     QueryTargets,
     StopTask,
-    TargetList,
     WorkerReport,
 )
 from ..core.protocols import WorkerClient
@@ -31,6 +30,7 @@
     place_offers,
 )
 from ..placement.scores import SCORES
+from ..routing.lists import answer_query
 from ..streams.replica import Replica
 from .node import Node, answer_empty
 from .stream_owner import StreamOwner
@@ -72,10 +72,9 @@
             case AcknowledgeClosure(task=task, attempt=attempt):
                 self._acknowledged[task] = ClosureAcknowledged(task, attempt)
                 answer_empty(call)
-            case QueryTargets(service=service):
+            case QueryTargets():
                 targets = list_targets(self.state, self._reports)
-                mine = [t for t in targets if t.service == service]
-                call.answer.set_result(TargetList(targets=mine))
+                call.answer.set_result(answer_query(targets, call.request))
 
     def decide(self, now: Seconds) -> list[AnyRecord]:
         """Return workers joining, attempts placed and attempts closed."""
--- /dev/null
+++ b/plantainhinge/daemons/places.py
@@ -0,0 +1,304 @@
+"""Places at targets: taken, waited for in order of class, and given back.
+
+The only shared state of the threads that answer callers; one lock guards it.
+"""
+
+import random
+import threading
+from collections import deque
+from concurrent.futures import (
+    CancelledError,
+    Future,
+    TimeoutError as FutureTimeoutError,
+)
+from dataclasses import dataclass, field
+
+from ..core.ids import KindId, Seconds, ServiceId, TargetId
+from ..core.messages import TargetAnswer
+from ..core.states import TaskClass
+from ..routing.admission import (
+    BulkheadTable,
+    QueueView,
+    Rate,
+    bound_queue_wait,
+    estimate_return,
+    free_thread,
+    hold_thread,
+)
+from ..routing.budgets import Budget, earn
+from ..routing.choice import ChoiceContext
+from ..routing.ejection import list_open, note_success
+from ..routing.plans import ServicePlan
+from ..routing.policy import Policy
+from ..routing.targets import (
+    TargetRow,
+    TargetTable,
+    note_abandoned,
+    note_answered,
+    note_sent,
+    note_settled,
+)
+
+SERVER_ERROR = 500
+
+
+@dataclass
+class _Waiter:
+    plan_of: ServiceId
+    batch: bool
+    tried: frozenset[TargetId]
+    place: Future[TargetRow] = field(default_factory=Future)
+
+
+@dataclass
+class _ServiceLoad:
+    arrived: Rate = field(default_factory=Rate)
+    answered: Rate = field(default_factory=Rate)
+    refused: Rate = field(default_factory=Rate)
+    budget: Budget = field(default_factory=Budget)
+    in_flight: int = 0
+    turn: int = 0
+
+
+class Places:
+    """Places at the targets of all services; safe to use from any thread."""
+
+    def __init__(
+        self, table: TargetTable, policy: Policy, *, threads: int, seed: int | None
+    ) -> None:
+        self.table = table
+        self.policy = policy
+        self.lock = threading.Lock()
+        self.random = random.Random(seed)
+        self._bulkheads = BulkheadTable(threads)
+        self._plans: dict[ServiceId, ServicePlan] = {}
+        self._loads: dict[ServiceId, _ServiceLoad] = {}
+        self._waiting: dict[TaskClass, deque[_Waiter]] = {
+            TaskClass.LATENCY_CRITICAL: deque(),
+            TaskClass.BATCH: deque(),
+        }
+
+    def enter(self, kind: KindId, task_class: TaskClass) -> bool:
+        """Hold a thread for a kind of work; return whether it may have one."""
+        with self.lock:
+            if not self.policy.has_thread(self._bulkheads, kind, task_class):
+                return False
+            hold_thread(self._bulkheads, kind, task_class)
+            return True
+
+    def leave(self, kind: KindId, task_class: TaskClass) -> None:
+        """Free the thread that ``enter`` held."""
+        with self.lock:
+            free_thread(self._bulkheads, kind, task_class)
+
+    def set_plans(self, plans: dict[ServiceId, ServicePlan], now: Seconds) -> None:
+        """Use new plans from now on, and serve who waits for what they opened."""
+        with self.lock:
+            self._plans = plans
+            self._serve_waiting(now)
+
+    def note_arrival(self, service: ServiceId, now: Seconds) -> None:
+        """Count a request, which earns a part of a retry."""
+        with self.lock:
+            load = self._find_load(service)
+            load.arrived.add(now)
+            earn(load.budget)
+
+    def admit(
+        self, service: ServiceId, task_class: TaskClass, left: float, now: Seconds
+    ) -> bool:
+        """Return whether a request with ``left`` seconds may try for a place."""
+        with self.lock:
+            return self.policy.admit(self._view(service, task_class, now), left)
+
+    def refuse(self, service: ServiceId, task_class: TaskClass, now: Seconds) -> float:
+        """Count a refusal and return the seconds after which to come back."""
+        with self.lock:
+            load = self._find_load(service)
+            load.refused.add(now)
+            return estimate_return(
+                self._view(service, task_class, now),
+                refused=load.refused.read(now),
+                answered=load.answered.read(now),
+                draw=self.random.random(),
+            )
+
+    def take(
+        self,
+        service: ServiceId,
+        task_class: TaskClass,
+        tried: set[TargetId],
+        *,
+        now: Seconds,
+        left: float,
+    ) -> TargetRow | None:
+        """Return a place, waiting in line for part of the ``left`` seconds."""
+        batch = task_class is TaskClass.BATCH
+        with self.lock:
+            if not self._count_ahead(task_class):
+                row = self._try_take(service, batch, tried, now)
+                if row is not None:
+                    return row
+            waiter = _Waiter(service, batch, frozenset(tried))
+            self._waiting[task_class].append(waiter)
+        try:
+            return waiter.place.result(bound_queue_wait(left))
+        except (FutureTimeoutError, CancelledError):
+            return self._stop_waiting(waiter, task_class)
+
+    def take_at_once(
+        self,
+        service: ServiceId,
+        task_class: TaskClass,
+        tried: set[TargetId],
+        *,
+        now: Seconds,
+    ) -> TargetRow | None:
+        """Return a place if one is free that nobody waits for."""
+        with self.lock:
+            if self._count_ahead(task_class):
+                return None
+            batch = task_class is TaskClass.BATCH
+            return self._try_take(service, batch, tried, now)
+
+    def give_back(
+        self, row: TargetRow, task_class: TaskClass, *, now: Seconds, abandoned: bool
+    ) -> None:
+        """Settle a place, and hand it to who waits first.
+
+        Parameters
+        ----------
+        abandoned : bool
+            The target may still hold the connection and run the request.
+        """
+        with self.lock:
+            note_settled(row, batch=task_class is TaskClass.BATCH)
+            self._find_load(row.target.service).in_flight -= 1
+            if abandoned:
+                note_abandoned(row, now)
+            self._serve_waiting(now)
+
+    def note_answer(
+        self, row: TargetRow, answer: TargetAnswer, seconds: float, now: Seconds
+    ) -> None:
+        """Learn from a whole answer."""
+        with self.lock:
+            service = self.table.find_service(row.target.service)
+            note_answered(
+                row,
+                service,
+                seconds=seconds,
+                reported=answer.in_flight,
+                leaving=answer.leaving,
+                now=now,
+            )
+            self._find_load(row.target.service).answered.add(now)
+            if answer.status >= SERVER_ERROR and not answer.refused:
+                self.policy.eject(row, now, self.random.random())
+            else:
+                note_success(row, now)
+
+    def note_failure(self, row: TargetRow, now: Seconds) -> None:
+        """Learn from a request that got no whole answer."""
+        with self.lock:
+            self.policy.eject(row, now, self.random.random())
+
+    def spend(self, service: ServiceId) -> bool:
+        """Take one further attempt from the budget of a service."""
+        with self.lock:
+            return self.policy.spend(self._find_load(service).budget)
+
+    def read_typical(self, service: ServiceId) -> float:
+        """Return the seconds that an idle target of a service takes."""
+        return self.table.find_service(service).typical
+
+    def read_loads(
+        self, now: Seconds
+    ) -> tuple[dict[ServiceId, int], dict[ServiceId, float]]:
+        """Return requests in flight, and arrivals a second, by service."""
+        with self.lock:
+            in_flight = {name: load.in_flight for name, load in self._loads.items()}
+            arrivals = {
+                name: load.arrived.read(now) for name, load in self._loads.items()
+            }
+        return in_flight, arrivals
+
+    def _find_load(self, service: ServiceId) -> _ServiceLoad:
+        load = self._loads.get(service)
+        if load is None:
+            load = self._loads[service] = _ServiceLoad()
+        return load
+
+    def _count_ahead(self, task_class: TaskClass) -> int:
+        ahead = len(self._waiting[TaskClass.LATENCY_CRITICAL])
+        if task_class is TaskClass.BATCH:
+            ahead += len(self._waiting[TaskClass.BATCH])
+        return ahead
+
+    def _view(
+        self, service: ServiceId, task_class: TaskClass, now: Seconds
+    ) -> QueueView:
+        plan = self._plans.get(service)
+        if plan is None:
+            return QueueView(ahead=0, places=0, typical=0.0, free=False)
+        batch = task_class is TaskClass.BATCH
+        ahead = self._count_ahead(task_class)
+        in_use = self._find_load(service).in_flight
+        places = plan.batch_places if batch else len(plan.rows) * plan.soft
+        return QueueView(
+            ahead=ahead,
+            places=places,
+            typical=self.read_typical(service),
+            free=not ahead and in_use < places,
+        )
+
+    def _try_take(
+        self,
+        service: ServiceId,
+        batch: bool,
+        tried: set[TargetId] | frozenset[TargetId],
+        now: Seconds,
+    ) -> TargetRow | None:
+        plan = self._plans.get(service)
+        if plan is None:
+            return None
+        serving = [row for row in plan.rows if not row.leaving]
+        rows = list_open(serving, limit=plan.soft, hard=plan.hard, batch=batch, now=now)
+        if tried:
+            rows = [row for row in rows if row.target.target not in tried]
+        if not rows:
+            return None
+        load = self._find_load(service)
+        row = self.policy.choose(rows, self._build_context(service, load, now))
+        note_sent(row, batch=batch)
+        load.in_flight += 1
+        return row
+
+    def _build_context(
+        self, service: ServiceId, load: _ServiceLoad, now: Seconds
+    ) -> ChoiceContext:
+        load.turn += 1
+        draw = self.random.random
+        return ChoiceContext(
+            typical=self.read_typical(service),
+            now=now,
+            draws=(draw(), draw(), draw(), draw()),
+            turn=load.turn,
+        )
+
+    def _serve_waiting(self, now: Seconds) -> None:
+        for line in self._waiting.values():
+            while line:
+                waiter = line[0]
+                row = self._try_take(waiter.plan_of, waiter.batch, waiter.tried, now)
+                if row is None:
+                    break
+                line.popleft()
+                waiter.place.set_result(row)
+
+    def _stop_waiting(self, waiter: _Waiter, task_class: TaskClass) -> TargetRow | None:
+        with self.lock:
+            if waiter.place.done():
+                return waiter.place.result()
+            self._waiting[task_class].remove(waiter)
+            return None
--- /dev/null
+++ b/plantainhinge/daemons/target_view.py
@@ -0,0 +1,97 @@
+"""Keeps a gateway's view of targets: lists of cells, leaving workers, plans."""
+
+from concurrent.futures import Future
+
+from ..adapters.peers_grpc import QUERY_TARGETS
+from ..core.configuration import Configuration
+from ..core.ids import DomainId, Seconds, ServiceId
+from ..core.messages import Heartbeat, QueryTargets, TargetList
+from ..routing.plans import (
+    bound_cell_subset,
+    list_domains,
+    note_instances,
+    plan_service,
+)
+from ..streams.names import name_cell
+from .node import Node
+from .places import Places
+
+LISTS_PERIOD_SECONDS = 1.0
+
+
+class TargetView:
+    """Refreshes the tables that requests are routed by."""
+
+    def __init__(self, node: Node, places: Places) -> None:
+        self._node = node
+        self._places = places
+        self._lists_due = Seconds(0.0)
+
+    def step(self, configuration: Configuration, now: Seconds) -> None:
+        """Work out new plans; ask the cells for their targets when it is time."""
+        with self._places.lock:
+            note_instances(self._places.table, self._node.instances)
+        self._replan(configuration, now)
+        if now >= self._lists_due:
+            self._lists_due = Seconds(now + LISTS_PERIOD_SECONDS)
+            self._query_cells(configuration, now)
+
+    def close(self, now: Seconds) -> None:
+        """Route nothing until the next step."""
+        self._places.set_plans({}, now)
+
+    def _replan(self, configuration: Configuration, now: Seconds) -> None:
+        live = self._node.table.list_live(now)
+        _, arrivals = self._places.read_loads(now)
+        with self._places.lock:
+            plans = {
+                service: plan_service(
+                    self._places.table,
+                    service,
+                    configuration,
+                    region=self._node.settings.region,
+                    me=self._node.process,
+                    live=live,
+                    own_arrivals=arrivals.get(service, 0.0),
+                    split=self._places.policy.split,
+                )
+                for service in configuration.services
+            }
+        self._places.set_plans(plans, now)
+
+    def _query_cells(self, configuration: Configuration, now: Seconds) -> None:
+        region = self._node.settings.region
+        limit = bound_cell_subset(configuration, region)
+        for domain in list_domains(configuration, region):
+            owner = self._node.table.find_owner(name_cell(domain), now)
+            if owner is None:
+                continue
+            for service in configuration.services:
+                self._query_cell(owner, domain, service, limit)
+
+    def _query_cell(
+        self, owner: Heartbeat, domain: DomainId, service: ServiceId, limit: int
+    ) -> None:
+        seen = self._places.table.find_service(service).seen
+        message = QueryTargets(
+            cell=domain,
+            service=service,
+            gateway=self._node.process,
+            limit=limit,
+            seen=seen.get(domain, 0),
+        )
+        future = self._node.peers.call(owner.address, QUERY_TARGETS, message)
+
+        def finish(done: Future[TargetList], at: Seconds) -> None:
+            if done.exception() is None and not done.result().unchanged:
+                self._take_list(service, domain, done.result(), at)
+
+        self._node.commander.follow(future, then=finish)
+
+    def _take_list(
+        self, service: ServiceId, domain: DomainId, answer: TargetList, now: Seconds
+    ) -> None:
+        table = self._places.table
+        with self._places.lock:
+            table.replace(service, domain, answer.targets, now=now)
+            table.find_service(service).seen[domain] = answer.version
--- /dev/null
+++ b/plantainhinge/routing/claims.py
@@ -0,0 +1,132 @@
+"""Keys of non-idempotent requests and the repetition of their last message."""
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..core.errors import BadInputError
+from ..core.ids import RequestKey, Seconds
+from ..core.messages import FinishClaim
+
+UUID_VERSION = 7
+CLAIM_WINDOW_SECONDS = 600.0
+CLOCK_SKEW_SECONDS = 5.0
+FIRST_REPEAT_SECONDS = 0.5
+LONGEST_REPEAT_SECONDS = 8.0
+REPEATS_MAX = 12
+FINISHES_MAX = 10_000
+
+
+class KeyAge(Enum):
+    """Whether a ledger can still know what became of a key."""
+
+    RECENT = "recent"
+    EXPIRED = "expired"
+
+
+def read_key_time(key: RequestKey | None) -> float:
+    """Return when a key was made, in seconds since the Unix epoch.
+
+    The key is a UUID of version 7 (RFC 9562): its first 48 bits count
+    milliseconds.
+
+    Raises
+    ------
+    BadInputError
+        If the key is missing or no such UUID.
+    """
+    step = "request.check"
+    if key is None:
+        raise BadInputError(
+            "header Idempotency-Key is missing; valid: a UUIDv7", step=step
+        )
+    try:
+        value = uuid.UUID(key)
+    except ValueError as error:
+        raise _reject_key(key, step) from error
+    if value.version != UUID_VERSION or str(value) != key.lower():
+        raise _reject_key(key, step)
+    return (value.int >> 80) / 1000
+
+
+def judge_key(key_at: float, wall: float) -> KeyAge:
+    """Return whether a key is recent enough to be claimed.
+
+    Parameters
+    ----------
+    key_at, wall : float
+        When the key was made and the time now, in seconds since the Unix epoch.
+
+    Raises
+    ------
+    BadInputError
+        If the key is from the future by more than the allowed skew.
+    """
+    if key_at > wall + CLOCK_SKEW_SECONDS:
+        raise BadInputError(
+            f"Idempotency-Key is {key_at - wall:.0f} s in the future; valid: up to "
+            f"{CLOCK_SKEW_SECONDS:.0f} s",
+            step="request.check",
+        )
+    if key_at < wall - CLAIM_WINDOW_SECONDS:
+        return KeyAge.EXPIRED
+    return KeyAge.RECENT
+
+
+@dataclass
+class FinishRow:
+    """The last message about one claim, until its ledger has acknowledged it."""
+
+    message: FinishClaim
+    due: Seconds
+    sent: int = 0
+
+
+@dataclass
+class FinishTable:
+    """Messages to repeat, by key."""
+
+    rows: dict[RequestKey, FinishRow] = field(default_factory=dict)
+
+
+def add_finish(table: FinishTable, message: FinishClaim, now: Seconds) -> None:
+    """Have a message sent until it is acknowledged; the oldest give way."""
+    if len(table.rows) >= FINISHES_MAX:
+        del table.rows[next(iter(table.rows))]
+    table.rows[message.key] = FinishRow(message, now)
+
+
+def acknowledge(table: FinishTable, message: FinishClaim) -> None:
+    """Forget a message that has arrived."""
+    row = table.rows.get(message.key)
+    if row is not None and row.message.request == message.request:
+        del table.rows[message.key]
+
+
+def take_due(
+    table: FinishTable, now: Seconds, can_send: Callable[[FinishClaim], bool]
+) -> list[FinishClaim]:
+    """Return the messages to send now; each repeat doubles the wait for the next.
+
+    Parameters
+    ----------
+    can_send : callable
+        Whether the ledger of a message has an owner; if not, it waits unsent.
+    """
+    due = []
+    for key, row in list(table.rows.items()):
+        if now < row.due or not can_send(row.message):
+            continue
+        if row.sent >= REPEATS_MAX:
+            del table.rows[key]
+            continue
+        wait = min(LONGEST_REPEAT_SECONDS, FIRST_REPEAT_SECONDS * 2**row.sent)
+        row.due = Seconds(now + wait)
+        row.sent += 1
+        due.append(row.message)
+    return due
+
+
+def _reject_key(key: RequestKey, step: str) -> BadInputError:
+    return BadInputError(f"Idempotency-Key is {key!r}; valid: a UUIDv7", step=step)
--- /dev/null
+++ b/plantainhinge/routing/ejection.py
@@ -0,0 +1,84 @@
+"""Ejecting targets that fail, probing them, and starting them slowly."""
+
+from collections.abc import Callable, Sequence
+
+from ..core.ids import Seconds
+from ..core.registry import Registry
+from .targets import TargetRow, count_connections
+
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_SECONDS = 1.0
+LONGEST_EJECTION_SECONDS = 30.0
+RAMP_SECONDS = 5.0
+EJECTED_SHARE_MAX = 0.5
+
+Ejection = Callable[[TargetRow, Seconds, float], None]
+EJECTIONS: Registry[Ejection] = Registry("ejection")
+
+
+@EJECTIONS.register("none")
+def keep_failing(row: TargetRow, now: Seconds, draw: float) -> None:
+    """Eject no target."""
+
+
+@EJECTIONS.register("consecutive")
+def eject_failing(row: TargetRow, now: Seconds, draw: float) -> None:
+    """Count a failure; eject at the third in a row, or when a probe fails.
+
+    Parameters
+    ----------
+    draw : float
+        Uniform in [0, 1); spreads the probes of several gateways.
+    """
+    row.failures += 1
+    probing = row.ejected_until is not None
+    if row.failures < FAILURES_TO_EJECT and not probing:
+        return
+    longest = min(LONGEST_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2**row.ejections)
+    row.ejections += 1
+    row.ejected_until = Seconds(now + longest * (0.5 + draw))
+
+
+def note_success(row: TargetRow, now: Seconds) -> None:
+    """Count a good answer; a target that was ejected starts slowly."""
+    row.failures = 0
+    if row.ejected_until is not None:
+        row.ejected_until = None
+        row.ramp_from = now
+    elif row.ramp_from is None:
+        row.ejections = 0
+
+
+def list_open(
+    rows: Sequence[TargetRow], *, limit: int, hard: int, batch: bool, now: Seconds
+) -> list[TargetRow]:
+    """Return the targets that may get one more request of this gateway.
+
+    Ejection is overruled when it would leave less than half of the targets.
+
+    Parameters
+    ----------
+    limit, hard : int
+        The soft and the hard bound on this gateway's connections at a target.
+    """
+    ejected = sum(1 for row in rows if row.ejected_until is not None)
+    overruled = ejected > len(rows) * EJECTED_SHARE_MAX
+    return [
+        row
+        for row in rows
+        if count_connections(row, now) < hard
+        and row.in_flight < _bound_in_flight(row, limit, now, overruled)
+        and (not batch or row.batch_in_flight < row.batch_share)
+    ]
+
+
+def _bound_in_flight(row: TargetRow, limit: int, now: Seconds, overruled: bool) -> int:
+    if row.ejected_until is not None and not overruled:
+        return 1 if now >= row.ejected_until else 0
+    if row.ramp_from is None:
+        return limit
+    progress = (now - row.ramp_from) / RAMP_SECONDS
+    if progress >= 1.0:
+        row.ramp_from = None
+        return limit
+    return max(1, int(limit * progress))
--- /dev/null
+++ b/plantainhinge/routing/limits.py
@@ -0,0 +1,119 @@
+"""How many connections and places one gateway may use at each target.
+
+The hard share rests on the configuration alone, so it holds whatever a gateway
+believes of its peers: the sum over all gateways stays within a target's
+connections as long as no more gateways run in a region than are declared. The
+soft split rests on membership and load digests and decides efficiency only.
+"""
+
+import hashlib
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import TypeVar
+
+from ..core.ids import ProcessId, TargetId
+from ..core.registry import Registry
+
+Name = TypeVar("Name", bound=str)
+
+PLACES_PER_SLOT = 1.5
+BATCH_SLOT_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class LoadShare:
+    """One gateway's part of the arrivals at a service.
+
+    Parameters
+    ----------
+    own, total : float
+        Arrivals a second at this gateway and at all live gateways.
+    gateways : int
+        Gateways believed live, this one included.
+    """
+
+    own: float
+    total: float
+    gateways: int
+
+    @property
+    def weight(self) -> float:
+        """The part of the load that this gateway carries, in (0, 1]."""
+        if self.total <= 0.0:
+            return 1.0 / self.gateways
+        return min(1.0, max(self.own / self.total, 0.5 / self.gateways))
+
+
+Split = Callable[[int, int, LoadShare], int]
+SPLITS: Registry[Split] = Registry("split of places")
+
+
+def share_connections(connections: int, gateways_max: int) -> int:
+    """Return the connections that one gateway may hold at a target, idle or not.
+
+    Parameters
+    ----------
+    connections : int
+        What the target takes over all gateways.
+    gateways_max : int
+        Declared bound on gateways running at once, replaced ones included.
+    """
+    return connections // gateways_max
+
+
+@SPLITS.register("fixed")
+def split_fixed(slots: int, hard: int, load: LoadShare) -> int:
+    """Return the hard share, whoever else is live."""
+    return hard
+
+
+@SPLITS.register("even")
+def split_evenly(slots: int, hard: int, load: LoadShare) -> int:
+    """Return an equal part of the places for each live gateway."""
+    return _bound(slots * PLACES_PER_SLOT / load.gateways, hard)
+
+
+@SPLITS.register("load-weighted")
+def split_by_load(slots: int, hard: int, load: LoadShare) -> int:
+    """Return a part of the places that follows this gateway's part of the load."""
+    return _bound(slots * PLACES_PER_SLOT * load.weight, hard)
+
+
+def split_batch(
+    slots: int, target: TargetId, me: ProcessId, live: Iterable[ProcessId]
+) -> int:
+    """Return how many batch requests this gateway may have at a target.
+
+    The places for batch are dealt out to the live gateways in the target's
+    rendezvous order, so their sum stays below the slots when views agree.
+    """
+    ranked = rank_by_rendezvous(target, {*live, me})
+    places = max(1, int(slots * BATCH_SLOT_SHARE))
+    return sum(1 for place in range(places) if ranked[place % len(ranked)] == me)
+
+
+def pick_subset(
+    me: ProcessId, targets: Sequence[TargetId], size: int
+) -> list[TargetId]:
+    """Return the ``size`` targets that rank highest for a gateway."""
+    if len(targets) <= size:
+        return sorted(targets)
+    return sorted(rank_by_rendezvous(me, targets)[:size])
+
+
+def rank_by_rendezvous(key: str, members: Iterable[Name]) -> list[Name]:
+    """Return the members by highest random weight for a key, heaviest first.
+
+    Rendezvous hashing (Thaler and Ravishankar, 1998): a member that joins or
+    leaves moves no other.
+    """
+    return sorted(members, key=lambda member: _weigh(key, member), reverse=True)
+
+
+def _weigh(key: str, member: str) -> bytes:
+    return hashlib.blake2b(f"{key}|{member}".encode(), digest_size=8).digest()
+
+
+def _bound(places: float, hard: int) -> int:
+    return max(1, min(hard, math.ceil(places)))
--- /dev/null
+++ b/plantainhinge/routing/policy.py
@@ -0,0 +1,47 @@
+"""The policies that one gateway runs, each named in its registry."""
+
+from dataclasses import dataclass
+
+from .admission import ADMISSIONS, BULKHEADS, Admission, Bulkhead
+from .budgets import SPENDINGS, Spending
+from .choice import CHOICES, Choice
+from .ejection import EJECTIONS, Ejection
+from .limits import SPLITS, Split
+
+
+@dataclass(frozen=True)
+class Policy:
+    """What decides for a request at each step of its way."""
+
+    choose: Choice
+    split: Split
+    admit: Admission
+    has_thread: Bulkhead
+    spend: Spending
+    eject: Ejection
+
+
+def build_policy(
+    *,
+    choice: str = "local-two-choices",
+    split: str = "load-weighted",
+    admission: str = "deadline",
+    bulkhead: str = "per-kind",
+    spending: str = "share",
+    ejection: str = "consecutive",
+) -> Policy:
+    """Return the policies with these names.
+
+    Raises
+    ------
+    BadInputError
+        If a name is unknown.
+    """
+    return Policy(
+        choose=CHOICES.find(choice),
+        split=SPLITS.find(split),
+        admit=ADMISSIONS.find(admission),
+        has_thread=BULKHEADS.find(bulkhead),
+        spend=SPENDINGS.find(spending),
+        eject=EJECTIONS.find(ejection),
+    )
--- /dev/null
+++ b/plantainhinge/routing/requests.py
@@ -0,0 +1,278 @@
+"""The life of one request as a state machine: what to do after each event.
+
+The gateway executes an action and reports its event; ``advance`` looks the pair
+up in a table and returns the next action. Nothing here waits or reads a clock.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..core.ids import Seconds, TargetId
+from ..core.states import Outcome
+from .budgets import ATTEMPTS_MAX
+
+
+class Action(Enum):
+    """What the gateway does next for a request."""
+
+    ADMIT = "admit"
+    CLAIM = "claim"
+    PLACE = "place"
+    SEND = "send"
+    AWAIT = "await"
+    HEDGE = "hedge"
+    TELL = "tell"
+
+
+class Event(Enum):
+    """What came of an action."""
+
+    ADMITTED = "admitted"
+    TURNED_AWAY = "turned-away"
+    GRANTED = "granted"
+    DUPLICATE = "duplicate"
+    NOT_CLAIMED = "not-claimed"
+    CLAIM_LOST = "claim-lost"
+    PLACED = "placed"
+    NO_PLACE = "no-place"
+    SENT = "sent"
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    LOST = "lost"
+    LATE = "late"
+    EXPIRED = "expired"
+    FAILED = "failed"
+    WHOLE = "whole"
+
+
+class Claim(Enum):
+    """What becomes of the claim of a non-idempotent request."""
+
+    NONE = "none"
+    SETTLE = "settle"
+    RELEASE = "release"
+    KEEP = "keep"
+
+
+@dataclass
+class RequestState:
+    """What decides the next action of one request.
+
+    Parameters
+    ----------
+    claimed : bool
+        This gateway may hold the claim of the request's key.
+    sent : int
+        Attempts of which a byte may have left.
+    open : int
+        Attempts sent and not settled.
+    may_have_run : bool
+        Some attempt may have run without a whole answer.
+    answered : bool
+        A whole answer came, which may report a failure.
+    duplicate : bool
+        The key was claimed by an earlier request.
+    hedged : bool
+        A second attempt was sent because the first was late.
+    tried : set of TargetId
+        Targets that get no further attempt.
+    """
+
+    idempotent: bool
+    deadline_at: Seconds
+    action: Action = Action.ADMIT
+    claimed: bool = False
+    sent: int = 0
+    open: int = 0
+    may_have_run: bool = False
+    answered: bool = False
+    duplicate: bool = False
+    hedged: bool = False
+    tried: set[TargetId] = field(default_factory=set)
+    last: Event = Event.ADMITTED
+
+
+@dataclass(frozen=True)
+class Circumstances:
+    """What a decision may use besides the request.
+
+    Parameters
+    ----------
+    spend : callable
+        Takes one further attempt from the budget; returns whether it had one.
+    typical : float
+        Seconds that an answer usually takes.
+    """
+
+    now: Seconds
+    typical: float
+    spend: Callable[[], bool]
+
+
+Rule = Callable[[RequestState, Circumstances], Action]
+
+
+def advance(state: RequestState, event: Event, around: Circumstances) -> Action:
+    """Return the action that follows an event, and remember both.
+
+    Raises
+    ------
+    KeyError
+        If the action under way cannot bring about this event.
+    """
+    rule = _RULES[state.action, event]
+    state.last = event
+    state.action = rule(state, around)
+    return state.action
+
+
+def judge(state: RequestState) -> Outcome:
+    """Return what the caller is told: ``not-run`` only if it surely never ran."""
+    if state.answered:
+        return Outcome.DONE
+    if state.duplicate or state.may_have_run or state.open:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
+
+
+def judge_claim(state: RequestState) -> Claim:
+    """Return what becomes of the claim once the caller is told."""
+    if not state.claimed:
+        return Claim.NONE
+    outcome = judge(state)
+    if outcome is Outcome.DONE:
+        return Claim.SETTLE
+    return Claim.KEEP if outcome is Outcome.UNKNOWN else Claim.RELEASE
+
+
+def _tell(state: RequestState, around: Circumstances) -> Action:
+    return Action.TELL
+
+
+def _claim_or_place(state: RequestState, around: Circumstances) -> Action:
+    return Action.PLACE if state.idempotent else Action.CLAIM
+
+
+def _take_claim(state: RequestState, around: Circumstances) -> Action:
+    state.claimed = True
+    return Action.PLACE if around.now < state.deadline_at else Action.TELL
+
+
+def _lose_claim(state: RequestState, around: Circumstances) -> Action:
+    state.claimed = True
+    return Action.TELL
+
+
+def _note_duplicate(state: RequestState, around: Circumstances) -> Action:
+    state.duplicate = True
+    return Action.TELL
+
+
+def _send(state: RequestState, around: Circumstances) -> Action:
+    return Action.SEND
+
+
+def _await_answer(state: RequestState, around: Circumstances) -> Action:
+    state.sent += 1
+    state.open += 1
+    return Action.AWAIT
+
+
+def _retry_unsent(state: RequestState, around: Circumstances) -> Action:
+    return Action.AWAIT if state.open else _try_again(state, around)
+
+
+def _retry_refused(state: RequestState, around: Circumstances) -> Action:
+    state.open -= 1
+    return _retry_if_idempotent(state, around)
+
+
+def _retry_unsettled(state: RequestState, around: Circumstances) -> Action:
+    """Go on after an attempt that was sent and may have run."""
+    state.may_have_run = True
+    state.sent += 1
+    return _retry_if_idempotent(state, around)
+
+
+def _retry_lost(state: RequestState, around: Circumstances) -> Action:
+    state.may_have_run = True
+    state.open -= 1
+    return _retry_if_idempotent(state, around)
+
+
+def _retry_failed(state: RequestState, around: Circumstances) -> Action:
+    """Go on after a whole answer that reports a failure of the target."""
+    state.answered = True
+    state.open -= 1
+    return _retry_if_idempotent(state, around)
+
+
+def _retry_if_idempotent(state: RequestState, around: Circumstances) -> Action:
+    if state.open:
+        return Action.AWAIT
+    return _try_again(state, around) if state.idempotent else Action.TELL
+
+
+def _hedge(state: RequestState, around: Circumstances) -> Action:
+    state.hedged = True
+    may_hedge = state.idempotent and state.sent < ATTEMPTS_MAX
+    if may_hedge and _has_time(state, around) and around.spend():
+        return Action.HEDGE
+    return Action.AWAIT
+
+
+def _go_on_waiting(state: RequestState, around: Circumstances) -> Action:
+    return Action.AWAIT if state.open else Action.TELL
+
+
+def _send_hedge(state: RequestState, around: Circumstances) -> Action:
+    return Action.SEND
+
+
+def _take_whole(state: RequestState, around: Circumstances) -> Action:
+    state.answered = True
+    state.open -= 1
+    return Action.TELL
+
+
+def _expire(state: RequestState, around: Circumstances) -> Action:
+    state.may_have_run = True
+    return Action.TELL
+
+
+def _try_again(state: RequestState, around: Circumstances) -> Action:
+    allowed = len(state.tried) < ATTEMPTS_MAX and _has_time(state, around)
+    return Action.PLACE if allowed and around.spend() else Action.TELL
+
+
+def _has_time(state: RequestState, around: Circumstances) -> bool:
+    return around.now + around.typical < state.deadline_at
+
+
+_RULES: dict[tuple[Action, Event], Rule] = {
+    (Action.ADMIT, Event.ADMITTED): _claim_or_place,
+    (Action.ADMIT, Event.TURNED_AWAY): _tell,
+    (Action.CLAIM, Event.GRANTED): _take_claim,
+    (Action.CLAIM, Event.DUPLICATE): _note_duplicate,
+    (Action.CLAIM, Event.NOT_CLAIMED): _tell,
+    (Action.CLAIM, Event.CLAIM_LOST): _lose_claim,
+    (Action.PLACE, Event.PLACED): _send,
+    (Action.PLACE, Event.NO_PLACE): _go_on_waiting,
+    (Action.HEDGE, Event.PLACED): _send_hedge,
+    (Action.HEDGE, Event.NO_PLACE): _go_on_waiting,
+    (Action.SEND, Event.SENT): _await_answer,
+    (Action.SEND, Event.NOT_SENT): _retry_unsent,
+    (Action.SEND, Event.LOST): _retry_unsettled,
+    (Action.AWAIT, Event.REFUSED): _retry_refused,
+    (Action.AWAIT, Event.LOST): _retry_lost,
+    (Action.AWAIT, Event.FAILED): _retry_failed,
+    (Action.AWAIT, Event.LATE): _hedge,
+    (Action.AWAIT, Event.EXPIRED): _expire,
+    (Action.AWAIT, Event.WHOLE): _take_whole,
+}
+
+
+def list_events(action: Action) -> list[Event]:
+    """Return the events that an action can bring about."""
+    return [event for under_way, event in _RULES if under_way is action]
--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -4,6 +4,7 @@
 import time
 from pathlib import Path
 
+from .keys import make_key
 from .site import CallerReply, Site, await_condition
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "lochbrae.jsonc"
@@ -18,11 +19,11 @@
     print("apply:", site.apply(EXAMPLE))
     await_condition("a lookup is answered", lambda: _lookup(site, 0).status == 200)  # noqa: PLR2004
     _run_lookups(site, broken)
-    _buy_twice(site, broken)
+    key = _buy_twice(site, broken)
     job = _run_job(site, broken)
     _take_domain_out_and_back(site, broken)
     print(f"\ntime line of job {job}:\n{site.show_timeline(job)}")
-    print("\ntime line of purchase order-1:\n" + site.show_timeline("order-1"))
+    print(f"\ntime line of purchase {key}:\n{site.show_timeline(key)}")
     for promise in broken:
         print("BROKEN:", promise)
     print("all promises held" if not broken else f"{len(broken)} promises broken")
@@ -43,15 +44,17 @@
         broken.append(f"{LOOKUPS - done} lookups were not answered")
 
 
-def _buy_twice(site: Site, broken: list[str]) -> None:
+def _buy_twice(site: Site, broken: list[str]) -> str:
+    key = make_key(time.time())
     replies = [
-        site.call(n, "POST", "/licences", kind="purchase", key="order-1", body=b"{}")
+        site.call(n, "POST", "/licences", kind="purchase", key=key, body=b"{}")
         for n in range(2)
     ]
     for reply in replies:
-        print(f"purchase order-1: {reply.status} {reply.outcome}")
+        print(f"purchase {key}: {reply.status} {reply.outcome}")
     if [reply.outcome for reply in replies] != ["done", "unknown"]:
         broken.append("a purchase did not run exactly once")
+    return key
 
 
 def _run_job(site: Site, broken: list[str]) -> str:
