Prove the request path with tables, properties and a target with faults

The stand-in target speaks over plain sockets, so that an answer can be cut anywhere, and witnesses its own connections and runs.

--- a/plantainhinge/daemons/places.py
+++ b/plantainhinge/daemons/places.py
@@ -223,6 +223,11 @@
             }
         return in_flight, arrivals
 
+    def count_waiting(self, task_class: TaskClass) -> int:
+        """Return the requests of a class that wait for a place."""
+        with self.lock:
+            return len(self._waiting[task_class])
+
     def _find_load(self, service: ServiceId) -> _ServiceLoad:
         load = self._loads.get(service)
         if load is None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -25,11 +25,10 @@
 )
 from plantainhinge.core.states import AttemptOutcome
 
-from .target import TargetApplication
-from .wsgi import Environ, Problem, respond, serve
+from .target import Target, serve_target
+from .wsgi import Environ, Problem, respond
 
 START_WINDOW_SECONDS = 5.0
-TARGET_THREADS = 16
 SWEEP_SECONDS = 0.2
 
 
@@ -144,10 +143,7 @@
         run.checkpoint = message.checkpoint
         if message.service:
             name = f"{message.task}.{message.attempt}"
-            port = run.stack.enter_context(
-                serve(TargetApplication(name), self.ip, 0, TARGET_THREADS)
-            )
-            run.address = f"{self.ip}:{port}"
+            run.address = run.stack.enter_context(serve_target(Target(name), self.ip))
         return run
 
     def _end(self, ref: tuple[TaskId, Attempt], outcome: AttemptOutcome) -> None:
--- /dev/null
+++ b/tests/contracts/test_target_client.py
@@ -0,0 +1,158 @@
+"""What every ``TargetClient`` keeps, against a target with a fault table."""
+
+import time
+from contextlib import suppress
+
+import pytest
+
+from plantainhinge.adapters.targets_http import HttpTargets
+from plantainhinge.core.errors import UnavailableError, UncertainError
+from plantainhinge.core.messages import TargetRequest
+from standins.target import Fault, Target, serve_target
+
+TIMEOUT = 0.5
+LIMIT = 20.0
+
+
+@pytest.fixture
+def target():
+    return Target("t")
+
+
+@pytest.fixture
+def address(target):
+    with serve_target(target, "127.0.0.1") as address:
+        yield address
+
+
+def build(request="r1", *, timeout=LIMIT):
+    return TargetRequest(
+        request=request,
+        method="POST",
+        path="/x",
+        headers={},
+        body=b"{}",
+        timeout=timeout,
+    )
+
+
+def exchange(client, address, request="r1", *, timeout=LIMIT):
+    return client.send(address, build(request, timeout=timeout)).receive()
+
+
+def await_condition(condition):
+    deadline = time.monotonic() + LIMIT
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.005)
+    assert condition()
+
+
+UNCERTAIN = [
+    Fault.CUT_BEFORE_ANSWER,
+    Fault.CUT_AFTER_HEADERS,
+    Fault.CUT_IN_BODY,
+    Fault.NO_LENGTH,
+    Fault.CROSSED,
+    Fault.GARBAGE,
+    Fault.TOO_LONG,
+]
+
+
+@pytest.mark.parametrize("fault", UNCERTAIN)
+def test_an_answer_that_is_not_whole_is_uncertain(fault, target, address):
+    client = HttpTargets()
+    target.plan = [fault]
+    with pytest.raises(UncertainError):
+        exchange(client, address, "r1")
+    answer = exchange(client, address, "r2")
+    assert b'"r2"' in answer.body
+    assert target.executed == ["r1", "r2"]
+
+
+@pytest.mark.parametrize("fault", [Fault.FROZEN, Fault.DRIP])
+def test_the_whole_exchange_ends_by_its_timeout(fault, target, address):
+    target.plan = [fault]
+    began = time.monotonic()
+    with pytest.raises(UncertainError):
+        exchange(HttpTargets(), address, timeout=TIMEOUT)
+    assert time.monotonic() - began < LIMIT / 2
+    target.thaw.set()
+
+
+def test_a_late_answer_reaches_no_other_request(target, address):
+    client = HttpTargets()
+    target.plan = [Fault.FROZEN]
+    with pytest.raises(UncertainError):
+        exchange(client, address, "late", timeout=0.1)
+    target.thaw.set()
+    for number in range(5):
+        assert f'"r{number}"'.encode() in exchange(client, address, f"r{number}").body
+
+
+def test_an_unasked_answer_is_never_taken(target, address):
+    client = HttpTargets()
+    target.fault = Fault.TWICE
+    target.service_seconds = 0.0
+    for number in range(20):
+        with suppress(UncertainError):
+            answer = exchange(client, address, f"r{number}")
+            assert f'"r{number}"'.encode() in answer.body
+
+
+@pytest.mark.parametrize(
+    ("fault", "refused", "leaving", "status"),
+    [
+        (Fault.NONE, False, False, 200),
+        (Fault.REFUSES, True, False, 503),
+        (Fault.LEAVING, False, True, 200),
+        (Fault.FAILS, False, False, 500),
+    ],
+)
+def test_a_whole_answer_says_how_it_went(
+    fault, refused, leaving, status, target, address
+):
+    target.plan = [fault]
+    answer = exchange(HttpTargets(), address)
+    assert (answer.refused, answer.leaving, answer.status) == (refused, leaving, status)
+    assert target.executed == ([] if refused else ["r1"])
+
+
+def test_no_connection_means_nothing_was_sent(target):
+    with serve_target(target, "127.0.0.1") as address:
+        pass
+    with pytest.raises(UnavailableError):
+        exchange(HttpTargets(), address)
+    assert target.executed == []
+
+
+def test_a_connection_closed_while_idle_is_replaced_unseen(target, address):
+    client = HttpTargets()
+    exchange(client, address, "r1")
+    target.hang_up()
+    await_condition(lambda: not target.count_open())
+    assert b'"r2"' in exchange(client, address, "r2").body
+
+
+def test_connections_stay_within_the_limit_idle_or_not(target, address):
+    client = HttpTargets(per_target=2)
+    target.service_seconds = 0.0
+    sent = [client.send(address, build(f"r{n}")) for n in range(2)]
+    with pytest.raises(UnavailableError):
+        client.send(address, build("r3"))
+    for one in sent:
+        one.receive()
+    for number in range(6):
+        exchange(client, address, f"s{number}")
+    assert target.most_connections == 2
+
+
+def test_waiting_gives_the_exchange_that_has_its_answer(target, address):
+    client = HttpTargets()
+    target.plan = [Fault.FROZEN]
+    frozen = client.send(address, build("r1"))
+    await_condition(lambda: target.in_flight == 1)
+    quick = client.send(address, build("r2"))
+    assert client.wait([frozen, quick], LIMIT) == [quick]
+    assert b'"r2"' in quick.receive().body
+    assert client.wait([frozen], 0.0) == []
+    frozen.abandon()
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,128 @@
+"""Bulkheads, the queue for a place, and when callers are told to return."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.states import TaskClass
+from plantainhinge.routing.admission import (
+    ADMISSIONS,
+    BULKHEADS,
+    LONGEST_RETURN_SECONDS,
+    BulkheadTable,
+    QueueView,
+    estimate_outage,
+    estimate_return,
+    free_thread,
+    hold_thread,
+)
+
+from .test_request_runner import Bench
+
+CRITICAL, BATCH = TaskClass.LATENCY_CRITICAL, TaskClass.BATCH
+KINDS = [("lookup", CRITICAL), ("render", CRITICAL), ("audit", BATCH), ("sync", BATCH)]
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans())), st.integers(8, 64))
+def test_no_wave_of_one_kind_holds_the_threads_of_the_others(moves, threads):
+    has_thread = BULKHEADS.find("per-kind")
+    table = BulkheadTable(threads)
+    for number, coming in moves * 40:
+        kind, task_class = KINDS[number]
+        if coming and has_thread(table, kind, task_class):
+            hold_thread(table, kind, task_class)
+        elif not coming and table.kinds.get(kind):
+            free_thread(table, kind, task_class)
+        held = sum(table.classes.values())
+        assert held < threads
+        assert table.classes.get(BATCH, 0) <= threads // 2
+        assert all(count <= threads * 0.75 for count in table.kinds.values())
+
+
+def test_a_full_wave_of_audits_leaves_room_for_lookups():
+    has_thread = BULKHEADS.find("per-kind")
+    table = BulkheadTable(64)
+    while has_thread(table, "audit", BATCH):
+        hold_thread(table, "audit", BATCH)
+    for _ in range(30):
+        assert has_thread(table, "lookup", CRITICAL)
+        hold_thread(table, "lookup", CRITICAL)
+
+
+@pytest.mark.parametrize(
+    ("view", "left", "admitted"),
+    [
+        (QueueView(ahead=0, places=8, typical=0.01, free=True), 0.02, True),
+        (QueueView(ahead=0, places=8, typical=0.01, free=True), 0.0, False),
+        (QueueView(ahead=7, places=8, typical=0.01, free=False), 0.05, True),
+        (QueueView(ahead=79, places=8, typical=0.01, free=False), 0.05, False),
+        (QueueView(ahead=0, places=0, typical=0.01, free=False), 5.0, False),
+    ],
+)
+def test_who_cannot_be_served_in_time_is_turned_away(view, left, admitted):
+    assert ADMISSIONS.find("deadline")(view, left) is admitted
+    assert ADMISSIONS.find("none")(view, left)
+
+
+@given(st.floats(0.0, 5000.0), st.floats(0.0, 5000.0), st.floats(0.0, 0.999))
+def test_refused_callers_are_spread_over_the_time_to_serve_them(
+    refused, answered, draw
+):
+    view = QueueView(ahead=10, places=2, typical=0.01, free=False)
+
+    def read(at):
+        return estimate_return(view, refused=refused, answered=answered, draw=at)
+
+    assert 1.0 <= read(draw) <= LONGEST_RETURN_SECONDS
+    assert read(0.0) <= read(draw) <= read(0.999)
+    if refused > 4 * max(answered, 1.0):
+        assert read(0.999) - read(0.0) > 3.5
+
+
+@given(st.floats(0.0, 1000.0), st.floats(0.0, 0.999))
+def test_an_outage_is_expected_to_last_as_long_again(down_for, draw):
+    wait = estimate_outage(down_for, draw)
+    assert wait >= min(LONGEST_RETURN_SECONDS, down_for * 0.5)
+    assert 1.0 <= wait <= LONGEST_RETURN_SECONDS
+
+
+def test_waiting_lookups_get_places_before_batch_that_came_first():
+    bench = Bench(targets=1, soft=1)
+    places, now = bench.places, bench.clock.now
+    held = places.take_at_once("s", CRITICAL, set(), now=now)
+    got = []
+    lock = threading.Lock()
+
+    def wait(task_class):
+        row = places.take("s", task_class, set(), now=now, left=40.0)
+        with lock:
+            got.append(task_class)
+        places.give_back(row, task_class, now=now, abandoned=False)
+
+    with ThreadPoolExecutor(4) as pool:
+        calls = [pool.submit(wait, BATCH) for _ in range(2)]
+        await_waiting(places, BATCH, 2)
+        calls += [pool.submit(wait, CRITICAL) for _ in range(2)]
+        await_waiting(places, CRITICAL, 2)
+        places.give_back(held, CRITICAL, now=now, abandoned=False)
+        for call in calls:
+            call.result(20.0)
+    assert got == [CRITICAL, CRITICAL, BATCH, BATCH]
+
+
+def await_waiting(places, task_class, count):
+    for _ in range(2000):
+        if places.count_waiting(task_class) == count:
+            return
+        threading.Event().wait(0.005)
+    raise AssertionError("nobody waits")
+
+
+def test_waiting_ends_within_its_part_of_the_deadline():
+    bench = Bench(targets=1, soft=1)
+    now = bench.clock.now
+    bench.places.take_at_once("s", CRITICAL, set(), now=now)
+    assert bench.places.take("s", CRITICAL, set(), now=now, left=0.05) is None
+    assert bench.places.count_waiting(CRITICAL) == 0
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,140 @@
+"""Shares of one target, checked from the target's own view."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.ids import DomainId, ServiceId, TargetId
+from plantainhinge.core.messages import Target
+from plantainhinge.core.states import TaskClass
+from plantainhinge.daemons.places import Places
+from plantainhinge.routing.limits import (
+    SPLITS,
+    LoadShare,
+    pick_subset,
+    rank_by_rendezvous,
+    share_connections,
+    split_batch,
+)
+from plantainhinge.routing.plans import ServicePlan
+from plantainhinge.routing.policy import build_policy
+from plantainhinge.routing.targets import ABANDONED_SECONDS, TargetTable
+
+SERVICE = ServiceId("formulas")
+SLOTS, CONNECTIONS, GATEWAYS_MAX = 8, 64, 16
+
+
+class Gateway:
+    """One gateway's places, and the connections the target sees from it."""
+
+    def __init__(self, split, weight):
+        self.table = TargetTable(DomainId("a"))
+        target = Target(
+            target=TargetId("t"),
+            service=SERVICE,
+            address="127.0.0.1:1",
+            domain=DomainId("a"),
+            rack="r",
+            worker="w",
+        )
+        self.table.replace(SERVICE, DomainId("a"), [target], now=0.0)
+        self.places = Places(self.table, build_policy(split=split), threads=64, seed=1)
+        self.view(split, weight, 0.0)
+        self.held = []
+        self.still_open = []
+
+    def view(self, split, weight, now):
+        hard = share_connections(CONNECTIONS, GATEWAYS_MAX)
+        share = LoadShare(own=weight, total=1.0, gateways=max(1, round(1 / weight)))
+        soft = SPLITS.find(split)(SLOTS, hard, share)
+        rows = list(self.table.services[SERVICE].targets.values())
+        for row in rows:
+            row.batch_share = 4
+        plan = ServicePlan(service=SERVICE, rows=rows, hard=hard, soft=soft)
+        self.places.set_plans({SERVICE: plan}, now)
+
+    def act(self, kind, draw, now):
+        task_class = TaskClass.BATCH if draw % 3 == 0 else TaskClass.LATENCY_CRITICAL
+        if kind == "take":
+            row = self.places.take_at_once(SERVICE, task_class, set(), now=now)
+            if row is not None:
+                self.held.append((row, task_class))
+        elif self.held:
+            row, task_class = self.held.pop(draw % len(self.held))
+            abandoned = kind == "abandon"
+            if abandoned:
+                self.still_open.append(now)
+            self.places.give_back(row, task_class, now=now, abandoned=abandoned)
+
+    def count(self, now):
+        late = [at for at in self.still_open if now < at + ABANDONED_SECONDS]
+        return len(self.held) + len(late)
+
+
+WEIGHTS = st.lists(st.floats(0.05, 1.0), min_size=16, max_size=16)
+ACTIONS = st.lists(
+    st.tuples(
+        st.integers(0, GATEWAYS_MAX - 1),
+        st.sampled_from(["take", "take", "take", "answer", "abandon", "view"]),
+        st.integers(0, 99),
+        st.floats(0.0, 0.5),
+    ),
+    max_size=200,
+)
+
+
+@pytest.mark.parametrize("split", list(SPLITS))
+@given(actions=ACTIONS, weights=WEIGHTS)
+def test_a_target_never_sees_more_than_its_connections(split, actions, weights):
+    """Every gateway believes what it likes of its peers, and changes its mind."""
+    gateways = [Gateway(split, weight) for weight in weights]
+    now = 0.0
+    for number, kind, draw, passed in actions:
+        now += passed
+        if kind == "view":
+            gateways[number].view(split, (draw + 1) / 100, now)
+        else:
+            gateways[number].act(kind, draw, now)
+        assert sum(gateway.count(now) for gateway in gateways) <= CONNECTIONS
+
+
+@given(st.integers(1, 16), st.integers(1, 8))
+def test_all_gateways_taking_all_they_may_stay_within_the_connections(live, slots):
+    hard = share_connections(CONNECTIONS, GATEWAYS_MAX)
+    for split in SPLITS:
+        soft = SPLITS.find(split)(slots, hard, LoadShare(1.0, 1.0, live))
+        assert 1 <= soft <= hard
+    assert hard * GATEWAYS_MAX <= CONNECTIONS
+
+
+@given(st.integers(1, 16), st.integers(2, 16))
+def test_batch_places_leave_half_the_slots_when_views_agree(gateways, slots):
+    live = [f"g{number}" for number in range(gateways)]
+    for target in ("t1", "t2", "t3"):
+        assert sum(split_batch(slots, target, me, live) for me in live) == slots // 2
+
+
+def test_subsets_are_bounded_even_and_stable():
+    targets = [f"t{number}" for number in range(500)]
+    gateways = [f"g{number}" for number in range(40)]
+    told = Counter()
+    for gateway in gateways:
+        subset = pick_subset(gateway, targets, 64)
+        assert len(subset) == 64
+        told.update(subset)
+        fewer = pick_subset(gateway, targets[:-1], 64)
+        assert len(set(subset) - set(fewer)) <= 1
+    mean = 40 * 64 / 500
+    assert max(told.values()) <= 3 * mean
+    assert len(told) >= 480
+
+
+@given(st.integers(0, 2**32))
+def test_a_leaving_member_moves_no_other(seed):
+    members = [f"g{number}" for number in range(9)]
+    gone = random.Random(seed).choice(members)
+    ranked = rank_by_rendezvous("t", members)
+    rest = rank_by_rendezvous("t", [m for m in members if m != gone])
+    assert rest == [m for m in ranked if m != gone]
--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,167 @@
+"""Which targets a gateway may use, by every source that calls one leaving."""
+
+import pytest
+
+from plantainhinge.core.configuration import Configuration, Domain, Service
+from plantainhinge.core.messages import Heartbeat, Instance, LoadDigest, QueryTargets
+from plantainhinge.core.states import (
+    DaemonRole,
+    DomainState,
+    InstanceRole,
+    InstanceState,
+)
+from plantainhinge.routing.limits import SPLITS
+from plantainhinge.routing.lists import answer_query
+from plantainhinge.routing.plans import (
+    DIGESTS_MAX,
+    LEAVING_BOUND_SECONDS,
+    digest_loads,
+    may_route,
+    measure_load,
+    note_instances,
+    plan_service,
+)
+from plantainhinge.routing.targets import TargetTable
+
+from .test_request_runner import list_targets
+
+
+def make_configuration(state=DomainState.IN):
+    return Configuration(
+        schema=1,
+        domains={"d": Domain(region="r", state=state), "far": Domain(region="x")},
+        teams={},
+        services={"s": Service(team="t", replicas=2, task={})},
+        kinds={},
+    )
+
+
+def make_heartbeat(name="g", *, revision=1, loads=(), domain="d"):
+    return Heartbeat(
+        process=name,
+        incarnation=1,
+        role=DaemonRole.GATEWAY,
+        address=f"{name}:1",
+        domain=domain,
+        revision=revision,
+        ready=True,
+        loads=list(loads),
+    )
+
+
+def plan(table, configuration, live=()):
+    return plan_service(
+        table,
+        "s",
+        configuration,
+        region="r",
+        me="g",
+        live=live,
+        own_arrivals=0.0,
+        split=SPLITS.find("load-weighted"),
+    )
+
+
+def list_leaving(worker):
+    return [
+        Instance(
+            instance=worker,
+            role=InstanceRole.WORKER,
+            state=InstanceState.LEAVING,
+            address="w:1",
+            domain="d",
+            region="r",
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    ("source", "left"),
+    [
+        ("nothing", ["t0", "t1"]),
+        ("configuration", []),
+        ("instance list", ["t1"]),
+        ("own answer", ["t1"]),
+        ("cell", ["t1"]),
+    ],
+)
+def test_a_target_leaves_on_the_first_source_that_says_so(source, left):
+    table = TargetTable("d")
+    targets = list_targets(2)
+    if source == "cell":
+        targets = targets[1:]
+    table.replace("s", "d", targets, now=0.0)
+    if source == "own answer":
+        table.services["s"].targets["t0"].leaving = True
+    if source == "instance list":
+        note_instances(table, list_leaving("w0"))
+    state = DomainState.OUT if source == "configuration" else DomainState.IN
+    rows = plan(table, make_configuration(state)).rows
+    assert [row.target.target for row in rows] == left
+
+
+def test_an_empty_instance_list_takes_no_target_away():
+    table = TargetTable("d")
+    table.replace("s", "d", list_targets(2), now=0.0)
+    note_instances(table, [])
+    assert len(plan(table, make_configuration()).rows) == 2
+
+
+@pytest.mark.parametrize(
+    ("age", "peer_revision", "routes"),
+    [
+        (0.5, 5, True),
+        (LEAVING_BOUND_SECONDS, 5, True),
+        (LEAVING_BOUND_SECONDS, 6, False),
+        (None, 6, False),
+        (60.0, 4, True),
+    ],
+)
+def test_a_configuration_known_to_be_superseded_routes_nothing(
+    age, peer_revision, routes
+):
+    assert may_route(5, age, [make_heartbeat("h", revision=peer_revision)]) is routes
+
+
+def test_an_outage_of_the_log_for_all_goes_on_with_the_last_configuration():
+    assert may_route(5, 3600.0, [make_heartbeat("h", revision=5)])
+    assert may_route(5, 3600.0, [])
+
+
+def test_load_digests_weigh_the_split_and_are_not_needed():
+    busy = LoadDigest(service="s", in_flight=1, arrivals_per_second=300.0)
+    peers = [make_heartbeat("g"), make_heartbeat("h", loads=[busy])]
+    assert measure_load("s", "g", peers, 100.0).weight == pytest.approx(0.25)
+    assert measure_load("s", "g", [], 100.0).weight == 1.0
+    assert measure_load("s", "g", peers[:1] * 3, 0.0).weight == 1.0
+    quiet = [make_heartbeat("g"), make_heartbeat("h")]
+    assert measure_load("s", "g", quiet, 0.0).weight == 0.5
+
+
+def test_a_heartbeat_carries_a_bounded_number_of_digests():
+    arrivals = {f"s{number}": float(number) for number in range(100)}
+    digests = digest_loads({}, arrivals)
+    assert len(digests) == DIGESTS_MAX
+    assert digests[0].service == "s99"
+
+
+def test_a_large_cell_tells_a_bounded_part_and_only_what_changed():
+    targets = list_targets(500)
+    query = QueryTargets(cell="d", service="s", gateway="g", limit=22)
+    told = answer_query(targets, query)
+    assert len(told.targets) == 22
+    again = QueryTargets(
+        cell="d", service="s", gateway="g", limit=22, seen=told.version
+    )
+    assert answer_query(targets, again).unchanged
+    gone = [target for target in targets if target != told.targets[0]]
+    assert not answer_query(gone, again).unchanged
+
+
+def test_gateways_of_other_regions_do_not_count():
+    far = make_heartbeat("h", domain="far")
+    table = TargetTable("d")
+    table.replace("s", "d", list_targets(2), now=0.0)
+    assert plan(table, make_configuration(), [far]).batch_places == 2 * 4
+    near = make_heartbeat("h")
+    assert plan(table, make_configuration(), [near]).batch_places == 2 * 2
--- /dev/null
+++ b/tests/test_request_runner.py
@@ -0,0 +1,225 @@
+"""Requests through the runner, with faults of targets and ledgers in tables."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.calls import CallerRequest
+from plantainhinge.core.configuration import Kind
+from plantainhinge.core.errors import UnavailableError, UncertainError
+from plantainhinge.core.messages import Target
+from plantainhinge.core.states import Outcome, TaskClass
+from plantainhinge.daemons.places import Places
+from plantainhinge.daemons.request_runner import RequestRunner, Surroundings
+from plantainhinge.routing.plans import ServicePlan
+from plantainhinge.routing.policy import build_policy
+from plantainhinge.routing.targets import TargetTable
+
+from .fakes import Clock, Does, FakeLedger, FakeTargets
+
+DEADLINE = 1.0
+LOOKUP = Kind(team="t", task_class=TaskClass.LATENCY_CRITICAL, service="s")
+PURCHASE = Kind(
+    team="t", task_class=TaskClass.LATENCY_CRITICAL, service="s", idempotent=False
+)
+AUDIT = Kind(team="t", task_class=TaskClass.BATCH, service="s")
+
+
+def list_targets(count):
+    return [
+        Target(
+            target=f"t{number}",
+            service="s",
+            address=f"a{number}",
+            domain="d",
+            rack="r",
+            worker=f"w{number}",
+        )
+        for number in range(count)
+    ]
+
+
+class Bench:
+    """One gateway's request path between fakes."""
+
+    def __init__(
+        self, *, targets=3, hard=4, soft=2, ledger=None, clock=None, prefix="r"
+    ):
+        self.prefix = prefix
+        self.clock = clock or Clock()
+        self.targets = FakeTargets(self.clock)
+        self.ledger = ledger or FakeLedger(self.clock)
+        self.table = TargetTable("d")
+        self.table.replace("s", "d", list_targets(targets), now=self.clock.now)
+        self.places = Places(self.table, build_policy(), threads=8, seed=7)
+        self.rows = list(self.table.services["s"].targets.values())
+        plan = ServicePlan(service="s", rows=self.rows, hard=hard, soft=soft)
+        self.places.set_plans({"s": plan}, self.clock.now)
+        self.number = 0
+
+    def run(self, kind=LOOKUP, *, key="k", left=DEADLINE):
+        self.number += 1
+        request = CallerRequest(
+            request=f"{self.prefix}{self.number}",
+            kind="k",
+            method="GET",
+            path="/",
+            body=b"",
+            key=None if kind.idempotent else key,
+        )
+        around = Surroundings(
+            process="g",
+            places=self.places,
+            targets=self.targets,
+            claim=self.ledger.claim,
+            finish=self.ledger.finish,
+            note=lambda *_, **__: None,
+            read_now=self.clock.read,
+        )
+        runner = RequestRunner(
+            around,
+            request,
+            kind,
+            service="s",
+            deadline_at=self.clock.now + left,
+            key_at=0.0,
+        )
+        return runner.run()
+
+    def check_settled(self):
+        """No place and no connection is held by a request that is over."""
+        assert [row.in_flight for row in self.rows] == [0] * len(self.rows)
+        assert all(count == 0 for count in self.targets.open.values())
+
+
+@pytest.mark.parametrize(
+    ("kind", "script", "outcome", "ran"),
+    [
+        (LOOKUP, [], "done", 1),
+        (LOOKUP, [Does.CUTS], "done", 2),
+        (LOOKUP, [Does.BREAKS_IN_SEND], "done", 2),
+        (LOOKUP, [Does.UNREACHABLE], "done", 1),
+        (LOOKUP, [Does.REFUSES], "done", 1),
+        (LOOKUP, [Does.NEVER], "done", 2),
+        (LOOKUP, [Does.FAILS], "done", 2),
+        (LOOKUP, [Does.LEAVES], "done", 1),
+        (LOOKUP, [Does.UNREACHABLE] * 3, "not-run", 0),
+        (LOOKUP, [Does.REFUSES] * 3, "not-run", 0),
+        (LOOKUP, [Does.CUTS] * 3, "unknown", 3),
+        (LOOKUP, [Does.CUTS, Does.REFUSES, Does.REFUSES], "unknown", 1),
+        (LOOKUP, [Does.NEVER, Does.NEVER], "unknown", 2),
+        (PURCHASE, [], "done", 1),
+        (PURCHASE, [Does.FAILS], "done", 1),
+        (PURCHASE, [Does.CUTS], "unknown", 1),
+        (PURCHASE, [Does.NEVER], "unknown", 1),
+        (PURCHASE, [Does.BREAKS_IN_SEND], "unknown", 1),
+        (PURCHASE, [Does.REFUSES], "not-run", 0),
+        (PURCHASE, [Does.UNREACHABLE], "done", 1),
+        (PURCHASE, [Does.UNREACHABLE] * 3, "not-run", 0),
+    ],
+)
+def test_what_the_caller_is_told_is_true(kind, script, outcome, ran):
+    bench = Bench()
+    bench.targets.script = list(script)
+    answer = bench.run(kind)
+    assert answer.outcome is Outcome(outcome)
+    assert len(bench.targets.ran) == ran
+    assert (answer.retry_after is not None) == (outcome == "not-run")
+    assert bench.clock.now <= 100.0 + DEADLINE
+    if answer.outcome is Outcome.DONE:
+        assert answer.body == b"r1"
+    bench.check_settled()
+
+
+@pytest.mark.parametrize(
+    ("fault", "sends", "released"),
+    [
+        (UnavailableError("down", step="ledger.Claim"), 0, 0),
+        (UncertainError("lost", step="peer.Claim"), 0, 1),
+    ],
+)
+def test_a_claim_that_fails_sends_nothing(fault, sends, released):
+    bench = Bench()
+    bench.ledger.script = [fault]
+    answer = bench.run(PURCHASE)
+    assert answer.outcome is Outcome.NOT_RUN
+    assert len(bench.targets.sent) == sends
+    assert [message.ran for message in bench.ledger.finished] == [False] * released
+    assert bench.run(PURCHASE).outcome is Outcome.DONE
+
+
+SCRIPTS = st.lists(st.sampled_from(list(Does)), max_size=6)
+
+
+@given(
+    scripts=st.lists(SCRIPTS, min_size=1, max_size=4),
+    order=st.lists(st.integers(0, 3), max_size=8),
+)
+def test_one_key_runs_at_most_once_over_all_gateways(scripts, order):
+    clock = Clock()
+    ledger = FakeLedger(clock)
+    gateways = [
+        Bench(ledger=ledger, clock=clock, prefix=f"g{number}-")
+        for number in range(len(scripts))
+    ]
+    for gateway, script in zip(gateways, scripts, strict=True):
+        gateway.targets.script = list(script)
+    answers = [gateways[n % len(gateways)].run(PURCHASE) for n in order]
+    ran = sum(len(gateway.targets.ran) for gateway in gateways)
+    assert ran <= 1
+    if any(answer.outcome is Outcome.DONE for answer in answers):
+        assert ran == 1
+
+
+def test_a_late_lookup_is_hedged_within_the_budget():
+    bench = Bench()
+    bench.targets.script = [Does.NEVER]
+    began = bench.clock.now
+    assert bench.run().outcome is Outcome.DONE
+    assert bench.clock.now - began < 0.1
+    bench.places.policy = build_policy(spending="none")
+    bench.targets.script = [Does.NEVER]
+    assert bench.run().outcome is Outcome.UNKNOWN
+
+
+def test_a_target_that_says_it_leaves_gets_nothing_more():
+    bench = Bench(targets=2)
+    bench.targets.does.update(a0=Does.LEAVES, a1=Does.LEAVES)
+    answers = [bench.run().outcome.value for _ in range(4)]
+    assert answers == ["done", "done", "not-run", "not-run"]
+    assert {address for _, address, _ in bench.targets.sent} == {"a0", "a1"}
+
+
+def test_a_target_that_fails_everything_is_left_alone():
+    bench = Bench()
+    bench.targets.does["a0"] = Does.FAILS
+    answers = [bench.run().status for _ in range(200)]
+    assert answers.count(200) >= 195
+    assert sum(address == "a0" for _, address, _ in bench.targets.sent) <= 4
+
+
+def test_a_request_that_cannot_be_served_in_time_is_refused_at_once():
+    bench = Bench(targets=1, soft=1)
+    now = bench.clock.now
+    held = bench.places.take_at_once("s", TaskClass.LATENCY_CRITICAL, set(), now=now)
+    assert held is not None
+    answer = bench.run(left=0.006)
+    assert (answer.outcome, answer.status) == (Outcome.NOT_RUN, 429)
+    assert bench.clock.now == now
+
+
+def test_batch_leaves_places_to_lookups():
+    bench = Bench(targets=1, soft=2)
+    bench.rows[0].batch_share = 1
+    taken = [
+        bench.places.take_at_once("s", TaskClass.BATCH, set(), now=bench.clock.now)
+        for _ in range(2)
+    ]
+    assert [row is not None for row in taken] == [True, False]
+    assert bench.run().outcome is Outcome.DONE
+
+
+def test_without_any_target_the_caller_is_told_when_to_return():
+    bench = Bench(targets=0)
+    answer = bench.run()
+    assert answer.outcome is Outcome.NOT_RUN
+    assert answer.retry_after >= 1.0
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,158 @@
+"""The state machine of one request, walked along every kind of path."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.states import Outcome
+from plantainhinge.routing.budgets import (
+    ATTEMPTS_MAX,
+    SAVED_RETRIES_MAX,
+    Budget,
+    earn,
+    spend,
+)
+from plantainhinge.routing.requests import (
+    Action,
+    Circumstances,
+    Claim,
+    Event,
+    RequestState,
+    advance,
+    judge,
+    judge_claim,
+    list_events,
+)
+
+DEADLINE = 1.0
+STEPS_MAX = 60
+
+
+class Witness:
+    """What truly happened, kept apart from the state machine."""
+
+    def __init__(self):
+        self.may_run = 0
+        self.refused = 0
+        self.sends = 0
+        self.whole = False
+        self.granted = False
+
+    def see(self, event, action):
+        if event is Event.SENT or (event is Event.LOST and action is Action.SEND):
+            self.sends += 1
+            self.may_run += 1
+        if event is Event.REFUSED:
+            self.may_run -= 1
+        self.whole = self.whole or event in (Event.WHOLE, Event.FAILED)
+        self.granted = self.granted or event is Event.GRANTED
+
+
+def walk(idempotent, choices, moves, budget):
+    """Follow one path; return the state at its end and the witness."""
+    state = RequestState(idempotent=idempotent, deadline_at=DEADLINE)
+    witness, now = Witness(), 0.0
+    for number in range(STEPS_MAX):
+        if state.action is Action.TELL:
+            return state, witness
+        action = state.action
+        events = list_events(action)
+        if state.hedged:
+            events = [event for event in events if event is not Event.LATE]
+        event = events[choices[number % len(choices)] % len(events)]
+        now += moves[number % len(moves)]
+        witness.see(event, action)
+        if event is Event.PLACED:
+            state.tried.add(f"t{len(state.tried)}")
+        around = Circumstances(now=now, typical=0.01, spend=lambda: spend(budget))
+        advance(state, event, around)
+    raise AssertionError("the request never ended")
+
+
+PATHS = {
+    "choices": st.lists(st.integers(0, 20), min_size=1, max_size=20),
+    "moves": st.lists(st.floats(0.0, 0.4), min_size=1, max_size=8),
+    "saved": st.floats(0.0, SAVED_RETRIES_MAX),
+}
+
+
+@given(idempotent=st.booleans(), **PATHS)
+def test_not_run_is_said_only_of_what_never_ran(idempotent, choices, moves, saved):
+    state, witness = walk(idempotent, choices, moves, Budget(saved))
+    if judge(state) is Outcome.NOT_RUN:
+        assert witness.may_run == 0
+    if judge(state) is Outcome.DONE:
+        assert witness.whole
+
+
+@given(**PATHS)
+def test_a_non_idempotent_request_is_sent_once_and_only_when_claimed(
+    choices, moves, saved
+):
+    state, witness = walk(False, choices, moves, Budget(saved))
+    assert witness.sends <= 1
+    assert witness.granted or not witness.sends
+    if judge_claim(state) is Claim.RELEASE:
+        assert witness.may_run == 0
+    if judge_claim(state) is Claim.SETTLE:
+        assert witness.whole
+
+
+@given(**PATHS)
+def test_attempts_are_bounded_and_paid_for(choices, moves, saved):
+    _, witness = walk(True, choices, moves, Budget(saved))
+    assert witness.sends <= min(ATTEMPTS_MAX, 1 + int(saved))
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "events", "outcome", "claim"),
+    [
+        (True, "TURNED_AWAY", "not-run", "none"),
+        (True, "ADMITTED NO_PLACE", "not-run", "none"),
+        (True, "ADMITTED PLACED SENT WHOLE", "done", "none"),
+        (True, "ADMITTED PLACED NOT_SENT PLACED SENT WHOLE", "done", "none"),
+        (True, "ADMITTED PLACED SENT REFUSED PLACED SENT WHOLE", "done", "none"),
+        (True, "ADMITTED PLACED SENT REFUSED NO_PLACE", "not-run", "none"),
+        (True, "ADMITTED PLACED LOST NO_PLACE", "unknown", "none"),
+        (True, "ADMITTED PLACED SENT LOST NO_PLACE", "unknown", "none"),
+        (True, "ADMITTED PLACED SENT LOST PLACED SENT WHOLE", "done", "none"),
+        (True, "ADMITTED PLACED SENT FAILED NO_PLACE", "done", "none"),
+        (True, "ADMITTED PLACED SENT EXPIRED", "unknown", "none"),
+        (True, "ADMITTED PLACED SENT LATE PLACED SENT LOST WHOLE", "done", "none"),
+        (True, "ADMITTED PLACED SENT LATE NO_PLACE EXPIRED", "unknown", "none"),
+        (
+            True,
+            "ADMITTED PLACED SENT LATE PLACED NOT_SENT REFUSED NO_PLACE",
+            "not-run",
+            "none",
+        ),
+        (False, "ADMITTED NOT_CLAIMED", "not-run", "none"),
+        (False, "ADMITTED CLAIM_LOST", "not-run", "release"),
+        (False, "ADMITTED DUPLICATE", "unknown", "none"),
+        (False, "ADMITTED GRANTED NO_PLACE", "not-run", "release"),
+        (False, "ADMITTED GRANTED PLACED SENT REFUSED", "not-run", "release"),
+        (False, "ADMITTED GRANTED PLACED SENT LOST", "unknown", "keep"),
+        (False, "ADMITTED GRANTED PLACED LOST", "unknown", "keep"),
+        (False, "ADMITTED GRANTED PLACED SENT EXPIRED", "unknown", "keep"),
+        (False, "ADMITTED GRANTED PLACED SENT FAILED", "done", "settle"),
+        (False, "ADMITTED GRANTED PLACED SENT WHOLE", "done", "settle"),
+        (False, "ADMITTED GRANTED PLACED NOT_SENT PLACED SENT WHOLE", "done", "settle"),
+    ],
+)
+def test_the_table_of_outcomes(idempotent, events, outcome, claim):
+    state = RequestState(idempotent=idempotent, deadline_at=DEADLINE)
+    around = Circumstances(now=0.0, typical=0.01, spend=lambda: True)
+    for name in events.split():
+        assert state.action is not Action.TELL
+        advance(state, Event[name], around)
+    assert state.action is Action.TELL
+    assert judge(state) is Outcome(outcome)
+    assert judge_claim(state) is Claim(claim)
+
+
+@given(st.integers(1, 500))
+def test_retries_stay_a_share_of_requests(requests):
+    budget, retries = Budget(0.0), 0
+    for _ in range(requests):
+        earn(budget)
+        retries += spend(budget)
+    assert retries <= requests * 0.1 + 1e-6
