--- /dev/null
+++ b/bench/request_choice.py
@@ -0,0 +1,106 @@
+"""Cost of one choice of target as the site grows.
+
+``python -m bench.request_choice --seed 1``. A gateway is told a bounded part of
+each cell's targets, so neither its table nor a choice grows with the site.
+"""
+
+import argparse
+import statistics
+import time
+
+from plantainhinge.core.configuration import Configuration, Domain, Service
+from plantainhinge.core.ids import DomainId, Seconds, ServiceId
+from plantainhinge.core.messages import QueryTargets, Target
+from plantainhinge.core.states import TaskClass
+from plantainhinge.daemons.places import Places
+from plantainhinge.routing.choice import CHOICES
+from plantainhinge.routing.lists import answer_query
+from plantainhinge.routing.plans import bound_cell_subset, plan_service
+from plantainhinge.routing.policy import build_policy
+from plantainhinge.routing.targets import TargetTable
+
+SERVICE = ServiceId("formulas")
+SITES = {25: 1, 500: 1, 12_000: 7}
+DOMAINS_PER_REGION = 3
+CHOICES_PER_RUN = 5000
+
+
+def build_places(site: int, regions: int, choice: str, seed: int) -> Places:
+    """Return the places of one gateway at a site of ``site`` targets."""
+    configuration = Configuration(
+        schema=1,
+        domains={
+            f"{region}-{number}": Domain(region=f"r{region}")
+            for region in range(regions)
+            for number in range(DOMAINS_PER_REGION)
+        },
+        teams={},
+        services={SERVICE: Service(team="t", replicas=site, task={})},
+        kinds={},
+    )
+    table = TargetTable(DomainId("0-0"))
+    per_cell = site // regions // DOMAINS_PER_REGION + 1
+    limit = bound_cell_subset(configuration, "r0")
+    for number in range(DOMAINS_PER_REGION):
+        domain = DomainId(f"0-{number}")
+        query = QueryTargets(cell=domain, service=SERVICE, gateway="g", limit=limit)
+        cell = [_describe(domain, n) for n in range(per_cell)]
+        listed = answer_query(cell, query)
+        table.replace(SERVICE, domain, listed.targets, now=Seconds(0.0))
+    for row in table.find_service(SERVICE).targets.values():
+        row.ramp_from = None
+    policy = build_policy(choice=choice)
+    places = Places(table, policy, threads=64, seed=seed)
+    plan = plan_service(
+        table,
+        SERVICE,
+        configuration,
+        region="r0",
+        me="g",
+        live=[],
+        own_arrivals=0.0,
+        policy=policy,
+    )
+    places.set_plans({SERVICE: plan}, Seconds(0.0))
+    return places
+
+
+def _describe(domain: DomainId, number: int) -> Target:
+    return Target(
+        target=f"{domain}-t{number}",
+        service=SERVICE,
+        address=f"{domain}:{number}",
+        domain=domain,
+        rack="rack",
+        worker=f"{domain}-w{number}",
+    )
+
+
+def measure(places: Places) -> float:
+    """Return microseconds for one place taken and given back."""
+    began = time.perf_counter()
+    for number in range(CHOICES_PER_RUN):
+        now = Seconds(number / 1000)
+        row = places.take_at_once(SERVICE, TaskClass.LATENCY_CRITICAL, set(), now=now)
+        assert row is not None
+        places.give_back(row, TaskClass.LATENCY_CRITICAL, now=now, abandoned=False)
+    return (time.perf_counter() - began) / CHOICES_PER_RUN * 1e6
+
+
+def main() -> None:
+    """Print one line for each size of the site."""
+    parser = argparse.ArgumentParser(prog="python -m bench.request_choice")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=5)
+    options = parser.parse_args()
+    print(f"seed {options.seed}, {options.runs} runs, medians, us a choice")
+    for site, regions in SITES.items():
+        for choice in CHOICES:
+            places = build_places(site, regions, choice, options.seed)
+            known = len(places.table.find_service(SERVICE).targets)
+            micros = statistics.median([measure(places) for _ in range(options.runs)])
+            print(f"site {site:6}  known {known:3}  {choice:18} {micros:6.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/request_relay.py
@@ -0,0 +1,146 @@
+"""One process in front of the targets: the barest relay, or the gateway.
+
+Started by ``bench.request_path``. The gateway is the real one with its real
+tick; its log is in memory and its targets are given, so that nothing else of a
+site has to run.
+"""
+
+import argparse
+import http.client
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+from waitress.server import create_server
+
+from plantainhinge.adapters.callers_http import CallersApplication
+from plantainhinge.adapters.log_memory import MemoryLog
+from plantainhinge.adapters.peers_grpc import Peers
+from plantainhinge.adapters.targets_http import HttpTargets
+from plantainhinge.core.configuration import parse_configuration
+from plantainhinge.core.ids import DomainId, Seconds, ServiceId, TargetId
+from plantainhinge.core.messages import Instance, Target
+from plantainhinge.core.settings import Settings
+from plantainhinge.core.states import DaemonRole
+from plantainhinge.core.tick import TickLoop
+from plantainhinge.daemons.executor import Commander
+from plantainhinge.daemons.gateway import Gateway
+from plantainhinge.daemons.log_driver import LogDriver
+from plantainhinge.daemons.node import Node
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "lochbrae.jsonc"
+THREADS = 64
+DOMAIN = DomainId("scot-a")
+SERVICE = ServiceId("formulas")
+
+Environ = dict[str, Any]
+
+
+class BareRelay:
+    """Waitress and http.client with kept connections, in turn, and no more."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+        self._turn = 0
+        self._local = threading.local()
+
+    def __call__(
+        self, environ: Environ, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Pass one request to the next target."""
+        self._turn += 1
+        address = self._addresses[self._turn % len(self._addresses)]
+        connection = self._find_connection(address)
+        body = environ["wsgi.input"].read()
+        connection.request(
+            environ["REQUEST_METHOD"], environ["PATH_INFO"], body or None
+        )
+        response = connection.getresponse()
+        content = response.read()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(content))),
+        ]
+        start_response(f"{response.status} {response.reason}", headers)
+        return [content]
+
+    def _find_connection(self, address: str) -> http.client.HTTPConnection:
+        kept = self._local.__dict__.setdefault("kept", {})
+        if address not in kept:
+            kept[address] = http.client.HTTPConnection(address)
+        connection: http.client.HTTPConnection = kept[address]
+        return connection
+
+
+class _NoInstances:
+    def fetch(self) -> list[Instance]:
+        return []
+
+
+def build_gateway(addresses: list[str], stack: ExitStack) -> CallersApplication:
+    """Return the callers' door of a gateway that knows these targets."""
+    settings = Settings(
+        instance="entry-1",
+        address="127.0.0.1",
+        domain=DOMAIN,
+        region="scotland",
+        log_address="127.0.0.1:1",
+        instance_list_address="127.0.0.1:1",
+    )
+    loop: TickLoop[Any] = TickLoop(period=Seconds(0.05))
+    commander = Commander(loop, stack.enter_context(ThreadPoolExecutor(4)))
+    peers = Peers()
+    stack.enter_context(peers.connect())
+    node = Node(
+        settings,
+        DaemonRole.GATEWAY,
+        instances=_NoInstances(),
+        commander=commander,
+        driver=LogDriver(MemoryLog(), commander),
+        peers=peers,
+    )
+    text = EXAMPLE.read_text(encoding="utf-8")
+    node.configuration.reducer.configuration = parse_configuration(text)
+    gateway = Gateway(node, HttpTargets())
+    targets = [_describe(address) for address in addresses]
+    gateway.places.table.replace(SERVICE, DOMAIN, targets, now=Seconds(0.0))
+    thread = threading.Thread(target=loop.run, args=(gateway.tick,))
+    thread.start()
+    stack.callback(thread.join)
+    stack.callback(loop.stop)
+    return CallersApplication(gateway)
+
+
+def _describe(address: str) -> Target:
+    return Target(
+        target=TargetId(address),
+        service=SERVICE,
+        address=address,
+        domain=DOMAIN,
+        rack="rack-1",
+        worker=f"worker-{address}",
+    )
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("kind", choices=["bare", "gateway"])
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--targets", nargs="+", required=True)
+    options = parser.parse_args()
+    with ExitStack() as stack:
+        if options.kind == "bare":
+            application: Any = BareRelay(options.targets)
+        else:
+            application = build_gateway(options.targets, stack)
+        create_server(
+            application, host="127.0.0.1", port=options.port, threads=THREADS
+        ).run()
+
+
+if __name__ == "__main__":
+    main()
--- a/plantainhinge/daemons/places.py
+++ b/plantainhinge/daemons/places.py
@@ -7,7 +7,6 @@
 import threading
 from collections import deque
 from concurrent.futures import (
-    CancelledError,
     Future,
     TimeoutError as FutureTimeoutError,
 )
@@ -42,10 +41,12 @@
 SERVER_ERROR = 500
 
 
-@dataclass
-class _Waiter:
-    plan_of: ServiceId
-    batch: bool
+@dataclass(eq=False)
+class Waiter:
+    """A request for a place; ``place`` is done once it has one."""
+
+    service: ServiceId
+    task_class: TaskClass
     tried: frozenset[TargetId]
     place: Future[TargetRow] = field(default_factory=Future)
 
@@ -73,7 +74,7 @@
         self._bulkheads = BulkheadTable(threads)
         self._plans: dict[ServiceId, ServicePlan] = {}
         self._loads: dict[ServiceId, _ServiceLoad] = {}
-        self._waiting: dict[TaskClass, deque[_Waiter]] = {
+        self._waiting: dict[TaskClass, deque[Waiter]] = {
             TaskClass.LATENCY_CRITICAL: deque(),
             TaskClass.BATCH: deque(),
         }
@@ -133,18 +134,38 @@
         left: float,
     ) -> TargetRow | None:
         """Return a place, waiting in line for part of the ``left`` seconds."""
-        batch = task_class is TaskClass.BATCH
-        with self.lock:
-            if not self._count_ahead(task_class):
-                row = self._try_take(service, batch, tried, now)
-                if row is not None:
-                    return row
-            waiter = _Waiter(service, batch, frozenset(tried))
-            self._waiting[task_class].append(waiter)
+        waiter = self.ask(service, task_class, tried, now=now)
         try:
             return waiter.place.result(bound_queue_wait(left))
-        except (FutureTimeoutError, CancelledError):
-            return self._stop_waiting(waiter, task_class)
+        except FutureTimeoutError:
+            return self.stop_waiting(waiter)
+
+    def ask(
+        self,
+        service: ServiceId,
+        task_class: TaskClass,
+        tried: set[TargetId],
+        *,
+        now: Seconds,
+    ) -> Waiter:
+        """Return a request for a place, done at once if one is free."""
+        waiter = Waiter(service, task_class, frozenset(tried))
+        with self.lock:
+            line = self._waiting[task_class]
+            row = None if self._count_ahead(task_class) else self._try_take(waiter, now)
+            if row is None:
+                line.append(waiter)
+            else:
+                waiter.place.set_result(row)
+        return waiter
+
+    def stop_waiting(self, waiter: Waiter) -> TargetRow | None:
+        """Leave the line; return the place if there was one after all."""
+        with self.lock:
+            if waiter.place.done():
+                return waiter.place.result()
+            self._waiting[waiter.task_class].remove(waiter)
+            return None
 
     def take_at_once(
         self,
@@ -158,8 +179,7 @@
         with self.lock:
             if self._count_ahead(task_class):
                 return None
-            batch = task_class is TaskClass.BATCH
-            return self._try_take(service, batch, tried, now)
+            return self._try_take(Waiter(service, task_class, frozenset(tried)), now)
 
     def give_back(
         self, row: TargetRow, task_class: TaskClass, *, now: Seconds, abandoned: bool
@@ -257,24 +277,24 @@
             free=not ahead and in_use < places,
         )
 
-    def _try_take(
-        self,
-        service: ServiceId,
-        batch: bool,
-        tried: set[TargetId] | frozenset[TargetId],
-        now: Seconds,
-    ) -> TargetRow | None:
-        plan = self._plans.get(service)
+    def _try_take(self, waiter: Waiter, now: Seconds) -> TargetRow | None:
+        plan = self._plans.get(waiter.service)
         if plan is None:
             return None
-        serving = [row for row in plan.rows if not row.leaving]
-        rows = list_open(serving, limit=plan.soft, hard=plan.hard, batch=batch, now=now)
-        if tried:
-            rows = [row for row in rows if row.target.target not in tried]
+        batch = waiter.task_class is TaskClass.BATCH
+        rows = list_open(
+            [row for row in plan.rows if not row.leaving],
+            limit=plan.soft,
+            hard=plan.hard,
+            batch=batch,
+            now=now,
+        )
+        if waiter.tried:
+            rows = [row for row in rows if row.target.target not in waiter.tried]
         if not rows:
             return None
-        load = self._find_load(service)
-        row = self.policy.choose(rows, self._build_context(service, load, now))
+        load = self._find_load(waiter.service)
+        row = self.policy.choose(rows, self._build_context(waiter.service, load, now))
         note_sent(row, batch=batch)
         load.in_flight += 1
         return row
@@ -294,16 +314,7 @@
     def _serve_waiting(self, now: Seconds) -> None:
         for line in self._waiting.values():
             while line:
-                waiter = line[0]
-                row = self._try_take(waiter.plan_of, waiter.batch, waiter.tried, now)
+                row = self._try_take(line[0], now)
                 if row is None:
                     break
-                line.popleft()
-                waiter.place.set_result(row)
-
-    def _stop_waiting(self, waiter: _Waiter, task_class: TaskClass) -> TargetRow | None:
-        with self.lock:
-            if waiter.place.done():
-                return waiter.place.result()
-            self._waiting[task_class].remove(waiter)
-            return None
+                line.popleft().place.set_result(row)
--- a/plantainhinge/daemons/target_view.py
+++ b/plantainhinge/daemons/target_view.py
@@ -63,7 +63,7 @@
                     me=self._node.process,
                     live=live,
                     own_arrivals=arrivals.get(service, 0.0),
-                    split=self._places.policy.split,
+                    policy=self._places.policy,
                 )
                 for service in configuration.services
             }
--- a/plantainhinge/routing/limits.py
+++ b/plantainhinge/routing/limits.py
@@ -82,6 +82,19 @@
     return _bound(slots * PLACES_PER_SLOT * load.weight, hard)
 
 
+BatchSplit = Callable[[int, TargetId, ProcessId, frozenset[ProcessId]], int]
+BATCH_SPLITS: Registry[BatchSplit] = Registry("split of batch places")
+
+
+@BATCH_SPLITS.register("shared")
+def share_batch(
+    slots: int, target: TargetId, me: ProcessId, live: frozenset[ProcessId]
+) -> int:
+    """Return all slots: batch may have them as well as lookups."""
+    return slots
+
+
+@BATCH_SPLITS.register("rendezvous")
 @lru_cache(maxsize=REMEMBERED_SPLITS)
 def split_batch(
     slots: int, target: TargetId, me: ProcessId, live: frozenset[ProcessId]
--- a/plantainhinge/routing/plans.py
+++ b/plantainhinge/routing/plans.py
@@ -15,7 +15,8 @@
 )
 from ..core.messages import Heartbeat, Instance, LoadDigest
 from ..core.states import DaemonRole, DomainState, InstanceRole, InstanceState
-from .limits import LoadShare, Split, share_connections, split_batch
+from .limits import LoadShare, share_connections
+from .policy import Policy
 from .targets import TargetRow, TargetTable
 
 LEAVING_BOUND_SECONDS = 3.0
@@ -53,7 +54,7 @@
     me: ProcessId,
     live: Iterable[Heartbeat],
     own_arrivals: float,
-    split: Split,
+    policy: Policy,
 ) -> ServicePlan:
     """Return what this gateway may use of a service.
 
@@ -68,10 +69,10 @@
     ids = frozenset({heartbeat.process for heartbeat in gateways} | {me})
     for row in rows:
         row.slots = declared.slots
-        row.batch_share = split_batch(declared.slots, row.target.target, me, ids)
+        row.batch_share = policy.split_batch(declared.slots, row.target.target, me, ids)
     hard = share_connections(declared.connections, configuration.limits.gateways)
     load = measure_load(service, me, gateways, own_arrivals)
-    soft = split(declared.slots, hard, load)
+    soft = policy.split(declared.slots, hard, load)
     return ServicePlan(service=service, rows=rows, hard=hard, soft=soft)
 
 
--- a/plantainhinge/routing/policy.py
+++ b/plantainhinge/routing/policy.py
@@ -6,7 +6,7 @@
 from .budgets import SPENDINGS, Spending
 from .choice import CHOICES, Choice
 from .ejection import EJECTIONS, Ejection
-from .limits import SPLITS, Split
+from .limits import BATCH_SPLITS, SPLITS, BatchSplit, Split
 
 
 @dataclass(frozen=True)
@@ -15,6 +15,7 @@
 
     choose: Choice
     split: Split
+    split_batch: BatchSplit
     admit: Admission
     has_thread: Bulkhead
     spend: Spending
@@ -25,6 +26,7 @@
     *,
     choice: str = "local-two-choices",
     split: str = "load-weighted",
+    batch_split: str = "rendezvous",
     admission: str = "deadline",
     bulkhead: str = "per-kind",
     spending: str = "share",
@@ -40,6 +42,7 @@
     return Policy(
         choose=CHOICES.find(choice),
         split=SPLITS.find(split),
+        split_batch=BATCH_SPLITS.find(batch_split),
         admit=ADMISSIONS.find(admission),
         has_thread=BULKHEADS.find(bulkhead),
         spend=SPENDINGS.find(spending),
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -10,7 +10,6 @@
     InstanceRole,
     InstanceState,
 )
-from plantainhinge.routing.limits import SPLITS
 from plantainhinge.routing.lists import answer_query
 from plantainhinge.routing.plans import (
     DIGESTS_MAX,
@@ -21,6 +20,7 @@
     note_instances,
     plan_service,
 )
+from plantainhinge.routing.policy import build_policy
 from plantainhinge.routing.targets import TargetTable
 
 from .test_request_runner import list_targets
@@ -58,7 +58,7 @@
         me="g",
         live=live,
         own_arrivals=0.0,
-        split=SPLITS.find("load-weighted"),
+        policy=build_policy(),
     )
 
 
