--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -28,19 +28,20 @@
 )
 from ..core.events import EventList
 from ..core.messages import (
-    AcknowledgeClosure,
     CancelJob,
     ClaimAnswer,
     ClaimRequest,
+    ClosuresTaken,
     Empty,
     FinishClaim,
     Heartbeat,
     JobAccount,
-    OfferAnswer,
-    OfferAttempt,
+    OfferAttempts,
+    OffersTaken,
     QueryEvents,
     QueryJob,
     QueryTargets,
+    ReportClosures,
     SubmitJob,
     TargetList,
 )
@@ -72,8 +73,8 @@
 QUERY_JOB = Method("QueryJob", QueryJob, JobAccount)
 CLAIM = Method("Claim", ClaimRequest, ClaimAnswer)
 FINISH_CLAIM = Method("FinishClaim", FinishClaim, Empty)
-OFFER = Method("Offer", OfferAttempt, OfferAnswer)
-ACKNOWLEDGE = Method("Acknowledge", AcknowledgeClosure, Empty)
+OFFER = Method("Offer", OfferAttempts, OffersTaken)
+REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
 
@@ -85,7 +86,7 @@
     CLAIM,
     FINISH_CLAIM,
     OFFER,
-    ACKNOWLEDGE,
+    REPORT_CLOSURES,
     QUERY_TARGETS,
     QUERY_EVENTS,
 ]
--- /dev/null
+++ b/plantainhinge/core/due.py
@@ -0,0 +1,60 @@
+"""Keys that become due at a time, kept in a heap."""
+
+import heapq
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from .ids import Seconds
+
+K = TypeVar("K", bound=Hashable)
+
+
+@dataclass
+class DueQueue(Generic[K]):
+    """Keys with one due time each; taking the due ones costs only those.
+
+    A key that is set again leaves its old entry in the heap, to be skipped.
+    """
+
+    _due: dict[K, float] = field(default_factory=dict)
+    _heap: list[tuple[float, int, K]] = field(default_factory=list)
+    _count: int = 0
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def __contains__(self, key: K) -> bool:
+        return key in self._due
+
+    def set(self, key: K, at: float) -> None:
+        """Make ``key`` due at ``at``, in place of any time set before."""
+        self._due[key] = at
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, key))
+
+    def add(self, key: K, at: float) -> None:
+        """Make ``key`` due at ``at`` unless it has a time already."""
+        if key not in self._due:
+            self.set(key, at)
+
+    def discard(self, key: K) -> None:
+        """Forget ``key``."""
+        self._due.pop(key, None)
+
+    def take(self, now: Seconds, limit: int | None = None) -> list[K]:
+        """Remove and return the keys due by ``now``, earliest first."""
+        taken: list[K] = []
+        while self._heap and self._heap[0][0] <= now:
+            if limit is not None and len(taken) >= limit:
+                break
+            at, _, key = heapq.heappop(self._heap)
+            if self._due.get(key) == at:
+                del self._due[key]
+                taken.append(key)
+        return taken
+
+    def clear(self) -> None:
+        """Forget all keys."""
+        self._due.clear()
+        self._heap.clear()
--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -25,6 +25,7 @@
 from .resources import Resources
 from .states import (
     AttemptOutcome,
+    ClaimState,
     DaemonRole,
     InstanceRole,
     InstanceState,
@@ -94,6 +95,11 @@
     as_of : float
         The worker's own clock as last told to the owner; a worker refuses a
         start whose reading is older than its start window.
+    incarnation : int
+        The worker's incarnation as last told to the owner; a worker refuses
+        another one's.
+    start_before : float
+        The worker's own clock from which on it must refuse this start.
     """
 
     task: TaskId
@@ -104,6 +110,8 @@
     cell_epoch: Epoch
     lease_seconds: float
     as_of: float
+    incarnation: int = 0
+    start_before: float = 0.0
     service: ServiceId = ServiceId("")
     checkpoint: str = ""
     run_seconds: float = 0.0
@@ -117,11 +125,24 @@
 
 
 class RenewLeases(Message, frozen=True):
-    """Renews the leases of the attempts named, and fences older epochs."""
+    """Renews the leases of the attempts named, and fences older epochs.
+
+    A worker renews nothing if ``as_of`` or ``incarnation`` are stale, as for a
+    start; it reports all the same.
+
+    Parameters
+    ----------
+    forget : list of AttemptRef
+        Ended attempts that the worker need not report any more. It refuses to
+        start them for one more start window, then forgets them.
+    """
 
     cell_epoch: Epoch
     lease_seconds: float
     attempts: list[AttemptRef]
+    as_of: float = 0.0
+    incarnation: int = 0
+    forget: list[AttemptRef] = []
 
 
 class AttemptReport(Message, frozen=True):
@@ -153,11 +174,20 @@
 
 
 class WorkerReport(Message, frozen=True):
-    """A worker's answer to a renewal: its clock and all its attempts."""
+    """A worker's answer to a renewal: its clock and all its attempts.
+
+    Parameters
+    ----------
+    now : float
+        The worker's monotonic clock.
+    incarnation : int
+        Rises with each start of the worker. No attempt outlives an incarnation.
+    """
 
     worker: WorkerId
     now: float
     attempts: list[AttemptReport]
+    incarnation: int = 0
 
 
 class StopTask(Message, frozen=True):
@@ -176,6 +206,8 @@
     attempt: Attempt
     cell_epoch: Epoch
     millicores: int
+    as_of: float = 0.0
+    incarnation: int = 0
 
 
 # Targets.
@@ -229,13 +261,20 @@
 
 
 class CellDigest(Message, frozen=True):
-    """What a cell can still take, for the ledgers that assign work to it."""
+    """What a cell can still take, for the ledgers that assign work to it.
+
+    Parameters
+    ----------
+    shapes : list of Resources
+        The different capacities that its workers have.
+    """
 
     domain: DomainId
     free: Resources
     capacity: Resources
     largest_free: Resources
     workers: int
+    shapes: list[Resources] = []
 
 
 class LoadDigest(Message, frozen=True):
@@ -321,12 +360,24 @@
     request: RequestId
     team: TeamId
     gateway: ProcessId
+    key_at: float = 0.0
 
 
 class ClaimAnswer(Message, frozen=True):
-    """Whether the claim was granted; if not, the request may have run."""
+    """Whether the claim was granted; if not, the request may have run.
+
+    Parameters
+    ----------
+    state : ClaimState or None
+        Where the claim of an earlier request with this key stands; None if the
+        key is too old to know.
+    reason : str
+        Why it was not granted.
+    """
 
     granted: bool
+    state: ClaimState | None = None
+    reason: str = ""
 
 
 class FinishClaim(Message, frozen=True):
@@ -338,7 +389,7 @@
     ran: bool
 
 
-class OfferAttempt(Message, frozen=True):
+class OfferAttempt(Message, frozen=True, array_like=True):
     """A ledger's owner hands an assigned attempt to a cell's owner."""
 
     ledger: int
@@ -355,23 +406,58 @@
     cancelled: bool = False
 
 
-class OfferAnswer(Message, frozen=True):
-    """Where the attempt stands in the cell; an outcome once it is closed."""
+class OfferAttempts(Message, frozen=True):
+    """Offers of one ledger's owner to one cell's owner.
 
-    closed: bool
-    outcome: AttemptOutcome | None = None
+    Parameters
+    ----------
+    sequence : int
+        Rises with each message of the ledger's owner under its epoch.
+    """
+
+    ledger: int
+    ledger_epoch: Epoch
+    sequence: int
+    cell: DomainId
+    offers: list[OfferAttempt]
+
+
+class OffersTaken(Message, frozen=True):
+    """The offered attempts that the cell has recorded, placed or closed."""
+
+    known: list[AttemptRef]
+
+
+class Closure(Message, frozen=True, array_like=True):
+    """The end of one attempt, as its cell recorded it."""
+
+    task: TaskId
+    attempt: Attempt
+    outcome: AttemptOutcome
     checkpoint: str = ""
     reason: str = ""
 
 
-class AcknowledgeClosure(Message, frozen=True):
-    """A ledger's owner has recorded the end of an attempt."""
+class ReportClosures(Message, frozen=True):
+    """A cell's owner tells a ledger's owner which attempts have ended."""
 
     ledger: int
-    ledger_epoch: Epoch
     cell: DomainId
-    task: TaskId
-    attempt: Attempt
+    closures: list[Closure]
+
+
+class ClosuresTaken(Message, frozen=True):
+    """The closures that the ledger has recorded, and the fence of its offers.
+
+    Parameters
+    ----------
+    sequence : int
+        Every offer of the ledger's owner sent before has a smaller one.
+    """
+
+    ledger_epoch: Epoch
+    sequence: int
+    recorded: list[AttemptRef]
 
 
 class QueryTargets(Message, frozen=True):
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -62,6 +62,12 @@
     epoch: Epoch
 
 
+class PredecessorsEnded(Record, frozen=True, tag="pre"):
+    """All owners before have surely ended, so no message of theirs can come."""
+
+    epoch: Epoch
+
+
 class TaskAccepted(Record, frozen=True, tag="acc"):
     """A batch job or service replica enters the ledger."""
 
@@ -108,11 +114,18 @@
 
 
 class RequestClaimed(Record, frozen=True, tag="clm"):
-    """A gateway is the only one to send a non-idempotent request."""
+    """A gateway is the only one to send a non-idempotent request.
+
+    Parameters
+    ----------
+    key_at : float
+        When the key was made, in seconds since the Unix epoch; 0 if unknown.
+    """
 
     key: RequestKey
     request: RequestId
     gateway: ProcessId
+    key_at: float = 0.0
 
 
 class RequestReleased(Record, frozen=True, tag="unc"):
@@ -171,10 +184,46 @@
 
 
 class ClosureAcknowledged(Record, frozen=True, tag="ack"):
-    """The ledger has recorded the end of the attempt; the cell may forget it."""
+    """The ledger has recorded the end of the attempt; the cell may forget it.
+
+    Parameters
+    ----------
+    ledger : int
+        The ledger partition that recorded it.
+    ledger_epoch, sequence
+        The fence: offers that the ledger sent before are void.
+    """
 
     task: TaskId
     attempt: Attempt
+    ledger: int = 0
+    ledger_epoch: Epoch = Epoch(0)
+    sequence: int = 0
+
+
+class TimeNoted(Record, frozen=True, tag="time"):
+    """The owner's wall clock, from which rows take the times they keep.
+
+    Parameters
+    ----------
+    at : float
+        Seconds since the Unix epoch.
+    """
+
+    at: float
+
+
+class RowsPruned(Record, frozen=True, tag="prn"):
+    """The ledger forgets tasks that ended, and keys made, before a time.
+
+    Parameters
+    ----------
+    tasks_before, claims_before : float
+        Seconds since the Unix epoch.
+    """
+
+    tasks_before: float
+    claims_before: float
 
 
 class SnapshotTaken(Record, frozen=True, tag="snap"):
@@ -188,6 +237,7 @@
     | OwnershipClaimed
     | OwnershipConfirmed
     | OwnershipReleased
+    | PredecessorsEnded
     | TaskAccepted
     | TaskCancelled
     | TaskRejected
@@ -201,6 +251,8 @@
     | AttemptPlaced
     | AttemptClosed
     | ClosureAcknowledged
+    | TimeNoted
+    | RowsPruned
     | SnapshotTaken
 )
 
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -1,59 +1,81 @@
 """The owner of one cell: places attempts, keeps leases, closes attempts."""
 
 from concurrent.futures import Future
+from dataclasses import dataclass
 
-from ..adapters.peers_grpc import Call
-from ..core.errors import NotOwnerError, PlantainhingeError
-from ..core.ids import Seconds, TaskId, WorkerId
+from ..adapters.peers_grpc import REPORT_CLOSURES, Call
+from ..core.due import DueQueue
+from ..core.errors import NotOwnerError
+from ..core.ids import ProcessId, Seconds, TaskId
 from ..core.messages import (
-    AcknowledgeClosure,
-    AttemptReport,
+    AttemptRef,
     CellDigest,
+    ClosuresTaken,
+    Instance,
     OfferAttempt,
+    OfferAttempts,
+    OffersTaken,
     QueryTargets,
-    StopTask,
     TargetList,
-    WorkerReport,
 )
 from ..core.protocols import WorkerClient
-from ..core.records import AnyRecord, AttemptPlaced, ClosureAcknowledged
+from ..core.records import AnyRecord, ClosureAcknowledged, PredecessorsEnded
 from ..core.states import DomainState
-from ..ledgers.cell import CellState
+from ..ledgers.cell import CellState, Fence
 from ..ledgers.cell_systems import (
-    answer_offer,
-    build_renewal,
-    build_start,
-    close_reported,
+    build_closures,
+    decline_offers,
     digest_cell,
     is_known,
     join_workers,
     list_targets,
     place_offers,
 )
+from ..ledgers.leases import Takeover, find_handover_end, may_renew
 from ..placement.scores import SCORES
+from ..streams.names import name_ledger
+from ..streams.ownership import OWNER_LEASE_SECONDS
 from ..streams.replica import Replica
-from .node import Node, answer_empty
+from .cell_workers import CellWorkers
+from .node import Node
 from .stream_owner import StreamOwner
 
-RENEW_PERIOD_SECONDS = 1.0
-STOP_PERIOD_SECONDS = 1.0
+REPORT_RETRY_SECONDS = 1.0
+REPORT_CLOSURES_AT_ONCE = 100
+OFFER_WAIT_SECONDS = 2.0
+PREDECESSORS_PERIOD_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class _Offered:
+    offer: OfferAttempt
+    fence: Fence
+
+
+@dataclass(frozen=True)
+class _Waiter:
+    call: Call
+    offers: list[OfferAttempt]
+    until: Seconds
 
 
 class CellOwner(StreamOwner[CellState]):
     """Owns one cell, or stands by to."""
 
     def __init__(
-        self, node: Node, replica: Replica[CellState], workers: WorkerClient
+        self, node: Node, replica: Replica[CellState], client: WorkerClient
     ) -> None:
         super().__init__(node, replica)
-        self._workers = workers
-        self._offers: dict[TaskId, OfferAttempt] = {}
+        self.workers = CellWorkers(node, replica, client)
+        self._offers: dict[TaskId, _Offered] = {}
+        self._waiters: list[_Waiter] = []
         self._acknowledged: dict[TaskId, ClosureAcknowledged] = {}
-        self._reports: dict[TaskId, AttemptReport] = {}
-        self._clocks: dict[WorkerId, float] = {}
-        self._renew_due: dict[WorkerId, Seconds] = {}
-        self._stop_due: dict[TaskId, Seconds] = {}
-        self._starting: set[TaskId] = set()
+        self._reports_due: DueQueue[int] = DueQueue()
+        self._instances_seen: list[Instance] = []
+        self._was_in = True
+        self._taken_at = Seconds(0.0)
+        self._predecessors_due = Seconds(0.0)
+        self._gone: dict[ProcessId, Seconds] = {}
 
     def digest(self) -> CellDigest:
         """Return what the cell can still take."""
@@ -61,64 +83,129 @@
 
     def answer(self, call: Call, now: Seconds) -> None:
         """Answer a call about this cell."""
-        if not self.owns(now):
+        if not self.owns(now) or self._releasing:
             call.answer.set_exception(
                 NotOwnerError(f"{self.replica.stream} is not owned", step="cell.call")
             )
             return
         match call.request:
-            case OfferAttempt():
-                self._take_offer(call, call.request)
-            case AcknowledgeClosure(task=task, attempt=attempt):
-                self._acknowledged[task] = ClosureAcknowledged(task, attempt)
-                answer_empty(call)
+            case OfferAttempts():
+                self._take_offers(call, call.request, now)
             case QueryTargets(service=service):
-                targets = list_targets(self.state, self._reports)
-                mine = [t for t in targets if t.service == service]
-                call.answer.set_result(TargetList(targets=mine))
+                targets = list_targets(self.state, service, self.workers.reports)
+                call.answer.set_result(TargetList(targets=targets))
+
+    def step(self, now: Seconds, rank: int | None) -> None:
+        """Go on as any owner does; keep leases alive while the log is down."""
+        super().step(now, rank)
+        self._answer_offers(now)
+        if self._may_renew(now):
+            self.workers.renew(now)
 
     def decide(self, now: Seconds) -> list[AnyRecord]:
-        """Return workers joining, attempts placed and attempts closed."""
-        records = join_workers(self.state, self.node.instances)
-        records.extend(close_reported(self.state, self._reports.values()))
+        """Return changes of workers, closures and placements."""
+        records: list[AnyRecord] = []
+        if self.node.instances is not self._instances_seen:
+            self._instances_seen = self.node.instances
+            records.extend(join_workers(self.state, self.node.instances))
+        records.extend(self._end_predecessors(now))
+        records.extend(self.workers.collect_closures(now))
         records.extend(self._take_acknowledged())
-        if self._may_start(now):
-            score = SCORES.find("least-loaded")
-            records.extend(place_offers(self.state, self._offers.values(), score))
-            self._offers.clear()
+        records.extend(self._place(now))
         return records
 
     def act(self, now: Seconds) -> None:
-        """Renew leases, start what is placed and stop what must not run."""
-        for worker in self.state.workers:
-            if now >= self._renew_due.get(worker, 0.0):
-                self._renew(worker, now)
-        if self._may_start(now):
-            for placed in self.state.open.values():
-                self._start(placed)
-        for task, placed in self.state.open.items():
-            if self._must_stop(task) and now >= self._stop_due.get(task, 0.0):
-                self._stop(placed, now)
+        """Start what is placed, stop what must not run, report what has ended."""
+        changed = self.state.take_changed()
+        self.workers.note_changed(changed, now)
+        self._follow_domain(changed, now)
+        for task in changed:
+            self._note_closure(task, now)
+        if self._is_in() and self.node.is_fresh(now):
+            self.workers.start(now, self._find_start_deadline())
+        self.workers.stop(now)
+        for ledger in self._reports_due.take(now):
+            self._report_closures(ledger, now)
+
+    def begin(self, now: Seconds) -> None:
+        """Take up all open attempts and all closures to report."""
+        self._taken_at = now
+        self.workers.begin(self._describe_takeover(), now)
+        for ledger in self.state.closures:
+            self._reports_due.set(ledger, now)
+        for task in self.state.open if not self._is_in() else ():
+            self.workers.order_stop(task, now)
+
+    def lapse(self) -> None:
+        """Refuse offers that wait; leases are kept."""
+        self._offers.clear()
+        self._acknowledged.clear()
+        self._refuse_waiters()
 
     def forget(self) -> None:
         """Drop offers, reports and timers."""
+        self.lapse()
+        self.workers.forget()
+        self._reports_due.clear()
+        self._gone.clear()
+
+    def is_busy(self) -> bool:
+        """Return whether a call to a worker is out."""
+        return self.workers.is_busy()
+
+    def _take_offers(self, call: Call, message: OfferAttempts, now: Seconds) -> None:
+        fence = Fence(message.ledger_epoch, message.sequence)
+        if self.state.is_void(message.ledger, fence):
+            call.answer.set_result(OffersTaken(known=[]))
+            return
+        for offer in message.offers:
+            if not is_known(self.state, offer):
+                self._offers[offer.task] = _Offered(offer, fence)
+            elif offer.cancelled and offer.task in self.state.open:
+                self.workers.order_stop(offer.task, now)
+        until = Seconds(now + OFFER_WAIT_SECONDS)
+        self._waiters.append(_Waiter(call, message.offers, until))
+
+    def _answer_offers(self, now: Seconds) -> None:
+        waiting = []
+        for waiter in self._waiters:
+            known = [o for o in waiter.offers if is_known(self.state, o)]
+            if len(known) < len(waiter.offers) and now < waiter.until:
+                waiting.append(waiter)
+                continue
+            refs = [AttemptRef(task=o.task, attempt=o.attempt) for o in known]
+            waiter.call.answer.set_result(OffersTaken(known=refs))
+        self._waiters = waiting
+
+    def _refuse_waiters(self) -> None:
+        for waiter in self._waiters:
+            error = NotOwnerError("ownership was lost", step="cell.call")
+            waiter.call.answer.set_exception(error)
+        self._waiters.clear()
+
+    def _place(self, now: Seconds) -> list[AnyRecord]:
+        if not self._offers or not self.node.is_fresh(now):
+            return []
+        fences = self._find_fences()
+        offers = [
+            offered.offer
+            for offered in self._offers.values()
+            if offered.fence >= fences.get(offered.offer.ledger, Fence())
+        ]
         self._offers.clear()
-        self._acknowledged.clear()
-        self._reports.clear()
-        self._clocks.clear()
-        self._renew_due.clear()
-        self._stop_due.clear()
-        self._starting.clear()
-
-    def _take_offer(self, call: Call, offer: OfferAttempt) -> None:
-        if not is_known(self.state, offer):
-            self._offers[offer.task] = offer
-        elif offer.cancelled:
-            self._stop_due.setdefault(offer.task, Seconds(0.0))
-        call.answer.set_result(answer_offer(self.state, offer))
-
-    def _may_start(self, now: Seconds) -> bool:
-        return self._is_in() and self.node.is_fresh(now)
+        if not self._is_in():
+            return decline_offers(self.state, offers, "the failure domain is out")
+        score = SCORES.find("least-loaded")
+        usable = self.workers.list_usable(now)
+        return place_offers(self.state, offers, score, usable=usable)
+
+    def _find_fences(self) -> dict[int, Fence]:
+        """Return the fences with those in the acknowledgements about to be taken."""
+        fences = dict(self.state.fences)
+        for record in self._acknowledged.values():
+            fence = Fence(record.ledger_epoch, record.sequence)
+            fences[record.ledger] = max(fence, fences.get(record.ledger, Fence()))
+        return fences
 
     def _is_in(self) -> bool:
         configuration = self.node.current
@@ -127,79 +214,79 @@
             return False
         return configuration.domains[domain].state is DomainState.IN
 
-    def _must_stop(self, task: TaskId) -> bool:
-        return task in self._stop_due or not self._is_in()
+    def _follow_domain(self, changed: list[TaskId], now: Seconds) -> None:
+        is_in = self._is_in()
+        if not is_in:
+            for task in self.state.open if self._was_in else changed:
+                self.workers.order_stop(task, now)
+        self._was_in = is_in
 
-    def _take_acknowledged(self) -> list[ClosureAcknowledged]:
-        taken = []
-        for task, record in self._acknowledged.items():
-            row = self.state.attempts.get(task)
-            if row is not None and row.closed and row.attempt == record.attempt:
-                taken.append(record)
-        self._acknowledged.clear()
-        return taken
-
-    def _renew(self, worker: WorkerId, now: Seconds) -> None:
-        self._renew_due[worker] = Seconds(now + RENEW_PERIOD_SECONDS)
-        row = self.state.workers[worker]
-        message = build_renewal(row, self.state)
-        self.node.commander.run(
-            self._workers.renew, row.address, message, then=self._take_renewal
-        )
-
-    def _take_renewal(self, future: Future[WorkerReport], now: Seconds) -> None:
-        if future.exception() is not None:
-            return
-        report = future.result()
-        self._clocks[report.worker] = report.now
-        for attempt in report.attempts:
-            self._note_report(attempt)
-
-    def _note_report(self, report: AttemptReport) -> None:
-        placed = self.state.open.get(report.task)
-        if placed is not None and placed.attempt == report.attempt:
-            self._reports[report.task] = report
-
-    def _start(self, placed: AttemptPlaced) -> None:
-        as_of = self._clocks.get(placed.worker)
-        known = self._reports.get(placed.task)
-        started = known is not None and known.attempt == placed.attempt
-        if as_of is None or started or placed.task in self._starting:
+    def _find_start_deadline(self) -> Seconds:
+        confirmed_at = self.replica.confirmed_at or 0.0
+        owned_until = confirmed_at + OWNER_LEASE_SECONDS
+        return Seconds(min(self.node.fresh_until(), owned_until))
+
+    def _may_renew(self, now: Seconds) -> bool:
+        mine = self.state.ownership.owner == self.node.process
+        kept = mine and self._epoch_kept == self.epoch and not self._releasing
+        return kept and may_renew(self.replica.confirmed_at, now)
+
+    def _note_closure(self, task: TaskId, now: Seconds) -> None:
+        row = self.state.attempts.get(task)
+        if row is not None and row.closed is not None:
+            self._reports_due.add(row.closed.ledger, now)
+
+    def _report_closures(self, ledger: int, now: Seconds) -> None:
+        message = build_closures(self.state, ledger, limit=REPORT_CLOSURES_AT_ONCE)
+        if message is None:
             return
-        if self._must_stop(placed.task):
+        self._reports_due.set(ledger, now + REPORT_RETRY_SECONDS)
+        owner = self.node.table.find_owner(name_ledger(ledger), now)
+        if owner is None:
             return
-        self._starting.add(placed.task)
-        self.node.events.add("attempt.starting", placed.task, worker=placed.worker)
-        address = self.state.workers[placed.worker].address
-        message = build_start(placed, self.state, as_of)
-
-        def finish(future: Future[AttemptReport], now: Seconds) -> None:
-            self._starting.discard(placed.task)
-            self._take_report(future, now)
-
-        self.node.commander.run(self._workers.start, address, message, then=finish)
-
-    def _stop(self, placed: AttemptPlaced, now: Seconds) -> None:
-        self._stop_due[placed.task] = Seconds(now + STOP_PERIOD_SECONDS)
-        self.node.events.add("attempt.stopping", placed.task, worker=placed.worker)
-        message = StopTask(
-            task=placed.task,
-            attempt=placed.attempt,
-            cell_epoch=self.state.ownership.epoch,
-        )
-        address = self.state.workers[placed.worker].address
-
-        def finish(future: Future[AttemptReport], at: Seconds) -> None:
-            self._take_report(future, at)
-            if future.exception() is None:
-                self._stop_due.pop(placed.task, None)
-
-        self.node.commander.run(self._workers.stop, address, message, then=finish)
-
-    def _take_report(self, future: Future[AttemptReport], now: Seconds) -> None:
-        try:
-            self._note_report(future.result())
-        except PlantainhingeError as error:
-            self.node.events.add(
-                "worker.error", error.peer, code=error.code, step=error.step
+        future = self.node.peers.call(owner.address, REPORT_CLOSURES, message)
+
+        def finish(done: Future[ClosuresTaken], at: Seconds) -> None:
+            if done.exception() is None:
+                self._take_closures(ledger, done.result())
+
+        self.node.commander.follow(future, then=finish)
+
+    def _take_closures(self, ledger: int, answer: ClosuresTaken) -> None:
+        for ref in answer.recorded:
+            row = self.state.attempts.get(ref.task)
+            if row is None or row.closed is None or row.attempt != ref.attempt:
+                continue
+            self._acknowledged[ref.task] = ClosureAcknowledged(
+                ref.task, ref.attempt, ledger, answer.ledger_epoch, answer.sequence
             )
+
+    def _take_acknowledged(self) -> list[AnyRecord]:
+        records: list[AnyRecord] = []
+        for record in self._acknowledged.values():
+            row = self.state.attempts.get(record.task)
+            if row is not None and row.closed and row.attempt == record.attempt:
+                records.append(record)
+        self._acknowledged.clear()
+        return records
+
+    def _describe_takeover(self) -> Takeover:
+        predecessors = self.state.ownership.predecessors
+        times = [self._gone.get(process) for process in predecessors]
+        known = [at for at in times if at is not None]
+        gone_at = max(known) if len(known) == len(times) and known else None
+        return Takeover(self._taken_at, released=not predecessors, gone_at=gone_at)
+
+    def _end_predecessors(self, now: Seconds) -> list[AnyRecord]:
+        predecessors = self.state.ownership.predecessors
+        if not predecessors or now < self._predecessors_due:
+            return []
+        self._predecessors_due = Seconds(now + PREDECESSORS_PERIOD_SECONDS)
+        for process in predecessors:
+            if process not in self._gone and self.node.has_ended(process):
+                self._gone[process] = now
+                self.workers.note_takeover(self._describe_takeover())
+        ended = all(process in self._gone for process in predecessors)
+        if ended or now >= find_handover_end(Takeover(self._taken_at)):
+            return [PredecessorsEnded(self.epoch)]
+        return []
--- /dev/null
+++ b/plantainhinge/daemons/cell_workers.py
@@ -0,0 +1,398 @@
+"""A cell's calls to its workers: renewals, starts, stops and what they report."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, TypeVar
+
+from ..core.clock import read_monotonic
+from ..core.due import DueQueue
+from ..core.errors import PlantainhingeError, UnavailableError
+from ..core.ids import Attempt, Seconds, TaskId, WorkerId
+from ..core.messages import (
+    AttemptRef,
+    AttemptReport,
+    StartTask,
+    StopTask,
+    WorkerReport,
+)
+from ..core.protocols import WorkerClient
+from ..core.records import AttemptClosed, AttemptPlaced
+from ..ledgers.cell import CellState
+from ..ledgers.cell_systems import (
+    build_renewal,
+    build_start,
+    close_attempt,
+    close_lost,
+)
+from ..ledgers.leases import (
+    START_WINDOW_SECONDS,
+    Reading,
+    Takeover,
+    find_sure_end,
+    is_newer,
+)
+from ..ledgers.reconciliation import Flight, Step, plan_absent
+from ..streams.replica import Replica
+from .node import Node
+
+RENEW_PERIOD_SECONDS = 1.0
+START_RETRY_SECONDS = 1.0
+STOP_RETRY_SECONDS = 1.0
+START_TRIES = 5
+CALLS_TO_SILENT_WORKERS = 2
+NOT_SEEN = -1
+
+T = TypeVar("T")
+
+
+class CellWorkers:
+    """What one owner of a cell knows of the workers, and its calls to them.
+
+    Work waits in queues by due time, so a step costs what is due.
+    """
+
+    def __init__(
+        self, node: Node, replica: Replica[CellState], client: WorkerClient
+    ) -> None:
+        self.reports: dict[TaskId, AttemptReport] = {}
+        self.readings: dict[WorkerId, Reading] = {}
+        self._node = node
+        self._replica = replica
+        self._client = client
+        self._takeover = Takeover(Seconds(0.0))
+        self._membership = NOT_SEEN
+        self._flights: dict[TaskId, Flight] = {}
+        self._closing: dict[TaskId, AttemptClosed] = {}
+        self._forget: dict[WorkerId, list[AttemptRef]] = {}
+        self._renewals: DueQueue[WorkerId] = DueQueue()
+        self._sure_ends: DueQueue[WorkerId] = DueQueue()
+        self._starts: DueQueue[TaskId] = DueQueue()
+        self._stops: DueQueue[TaskId] = DueQueue()
+        self._renewing: set[WorkerId] = set()
+        self._failed: set[WorkerId] = set()
+        self._calls_out = 0
+
+    @property
+    def state(self) -> CellState:
+        """The replayed state of the cell."""
+        return self._replica.reducer
+
+    def begin(self, takeover: Takeover, now: Seconds) -> None:
+        """Take up all workers and open attempts, under a new epoch."""
+        self._takeover = takeover
+        self._follow_members(now)
+        self.note_changed(list(self.state.open), now)
+
+    def note_takeover(self, takeover: Takeover) -> None:
+        """Take in news of the owners before."""
+        self._takeover = takeover
+        for worker in self.state.workers:
+            if worker not in self.readings:
+                self._sure_ends.set(worker, find_sure_end(None, takeover))
+
+    def note_changed(self, tasks: list[TaskId], now: Seconds) -> None:
+        """Follow attempts that were placed or closed."""
+        for task in tasks:
+            placed = self.state.open.get(task)
+            if placed is None:
+                self._drop(task)
+            elif self.state.attempts[task].epoch == self.state.ownership.epoch:
+                self._starts.add(task, now)
+
+    def renew(self, now: Seconds) -> None:
+        """Renew the leases that are due."""
+        if self._membership != self.state.membership:
+            self._follow_members(now)
+        for worker in self._renewals.take(now):
+            if worker in self.state.workers:
+                self._renewals.set(worker, now + RENEW_PERIOD_SECONDS)
+                self._renew(worker, now)
+
+    def start(self, now: Seconds, deadline: Seconds) -> None:
+        """Start the attempts that are due.
+
+        Parameters
+        ----------
+        deadline : Seconds
+            No start may happen from then on.
+        """
+        for task in self._starts.take(now):
+            placed = self.state.open.get(task)
+            if placed is not None and task not in self._closing:
+                self._start(placed, now, deadline)
+
+    def stop(self, now: Seconds) -> None:
+        """Stop the attempts that are due."""
+        for task in self._stops.take(now):
+            placed = self.state.open.get(task)
+            if placed is not None and task not in self._closing:
+                self._stops.set(task, now + STOP_RETRY_SECONDS)
+                self._stop(placed)
+
+    def order_stop(self, task: TaskId, now: Seconds) -> None:
+        """Stop an attempt, with its checkpoint, until it has ended."""
+        self._stops.add(task, now)
+        self._starts.discard(task)
+
+    def is_stopping(self, task: TaskId) -> bool:
+        """Return whether a stop was ordered."""
+        return task in self._stops
+
+    def collect_closures(self, now: Seconds) -> list[AttemptClosed]:
+        """Return the closures to propose: reported ends, and leases surely over."""
+        for worker in self._sure_ends.take(now):
+            self._lose_worker(worker)
+        return [c for task, c in self._closing.items() if task in self.state.open]
+
+    def list_usable(self, now: Seconds) -> set[WorkerId]:
+        """Return the workers that take new attempts: those heard of lately."""
+        return {
+            worker
+            for worker in self.readings
+            if worker in self.state.workers and self._is_heard(worker, now)
+        }
+
+    def is_busy(self) -> bool:
+        """Return whether any call is out."""
+        return self._calls_out > 0
+
+    def forget(self) -> None:
+        """Drop everything known under the epoch that ended."""
+        self.reports.clear()
+        self.readings.clear()
+        self._flights.clear()
+        self._closing.clear()
+        self._forget.clear()
+        self._renewing.clear()
+        self._failed.clear()
+        self._renewals.clear()
+        self._sure_ends.clear()
+        self._starts.clear()
+        self._stops.clear()
+        self._membership = NOT_SEEN
+
+    def _follow_members(self, now: Seconds) -> None:
+        self._membership = self.state.membership
+        for worker in self.state.workers:
+            self._renewals.add(worker, now)
+            end = find_sure_end(self.readings.get(worker), self._takeover)
+            self._sure_ends.add(worker, end)
+        for worker in self.readings.keys() - self.state.workers.keys():
+            del self.readings[worker]
+            self._sure_ends.discard(worker)
+            self._renewals.discard(worker)
+
+    def _is_heard(self, worker: WorkerId, now: Seconds) -> bool:
+        reading = self.readings.get(worker)
+        heard = reading is not None and now < reading.received_at + START_WINDOW_SECONDS
+        return heard and worker not in self._failed
+
+    def _drop(self, task: TaskId) -> None:
+        self.reports.pop(task, None)
+        self._flights.pop(task, None)
+        self._closing.pop(task, None)
+        self._starts.discard(task)
+        self._stops.discard(task)
+
+    def _lose_worker(self, worker: WorkerId) -> None:
+        row = self.state.workers.get(worker)
+        for task in row.attempts if row else ():
+            self._lose(self.state.open[task], f"worker {worker} stayed silent")
+
+    def _lose(self, placed: AttemptPlaced, reason: str) -> None:
+        self._closing.setdefault(placed.task, close_lost(placed, reason))
+
+    def _renew(self, worker: WorkerId, now: Seconds) -> None:
+        crowded = len(self._failed & self._renewing) >= CALLS_TO_SILENT_WORKERS
+        if worker in self._renewing or (crowded and worker in self._failed):
+            return
+        self._renewing.add(worker)
+        row = self.state.workers[worker]
+        message = build_renewal(
+            row,
+            self.state,
+            self.readings.get(worker),
+            forget=self._forget.pop(worker, []),
+            closing=self._closing,
+        )
+
+        def finish(future: Future[WorkerReport], at: Seconds) -> None:
+            self._renewing.discard(worker)
+            if message.cell_epoch == self.state.ownership.epoch:
+                self._take_renewal(worker, future, now, at)
+
+        self._run(self._client.renew, row.address, message, then=finish)
+
+    def _take_renewal(
+        self,
+        worker: WorkerId,
+        future: Future[WorkerReport],
+        asked_at: Seconds,
+        now: Seconds,
+    ) -> None:
+        if future.exception() is not None or future.result().worker != worker:
+            self._failed.add(worker)
+            return
+        self._failed.discard(worker)
+        report = future.result()
+        reading = Reading(report.incarnation, report.now, now)
+        if worker in self.state.workers and is_newer(
+            self.readings.get(worker), reading
+        ):
+            self.readings[worker] = reading
+            self._sure_ends.set(worker, find_sure_end(reading, self._takeover))
+            self._reconcile(report, asked_at, now)
+
+    def _reconcile(self, report: WorkerReport, asked_at: Seconds, now: Seconds) -> None:
+        reported = set()
+        for attempt in report.attempts:
+            placed = self._find_open(attempt, report.worker)
+            if placed is None:
+                self._dismiss(attempt, report.worker)
+            else:
+                reported.add(attempt.task)
+                self._note_report(placed, attempt, now, report.incarnation)
+        for task in self.state.workers[report.worker].attempts:
+            if task not in reported:
+                self._reconcile_absent(task, report, asked_at, now)
+
+    def _find_open(
+        self, report: AttemptReport, worker: WorkerId
+    ) -> AttemptPlaced | None:
+        placed = self.state.open.get(report.task)
+        if placed is None or placed.worker != worker:
+            return None
+        return placed if placed.attempt == report.attempt else None
+
+    def _dismiss(self, report: AttemptReport, worker: WorkerId) -> None:
+        if report.outcome is None:
+            self._call_stop(worker, report.task, report.attempt, then=_ignore)
+        else:
+            ref = AttemptRef(task=report.task, attempt=report.attempt)
+            self._forget.setdefault(worker, []).append(ref)
+
+    def _reconcile_absent(
+        self, task: TaskId, report: WorkerReport, asked_at: Seconds, now: Seconds
+    ) -> None:
+        step = plan_absent(
+            self._flights.get(task),
+            placed_under=self.state.attempts[task].epoch,
+            epoch=self.state.ownership.epoch,
+            incarnation=report.incarnation,
+            asked_at=asked_at,
+        )
+        if step is Step.STOP:
+            self.order_stop(task, now)
+        elif step is Step.LOST:
+            self._lose(self.state.open[task], f"worker {report.worker} restarted")
+        elif step is Step.START and not self.is_stopping(task):
+            self._starts.add(task, now)
+
+    def _note_report(
+        self,
+        placed: AttemptPlaced,
+        report: AttemptReport,
+        now: Seconds,
+        incarnation: int,
+    ) -> None:
+        flight = self._flights.setdefault(placed.task, Flight(incarnation))
+        if report.outcome is None:
+            flight.answered_at = flight.answered_at or now
+            self.reports[placed.task] = report
+            self._starts.discard(placed.task)
+        elif flight.answered_at is None and flight.tries >= START_TRIES:
+            self._lose(placed, f"worker {placed.worker} failed {flight.tries} starts")
+        else:
+            closed = close_attempt(placed, report)
+            self._closing.setdefault(placed.task, closed)
+
+    def _start(self, placed: AttemptPlaced, now: Seconds, deadline: Seconds) -> None:
+        task = placed.task
+        self._starts.set(task, now + START_RETRY_SECONDS)
+        reading = self.readings.get(placed.worker)
+        if reading is None or not self._is_heard(placed.worker, now):
+            return
+        flight = self._flights.setdefault(task, Flight(reading.incarnation))
+        if flight.incarnation != reading.incarnation:
+            return
+        if flight.tries >= START_TRIES:
+            self.order_stop(task, now)
+            return
+        flight.tries += 1
+        self._node.events.add("attempt.starting", task, worker=placed.worker)
+        message = build_start(placed, self.state, reading, deadline)
+
+        def finish(future: Future[AttemptReport], at: Seconds) -> None:
+            self._take_answer(placed, future, at, reading.incarnation)
+
+        address = self.state.workers[placed.worker].address
+        self._run(self._send_start, address, message, deadline, then=finish)
+
+    def _send_start(
+        self, address: str, message: StartTask, deadline: Seconds
+    ) -> AttemptReport:
+        if read_monotonic() >= deadline:
+            raise UnavailableError(
+                "the start waited past its limit", step="worker.start", peer=address
+            )
+        return self._client.start(address, message)
+
+    def _stop(self, placed: AttemptPlaced) -> None:
+        if placed.worker in self._failed:
+            return
+        self._node.events.add("attempt.stopping", placed.task, worker=placed.worker)
+        reading = self.readings.get(placed.worker)
+        incarnation = reading.incarnation if reading else 0
+
+        def finish(future: Future[AttemptReport], at: Seconds) -> None:
+            self._take_answer(placed, future, at, incarnation)
+
+        self._call_stop(placed.worker, placed.task, placed.attempt, then=finish)
+
+    def _call_stop(
+        self,
+        worker: WorkerId,
+        task: TaskId,
+        attempt: Attempt,
+        *,
+        then: Callable[[Future[AttemptReport], Seconds], None],
+    ) -> None:
+        epoch = self.state.ownership.epoch
+        message = StopTask(task=task, attempt=attempt, cell_epoch=epoch)
+        address = self.state.workers[worker].address
+        self._run(self._client.stop, address, message, then=then)
+
+    def _take_answer(
+        self,
+        placed: AttemptPlaced,
+        future: Future[AttemptReport],
+        now: Seconds,
+        incarnation: int,
+    ) -> None:
+        try:
+            report = future.result()
+        except PlantainhingeError as error:
+            self._node.events.add(
+                "worker.error", error.peer, code=error.code, step=error.step
+            )
+            return
+        if self._find_open(report, placed.worker) == placed:
+            self._note_report(placed, report, now, incarnation)
+
+    def _run(
+        self,
+        function: Callable[..., T],
+        *arguments: Any,
+        then: Callable[[Future[T], Seconds], None],
+    ) -> None:
+        self._calls_out += 1
+
+        def finish(future: Future[T], now: Seconds) -> None:
+            self._calls_out -= 1
+            then(future, now)
+
+        self._node.commander.run(function, *arguments, then=finish)
+
+
+def _ignore(future: Future[AttemptReport], now: Seconds) -> None:
+    """Leave it to the next report to say whether the stop took effect."""
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -1,23 +1,29 @@
 """The owner of one ledger partition: accepts jobs, assigns attempts, keeps claims."""
 
 from collections.abc import Callable
-from concurrent.futures import Future
 from dataclasses import dataclass
-from typing import Any
 
-from ..adapters.peers_grpc import ACKNOWLEDGE, OFFER, Call
-from ..core.errors import BadInputError, NotOwnerError, PlantainhingeError
-from ..core.ids import Seconds, TaskId
+from ..adapters.peers_grpc import Call
+from ..core.clock import read_wall
+from ..core.configuration import Configuration
+from ..core.errors import (
+    BadInputError,
+    NotOwnerError,
+    PlantainhingeError,
+    UnavailableError,
+    UncertainError,
+)
+from ..core.ids import Epoch, Revision, Seconds, TaskId
 from ..core.messages import (
-    AcknowledgeClosure,
+    AttemptRef,
     CancelJob,
     ClaimAnswer,
     ClaimRequest,
+    ClosuresTaken,
     Empty,
     FinishClaim,
-    OfferAnswer,
-    OfferAttempt,
     QueryJob,
+    ReportClosures,
     SubmitJob,
 )
 from ..core.records import (
@@ -27,42 +33,72 @@
     RequestReleased,
     RequestSettled,
     TaskCancelled,
+    TimeNoted,
 )
 from ..ledgers.ledger import LedgerState
 from ..ledgers.ledger_systems import (
     accept_job,
     assign_waiting,
-    build_offers,
     declare_replicas,
     describe_task,
+    end_attempt,
+    is_open,
+    prune_rows,
+    reject_hopeless,
 )
-from ..streams.names import name_cell
 from ..streams.replica import Proposal, Replica
-from .node import Node
+from .node import NO_EPOCH, Node
+from .offers import Offers
 from .stream_owner import StreamOwner
 
-OFFER_PERIOD_SECONDS = 1.0
+ASSIGN_PERIOD_SECONDS = 0.5
+PRUNE_PERIOD_SECONDS = 10.0
+TIME_STEP_SECONDS = 1.0
+CLOSURE_WAIT_SECONDS = 2.0
+WAITERS_LIMIT = 2000
+
+Settle = Callable[[Proposal, Call, bool], None]
 
 
 @dataclass
 class _Waiter:
-    proposal: Proposal
     call: Call
-    settle: Callable[[Proposal, Call], None]
+    record: AnyRecord
+    settle: Settle
+    proposal: Proposal | None = None
+    epoch: Epoch = NO_EPOCH
+
+
+@dataclass(frozen=True)
+class _Reporter:
+    call: Call
+    refs: list[AttemptRef]
+    until: Seconds
 
 
 class LedgerOwner(StreamOwner[LedgerState]):
-    """Owns one ledger partition, or stands by to."""
+    """Owns one ledger partition, or stands by to.
+
+    What callers ask for waits for the next group of proposals, so that any number
+    of calls takes one append.
+    """
 
     def __init__(self, node: Node, replica: Replica[LedgerState]) -> None:
         super().__init__(node, replica)
+        self.offers = Offers(node, replica)
         self._waiters: list[_Waiter] = []
+        self._silent: list[AnyRecord] = []
         self._ended: dict[TaskId, AttemptEnded] = {}
-        self._offer_due: dict[TaskId, Seconds] = {}
+        self._reporters: list[_Reporter] = []
+        self._changed: dict[TaskId, None] = {}
+        self._unjudged: dict[TaskId, None] = {}
+        self._declared = Revision(0)
+        self._assign_due = Seconds(0.0)
+        self._prune_due = Seconds(0.0)
 
     def answer(self, call: Call, now: Seconds) -> None:
         """Answer a call about this partition, at once or when it is decided."""
-        if not self.owns(now):
+        if not self.owns(now) or self._releasing:
             call.answer.set_exception(
                 NotOwnerError(f"{self.replica.stream} is not owned", step="ledger.call")
             )
@@ -78,38 +114,69 @@
                 self._claim(call, call.request)
             case FinishClaim():
                 self._finish_claim(call, call.request)
+            case ReportClosures():
+                self._take_closures(call, call.request, now)
 
     def step(self, now: Seconds, rank: int | None) -> None:
-        """Answer what was decided, then go on as any owner does."""
-        super().step(now, rank)
+        """Go on as any owner does, and answer what was decided."""
         self._settle_waiters()
+        super().step(now, rank)
+        self._answer_reporters(now)
 
     def decide(self, now: Seconds) -> list[AnyRecord]:
-        """Return ends of attempts, new replicas and assignments."""
+        """Return what callers and cells asked for, new replicas and assignments."""
         configuration = self.node.current
         if configuration is None:
             return []
-        records: list[AnyRecord] = list(self._take_ended())
-        records.extend(declare_replicas(self.state, configuration))
-        if self.node.is_fresh(now):
-            cells = self.node.collect_cells(now)
-            records.extend(assign_waiting(self.state, cells, configuration))
-        return records
+        changed = list(self._changed)
+        self._changed.clear()
+        self._unjudged.update(dict.fromkeys(changed))
+        records = self._take_ended()
+        records.extend(self._silent)
+        self._silent.clear()
+        records.extend(self._declare(configuration, changed))
+        records.extend(self._assign(configuration, now, bool(changed)))
+        wanted = [waiter for waiter in self._waiters if waiter.proposal is None]
+        for record in self._keep_time(now, bool(records or wanted)):
+            self.replica.propose(record)
+        for record in records:
+            self.replica.propose(record)
+        for waiter in wanted:
+            waiter.proposal = self.replica.propose(waiter.record)
+            waiter.epoch = self.epoch
+        return []
 
     def act(self, now: Seconds) -> None:
         """Offer assigned attempts to the owners of their cells."""
-        for offer in build_offers(self.state):
-            if now >= self._offer_due.get(offer.task, 0.0):
-                self._offer(offer, now)
+        changed = self.state.take_changed()
+        self._changed.update(dict.fromkeys(changed))
+        self.offers.note_changed(changed, now)
+        self.offers.send(now)
 
-    def forget(self) -> None:
-        """Tell all who wait that this process is no longer the owner."""
+    def begin(self, now: Seconds) -> None:
+        """Offer all assigned attempts again, and look at all that wait."""
+        self.offers.note_changed(list(self.state.assigned), now)
+        self._changed.update(self.state.waiting)
+        self._declared = Revision(0)
+
+    def lapse(self) -> None:
+        """Tell all who wait that this process can no longer decide."""
         for waiter in self._waiters:
+            waiter.call.answer.set_exception(_explain_lapse(waiter))
+        for reporter in self._reporters:
             error = NotOwnerError("ownership was lost", step="ledger.call")
-            waiter.call.answer.set_exception(error)
+            reporter.call.answer.set_exception(error)
         self._waiters.clear()
+        self._reporters.clear()
         self._ended.clear()
-        self._offer_due.clear()
+
+    def forget(self) -> None:
+        """Drop offers and what waits to be decided."""
+        self.lapse()
+        self.offers.clear()
+        self._silent.clear()
+        self._changed.clear()
+        self._unjudged.clear()
 
     def _submit(self, call: Call, message: SubmitJob) -> None:
         configuration = self.node.current
@@ -126,30 +193,40 @@
             self._propose_for(accept_job(message, kind), call, self._tell)
 
     def _claim(self, call: Call, message: ClaimRequest) -> None:
-        record = RequestClaimed(message.key, message.request, message.gateway)
+        record = RequestClaimed(
+            message.key, message.request, message.gateway, message.key_at
+        )
         self._propose_for(record, call, self._tell_claim)
 
     def _finish_claim(self, call: Call, message: FinishClaim) -> None:
         finish = RequestSettled if message.ran else RequestReleased
-        self.replica.propose(finish(message.key, message.request))
+        self._silent.append(finish(message.key, message.request))
         call.answer.set_result(Empty())
 
-    def _propose_for(
-        self, record: AnyRecord, call: Call, settle: Callable[[Proposal, Call], None]
-    ) -> None:
-        self._waiters.append(_Waiter(self.replica.propose(record), call, settle))
+    def _propose_for(self, record: AnyRecord, call: Call, settle: Settle) -> None:
+        if len(self._waiters) >= WAITERS_LIMIT:
+            error = UnavailableError("too many calls wait", step="ledger.call")
+            call.answer.set_exception(error)
+            return
+        self._waiters.append(_Waiter(call, record, settle))
 
     def _settle_waiters(self) -> None:
         waiting = []
         for waiter in self._waiters:
-            if waiter.proposal.decided:
-                waiter.settle(waiter.proposal, waiter.call)
+            proposal = waiter.proposal
+            if proposal is not None and proposal.decided:
+                fenced = waiter.epoch != self.epoch
+                waiter.settle(proposal, waiter.call, fenced)
             else:
                 waiting.append(waiter)
         self._waiters = waiting
 
-    def _tell(self, proposal: Proposal, call: Call) -> None:
-        self._tell_account(call)
+    def _tell(self, proposal: Proposal, call: Call, fenced: bool) -> None:
+        if proposal.rejection is not None and fenced:
+            error = NotOwnerError(proposal.rejection, step="ledger.call")
+            call.answer.set_exception(error)
+        else:
+            self._tell_account(call)
 
     def _tell_account(self, call: Call) -> None:
         row = self.state.tasks.get(call.request.task)
@@ -161,66 +238,110 @@
         else:
             call.answer.set_result(describe_task(row))
 
-    def _tell_claim(self, proposal: Proposal, call: Call) -> None:
+    def _tell_claim(self, proposal: Proposal, call: Call, fenced: bool) -> None:
         granted = proposal.rejection is None
+        if not granted and fenced:
+            error = NotOwnerError(proposal.rejection or "", step="ledger.call")
+            call.answer.set_exception(error)
+            return
         self.node.events.add(
             "claim.granted" if granted else "claim.refused",
             call.request.request,
             key=call.request.key,
         )
-        call.answer.set_result(ClaimAnswer(granted=granted))
+        row = self.state.claims.get(call.request.key)
+        answer = ClaimAnswer(
+            granted=granted,
+            state=row.state if row else None,
+            reason=proposal.rejection or "",
+        )
+        call.answer.set_result(answer)
 
-    def _offer(self, offer: OfferAttempt, now: Seconds) -> None:
-        owner = self.node.table.find_owner(name_cell(offer.cell), now)
-        if owner is None:
-            return
-        self._offer_due[offer.task] = Seconds(now + OFFER_PERIOD_SECONDS)
-        future = self.node.peers.call(owner.address, OFFER, offer)
+    def _take_closures(self, call: Call, message: ReportClosures, now: Seconds) -> None:
+        refs = []
+        for closure in message.closures:
+            refs.append(AttemptRef(task=closure.task, attempt=closure.attempt))
+            if is_open(self.state, closure.task, closure.attempt):
+                self._ended[closure.task] = end_attempt(closure)
+        until = Seconds(now + CLOSURE_WAIT_SECONDS)
+        self._reporters.append(_Reporter(call, refs, until))
 
-        def finish(done: Future[OfferAnswer], at: Seconds) -> None:
-            self._take_answer(offer, done)
+    def _answer_reporters(self, now: Seconds) -> None:
+        waiting = []
+        for reporter in self._reporters:
+            recorded = [
+                ref
+                for ref in reporter.refs
+                if not is_open(self.state, ref.task, ref.attempt)
+            ]
+            if len(recorded) < len(reporter.refs) and now < reporter.until:
+                waiting.append(reporter)
+                continue
+            answer = ClosuresTaken(
+                ledger_epoch=self.epoch,
+                sequence=self.offers.next_sequence(),
+                recorded=recorded,
+            )
+            reporter.call.answer.set_result(answer)
+        self._reporters = waiting
 
-        self.node.commander.follow(future, then=finish)
+    def _take_ended(self) -> list[AnyRecord]:
+        records: list[AnyRecord] = []
+        for record in self._ended.values():
+            if is_open(self.state, record.task, record.attempt):
+                records.append(record)
+                self.node.events.add(
+                    "attempt.ended", record.task, outcome=record.outcome.value
+                )
+        self._ended.clear()
+        return records
 
-    def _take_answer(self, offer: OfferAttempt, future: Future[Any]) -> None:
-        try:
-            answer = future.result()
-        except PlantainhingeError:
-            return
-        if not answer.closed:
-            return
-        self._offer_due.pop(offer.task, None)
-        self._ended[offer.task] = AttemptEnded(
-            offer.task, offer.attempt, answer.outcome, answer.checkpoint, answer.reason
-        )
+    def _declare(
+        self, configuration: Configuration, changed: list[TaskId]
+    ) -> list[AnyRecord]:
+        revision = self.node.configuration.reducer.revision
+        if revision == self._declared and not any(map(self._is_service, changed)):
+            return []
+        if revision != self._declared:
+            self._unjudged.update(self.state.waiting)
+        self._declared = revision
+        return declare_replicas(self.state, configuration)
 
-    def _take_ended(self) -> list[AttemptEnded]:
-        ended = []
-        for task, record in self._ended.items():
-            row = self.state.tasks[task]
-            if task in self.state.assigned and row.attempt == record.attempt:
-                ended.append(record)
-            elif row.cell is not None:
-                self._acknowledge(record)
-        self._ended = {record.task: record for record in ended}
-        for record in ended:
-            self.node.events.add(
-                "attempt.ended", record.task, outcome=record.outcome.value
-            )
-        return ended
-
-    def _acknowledge(self, record: AttemptEnded) -> None:
-        cell = self.state.tasks[record.task].cell
-        assert cell is not None
-        now = self.replica.caught_up_at or Seconds(0.0)
-        owner = self.node.table.find_owner(name_cell(cell), now)
-        if owner is None:
-            return
-        message = AcknowledgeClosure(
-            ledger=self.state.partition,
-            ledger_epoch=self.state.ownership.epoch,
-            cell=cell,
-            task=record.task,
-            attempt=record.attempt,
-        )
-        self.node.peers.call(owner.address, ACKNOWLEDGE, message)
+    def _is_service(self, task: TaskId) -> bool:
+        row = self.state.tasks.get(task)
+        return row is None or bool(row.accepted.service)
+
+    def _assign(
+        self, configuration: Configuration, now: Seconds, changed: bool
+    ) -> list[AnyRecord]:
+        if not self.state.waiting or not self.node.is_fresh(now):
+            return []
+        if not changed and now < self._assign_due:
+            return []
+        self._assign_due = Seconds(now + ASSIGN_PERIOD_SECONDS)
+        cells = self.node.collect_cells(now)
+        hopeless = reject_hopeless(self.state, self._unjudged, cells, configuration)
+        if configuration.domains.keys() <= cells.keys():
+            self._unjudged.clear()
+        rejected = {record.task for record in hopeless}
+        assigned = assign_waiting(self.state, cells, configuration)
+        return [*hopeless, *(r for r in assigned if r.task not in rejected)]
+
+    def _keep_time(self, now: Seconds, has_others: bool) -> list[AnyRecord]:
+        """Return the time, if it is wanted, and what is old enough to forget."""
+        wall = read_wall()
+        pruned = None
+        if now >= self._prune_due:
+            self._prune_due = Seconds(now + PRUNE_PERIOD_SECONDS)
+            pruned = prune_rows(self.state, wall)
+        is_late = wall >= self.state.time + TIME_STEP_SECONDS
+        if pruned is not None:
+            return [TimeNoted(wall), pruned]
+        return [TimeNoted(wall)] if is_late and has_others else []
+
+
+def _explain_lapse(waiter: _Waiter) -> PlantainhingeError:
+    """Return what to tell a caller whose record may or may not be in the log."""
+    if waiter.proposal is None:
+        return NotOwnerError("ownership was lost", step="ledger.call")
+    return UncertainError("the log did not decide in time", step="ledger.call")
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -1,5 +1,6 @@
 """What both daemons share: configuration, instance list, peers and events."""
 
+import math
 from collections.abc import Callable
 from concurrent.futures import Future
 
@@ -8,7 +9,15 @@
 from ..core.configuration import Configuration
 from ..core.errors import PlantainhingeError
 from ..core.events import EventList, EventRing
-from ..core.ids import DomainId, Epoch, ProcessId, Revision, Seconds, WriterId
+from ..core.ids import (
+    DomainId,
+    Epoch,
+    InstanceId,
+    ProcessId,
+    Revision,
+    Seconds,
+    WriterId,
+)
 from ..core.messages import CellDigest, Empty, Heartbeat, Instance
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
@@ -65,6 +74,7 @@
         self._instances_due = Seconds(0.0)
         self._heartbeat_due = Seconds(0.0)
         self._revision_seen = Revision(0)
+        self._gone_instances: set[InstanceId] = set()
 
     @property
     def address(self) -> str:
@@ -81,8 +91,19 @@
 
     def is_fresh(self, now: Seconds) -> bool:
         """Return whether the view of the configuration is recent enough to start."""
+        return now < self.fresh_until()
+
+    def fresh_until(self) -> Seconds:
+        """Return when the view of the configuration becomes too old to start."""
         confirmed = self.configuration.caught_up_at
-        return confirmed is not None and now < confirmed + CONFIGURATION_FRESH_SECONDS
+        if confirmed is None:
+            return Seconds(-math.inf)
+        return Seconds(confirmed + CONFIGURATION_FRESH_SECONDS)
+
+    def has_ended(self, process: ProcessId) -> bool:
+        """Return whether a process was replaced, or its instance left the list."""
+        instance = InstanceId(process.partition("/")[0])
+        return instance in self._gone_instances or self.table.is_replaced(process)
 
     def step(self, now: Seconds) -> None:
         """Poll the log and the instance list, and exchange heartbeats."""
@@ -135,9 +156,14 @@
 
     def _take_instances(self, future: Future[list[Instance]], now: Seconds) -> None:
         try:
-            self.instances = future.result()
+            listed = future.result()
         except PlantainhingeError:
             self.events.add("instances.unavailable", "instances")
+            return
+        names = {row.instance for row in listed}
+        self._gone_instances |= {row.instance for row in self.instances}
+        self._gone_instances -= names
+        self.instances = listed
 
     def _send_heartbeats(self, now: Seconds) -> None:
         heartbeat = self.describe()
--- /dev/null
+++ b/plantainhinge/daemons/offers.py
@@ -0,0 +1,91 @@
+"""Offers of a ledger's assigned attempts to the owners of their cells."""
+
+from collections import defaultdict
+from concurrent.futures import Future
+
+from ..adapters.peers_grpc import OFFER
+from ..core.due import DueQueue
+from ..core.ids import DomainId, Seconds, TaskId
+from ..core.messages import OfferAttempts, OffersTaken
+from ..core.states import TaskState
+from ..ledgers.ledger import LedgerState
+from ..ledgers.ledger_systems import build_offer
+from ..streams.names import name_cell
+from ..streams.replica import Replica
+from .node import Node
+
+OFFERS_AT_ONCE = 200
+RETRY_SECONDS = 1.0
+RECONCILE_SECONDS = 600.0
+CANCEL_RETRY_SECONDS = 5.0
+
+
+class Offers:
+    """Offers each attempt until its cell has recorded it.
+
+    An attempt that the cell knows is offered again only to reconcile, because the
+    cell reports its end by itself.
+    """
+
+    def __init__(self, node: Node, replica: Replica[LedgerState]) -> None:
+        self._node = node
+        self._replica = replica
+        self._due: DueQueue[TaskId] = DueQueue()
+        self._sequence = 0
+
+    def next_sequence(self) -> int:
+        """Return the number of the next message that is fenced."""
+        self._sequence += 1
+        return self._sequence
+
+    def note_changed(self, tasks: list[TaskId], now: Seconds) -> None:
+        """Offer the tasks that were assigned or cancelled, forget the others."""
+        for task in tasks:
+            row = self._replica.reducer.tasks.get(task)
+            if row is not None and row.state is TaskState.ASSIGNED:
+                self._due.set(task, now)
+            else:
+                self._due.discard(task)
+
+    def send(self, now: Seconds) -> None:
+        """Send the offers that are due, one message for each cell."""
+        by_cell: dict[DomainId, list[TaskId]] = defaultdict(list)
+        for task in self._due.take(now, OFFERS_AT_ONCE):
+            cell = self._replica.reducer.tasks[task].cell
+            assert cell is not None
+            by_cell[cell].append(task)
+            self._due.set(task, now + RETRY_SECONDS)
+        for cell, tasks in by_cell.items():
+            self._send(cell, tasks, now)
+
+    def clear(self) -> None:
+        """Forget all offers; the sequence goes on."""
+        self._due.clear()
+
+    def _send(self, cell: DomainId, tasks: list[TaskId], now: Seconds) -> None:
+        owner = self._node.table.find_owner(name_cell(cell), now)
+        if owner is None:
+            return
+        state = self._replica.reducer
+        message = OfferAttempts(
+            ledger=state.partition,
+            ledger_epoch=state.ownership.epoch,
+            sequence=self.next_sequence(),
+            cell=cell,
+            offers=[build_offer(state, task) for task in tasks],
+        )
+        future = self._node.peers.call(owner.address, OFFER, message)
+
+        def finish(done: Future[OffersTaken], at: Seconds) -> None:
+            if done.exception() is None:
+                self._take_known(done.result(), at)
+
+        self._node.commander.follow(future, then=finish)
+
+    def _take_known(self, answer: OffersTaken, now: Seconds) -> None:
+        for ref in answer.known:
+            row = self._replica.reducer.tasks.get(ref.task)
+            if row is None or row.attempt != ref.attempt or ref.task not in self._due:
+                continue
+            wait = CANCEL_RETRY_SECONDS if row.cancelling else RECONCILE_SECONDS
+            self._due.set(ref.task, now + wait)
--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -6,10 +6,10 @@
 from ..core.errors import NotOwnerError
 from ..core.ids import DomainId, Epoch, ProcessId, Seconds, StreamName, WriterId
 from ..core.messages import (
-    AcknowledgeClosure,
     Heartbeat,
-    OfferAttempt,
+    OfferAttempts,
     QueryTargets,
+    ReportClosures,
 )
 from ..core.protocols import WorkerClient
 from ..ledgers.cell import CellState
@@ -64,14 +64,14 @@
             owner.answer(call, now)
 
     def stop(self) -> None:
-        """Begin a planned stop: release all streams and claim no more."""
+        """Begin a planned stop: let go of all streams and claim no more."""
         self._stopping = True
         for owner in self._list_owners():
             owner.release()
 
     def has_stopped(self) -> bool:
-        """Return whether no release is undecided."""
-        return not any(o.replica.has_undecided() for o in self._list_owners())
+        """Return whether all streams were let go of."""
+        return all(owner.has_released() for owner in self._list_owners())
 
     def describe(self) -> Heartbeat:
         """Return this process's heartbeat with the streams it owns."""
@@ -121,8 +121,10 @@
 
     def _find_owner(self, call: Call) -> LedgerOwner | CellOwner | None:
         request = call.request
-        if isinstance(request, OfferAttempt | AcknowledgeClosure | QueryTargets):
+        if isinstance(request, OfferAttempts | QueryTargets):
             return self.cells.get(request.cell)
+        if isinstance(request, ReportClosures):
+            return self.ledgers.get(request.ledger)
         configuration = self.node.current
         if configuration is None:
             return None
--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -8,7 +8,7 @@
 from ..ledgers.ledger import LedgerState
 from ..streams.ownership import CONFIRM_PERIOD_SECONDS, may_act
 from ..streams.replica import Replica
-from .node import Node
+from .node import NO_EPOCH, Node
 
 S = TypeVar("S", bound=LedgerState | CellState)
 
@@ -16,9 +16,9 @@
 class StreamOwner(Generic[S]):
     """A stream that this process owns or stands ready to take over.
 
-    Subclasses decide in ``decide`` and act in ``act``; both run only while this
-    process owns the stream and no proposal is undecided, so each decision sees
-    the effect of the one before it.
+    Subclasses decide in ``decide``, only while no proposal is undecided, so each
+    decision sees the effect of the one before it; they act in ``act`` on what
+    replay accepted. An owner that cannot confirm itself in time does neither.
     """
 
     def __init__(self, node: Node, replica: Replica[S]) -> None:
@@ -26,19 +26,27 @@
         self.replica = replica
         self._confirm_due = Seconds(0.0)
         self._was_owner = False
+        self._epoch_kept = NO_EPOCH
+        self._releasing = False
+        self._released = False
 
     @property
     def state(self) -> S:
         """The replayed state of the stream."""
         return self.replica.reducer
 
+    @property
+    def epoch(self) -> Epoch:
+        """The newest epoch of the stream."""
+        return self.state.ownership.epoch
+
     def owns(self, now: Seconds) -> bool:
         """Return whether this process may act as the owner now."""
         mine = self.state.ownership.owner == self.node.process
         return mine and may_act(self.replica.confirmed_at, now)
 
     def step(self, now: Seconds, rank: int | None) -> None:
-        """Claim, confirm or decide; then let the log move on.
+        """Claim, confirm or decide, act, and let the log move on.
 
         Parameters
         ----------
@@ -46,14 +54,23 @@
             Place among the candidates for the stream; None for no candidate.
         """
         self._note_change(now)
+        if self.owns(now) and not self._releasing:
+            self.act(now)
         if self.replica.caught_up and not self.replica.has_undecided():
             self._propose(now, rank)
-        self.node.driver.drive(self.replica, now, self._find_epoch())
+        self.node.driver.drive(self.replica, now, self.epoch)
 
     def release(self) -> None:
-        """Propose to hand the stream over, as part of a planned stop."""
-        if self.state.ownership.owner == self.node.process:
-            self.replica.propose(OwnershipReleased(self._find_epoch()))
+        """Begin to hand the stream over, as part of a planned stop."""
+        self._releasing = True
+
+    def has_released(self) -> bool:
+        """Return whether this process has let go of the stream for good."""
+        return self.state.ownership.owner != self.node.process
+
+    def is_busy(self) -> bool:
+        """Return whether a call is out that may still take effect."""
+        return False
 
     def decide(self, now: Seconds) -> list[Any]:
         """Return the records to propose."""
@@ -63,6 +80,14 @@
         """Carry out what the replayed state calls for."""
         raise NotImplementedError
 
+    def begin(self, now: Seconds) -> None:
+        """Start to act, under a new epoch or after a lapse of the one kept."""
+        raise NotImplementedError
+
+    def lapse(self) -> None:
+        """Stop to act, though no other owner is known."""
+        raise NotImplementedError
+
     def forget(self) -> None:
         """Drop what only the owner keeps, after the stream was taken over."""
         raise NotImplementedError
@@ -77,26 +102,41 @@
             self.replica.propose(claim)
 
     def _decide_as_owner(self, now: Seconds) -> None:
+        if self._releasing:
+            if not self.is_busy() and not self._released:
+                self._released = True
+                self.replica.propose(OwnershipReleased(self.epoch))
+            return
         records = self.decide(now) if self.owns(now) else []
         if not records and now >= self._confirm_due:
-            records = [OwnershipConfirmed(self._find_epoch())]
+            records = [OwnershipConfirmed(self.epoch)]
         if records:
             self._confirm_due = Seconds(now + CONFIRM_PERIOD_SECONDS)
         for record in records:
             self.replica.propose(record)
-        if self.owns(now):
-            self.act(now)
-
-    def _find_epoch(self) -> Epoch:
-        return self.state.ownership.epoch
 
     def _note_change(self, now: Seconds) -> None:
         is_owner = self.owns(now)
+        if not is_owner and self.state.ownership.owner != self.node.process:
+            self.state.changed.clear()
+            self._drop_epoch()
         if is_owner == self._was_owner:
             return
         self._was_owner = is_owner
         name = "ownership.taken" if is_owner else "ownership.lost"
-        epoch = str(self._find_epoch())
-        self.node.events.add(name, self.replica.stream, epoch=epoch)
-        if not is_owner:
+        self.node.events.add(name, self.replica.stream, epoch=str(self.epoch))
+        if is_owner:
+            self._keep_epoch()
+            self.begin(now)
+        else:
+            self.lapse()
+
+    def _keep_epoch(self) -> None:
+        if self._epoch_kept not in (NO_EPOCH, self.epoch):
+            self.forget()
+        self._epoch_kept = self.epoch
+
+    def _drop_epoch(self) -> None:
+        if self._epoch_kept != NO_EPOCH:
+            self._epoch_kept = NO_EPOCH
             self.forget()
--- a/plantainhinge/ledgers/cell.py
+++ b/plantainhinge/ledgers/cell.py
@@ -18,6 +18,7 @@
     ProcessId,
     RackId,
     Seconds,
+    ServiceId,
     TaskId,
     WorkerId,
 )
@@ -29,6 +30,7 @@
     OwnershipClaimed,
     OwnershipConfirmed,
     OwnershipReleased,
+    PredecessorsEnded,
     WorkerJoined,
     WorkerLeft,
 )
@@ -47,11 +49,25 @@
 
 
 class AttemptRow(msgspec.Struct):
-    """An attempt that the cell has placed or closed."""
+    """An attempt that the cell has placed or closed.
+
+    Parameters
+    ----------
+    epoch : Epoch
+        Under which the record that made the row was written.
+    """
 
     attempt: Attempt
     placed: AttemptPlaced | None = None
     closed: AttemptClosed | None = None
+    epoch: Epoch = Epoch(0)
+
+
+class Fence(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """The newest acknowledgement of one ledger; older offers of it are void."""
+
+    ledger_epoch: Epoch = Epoch(0)
+    sequence: int = 0
 
 
 class _Dump(msgspec.Struct, array_like=True):
@@ -60,6 +76,8 @@
     address: str
     workers: dict[WorkerId, WorkerRow]
     attempts: dict[TaskId, AttemptRow]
+    fences: dict[int, Fence] = {}
+    predecessors: tuple[ProcessId, ...] = ()
 
 
 @dataclass
@@ -68,27 +86,46 @@
 
     Parameters
     ----------
+    fences : dict
+        By ledger partition; they outlast the rows that acknowledgements remove.
     open : dict
         Index over ``attempts`` that are placed and not closed.
+    closures : dict
+        Index over ``attempts`` that are closed, by the ledger to be told.
+    replicas : dict
+        Index over ``open`` by service.
+    changed : dict
+        Tasks whose rows have changed since ``take_changed``; values are unused.
+    membership : int
+        Rises with each worker that joins or leaves.
     """
 
     domain: DomainId
     ownership: Ownership = field(default_factory=Ownership)
     workers: dict[WorkerId, WorkerRow] = field(default_factory=dict)
     attempts: dict[TaskId, AttemptRow] = field(default_factory=dict)
+    fences: dict[int, Fence] = field(default_factory=dict)
     open: dict[TaskId, AttemptPlaced] = field(default_factory=dict)
+    closures: dict[int, dict[TaskId, None]] = field(default_factory=dict)
+    replicas: dict[ServiceId, dict[TaskId, None]] = field(default_factory=dict)
+    changed: dict[TaskId, None] = field(default_factory=dict)
+    membership: int = 0
 
     def apply(
         self, record: AnyRecord, *, epoch: Epoch, offset: Offset, now: Seconds
     ) -> str | None:
         """Apply a record; return why it is rejected, or None."""
         if isinstance(
-            record, OwnershipClaimed | OwnershipReleased | OwnershipConfirmed
+            record,
+            OwnershipClaimed
+            | OwnershipReleased
+            | OwnershipConfirmed
+            | PredecessorsEnded,
         ):
             rejection = self.ownership.apply(record)
         else:
             rejection = self.ownership.reject_epoch(epoch)
-            rejection = rejection or self._dispatch(record)
+            rejection = rejection or self._dispatch(record, epoch)
         if rejection is None:
             self.ownership.read_at = now
         return rejection
@@ -101,45 +138,78 @@
             self.ownership.address,
             self.workers,
             self.attempts,
+            self.fences,
+            self.ownership.predecessors,
         )
         return msgspec.msgpack.encode(dump)
 
     def restore(self, state: bytes) -> None:
         """Replace all tables by those of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
-        self.ownership = Ownership(dump.epoch, dump.owner, dump.address)
+        self.ownership = Ownership(
+            dump.epoch, dump.owner, dump.address, predecessors=dump.predecessors
+        )
         self.workers = dump.workers
         self.attempts = dump.attempts
-        self.open = {
-            task: row.placed
-            for task, row in self.attempts.items()
-            if row.placed is not None and row.closed is None
-        }
+        self.fences = dump.fences
+        self.membership += 1
+        self._build_indexes()
 
-    def _dispatch(self, record: AnyRecord) -> str | None:
+    def take_changed(self) -> list[TaskId]:
+        """Return the tasks changed since the last call."""
+        changed = list(self.changed)
+        self.changed.clear()
+        return changed
+
+    def is_void(self, ledger: int, fence: Fence) -> bool:
+        """Return whether an offer was sent before an acknowledgement taken since."""
+        return fence < self.fences.get(ledger, Fence())
+
+    def _build_indexes(self) -> None:
+        self.open = {}
+        self.closures = {}
+        self.replicas = {}
+        self.changed = dict.fromkeys(self.attempts)
+        for row in self.attempts.values():
+            if row.closed is not None:
+                self._index_closure(row.closed)
+            elif row.placed is not None:
+                self._index_open(row.placed)
+
+    def _index_open(self, placed: AttemptPlaced) -> None:
+        self.open[placed.task] = placed
+        if placed.service:
+            self.replicas.setdefault(placed.service, {})[placed.task] = None
+
+    def _index_closure(self, closed: AttemptClosed) -> None:
+        self.closures.setdefault(closed.ledger, {})[closed.task] = None
+
+    def _dispatch(self, record: AnyRecord, epoch: Epoch) -> str | None:
         handler = _HANDLERS.get(type(record))
         if handler is None:
             return f"a cell takes no {type(record).__name__}"
-        return handler(self, record)
+        return handler(self, record, epoch)
 
-    def _join(self, record: WorkerJoined) -> str | None:
+    def _join(self, record: WorkerJoined, epoch: Epoch) -> str | None:
         if record.worker in self.workers:
             return f"worker {record.worker} is in the cell already"
         self.workers[record.worker] = WorkerRow(
             record.address, record.rack, record.capacity, record.capacity
         )
+        self.membership += 1
         return None
 
-    def _leave(self, record: WorkerLeft) -> str | None:
+    def _leave(self, record: WorkerLeft, epoch: Epoch) -> str | None:
         row = self.workers.get(record.worker)
         if row is None:
             return f"worker {record.worker} is not in the cell"
         if row.attempts:
             return f"worker {record.worker} has {len(row.attempts)} open attempts"
         del self.workers[record.worker]
+        self.membership += 1
         return None
 
-    def _place(self, record: AttemptPlaced) -> str | None:
+    def _place(self, record: AttemptPlaced, epoch: Epoch) -> str | None:
         known = self.attempts.get(record.task)
         if known is not None and record.attempt <= known.attempt:
             return f"attempt {record.attempt} is not newer than {known.attempt}"
@@ -151,44 +221,57 @@
         if not record.resources.fits_within(worker.free):
             return f"worker {record.worker} has {worker.free}, not {record.resources}"
         worker.free = worker.free - record.resources
-        worker.attempts = {**worker.attempts, record.task: record.attempt}
-        self.attempts[record.task] = AttemptRow(record.attempt, placed=record)
-        self.open[record.task] = record
+        worker.attempts[record.task] = record.attempt
+        self._replace(record.task, AttemptRow(record.attempt, record, None, epoch))
+        self._index_open(record)
         return None
 
-    def _close(self, record: AttemptClosed) -> str | None:
+    def _close(self, record: AttemptClosed, epoch: Epoch) -> str | None:
         known = self.attempts.get(record.task)
         if known is not None and record.attempt < known.attempt:
             return f"attempt {record.attempt} is older than {known.attempt}"
         if known is None or record.attempt > known.attempt:
             if record.task in self.open:
                 return f"attempt {self.open[record.task].attempt} is still open"
-            self.attempts[record.task] = AttemptRow(record.attempt, closed=record)
-            return None
-        if known.closed is not None:
+            row = AttemptRow(record.attempt, None, record, epoch)
+            self._replace(record.task, row)
+        elif known.closed is not None:
             return f"attempt {record.attempt} is closed already"
-        known.closed = record
-        self._free(self.open.pop(record.task))
+        else:
+            known.closed = record
+            self._free(self.open.pop(record.task))
+            self.changed[record.task] = None
+        self._index_closure(record)
         return None
 
+    def _replace(self, task: TaskId, row: AttemptRow) -> None:
+        known = self.attempts.get(task)
+        if known is not None and known.closed is not None:
+            self.closures[known.closed.ledger].pop(task, None)
+        self.attempts[task] = row
+        self.changed[task] = None
+
     def _free(self, placed: AttemptPlaced) -> None:
         worker = self.workers[placed.worker]
         worker.free = worker.free + placed.resources
-        worker.attempts = {
-            task: attempt
-            for task, attempt in worker.attempts.items()
-            if task != placed.task
-        }
+        del worker.attempts[placed.task]
+        if placed.service:
+            self.replicas[placed.service].pop(placed.task, None)
 
-    def _acknowledge(self, record: ClosureAcknowledged) -> str | None:
+    def _acknowledge(self, record: ClosureAcknowledged, epoch: Epoch) -> str | None:
         known = self.attempts.get(record.task)
         if known is None or known.attempt != record.attempt or known.closed is None:
             return f"attempt {record.attempt} of {record.task} is not closed"
+        fence = Fence(record.ledger_epoch, record.sequence)
+        newest = self.fences.get(record.ledger, Fence())
+        self.fences[record.ledger] = max(newest, fence)
+        del self.closures[known.closed.ledger][record.task]
         del self.attempts[record.task]
+        self.changed[record.task] = None
         return None
 
 
-_HANDLERS: dict[type, Callable[[CellState, Any], str | None]] = {
+_HANDLERS: dict[type, Callable[[CellState, Any, Epoch], str | None]] = {
     WorkerJoined: CellState._join,
     WorkerLeft: CellState._leave,
     AttemptPlaced: CellState._place,
--- a/plantainhinge/ledgers/cell_systems.py
+++ b/plantainhinge/ledgers/cell_systems.py
@@ -1,54 +1,101 @@
 """Decisions of a cell's owner, as functions over its tables."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Container, Iterable, Mapping
+from itertools import islice
 
-from ..core.ids import TaskId, WorkerId
+from ..core.ids import Seconds, ServiceId, TaskId, WorkerId
 from ..core.messages import (
     AttemptRef,
     AttemptReport,
     CellDigest,
+    Closure,
     Instance,
-    OfferAnswer,
     OfferAttempt,
     RenewLeases,
+    ReportClosures,
     StartTask,
     Target,
 )
-from ..core.records import AnyRecord, AttemptClosed, AttemptPlaced, WorkerJoined
+from ..core.records import (
+    AnyRecord,
+    AttemptClosed,
+    AttemptPlaced,
+    WorkerJoined,
+    WorkerLeft,
+)
 from ..core.resources import Resources
 from ..core.states import AttemptOutcome, InstanceRole, InstanceState
 from ..placement.scores import Candidate, Score, pick_worker
 from .cell import CellState, WorkerRow
-
-LEASE_SECONDS = 15.0
+from .leases import LEASE_SECONDS, Reading, find_start_limit
 
 
 def join_workers(state: CellState, instances: Iterable[Instance]) -> list[AnyRecord]:
-    """Return the records that take listed workers into the cell."""
-    return [
-        WorkerJoined(WorkerId(row.instance), row.address, row.rack, row.capacity)
+    """Return the records that make the cell's workers those listed.
+
+    A worker that left the list, or came back changed, leaves the cell once it has
+    no open attempt.
+    """
+    listed = {
+        WorkerId(row.instance): row
         for row in instances
-        if row.role is InstanceRole.WORKER
-        and row.domain == state.domain
-        and row.state is InstanceState.LIVE
-        and WorkerId(row.instance) not in state.workers
-    ]
+        if row.role is InstanceRole.WORKER and row.domain == state.domain
+    }
+    records: list[AnyRecord] = []
+    for name, worker in state.workers.items():
+        if not worker.attempts and not _is_same(worker, listed.get(name)):
+            records.append(WorkerLeft(name))
+    left = {record.worker for record in records if isinstance(record, WorkerLeft)}
+    for name, row in listed.items():
+        is_new = name not in state.workers or name in left
+        if is_new and row.state is InstanceState.LIVE:
+            records.append(WorkerJoined(name, row.address, row.rack, row.capacity))
+    return records
+
+
+def _is_same(worker: WorkerRow, listed: Instance | None) -> bool:
+    return listed is not None and (
+        worker.address == listed.address
+        and worker.rack == listed.rack
+        and worker.capacity == listed.capacity
+    )
 
 
 def place_offers(
-    state: CellState, offers: Iterable[OfferAttempt], score: Score
+    state: CellState,
+    offers: Iterable[OfferAttempt],
+    score: Score,
+    *,
+    usable: Collection[WorkerId],
 ) -> list[AnyRecord]:
-    """Return a placement or a refusal for each offer that is not known yet."""
+    """Return a placement or a refusal for each offer that is not known yet.
+
+    Parameters
+    ----------
+    usable : collection of WorkerId
+        The workers that have answered this owner lately.
+    """
     candidates = {
         name: Candidate(name, row.rack, row.capacity, row.free)
         for name, row in state.workers.items()
+        if name in usable
     }
-    records: list[AnyRecord] = []
-    for offer in offers:
-        if is_known(state, offer):
-            continue
-        records.append(_place(offer, candidates, score))
-    return records
+    return [
+        _place(offer, candidates, score)
+        for offer in offers
+        if not is_known(state, offer)
+    ]
+
+
+def decline_offers(
+    state: CellState, offers: Iterable[OfferAttempt], reason: str
+) -> list[AnyRecord]:
+    """Return a refusal for each offer that is not known yet."""
+    return [
+        _decline(offer, AttemptOutcome.DECLINED, reason)
+        for offer in offers
+        if not is_known(state, offer)
+    ]
 
 
 def is_known(state: CellState, offer: OfferAttempt) -> bool:
@@ -57,36 +104,41 @@
     return known is not None and known.attempt >= offer.attempt
 
 
-def answer_offer(state: CellState, offer: OfferAttempt) -> OfferAnswer:
-    """Return where the offered attempt stands."""
-    known = state.attempts.get(offer.task)
-    if known is None or known.attempt != offer.attempt or known.closed is None:
-        return OfferAnswer(closed=False)
-    closed = known.closed
-    return OfferAnswer(
-        closed=True,
-        outcome=closed.outcome,
-        checkpoint=closed.checkpoint,
-        reason=closed.reason,
+def close_attempt(placed: AttemptPlaced, report: AttemptReport) -> AttemptClosed:
+    """Return the closure of an attempt that its worker says has ended."""
+    assert report.outcome is not None
+    return AttemptClosed(
+        placed.task,
+        placed.attempt,
+        report.outcome,
+        report.checkpoint or placed.checkpoint,
+        placed.ledger,
+        report.reason,
     )
 
 
-def close_reported(
-    state: CellState, reports: Iterable[AttemptReport]
-) -> list[AttemptClosed]:
-    """Return a closure for each open attempt that its worker says has ended."""
-    records = []
-    for report in reports:
-        placed = state.open.get(report.task)
-        if placed is None or placed.attempt != report.attempt:
-            continue
-        if report.outcome is not None:
-            records.append(_close(placed, report, report.outcome))
-    return records
+def close_lost(placed: AttemptPlaced, reason: str) -> AttemptClosed:
+    """Return the closure of an attempt that has surely ended unwitnessed."""
+    return AttemptClosed(
+        placed.task,
+        placed.attempt,
+        AttemptOutcome.LOST,
+        placed.checkpoint,
+        placed.ledger,
+        reason,
+    )
 
 
-def build_start(placed: AttemptPlaced, state: CellState, as_of: float) -> StartTask:
-    """Return the message that starts a placed attempt."""
+def build_start(
+    placed: AttemptPlaced, state: CellState, reading: Reading, deadline: Seconds
+) -> StartTask:
+    """Return the message that starts a placed attempt.
+
+    Parameters
+    ----------
+    deadline : Seconds
+        The owner's clock from which on the worker must refuse the start.
+    """
     return StartTask(
         task=placed.task,
         attempt=placed.attempt,
@@ -95,38 +147,82 @@
         resources=placed.resources,
         cell_epoch=state.ownership.epoch,
         lease_seconds=LEASE_SECONDS,
-        as_of=as_of,
+        as_of=reading.clock,
+        incarnation=reading.incarnation,
+        start_before=find_start_limit(reading, deadline),
         service=placed.service,
         checkpoint=placed.checkpoint,
         run_seconds=placed.run_seconds,
     )
 
 
-def build_renewal(worker: WorkerRow, state: CellState) -> RenewLeases:
-    """Return the message that renews all leases of one worker."""
+def build_renewal(
+    worker: WorkerRow,
+    state: CellState,
+    reading: Reading | None,
+    *,
+    forget: list[AttemptRef],
+    closing: Container[TaskId] = (),
+) -> RenewLeases:
+    """Return the message that renews the leases of one worker.
+
+    Parameters
+    ----------
+    forget : list of AttemptRef
+        What the worker need not report any more.
+    closing : container of TaskId
+        Tasks whose closure is on its way into the log; their leases may end.
+    """
     return RenewLeases(
         cell_epoch=state.ownership.epoch,
         lease_seconds=LEASE_SECONDS,
         attempts=[
             AttemptRef(task=task, attempt=attempt)
             for task, attempt in worker.attempts.items()
+            if task not in closing
         ],
+        as_of=reading.clock if reading else 0.0,
+        incarnation=reading.incarnation if reading else 0,
+        forget=forget,
     )
 
 
+def build_closures(
+    state: CellState, ledger: int, *, limit: int
+) -> ReportClosures | None:
+    """Return the oldest closures that a ledger has to be told, if any."""
+    tasks = list(islice(state.closures.get(ledger, ()), limit))
+    if not tasks:
+        return None
+    closed = [state.attempts[task].closed for task in tasks]
+    closures = [
+        Closure(
+            task=record.task,
+            attempt=record.attempt,
+            outcome=record.outcome,
+            checkpoint=record.checkpoint,
+            reason=record.reason,
+        )
+        for record in closed
+        if record is not None
+    ]
+    return ReportClosures(ledger=ledger, cell=state.domain, closures=closures)
+
+
 def list_targets(
-    state: CellState, reports: Mapping[TaskId, AttemptReport]
+    state: CellState, service: ServiceId, reports: Mapping[TaskId, AttemptReport]
 ) -> list[Target]:
-    """Return the running service replicas of the cell."""
+    """Return the running replicas of one service in the cell."""
     targets = []
-    for task, placed in state.open.items():
+    for task in state.replicas.get(service, ()):
+        placed = state.open[task]
         report = reports.get(task)
-        if not placed.service or report is None or not report.address:
+        if report is None or not report.address:
             continue
         targets.append(
             Target(
                 target=f"{task}.{placed.attempt}",  # type: ignore[arg-type]
-                service=placed.service,
+                service=service,
                 address=report.address,
                 domain=state.domain,
                 rack=state.workers[placed.worker].rack,
@@ -149,6 +245,7 @@
             default=Resources(),
         ),
         workers=len(rows),
+        shapes=list(dict.fromkeys(row.capacity for row in rows)),
     )
 
 
@@ -184,16 +281,3 @@
     return AttemptClosed(
         offer.task, offer.attempt, outcome, offer.checkpoint, offer.ledger, reason
     )
-
-
-def _close(
-    placed: AttemptPlaced, report: AttemptReport, outcome: AttemptOutcome
-) -> AttemptClosed:
-    return AttemptClosed(
-        placed.task,
-        placed.attempt,
-        outcome,
-        report.checkpoint or placed.checkpoint,
-        placed.ledger,
-        report.reason,
-    )
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -4,6 +4,9 @@
 one final state; ``apply`` rejects every record that would break either.
 """
 
+import heapq
+import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,12 +31,15 @@
     OwnershipClaimed,
     OwnershipConfirmed,
     OwnershipReleased,
+    PredecessorsEnded,
     RequestClaimed,
     RequestReleased,
     RequestSettled,
+    RowsPruned,
     TaskAccepted,
     TaskCancelled,
     TaskRejected,
+    TimeNoted,
 )
 from ..core.states import (
     FINAL_TASK_STATES,
@@ -44,6 +50,9 @@
 from ..streams.ownership import Ownership
 
 NO_ATTEMPT = Attempt(0)
+TASK_RETENTION_SECONDS = 86_400.0
+CLAIM_WINDOW_SECONDS = 600.0
+KEY_AHEAD_SECONDS = 300.0
 
 
 class TaskRow(msgspec.Struct):
@@ -55,6 +64,8 @@
         The newest attempt; 0 before the first.
     cancelling : bool
         A cancellation was recorded while an attempt was open.
+    ended_at : float
+        When it reached its final state, in seconds since the Unix epoch.
     """
 
     accepted: TaskAccepted
@@ -65,14 +76,21 @@
     reason: str = ""
     failures: int = 0
     cancelling: bool = False
+    ended_at: float = 0.0
 
 
 class ClaimRow(msgspec.Struct):
-    """The claim of one non-idempotent request."""
+    """The claim of one non-idempotent request.
+
+    Parameters
+    ----------
+    key_at : float
+        When its key was made, in seconds since the Unix epoch.
+    """
 
     request: RequestId
     state: ClaimState
-    claimed_at: Seconds
+    key_at: float
 
 
 class _Dump(msgspec.Struct, array_like=True):
@@ -81,6 +99,10 @@
     address: str
     tasks: dict[TaskId, TaskRow]
     claims: dict[RequestKey, ClaimRow]
+    predecessors: tuple[ProcessId, ...] = ()
+    time: float = 0.0
+    tasks_pruned_before: float = 0.0
+    claims_pruned_before: float = 0.0
 
 
 @dataclass
@@ -91,6 +113,15 @@
     ----------
     waiting, assigned : dict
         Indexes over ``tasks`` in order of arrival; values are unused.
+    time : float
+        The newest wall clock that an owner recorded; rows take their times from
+        it, so that replay gives every reader the same.
+    tasks_pruned_before, claims_pruned_before : float
+        Final tasks that ended, and claims whose keys were made, before are gone.
+    replicas : dict
+        Index over ``tasks`` that are service replicas and not final.
+    changed : dict
+        Tasks whose rows have changed since ``take_changed``; values are unused.
     """
 
     partition: int
@@ -99,18 +130,29 @@
     claims: dict[RequestKey, ClaimRow] = field(default_factory=dict)
     waiting: dict[TaskId, None] = field(default_factory=dict)
     assigned: dict[TaskId, None] = field(default_factory=dict)
+    time: float = 0.0
+    tasks_pruned_before: float = 0.0
+    claims_pruned_before: float = 0.0
+    replicas: dict[TaskId, None] = field(default_factory=dict)
+    changed: dict[TaskId, None] = field(default_factory=dict)
+    _finals: deque[TaskId] = field(default_factory=deque)
+    _keys: list[tuple[float, RequestKey]] = field(default_factory=list)
 
     def apply(
         self, record: AnyRecord, *, epoch: Epoch, offset: Offset, now: Seconds
     ) -> str | None:
         """Apply a record; return why it is rejected, or None."""
         if isinstance(
-            record, OwnershipClaimed | OwnershipReleased | OwnershipConfirmed
+            record,
+            OwnershipClaimed
+            | OwnershipReleased
+            | OwnershipConfirmed
+            | PredecessorsEnded,
         ):
             rejection = self.ownership.apply(record)
         else:
             rejection = self.ownership.reject_epoch(epoch)
-            rejection = rejection or self._dispatch(record, now)
+            rejection = rejection or self._dispatch(record)
         if rejection is None:
             self.ownership.read_at = now
         return rejection
@@ -123,50 +165,116 @@
             self.ownership.address,
             self.tasks,
             self.claims,
+            self.ownership.predecessors,
+            self.time,
+            self.tasks_pruned_before,
+            self.claims_pruned_before,
         )
         return msgspec.msgpack.encode(dump)
 
     def restore(self, state: bytes) -> None:
         """Replace all tables by those of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
-        self.ownership = Ownership(dump.epoch, dump.owner, dump.address)
+        self.ownership = Ownership(
+            dump.epoch, dump.owner, dump.address, predecessors=dump.predecessors
+        )
         self.tasks = dump.tasks
         self.claims = dump.claims
+        self.time = dump.time
+        self.tasks_pruned_before = dump.tasks_pruned_before
+        self.claims_pruned_before = dump.claims_pruned_before
+        self._build_indexes()
+
+    def take_changed(self) -> list[TaskId]:
+        """Return the tasks changed since the last call."""
+        changed = list(self.changed)
+        self.changed.clear()
+        return changed
+
+    def find_oldest(self) -> tuple[float, float]:
+        """Return when the oldest final task ended and the oldest key was made."""
+        task = self.tasks[self._finals[0]].ended_at if self._finals else math.inf
+        key = self._keys[0][0] if self._keys else math.inf
+        return task, key
+
+    def _build_indexes(self) -> None:
         self.waiting = {}
         self.assigned = {}
+        self.replicas = {}
         for task in self.tasks:
             self._index(task)
+        final = [
+            task for task, row in self.tasks.items() if row.state in FINAL_TASK_STATES
+        ]
+        self._finals = deque(sorted(final, key=lambda t: self.tasks[t].ended_at))
+        self._keys = sorted((row.key_at, key) for key, row in self.claims.items())
 
-    def _dispatch(self, record: AnyRecord, now: Seconds) -> str | None:
+    def _dispatch(self, record: AnyRecord) -> str | None:
         handler = _HANDLERS.get(type(record))
         if handler is None:
             return f"a ledger takes no {type(record).__name__}"
-        return handler(self, record, now)
+        return handler(self, record)
+
+    def _note_time(self, record: TimeNoted) -> str | None:
+        if record.at <= self.time:
+            return f"time {record.at} is not later than {self.time}"
+        self.time = record.at
+        return None
 
-    def _accept(self, record: TaskAccepted, now: Seconds) -> str | None:
-        if record.task in self.tasks:
+    def _prune(self, record: RowsPruned) -> str | None:
+        if record.tasks_before > self.time - TASK_RETENTION_SECONDS:
+            return f"tasks from {record.tasks_before} must be kept longer"
+        if record.claims_before > self.time - CLAIM_WINDOW_SECONDS:
+            return f"claims from {record.claims_before} must be kept longer"
+        self.tasks_pruned_before = max(self.tasks_pruned_before, record.tasks_before)
+        self.claims_pruned_before = max(self.claims_pruned_before, record.claims_before)
+        self._drop_tasks()
+        self._drop_claims()
+        return None
+
+    def _drop_tasks(self) -> None:
+        while self._finals:
+            task = self._finals[0]
+            if self.tasks[task].ended_at >= self.tasks_pruned_before:
+                return
+            self._finals.popleft()
+            del self.tasks[task]
+
+    def _drop_claims(self) -> None:
+        while self._keys and self._keys[0][0] < self.claims_pruned_before:
+            _, key = heapq.heappop(self._keys)
+            del self.claims[key]
+
+    def _accept(self, record: TaskAccepted) -> str | None:
+        known = self.tasks.get(record.task)
+        if known is None:
+            self.tasks[record.task] = TaskRow(record)
+        elif record.service and known.state in FINAL_TASK_STATES:
+            self._finals.remove(record.task)
+            self.tasks[record.task] = TaskRow(record, attempt=known.attempt)
+        else:
             return f"task {record.task} is accepted already"
-        self.tasks[record.task] = TaskRow(record)
         self._index(record.task)
         return None
 
-    def _cancel(self, record: TaskCancelled, now: Seconds) -> str | None:
+    def _cancel(self, record: TaskCancelled) -> str | None:
         row = self.tasks.get(record.task)
         if row is None or row.state in FINAL_TASK_STATES:
             return f"task {record.task} is not open"
         row.cancelling = True
+        self.changed[record.task] = None
         if row.state is TaskState.WAITING:
             self._finish(record.task, TaskState.CANCELLED, "cancelled by caller")
         return None
 
-    def _reject(self, record: TaskRejected, now: Seconds) -> str | None:
+    def _reject(self, record: TaskRejected) -> str | None:
         row = self.tasks.get(record.task)
         if row is None or row.state is not TaskState.WAITING:
             return f"task {record.task} is not waiting"
         self._finish(record.task, TaskState.FAILED, record.reason)
         return None
 
-    def _assign(self, record: AttemptAssigned, now: Seconds) -> str | None:
+    def _assign(self, record: AttemptAssigned) -> str | None:
         row = self.tasks.get(record.task)
         if row is None or row.state is not TaskState.WAITING:
             return f"task {record.task} is not waiting"
@@ -178,7 +286,7 @@
         self._index(record.task)
         return None
 
-    def _end(self, record: AttemptEnded, now: Seconds) -> str | None:
+    def _end(self, record: AttemptEnded) -> str | None:
         row = self.tasks.get(record.task)
         if row is None or row.state is not TaskState.ASSIGNED:
             return f"task {record.task} is not assigned"
@@ -199,17 +307,26 @@
             row.state = TaskState.WAITING
             self._index(record.task)
 
-    def _claim(self, record: RequestClaimed, now: Seconds) -> str | None:
+    def _claim(self, record: RequestClaimed) -> str | None:
+        key_at = record.key_at or self.time
+        if key_at < self.claims_pruned_before:
+            return f"key {record.key} is older than the claim window"
+        if key_at > self.time + KEY_AHEAD_SECONDS:
+            return f"key {record.key} is from the future"
         row = self.claims.get(record.key)
-        if row is not None and row.state is not ClaimState.RELEASED:
+        if row is None:
+            heapq.heappush(self._keys, (key_at, record.key))
+        elif row.state is not ClaimState.RELEASED:
             return f"key {record.key} is {row.state.value} by request {row.request}"
-        self.claims[record.key] = ClaimRow(record.request, ClaimState.HELD, now)
+        else:
+            key_at = row.key_at
+        self.claims[record.key] = ClaimRow(record.request, ClaimState.HELD, key_at)
         return None
 
-    def _release(self, record: RequestReleased, now: Seconds) -> str | None:
+    def _release(self, record: RequestReleased) -> str | None:
         return self._move_claim(record.key, record.request, ClaimState.RELEASED)
 
-    def _settle_claim(self, record: RequestSettled, now: Seconds) -> str | None:
+    def _settle_claim(self, record: RequestSettled) -> str | None:
         return self._move_claim(record.key, record.request, ClaimState.SETTLED)
 
     def _move_claim(
@@ -225,19 +342,25 @@
         row = self.tasks[task]
         row.state = state
         row.reason = reason
+        row.ended_at = self.time
+        self._finals.append(task)
         self._index(task)
 
     def _index(self, task: TaskId) -> None:
-        state = self.tasks[task].state
+        row = self.tasks[task]
+        self.changed[task] = None
         self.waiting.pop(task, None)
         self.assigned.pop(task, None)
-        if state is TaskState.WAITING:
+        self.replicas.pop(task, None)
+        if row.state is TaskState.WAITING:
             self.waiting[task] = None
-        elif state is TaskState.ASSIGNED:
+        elif row.state is TaskState.ASSIGNED:
             self.assigned[task] = None
+        if row.accepted.service and row.state not in FINAL_TASK_STATES:
+            self.replicas[task] = None
 
 
-_HANDLERS: dict[type, Callable[[LedgerState, Any, Seconds], str | None]] = {
+_HANDLERS: dict[type, Callable[[LedgerState, Any], str | None]] = {
     TaskAccepted: LedgerState._accept,
     TaskCancelled: LedgerState._cancel,
     TaskRejected: LedgerState._reject,
@@ -246,4 +369,6 @@
     RequestClaimed: LedgerState._claim,
     RequestReleased: LedgerState._release,
     RequestSettled: LedgerState._settle_claim,
+    TimeNoted: LedgerState._note_time,
+    RowsPruned: LedgerState._prune,
 }
--- a/plantainhinge/membership/peers.py
+++ b/plantainhinge/membership/peers.py
@@ -53,3 +53,12 @@
         """Return the peer that claims the stream under the highest epoch."""
         owners = [h for h in self.list_live(now) if stream in h.owned]
         return max(owners, key=lambda h: h.owned[stream], default=None)
+
+    def is_replaced(self, process: ProcessId) -> bool:
+        """Return whether a later process has answered in its place."""
+        place, _, incarnation = process.rpartition("/")
+        for row in self.rows.values():
+            other, _, _ = row.heartbeat.process.rpartition("/")
+            if other == place and row.heartbeat.incarnation > int(incarnation):
+                return True
+        return False
--- a/plantainhinge/streams/ownership.py
+++ b/plantainhinge/streams/ownership.py
@@ -14,6 +14,7 @@
     OwnershipClaimed,
     OwnershipConfirmed,
     OwnershipReleased,
+    PredecessorsEnded,
 )
 
 OWNER_LEASE_SECONDS = 4.0
@@ -30,12 +31,16 @@
     ----------
     read_at : Seconds
         When this reader last read a record of the owner, on its own clock.
+    predecessors : tuple of ProcessId
+        Owners that were replaced without letting go, and are not known to have
+        ended; they may still renew leases.
     """
 
     epoch: Epoch = Epoch(0)
     owner: ProcessId | None = None
     address: str = ""
     read_at: Seconds = Seconds(0.0)
+    predecessors: tuple[ProcessId, ...] = ()
 
     def apply(self, record: AnyRecord) -> str | None:
         """Apply a record about ownership; return why it is rejected, or None."""
@@ -46,6 +51,8 @@
                 return self._release(record)
             case OwnershipConfirmed():
                 return self.reject_epoch(record.epoch)
+            case PredecessorsEnded():
+                return self._forget_predecessors(record)
         raise TypeError(f"not a record about ownership: {record!r}")
 
     def reject_epoch(self, epoch: Epoch) -> str | None:
@@ -65,6 +72,8 @@
     def _claim(self, record: OwnershipClaimed) -> str | None:
         if record.epoch != self.epoch + 1:
             return f"epoch {record.epoch} does not follow epoch {self.epoch}"
+        if self.owner is not None:
+            self.predecessors = (*self.predecessors, self.owner)
         self.epoch = record.epoch
         self.owner = record.owner
         self.address = record.address
@@ -76,6 +85,12 @@
             self.owner = None
         return rejection
 
+    def _forget_predecessors(self, record: PredecessorsEnded) -> str | None:
+        rejection = self.reject_epoch(record.epoch)
+        if rejection is None:
+            self.predecessors = ()
+        return rejection
+
 
 def may_act(confirmed_at: Seconds | None, now: Seconds) -> bool:
     """Return whether an owner whose record was sent at ``confirmed_at`` may act."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,6 +4,7 @@
 declared time, less what its checkpoint says was done.
 """
 
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -24,13 +25,17 @@
     WorkerReport,
 )
 from plantainhinge.core.states import AttemptOutcome
+from plantainhinge.ledgers.leases import START_WINDOW_SECONDS, is_stale
 
 from .target import TargetApplication
 from .wsgi import Environ, Problem, respond, serve
 
-START_WINDOW_SECONDS = 5.0
 TARGET_THREADS = 16
 SWEEP_SECONDS = 0.2
+MILLISECONDS = 1000
+
+Ref = tuple[TaskId, Attempt]
+Clock = Callable[[], float]
 
 
 @dataclass
@@ -40,8 +45,15 @@
     expires_at: float
     stack: ExitStack
     address: str = ""
-    outcome: AttemptOutcome | None = None
     checkpoint: str = ""
+    millicores: int | None = None
+
+
+@dataclass
+class _Tombstone:
+    outcome: AttemptOutcome
+    checkpoint: str = ""
+    forget_at: float | None = None
 
 
 class RefusalError(Exception):
@@ -54,14 +66,31 @@
 
 
 class Worker:
-    """The attempts of one worker; safe to use from any thread."""
-
-    def __init__(self, name: str, ip: str) -> None:
+    """The attempts of one worker; safe to use from any thread.
+
+    Parameters
+    ----------
+    clock : callable
+        The worker's own clock, in seconds.
+    incarnation : int
+        Rises with each start of the worker.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        *,
+        clock: Clock = time.monotonic,
+        incarnation: int | None = None,
+    ) -> None:
         self.name = WorkerId(name)
         self.ip = ip
-        self.history: list[tuple[TaskId, Attempt]] = []
-        self._runs: dict[tuple[TaskId, Attempt], _Run] = {}
-        self._tombstones: dict[tuple[TaskId, Attempt], AttemptOutcome] = {}
+        self.history: list[Ref] = []
+        self.incarnation = incarnation or int(time.time() * MILLISECONDS)
+        self._clock = clock
+        self._runs: dict[Ref, _Run] = {}
+        self._tombstones: dict[Ref, _Tombstone] = {}
         self._epoch = 0
         self._lock = threading.RLock()
 
@@ -69,29 +98,31 @@
         """Start an attempt unless it is known, fenced or too old."""
         ref = (message.task, message.attempt)
         with self._lock:
-            if ref in self._tombstones:
-                return self._describe(ref)
             self._fence(message.cell_epoch)
-            if time.monotonic() - message.as_of > START_WINDOW_SECONDS:
-                raise RefusalError("stale", "the start is older than the start window")
-            if ref not in self._runs:
-                self._runs[ref] = self._launch(message)
-                self.history.append(ref)
+            if ref in self._tombstones or ref in self._runs:
+                return self._describe(ref)
+            self._refuse_stale(message.as_of, message.incarnation)
+            if message.start_before and self._clock() >= message.start_before:
+                raise RefusalError("stale", "the start is past its limit")
+            self._runs[ref] = self._launch(message)
+            self.history.append(ref)
             return self._describe(ref)
 
     def renew(self, message: RenewLeases) -> WorkerReport:
-        """Renew leases and report all attempts."""
-        now = time.monotonic()
+        """Renew leases, unless the message is stale, and report all attempts."""
+        now = self._clock()
         with self._lock:
             self._fence(message.cell_epoch)
             self.sweep(now)
-            for attempt in message.attempts:
-                run = self._runs.get((attempt.task, attempt.attempt))
-                if run is not None:
-                    run.expires_at = now + message.lease_seconds
-            known = [*self._runs, *self._tombstones]
+            if not self._is_stale(message.as_of, message.incarnation):
+                self._extend(message, now)
+            for ref in message.forget:
+                self._forget((ref.task, ref.attempt), now)
             return WorkerReport(
-                worker=self.name, now=now, attempts=[self._describe(r) for r in known]
+                worker=self.name,
+                now=now,
+                attempts=[self._describe(ref) for ref in self._list_reported()],
+                incarnation=self.incarnation,
             )
 
     def checkpoint(self, message: AttemptRef) -> AttemptReport:
@@ -100,46 +131,84 @@
             ref = (message.task, message.attempt)
             run = self._runs.get(ref)
             if run is not None:
-                run.checkpoint = _measure_progress(run, time.monotonic())
+                run.checkpoint = _measure_progress(run, self._clock())
             return self._describe(ref)
 
     def throttle(self, message: ThrottleTask) -> AttemptReport:
-        """Accept the limit; this stand-in's attempts do not slow down."""
+        """Keep the limit; this stand-in's attempts do not slow down."""
+        ref = (message.task, message.attempt)
         with self._lock:
             self._fence(message.cell_epoch)
-            return self._describe((message.task, message.attempt))
+            self._refuse_stale(message.as_of, message.incarnation)
+            if ref in self._runs:
+                self._runs[ref].millicores = message.millicores
+            return self._describe(ref)
 
     def stop(self, message: StopTask) -> AttemptReport:
         """Stop the attempt if it runs, and never start it later."""
         ref = (message.task, message.attempt)
         with self._lock:
             self._fence(message.cell_epoch)
-            self.sweep(time.monotonic())
+            self.sweep(self._clock())
             if ref not in self._tombstones:
-                self._end(ref, AttemptOutcome.EVICTED)
+                self._end(ref, AttemptOutcome.EVICTED, self._clock())
             return self._describe(ref)
 
+    def list_running(self) -> list[Ref]:
+        """Return the attempts that run now."""
+        with self._lock:
+            self.sweep(self._clock())
+            return list(self._runs)
+
     def sweep(self, now: float) -> None:
         """End attempts that finished or whose lease ran out."""
         for ref, run in list(self._runs.items()):
-            if now >= run.expires_at:
-                self._end(ref, AttemptOutcome.LOST)
-            elif _is_finished(run, now):
-                self._end(ref, AttemptOutcome.FINISHED)
+            finishes_at = _find_finish(run)
+            if finishes_at <= min(now, run.expires_at):
+                self._end(ref, AttemptOutcome.FINISHED, finishes_at)
+            elif now >= run.expires_at:
+                self._end(ref, AttemptOutcome.LOST, run.expires_at)
+        for ref, tombstone in list(self._tombstones.items()):
+            if tombstone.forget_at is not None and now >= tombstone.forget_at:
+                del self._tombstones[ref]
 
     def run_sweeps(self, stopped: threading.Event) -> None:
         """Sweep until told to stop."""
         while not stopped.wait(SWEEP_SECONDS):
             with self._lock:
-                self.sweep(time.monotonic())
+                self.sweep(self._clock())
 
     def _fence(self, epoch: int) -> None:
         if epoch < self._epoch:
             raise RefusalError("fenced", f"epoch {epoch} is older than {self._epoch}")
         self._epoch = epoch
 
+    def _is_stale(self, as_of: float, incarnation: int) -> bool:
+        return is_stale(
+            as_of, incarnation, clock=self._clock(), current=self.incarnation
+        )
+
+    def _refuse_stale(self, as_of: float, incarnation: int) -> None:
+        if self._is_stale(as_of, incarnation):
+            raise RefusalError("stale", "the reading is older than the start window")
+
+    def _extend(self, message: RenewLeases, now: float) -> None:
+        for attempt in message.attempts:
+            run = self._runs.get((attempt.task, attempt.attempt))
+            if run is not None:
+                run.expires_at = now + message.lease_seconds
+
+    def _forget(self, ref: Ref, now: float) -> None:
+        tombstone = self._tombstones.get(ref)
+        if tombstone is not None and tombstone.forget_at is None:
+            tombstone.forget_at = now + START_WINDOW_SECONDS
+
+    def _list_reported(self) -> list[Ref]:
+        ended = [ref for ref, t in self._tombstones.items() if t.forget_at is None]
+        return [*self._runs, *ended]
+
     def _launch(self, message: StartTask) -> _Run:
-        now = time.monotonic()
+        now = self._clock()
         run = _Run(message, now, now + message.lease_seconds, ExitStack())
         run.checkpoint = message.checkpoint
         if message.service:
@@ -150,21 +219,25 @@
             run.address = f"{self.ip}:{port}"
         return run
 
-    def _end(self, ref: tuple[TaskId, Attempt], outcome: AttemptOutcome) -> None:
+    def _end(self, ref: Ref, outcome: AttemptOutcome, at: float) -> None:
         run = self._runs.pop(ref, None)
-        self._tombstones[ref] = outcome
+        tombstone = _Tombstone(outcome)
+        self._tombstones[ref] = tombstone
         if run is not None:
-            self._saved = _measure_progress(run, time.monotonic())
+            if not run.start.service:
+                tombstone.checkpoint = _measure_progress(run, at)
             run.stack.close()
 
-    def _describe(self, ref: tuple[TaskId, Attempt]) -> AttemptReport:
+    def _describe(self, ref: Ref) -> AttemptReport:
         run = self._runs.get(ref)
+        tombstone = self._tombstones.get(ref)
+        known = run or tombstone
         return AttemptReport(
             task=ref[0],
             attempt=ref[1],
-            outcome=self._tombstones.get(ref),
+            outcome=tombstone.outcome if tombstone else None,
             address=run.address if run else "",
-            checkpoint=run.checkpoint if run else "",
+            checkpoint=known.checkpoint if known else "",
         )
 
 
@@ -173,10 +246,11 @@
     return f"{done + now - run.started_at:.3f}"
 
 
-def _is_finished(run: _Run, now: float) -> bool:
+def _find_finish(run: _Run) -> float:
     if run.start.service:
-        return False
-    return float(_measure_progress(run, now)) >= run.start.run_seconds
+        return math.inf
+    done = float(run.start.checkpoint or 0.0)
+    return run.started_at + run.start.run_seconds - done
 
 
 class WorkerApplication:
