Prove recovery by real schedulers over small fakes on paused time

Change: a harness with one log, workers that note what they ran, and processes that can be killed after any effect, paused, cut off or restarted. Workers' clocks drift against the owners'. After each tick it checks the promises from the workers' own view.

--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,296 @@
+"""Jobs through failures, checked after each step from the workers' own view.
+
+``harness.Site.check`` asserts after each tick that no worker is beyond its
+capacity, no task runs in two places, no attempt starts twice, each eviction is
+resumed from its checkpoint, nothing starts in a domain past the bound after it was
+taken out, and no final state changes.
+"""
+
+from contextlib import suppress
+
+import pytest
+
+from plantainhinge.adapters.peers_grpc import CANCEL
+from plantainhinge.core.errors import UncertainError
+from plantainhinge.core.messages import CancelJob
+from plantainhinge.core.states import AttemptOutcome, TaskState
+from plantainhinge.ledgers.leases import (
+    CLOCK_DRIFT_RATIO,
+    LEASE_SECONDS,
+    START_WINDOW_SECONDS,
+)
+from standins.worker import RefusalError
+from tests.harness import TICK_SECONDS, run_site
+
+JOBS = [f"j{n}" for n in range(6)]
+EFFECTS = 40
+SILENCE_SECONDS = (LEASE_SECONDS + START_WINDOW_SECONDS) * (1 + CLOCK_DRIFT_RATIO) + 2
+
+
+def submit_all(site, run_seconds=8.0):
+    for task in JOBS:
+        site.submit(task, run_seconds=run_seconds)
+
+
+def resubmit_unknown(site, run_seconds=8.0):
+    owner = site.find_owner("ledger.0")
+    known = owner.scheduler.ledgers[0].state.tasks if owner else JOBS
+    for task in JOBS:
+        if task not in known:
+            site.submit(task, run_seconds=run_seconds)
+
+
+def await_finished(site, limit=200.0):
+    end = site.now + limit
+    while not site.is_final(*JOBS):
+        assert site.now < end, "the jobs did not end"
+        resubmit_unknown(site)
+        site.advance(2.0)
+    assert {task: site.query(task).state for task in JOBS} == dict.fromkeys(
+        JOBS, TaskState.FINISHED
+    )
+
+
+def await_running(site):
+    site.await_state(lambda: len(site.starts) >= len(JOBS))
+
+
+def test_each_job_starts_and_finishes_once():
+    with run_site() as site:
+        submit_all(site)
+        await_finished(site)
+        assert len(site.starts) == len(JOBS)
+
+
+@pytest.mark.parametrize("kill_after", range(1, EFFECTS + 1))
+def test_an_owner_killed_after_any_effect_loses_and_doubles_nothing(kill_after):
+    with run_site() as site:
+        submit_all(site)
+        site.advance(TICK_SECONDS * 2)
+        site.effects, site.kill_after = 0, kill_after
+        site.advance(3.0)
+        site.set_domain("d1", "out")
+        site.advance(20.0)
+        site.set_domain("d1", "in")
+        await_finished(site)
+        assert site.effects > EFFECTS
+
+
+def lose_log(site):
+    site.log.down = True
+    site.advance(3600.0)
+    site.log.down = False
+
+
+def lose_answers(site):
+    site.log.lose_answers = 20
+
+
+def duplicate_appends(site):
+    site.log.duplicate = True
+
+
+def pause_owners(site):
+    for owner in {site.find_owner(s) for s in ("ledger.0", "cell.d1", "cell.d2")}:
+        owner.paused = True
+        site.advance(12.0)
+        owner.paused = False
+
+
+def pause_owner_past_leases(site):
+    owner = site.find_owner("cell.d1")
+    owner.paused = True
+    site.advance(SILENCE_SECONDS + 30.0)
+    owner.paused = False
+
+
+def cut_worker_off(site):
+    site.cut.add("d1-w0")
+    site.advance(40.0)
+    site.cut.clear()
+
+
+def cut_worker_off_briefly(site):
+    site.cut.add("d1-w0")
+    site.advance(4.0)
+    site.cut.clear()
+
+
+def cut_owner_from_worker_then_kill_it(site):
+    site.cut.add("d1-w0")
+    site.kill(site.find_owner("cell.d1").name)
+    site.advance(40.0)
+    site.cut.clear()
+
+
+def restart_worker(site):
+    site.restart_worker("d1-w0")
+
+
+def restart_worker_under_new_owner(site):
+    site.kill(site.find_owner("cell.d1").name)
+    site.restart_worker("d1-w0")
+
+
+def take_domain_out_and_back(site):
+    site.set_domain("d1", "out")
+    site.advance(1.0)
+    site.set_domain("d1", "in")
+    site.advance(0.5)
+    site.set_domain("d1", "out")
+    site.advance(6.0)
+    site.set_domain("d1", "in")
+
+
+def lose_all_processes(site):
+    for name in list(site.processes):
+        site.kill(name)
+    site.advance(5.0)
+    for name in site.names:
+        site.start_process(name)
+
+
+FAULTS = [
+    lose_log,
+    lose_answers,
+    duplicate_appends,
+    pause_owners,
+    pause_owner_past_leases,
+    cut_worker_off,
+    cut_worker_off_briefly,
+    cut_owner_from_worker_then_kill_it,
+    restart_worker,
+    restart_worker_under_new_owner,
+    take_domain_out_and_back,
+    lose_all_processes,
+]
+
+
+@pytest.mark.parametrize("delay", [0.25, 1.0, 2.5])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_fault_loses_and_doubles_nothing(fault, delay):
+    with run_site() as site:
+        submit_all(site)
+        site.advance(delay)
+        fault(site)
+        await_finished(site, limit=8000.0)
+
+
+def test_leases_outlast_an_hour_without_the_log():
+    with run_site() as site:
+        submit_all(site, run_seconds=4000.0)
+        await_running(site)
+        site.log.down = True
+        site.advance(3600.0)
+        assert not site.ends
+        site.log.down = False
+        await_finished(site, limit=1000.0)
+        assert len(site.starts) == len(JOBS)
+
+
+def test_a_task_is_not_replaced_while_its_silent_worker_may_run_it():
+    with run_site() as site:
+        submit_all(site, run_seconds=500.0)
+        await_running(site)
+        site.cut.add("d1-w0")
+        cut_at = site.now
+        site.await_state(lambda: len(site.starts) > len(JOBS))
+        assert site.now - cut_at >= LEASE_SECONDS
+
+
+def test_a_start_that_arrives_after_its_stop_or_its_window_does_not_run():
+    with run_site() as site:
+        site.hold_starts = True
+        submit_all(site)
+        site.advance(3.0)
+        site.hold_starts = False
+        held, site.held = site.held, []
+        assert held
+        site.set_domain("d1", "out")
+        site.advance(20.0)
+        before = dict(site.starts)
+        for address, message in held:
+            with suppress(RefusalError):
+                assert site.workers[address].start(message).outcome is not None
+        assert site.starts == before
+
+
+def test_a_worker_that_fails_every_start_gives_its_tasks_back():
+    with run_site() as site:
+        site.failing.update({"d1-w0", "d1-w1"})
+        submit_all(site)
+        site.advance(30.0)
+        site.failing.clear()
+        await_finished(site)
+        assert max(site.query(task).attempts for task in JOBS) > 1
+
+
+def test_a_job_that_no_worker_can_hold_fails_at_once_with_the_reason():
+    with run_site() as site:
+        site.submit("big", kind="huge")
+        site.await_state(lambda: site.is_final("big"), 5.0)
+        account = site.query("big")
+        assert account.state is TaskState.FAILED
+        assert "needs" in account.reason
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.25, 0.5, 1.0, 2.0, 3.0, 4.5, 5.0, 6.0])
+def test_a_cancelled_job_ends_cancelled_or_finished(delay):
+    with run_site() as site:
+        site.submit("j", run_seconds=4.0)
+        site.advance(TICK_SECONDS * 2 + delay)
+        site.ask(CANCEL, CancelJob(task="j", team="t"))
+        site.await_state(lambda: site.is_final("j"))
+        finished = any(end[0] is AttemptOutcome.FINISHED for end in site.ends.values())
+        expected = TaskState.FINISHED if finished else TaskState.CANCELLED
+        assert site.query("j").state is expected
+        site.advance(5.0)
+        assert not any(worker.list_running() for worker in site.workers.values())
+
+
+def test_a_job_submitted_twice_runs_once():
+    with run_site() as site:
+        answers = [site.submit("j"), site.submit("j")]
+        site.await_state(lambda: site.is_final("j"))
+        answers.append(site.submit("j"))
+        site.advance(20.0)
+        assert len(site.starts) == 1
+        assert {answer.result().task for answer in answers} == {"j"}
+
+
+def test_a_submission_undecided_by_the_log_is_not_said_to_be_refused():
+    with run_site() as site:
+        ledger = site.find_owner("ledger.0").scheduler.ledgers[0]
+        site.await_state(lambda: not ledger.replica.has_undecided())
+        answer = site.submit("j")
+        site.log.lose_answers = 100
+        site.advance(TICK_SECONDS * 2)
+        site.log.down = True
+        site.advance(10.0)
+        assert isinstance(answer.exception(), UncertainError)
+        site.log.down = False
+        site.await_state(lambda: site.is_final("j"))
+
+
+def test_a_planned_stop_hands_over_without_waiting_for_the_lease():
+    with run_site() as site:
+        submit_all(site, run_seconds=20.0)
+        await_running(site)
+        leaving = site.find_owner("cell.d1")
+        leaving.scheduler.stop()
+        site.await_state(leaving.scheduler.has_stopped, 2.0)
+        site.kill(leaving.name)
+        site.await_state(lambda: site.find_owner("cell.d1") is not None, 3.0)
+        await_finished(site)
+        assert len(site.starts) == len(JOBS)
+
+
+def test_a_closed_attempt_is_forgotten_everywhere():
+    with run_site() as site:
+        submit_all(site)
+        await_finished(site)
+        site.advance(START_WINDOW_SECONDS + 5.0)
+        for process in site.processes.values():
+            for cell in process.scheduler.cells.values():
+                assert not cell.state.attempts
+        assert not any(worker._tombstones for worker in site.workers.values())
