Harden the replica against the log's faults, and give the log faults to have

Cause: the copy of a stream resent an acknowledged batch after a stale read, took a flipped bit for a record, retried a newer version for ever, lost everything at the first trim, and kept one entry per writer for ever.

--- a/plantainhinge/adapters/http_calls.py
+++ b/plantainhinge/adapters/http_calls.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from ..core.errors import BadInputError, TrimmedError, UnavailableError, UncertainError
+from ..core.errors import (
+    BadInputError,
+    TooLargeError,
+    TrimmedError,
+    UnavailableError,
+    UncertainError,
+)
 from .http_pool import HttpAnswer, HttpPool
 
 T = TypeVar("T")
@@ -12,6 +18,7 @@
 CALL_TIMEOUT_SECONDS = 2.0
 STATUS_OK = 200
 STATUS_GONE = 410
+STATUS_TOO_LARGE = 413
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 
@@ -70,6 +77,8 @@
     detail = problem.detail or f"status {raw.status}"
     if raw.status == STATUS_GONE:
         raise TrimmedError(detail, step=step, peer=peer, first=problem.first)
+    if raw.status == STATUS_TOO_LARGE:
+        raise TooLargeError(detail, step=step, peer=peer)
     if raw.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
         wait = _read_retry_after(raw)
         raise UnavailableError(detail, step=step, peer=peer, retry_after=wait)
--- a/plantainhinge/adapters/log_memory.py
+++ b/plantainhinge/adapters/log_memory.py
@@ -3,11 +3,13 @@
 import threading
 from dataclasses import dataclass, field
 
-from ..core.errors import TrimmedError
+from ..core.errors import TooLargeError, TrimmedError
 from ..core.ids import Offset, StreamName
 from ..core.messages import Entry, Page
 from .registry import LOGS
 
+ENTRY_BYTES_MAX = 1024 * 1024
+
 
 @dataclass
 class _Stream:
@@ -21,15 +23,30 @@
 
 @LOGS.register("memory")
 class MemoryLog:
-    """Streams of entries; safe to use from any thread."""
+    """Streams of entries; safe to use from any thread.
+
+    Parameters
+    ----------
+    entry_bytes_max : int
+        Larger entries are refused.
+    """
 
-    def __init__(self, address: str = "") -> None:
+    def __init__(
+        self, address: str = "", *, entry_bytes_max: int = ENTRY_BYTES_MAX
+    ) -> None:
         self.address = address
+        self._entry_bytes_max = entry_bytes_max
         self._streams: dict[StreamName, _Stream] = {}
         self._lock = threading.Lock()
 
     def append(self, stream: StreamName, data: bytes) -> Offset:
         """Append one entry and return its offset."""
+        if len(data) > self._entry_bytes_max:
+            raise TooLargeError(
+                f"{len(data)} bytes are more than {self._entry_bytes_max}",
+                step="log.append",
+                peer=stream,
+            )
         with self._lock:
             held = self._streams.setdefault(stream, _Stream())
             held.entries.append(data)
--- a/plantainhinge/core/errors.py
+++ b/plantainhinge/core/errors.py
@@ -97,3 +97,17 @@
 
     code = "not-owner"
     exit_code = 8
+
+
+class CorruptRecordError(PlantainhingeError):
+    """An entry of the log that is not what any release wrote."""
+
+    code = "corrupt-record"
+    exit_code = 9
+
+
+class TooLargeError(PlantainhingeError):
+    """The other side takes nothing as large as this; there was no effect."""
+
+    code = "too-large"
+    exit_code = 10
--- a/plantainhinge/core/protocols.py
+++ b/plantainhinge/core/protocols.py
@@ -27,11 +27,20 @@
     """The platform's append-only log service."""
 
     def append(self, stream: StreamName, data: bytes) -> Offset:
-        """Append one entry and return its offset."""
+        """Append one entry and return its offset.
+
+        Raises
+        ------
+        TooLargeError
+            If the log takes no entry of this size.
+        """
 
     def read(self, stream: StreamName, start: Offset, max_bytes: int) -> Page:
         """Return entries from ``start`` on, at least one if there is any.
 
+        A stream that was never written is empty. Past the end there are no
+        entries; the page tells where the end is.
+
         Raises
         ------
         TrimmedError
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -4,14 +4,18 @@
 end with a default; any other change takes a new ``RECORD_VERSION``.
 """
 
+import struct
+import zlib
+
 import msgspec
 
-from .errors import UnknownVersionError
+from .errors import CorruptRecordError, UnknownVersionError
 from .ids import (
     Attempt,
     DomainId,
     Epoch,
     KindId,
+    Offset,
     ProcessId,
     RackId,
     RequestId,
@@ -178,9 +182,22 @@
 
 
 class SnapshotTaken(Record, frozen=True, tag="snap"):
-    """The whole state of a stream up to this record, encoded by its reducer."""
+    """One part of the state that a stream's records before ``covers`` built up.
+
+    Parameters
+    ----------
+    state : bytes
+        This part of the encoded state.
+    covers : Offset
+        The first offset that the state does not include.
+    part, parts : int
+        Which part this is, from 0, and how many there are.
+    """
 
     state: bytes
+    covers: Offset = Offset(0)
+    part: int = 0
+    parts: int = 1
 
 
 AnyRecord = (
@@ -233,14 +250,25 @@
     version: int
 
 
+_CHECKSUM = struct.Struct(">I")
 _encoder = msgspec.msgpack.Encoder()
 _header_decoder = msgspec.msgpack.Decoder(_Header)
 _batch_decoder = msgspec.msgpack.Decoder(Batch)
 
 
 def encode_batch(batch: Batch) -> bytes:
-    """Return the bytes of one log entry."""
-    return _encoder.encode(batch)
+    """Return the bytes of one log entry: a CRC-32 and the batch."""
+    return seal(_encoder.encode(batch))
+
+
+def seal(body: bytes) -> bytes:
+    """Return ``body`` behind its checksum."""
+    return _CHECKSUM.pack(zlib.crc32(body)) + body
+
+
+def measure_record(record: AnyRecord) -> int:
+    """Return the bytes that a record adds to its batch."""
+    return len(_encoder.encode(record))
 
 
 def decode_batch(data: bytes) -> Batch:
@@ -248,18 +276,36 @@
 
     Raises
     ------
+    CorruptRecordError
+        If the bytes fail their checksum or are no batch.
     UnknownVersionError
-        If a newer release wrote it, or if it is no batch at all.
+        If a newer release wrote it.
     """
+    body = _open(data)
     try:
-        version = _header_decoder.decode(data).version
-        if version > RECORD_VERSION:
-            raise UnknownVersionError(
-                f"record version {version} is newer than {RECORD_VERSION}",
-                step="record.decode",
-            )
-        return _batch_decoder.decode(data)
+        version = _header_decoder.decode(body).version
+        if version <= RECORD_VERSION:
+            return _batch_decoder.decode(body)
     except msgspec.MsgspecError as error:
-        raise UnknownVersionError(
+        raise CorruptRecordError(
             f"not a batch of records: {error}", step="record.decode"
         ) from error
+    raise UnknownVersionError(
+        f"record version {version} is newer than {RECORD_VERSION}",
+        step="record.decode",
+    )
+
+
+def _open(data: bytes) -> bytes:
+    if len(data) < _CHECKSUM.size:
+        raise CorruptRecordError(
+            f"{len(data)} bytes are too few for a batch", step="record.decode"
+        )
+    (expected,) = _CHECKSUM.unpack_from(data)
+    body = data[_CHECKSUM.size :]
+    found = zlib.crc32(body)
+    if found != expected:
+        raise CorruptRecordError(
+            f"checksum is {found:#x}, not {expected:#x}", step="record.decode"
+        )
+    return body
--- a/plantainhinge/daemons/log_driver.py
+++ b/plantainhinge/daemons/log_driver.py
@@ -1,60 +1,113 @@
 """Carries the commands of stream replicas to the log and the results back."""
 
+import random
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
 
-from ..core.errors import PlantainhingeError, TrimmedError, UncertainError
+from ..core.errors import (
+    PlantainhingeError,
+    TooLargeError,
+    TrimmedError,
+    UnavailableError,
+    UncertainError,
+)
 from ..core.ids import Epoch, Offset, Seconds
 from ..core.messages import Page
 from ..core.protocols import PlatformLog
+from ..streams.budgets import LogBudget
 from ..streams.replica import Append, Read, Replica
 from .executor import Commander
 
 READ_BYTES = 262_144
-RETRY_SECONDS = 0.5
 
 
 class LogDriver:
-    """Drives any number of replicas against one log."""
+    """Drives any number of replicas against one log, under one budget.
 
-    def __init__(self, log: PlatformLog, commander: Commander) -> None:
+    Parameters
+    ----------
+    commander : Commander
+        Best one with threads of its own: a slow log then holds no other call.
+    draw : callable
+        Returns a number in [0, 1) for jitter.
+    """
+
+    def __init__(
+        self,
+        log: PlatformLog,
+        commander: Commander,
+        *,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self.budget = LogBudget()
         self._log = log
         self._commander = commander
+        self._draw = draw
 
     def drive(self, replica: Replica[Any], now: Seconds, epoch: Epoch) -> None:
-        """Start the replica's next command, if it has one."""
-        command = replica.next_command(now, epoch)
+        """Start the replica's next command, if it has one and the budget allows."""
+        if not self.budget.may_call():
+            return
+        may_append = self.budget.may_append(now, urgent=replica.is_urgent())
+        command = replica.next_command(now, epoch, may_append=may_append)
         if isinstance(command, Append):
-            self._commander.run(
-                self._log.append,
-                command.stream,
-                command.data,
-                then=lambda future, at: _finish_append(replica, future, at),
-            )
+            self.budget.take_append()
+            self._start_append(replica, command)
         elif isinstance(command, Read):
-            self._commander.run(
-                self._log.read,
-                command.stream,
-                command.start,
-                READ_BYTES,
-                then=lambda future, at: _finish_read(replica, future, at),
-            )
-
-
-def _finish_append(replica: Replica[Any], future: Future[Offset], now: Seconds) -> None:
-    try:
-        future.result()
-        replica.on_appended()
-    except UncertainError:
-        replica.on_append_uncertain(Seconds(now + RETRY_SECONDS))
-    except PlantainhingeError:
-        replica.on_append_refused(Seconds(now + RETRY_SECONDS))
-
-
-def _finish_read(replica: Replica[Any], future: Future[Page], now: Seconds) -> None:
-    try:
-        replica.on_page(future.result(), now)
-    except TrimmedError as error:
-        replica.on_trimmed(Offset(error.first))
-    except PlantainhingeError:
-        replica.on_refused(Seconds(now + RETRY_SECONDS))
+            self._start_read(replica, command)
+
+    def _start_append(self, replica: Replica[Any], command: Append) -> None:
+        self.budget.calls_out += 1
+        self._commander.run(
+            self._log.append,
+            command.stream,
+            command.data,
+            then=lambda future, now: self._finish_append(replica, future, now),
+        )
+
+    def _start_read(self, replica: Replica[Any], command: Read) -> None:
+        self.budget.calls_out += 1
+        self._commander.run(
+            self._log.read,
+            command.stream,
+            command.start,
+            READ_BYTES,
+            then=lambda future, now: self._finish_read(replica, future, now),
+        )
+
+    def _finish_append(
+        self, replica: Replica[Any], future: Future[Offset], now: Seconds
+    ) -> None:
+        self.budget.calls_out -= 1
+        try:
+            replica.on_appended(future.result())
+            self.budget.note_answered()
+            self.budget.note_appended()
+        except TooLargeError:
+            replica.on_append_too_large()
+        except UncertainError:
+            replica.on_append_uncertain(self._back_off(now))
+        except UnavailableError as error:
+            self.budget.note_limited(now, error.retry_after)
+            replica.on_append_refused(self._back_off(now, error.retry_after))
+        except PlantainhingeError:
+            replica.on_append_refused(self._back_off(now))
+
+    def _finish_read(
+        self, replica: Replica[Any], future: Future[Page], now: Seconds
+    ) -> None:
+        self.budget.calls_out -= 1
+        try:
+            page = future.result()
+        except TrimmedError as error:
+            self.budget.note_answered()
+            replica.on_trimmed(Offset(error.first))
+        except PlantainhingeError:
+            replica.on_refused(self._back_off(now))
+        else:
+            self.budget.note_answered()
+            replica.on_page(page, now)
+
+    def _back_off(self, now: Seconds, retry_after: float = 0.0) -> Seconds:
+        return self.budget.note_failed(now, retry_after, self._draw())
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -22,6 +22,7 @@
 from ..core.settings import Settings
 from ..core.states import DaemonRole
 from ..core.tick import TickLoop
+from ..streams.budgets import CALLS_OUT
 from .executor import Commander, Event
 from .gateway import Gateway
 from .log_driver import LogDriver
@@ -139,12 +140,14 @@
 ) -> Node:
     executor = stack.enter_context(ThreadPoolExecutor(POOL_THREADS))
     commander = Commander(loop, executor)
+    log_executor = stack.enter_context(ThreadPoolExecutor(CALLS_OUT))
+    log = HttpLog(settings.log_address)
     return Node(
         settings,
         role,
         instances=HttpInstanceList(settings.instance_list_address),
         commander=commander,
-        driver=LogDriver(HttpLog(settings.log_address), commander),
+        driver=LogDriver(log, Commander(loop, log_executor)),
         peers=Peers(),
     )
 
--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -85,6 +85,7 @@
         for record in records:
             self.replica.propose(record)
         if self.owns(now):
+            self.replica.take_snapshot(now)
             self.act(now)
 
     def _find_epoch(self) -> Epoch:
--- a/plantainhinge/ledgers/cell.py
+++ b/plantainhinge/ledgers/cell.py
@@ -104,10 +104,10 @@
         )
         return msgspec.msgpack.encode(dump)
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, state: bytes, now: Seconds) -> None:
         """Replace all tables by those of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
-        self.ownership = Ownership(dump.epoch, dump.owner, dump.address)
+        self.ownership = Ownership(dump.epoch, dump.owner, dump.address, now)
         self.workers = dump.workers
         self.attempts = dump.attempts
         self.open = {
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -126,10 +126,10 @@
         )
         return msgspec.msgpack.encode(dump)
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, state: bytes, now: Seconds) -> None:
         """Replace all tables by those of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
-        self.ownership = Ownership(dump.epoch, dump.owner, dump.address)
+        self.ownership = Ownership(dump.epoch, dump.owner, dump.address, now)
         self.tasks = dump.tasks
         self.claims = dump.claims
         self.waiting = {}
--- /dev/null
+++ b/plantainhinge/streams/budgets.py
@@ -0,0 +1,102 @@
+"""One daemon's share of what the platform's log can take.
+
+All streams of a daemon commit on one timer and draw on one bucket of appends. A
+refusal by the log halves the share and stretches the timer; answered appends win
+it back slowly (additive increase, multiplicative decrease).
+"""
+
+from dataclasses import dataclass
+
+from ..core.ids import Seconds
+
+APPENDS_PER_SECOND = 20.0
+APPENDS_PER_SECOND_MIN = 1.0
+APPENDS_REGAINED = 0.25
+BURST_SECONDS = 1.0
+COMMIT_PERIOD_SECONDS = 0.2
+COMMIT_PERIOD_SECONDS_MAX = 1.0
+BACKOFF_SECONDS = 0.25
+BACKOFF_SECONDS_MAX = 8.0
+CALLS_OUT = 4
+CALLS_OUT_WHEN_FAILING = 1
+
+
+@dataclass
+class LogBudget:
+    """Says when a daemon may call the log.
+
+    Parameters
+    ----------
+    rate : float
+        Appends per second that the daemon may make now.
+    failures : int
+        Calls that failed since the last one that was answered.
+    """
+
+    rate: float = APPENDS_PER_SECOND
+    failures: int = 0
+    calls_out: int = 0
+    _tokens: float = APPENDS_PER_SECOND * BURST_SECONDS
+    _filled_at: Seconds | None = None
+    _commit_at: Seconds | None = None
+    _commit_due: Seconds = Seconds(0.0)
+    _appends_from: Seconds = Seconds(0.0)
+
+    @property
+    def commit_period(self) -> Seconds:
+        """Return the time between two commits of records that can wait."""
+        stretched = COMMIT_PERIOD_SECONDS * APPENDS_PER_SECOND / self.rate
+        return Seconds(min(COMMIT_PERIOD_SECONDS_MAX, stretched))
+
+    def may_call(self) -> bool:
+        """Return whether another call may go out beside those under way."""
+        limit = CALLS_OUT_WHEN_FAILING if self.failures else CALLS_OUT
+        return self.calls_out < limit
+
+    def may_append(self, now: Seconds, *, urgent: bool) -> bool:
+        """Return whether an append may go out now.
+
+        Appends that can wait go out together, in the tick that the timer opens.
+        """
+        self._fill(now)
+        if self._tokens < 1.0 or now < self._appends_from:
+            return False
+        if now >= self._commit_due:
+            self._commit_at = now
+            self._commit_due = Seconds(now + self.commit_period)
+        return urgent or now == self._commit_at
+
+    def take_append(self) -> None:
+        """Note that an append goes out."""
+        self._tokens -= 1.0
+
+    def note_answered(self) -> None:
+        """Note that the log answered a call."""
+        self.failures = 0
+
+    def note_appended(self) -> None:
+        """Note that the log took an append."""
+        self.rate = min(APPENDS_PER_SECOND, self.rate + APPENDS_REGAINED)
+
+    def note_limited(self, now: Seconds, retry_after: float) -> None:
+        """Note that the log refused an append because of its rate limit."""
+        self.rate = max(APPENDS_PER_SECOND_MIN, self.rate / 2)
+        self._appends_from = Seconds(max(self._appends_from, now + retry_after))
+
+    def note_failed(self, now: Seconds, retry_after: float, draw: float) -> Seconds:
+        """Note a failed call and return when to try its stream again.
+
+        Parameters
+        ----------
+        draw : float
+            Uniform in [0, 1), so that daemons do not return together.
+        """
+        backoff = min(BACKOFF_SECONDS_MAX, BACKOFF_SECONDS * 2.0**self.failures)
+        self.failures = min(self.failures + 1, 16)
+        return Seconds(now + max(retry_after, backoff * (0.5 + draw / 2)))
+
+    def _fill(self, now: Seconds) -> None:
+        since = 0.0 if self._filled_at is None else now - self._filled_at
+        self._filled_at = now
+        limit = max(1.0, self.rate * BURST_SECONDS)
+        self._tokens = min(limit, self._tokens + since * self.rate)
--- a/plantainhinge/streams/configuration.py
+++ b/plantainhinge/streams/configuration.py
@@ -46,7 +46,7 @@
         """Return the revision and its document."""
         return msgspec.msgpack.encode(_Dump(self.revision, self.document))
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, state: bytes, now: Seconds) -> None:
         """Take over the revision of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
         self.revision = Revision(dump.revision)
--- a/plantainhinge/streams/names.py
+++ b/plantainhinge/streams/names.py
@@ -17,6 +17,11 @@
     return StreamName(f"ledger.{partition}")
 
 
+def name_snapshots(stream: StreamName) -> StreamName:
+    """Return the stream that holds the snapshots of another."""
+    return StreamName(f"{stream}.snapshots")
+
+
 def find_partition(team: TeamId, partitions: int) -> int:
     """Return the ledger partition that keeps a team's accounts."""
     digest = hashlib.blake2b(team.encode(), digest_size=8).digest()
--- a/plantainhinge/streams/replica.py
+++ b/plantainhinge/streams/replica.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
-from ..core.errors import UnknownVersionError
+from ..core.errors import CorruptRecordError, UnknownVersionError
 from ..core.ids import Epoch, Offset, Seconds, Sequence, StreamName, WriterId
 from ..core.messages import Entry, Page
 from ..core.records import (
@@ -20,9 +20,24 @@
     decode_batch,
     encode_batch,
 )
+from .batches import Outstanding, Proposal, ProposalQueue
+from .names import name_snapshots
+from .snapshots import (
+    SNAPSHOT_PERIOD_SECONDS,
+    Snapshot,
+    SnapshotSearch,
+    is_due,
+    split_snapshot,
+)
+from .writers import WriterTable
+
+__all__ = ["Append", "Proposal", "Read", "Reducer", "Replica"]
 
-BATCH_RECORDS = 256
 FIRST_OFFSET = Offset(0)
+NO_SEQUENCE = Sequence(0)
+CORRUPT_READS = 3
+STALE_READ_SECONDS = 0.1
+SEARCH_PERIOD_SECONDS = 5.0
 
 
 class Reducer(Protocol):
@@ -36,8 +51,8 @@
     def dump(self) -> bytes:
         """Return the whole state for a snapshot."""
 
-    def restore(self, state: bytes) -> None:
-        """Replace the state by that of a snapshot."""
+    def restore(self, state: bytes, now: Seconds) -> None:
+        """Replace the state by that of a snapshot, read at ``now``."""
 
 
 R = TypeVar("R", bound=Reducer)
@@ -60,26 +75,11 @@
 
 
 @dataclass
-class Proposal:
-    """A record on its way into the log.
-
-    Parameters
-    ----------
-    rejection : str or None
-        Why replay rejected it; meaningful once ``decided``.
-    """
+class _Suspect:
+    """An entry that failed its checks, and how often it was read the same."""
 
-    record: AnyRecord
-    decided: bool = False
-    rejection: str | None = None
-
-
-@dataclass
-class _Outstanding:
-    batch: Batch
-    proposals: list[Proposal]
-    sent_at: Seconds | None = None
-    must_send: bool = True
+    entry: Entry
+    reads: int = 1
 
 
 @dataclass
@@ -91,9 +91,15 @@
     confirmed_at : Seconds or None
         When the newest own batch that was read back had been sent.
     caught_up : bool
-        Whether the last read reached the end of the stream.
+        Whether the last read reached every offset known to exist.
+    caught_up_at : Seconds or None
+        When the last read that caught up had been sent.
     behind_snapshot : bool
-        Whether the beginning was trimmed and no snapshot was met yet.
+        Whether the next entry was trimmed and no snapshot covers the gap yet.
+    is_lost : bool
+        Whether a search since then found no snapshot that covers the gap.
+    halted : UnknownVersionError or None
+        Why replay stopped for good: a newer release wrote the next entry.
     """
 
     stream: StreamName
@@ -101,110 +107,225 @@
     reducer: R
     next_offset: Offset = FIRST_OFFSET
     read_period: Seconds = Seconds(0.5)
+    append_period: Seconds = Seconds(0.1)
+    snapshot_period: Seconds = Seconds(SNAPSHOT_PERIOD_SECONDS)
     confirmed_at: Seconds | None = None
     caught_up: bool = False
     caught_up_at: Seconds | None = None
     behind_snapshot: bool = False
-    _sequence: int = 0
-    _queue: list[Proposal] = field(default_factory=list)
-    _outstanding: _Outstanding | None = None
-    _seen: dict[WriterId, Sequence] = field(default_factory=dict)
-    append_period: Seconds = Seconds(0.1)
-    _append_due: Seconds = Seconds(0.0)
-    _command_out: bool = False
+    is_lost: bool = False
+    halted: UnknownVersionError | None = None
+    _queue: ProposalQueue = field(init=False)
+    _writers: WriterTable = field(default_factory=WriterTable)
+    _outstanding: Outstanding | None = None
+    _search: SnapshotSearch | None = field(default_factory=SnapshotSearch)
+    _search_due: Seconds = Seconds(0.0)
+    _parts: list[SnapshotTaken] = field(default_factory=list)
+    _snapshot_at: Seconds | None = None
+    _snapshot_covers: Offset = FIRST_OFFSET
+    _command: Append | Read | None = None
     _command_sent_at: Seconds = Seconds(0.0)
-    _not_before: Seconds = Seconds(0.0)
+    _append_due: Seconds = Seconds(0.0)
     _read_due: Seconds = Seconds(0.0)
+    _not_before: Seconds = Seconds(0.0)
+    _end_seen: int = 0
+    _suspect: _Suspect | None = None
 
-    def propose(self, record: AnyRecord) -> Proposal:
+    def __post_init__(self) -> None:
+        self._queue = ProposalQueue(self.writer)
+
+    def propose(self, record: AnyRecord, *, urgent: bool = False) -> Proposal:
         """Queue a record; it counts only once replay has accepted it."""
-        proposal = Proposal(record)
-        self._queue.append(proposal)
-        return proposal
+        return self._queue.add(record, urgent=urgent)
 
     def has_undecided(self) -> bool:
         """Return whether any proposal waits for its verdict."""
-        return bool(self._queue) or self._outstanding is not None
-
-    def next_command(self, now: Seconds, epoch: Epoch) -> Append | Read | None:
-        """Return what to ask the log now, if anything."""
-        if self._command_out or now < self._not_before:
+        return bool(self._queue.waiting) or self._outstanding is not None
+
+    def is_urgent(self) -> bool:
+        """Return whether a queued proposal asks not to wait for the timer."""
+        return self._queue.is_urgent()
+
+    def capture(self) -> Snapshot:
+        """Return the state replayed so far."""
+        writers = list(self._writers.newest.items())
+        return Snapshot(self.next_offset, writers, self.reducer.dump())
+
+    def adopt(self, snapshot: Snapshot, now: Seconds) -> bool:
+        """Take over a state that another replica reached; never an older one."""
+        if snapshot.covers <= self.next_offset or self.halted is not None:
+            return False
+        self._restore(snapshot, now)
+        return True
+
+    def take_snapshot(self, now: Seconds) -> None:
+        """Write a snapshot if one is due."""
+        if not self.caught_up or self._parts:
+            return
+        if self._snapshot_at is None:
+            self._snapshot_at = now
+        due = is_due(
+            taken_at=self._snapshot_at,
+            now=now,
+            covers=self._snapshot_covers,
+            next_offset=self.next_offset,
+            period=self.snapshot_period,
+        )
+        if due:
+            self._snapshot_at = now
+            self._snapshot_covers = self.next_offset
+            self._parts = split_snapshot(self.capture())
+
+    def next_command(
+        self, now: Seconds, epoch: Epoch, *, may_append: bool = True
+    ) -> Append | Read | None:
+        """Return what to ask the log now, if anything.
+
+        Parameters
+        ----------
+        may_append : bool
+            Whether the budget allows an append.
+        """
+        if self._command or self.halted or now < self._not_before:
             return None
-        command = self._next_append(now, epoch) or self._next_read(now)
-        if command is not None:
-            self._command_out = True
+        append = self._next_append(now, epoch) if may_append else None
+        self._command = append or self._next_read(now)
+        if self._command is not None:
             self._command_sent_at = now
-        return command
+        return self._command
 
-    def on_appended(self) -> None:
-        """Note that the log took the batch; it is read back next."""
-        self._command_out = False
-        self._read_due = Seconds(0.0)
+    def on_appended(self, offset: Offset | None = None) -> None:
+        """Note that the log took the entry; a batch is read back next."""
+        command, self._command = self._command, None
+        if _is_for(command, self.stream):
+            self._end_seen = max(self._end_seen, 0 if offset is None else offset + 1)
+            self._read_due = Seconds(0.0)
+        elif self._parts:
+            del self._parts[0]
 
     def on_refused(self, retry_at: Seconds) -> None:
         """Note that the command had no effect; try again at ``retry_at``."""
-        self._command_out = False
+        self._command = None
         self._not_before = retry_at
 
     def on_append_refused(self, retry_at: Seconds) -> None:
         """Note that the append surely had no effect; send it again."""
+        for_batch = _is_for(self._command, self.stream)
         self.on_refused(retry_at)
-        if self._outstanding is not None:
+        if for_batch and self._outstanding is not None:
             self._outstanding.must_send = True
 
+    def on_append_too_large(self) -> None:
+        """Note that the log takes no entry as large: split the batch."""
+        command, self._command = self._command, None
+        if not _is_for(command, self.stream):
+            self._parts = []
+        elif self._outstanding is not None:
+            self._outstanding = self._queue.split(self._outstanding)
+
     def on_append_uncertain(self, retry_at: Seconds) -> None:
         """Note that the answer was lost: look in the stream before sending again."""
         self.on_refused(retry_at)
         self._read_due = Seconds(0.0)
 
     def on_trimmed(self, first: Offset) -> None:
-        """Note that entries were lost to retention: wait for a snapshot."""
-        self._command_out = False
-        self.next_offset = first
+        """Note that entries were lost to retention: look for a snapshot."""
+        command, self._command = self._command, None
+        if self._search is not None and not _is_for(command, self.stream):
+            self._search.skip_to(first)
+            return
+        self.caught_up = False
         self.behind_snapshot = True
-        self._read_due = Seconds(0.0)
+        self._end_seen = max(self._end_seen, first)
+        self._search = SnapshotSearch()
 
     def on_page(self, page: Page, now: Seconds) -> list[AnyRecord]:
         """Replay a page; return the records that were accepted."""
-        self._command_out = False
+        command, self._command = self._command, None
+        if self._search is not None and not _is_for(command, self.stream):
+            self._search.take_page(page)
+            self._conclude_search(now)
+            return []
+        before = self.next_offset
         accepted = self._replay(page.entries, now)
-        self.caught_up = self.next_offset >= page.end
-        self._read_due = Seconds(now + self.read_period if self.caught_up else 0.0)
+        self._end_seen = max(self._end_seen, page.end)
+        self.caught_up = self.next_offset >= self._end_seen
+        self._read_due = self._plan_read(now, moved=self.next_offset > before)
         if self.caught_up:
             self.caught_up_at = self._command_sent_at
             self._resend_if_absent()
         return accepted
 
     def _next_append(self, now: Seconds, epoch: Epoch) -> Append | None:
-        may_take = self._outstanding is None and self.caught_up
-        if may_take and self._queue and now >= self._append_due:
+        if self.behind_snapshot:
+            return None
+        if self._may_take(now):
             self._append_due = Seconds(now + self.append_period)
-            self._outstanding = self._take_batch(epoch)
+            self._outstanding = self._queue.take_batch(epoch)
         outstanding = self._outstanding
-        if outstanding is None or not outstanding.must_send:
+        if outstanding is not None and outstanding.must_send:
+            outstanding.must_send = False
+            if outstanding.sent_at is None:
+                outstanding.sent_at = now
+            return Append(self.stream, encode_batch(outstanding.batch))
+        return self._next_part(epoch)
+
+    def _next_part(self, epoch: Epoch) -> Append | None:
+        if not self._parts or self._outstanding is not None:
             return None
-        outstanding.must_send = False
-        if outstanding.sent_at is None:
-            outstanding.sent_at = now
-        return Append(self.stream, encode_batch(outstanding.batch))
+        records: list[AnyRecord] = [self._parts[0]]
+        batch = Batch(RECORD_VERSION, self.writer, NO_SEQUENCE, epoch, records)
+        return Append(name_snapshots(self.stream), encode_batch(batch))
+
+    def _may_take(self, now: Seconds) -> bool:
+        if self._outstanding is not None or not self.caught_up:
+            return False
+        is_time = now >= self._append_due or self._queue.is_urgent()
+        return bool(self._queue.waiting) and is_time
 
     def _next_read(self, now: Seconds) -> Read | None:
-        if now < self._read_due:
-            return None
-        return Read(self.stream, self.next_offset)
-
-    def _take_batch(self, epoch: Epoch) -> _Outstanding:
-        proposals = self._queue[:BATCH_RECORDS]
-        del self._queue[:BATCH_RECORDS]
-        self._sequence += 1
-        batch = Batch(
-            RECORD_VERSION,
-            self.writer,
-            Sequence(self._sequence),
-            epoch,
-            [proposal.record for proposal in proposals],
-        )
-        return _Outstanding(batch, proposals)
+        if self._search is not None:
+            return Read(name_snapshots(self.stream), self._search.next_offset)
+        if self.behind_snapshot:
+            if now < self._search_due:
+                return None
+            self._search = SnapshotSearch()
+            return Read(name_snapshots(self.stream), self._search.next_offset)
+        return None if now < self._read_due else Read(self.stream, self.next_offset)
+
+    def _plan_read(self, now: Seconds, *, moved: bool) -> Seconds:
+        if self.caught_up:
+            return Seconds(now + self.read_period)
+        return Seconds(0.0 if moved or self._suspect else now + STALE_READ_SECONDS)
+
+    def _conclude_search(self, now: Seconds) -> None:
+        search = self._search
+        if search is None or not search.is_over:
+            return
+        self._search = None
+        self._search_due = Seconds(now + SEARCH_PERIOD_SECONDS)
+        if search.found is not None and search.found.covers > self.next_offset:
+            self._restore(search.found, now)
+        else:
+            self.is_lost = self.behind_snapshot
+
+    def _restore(self, snapshot: Snapshot, now: Seconds) -> None:
+        self.reducer.restore(snapshot.state, now)
+        self._writers = WriterTable(newest=dict(snapshot.writers))
+        self.next_offset = snapshot.covers
+        self._snapshot_covers = snapshot.covers
+        self._suspect = None
+        self._search = None
+        self._read_due = Seconds(0.0)
+        self.caught_up = False
+        self.behind_snapshot = False
+        self.is_lost = False
+        outstanding = self._outstanding
+        if outstanding is not None and self._writers.has_met(
+            self.writer, outstanding.batch.sequence
+        ):
+            outstanding.give_up()
+            self._outstanding = None
 
     def _resend_if_absent(self) -> None:
         if self._outstanding is not None:
@@ -215,64 +336,65 @@
         for entry in entries:
             if entry.offset < self.next_offset:
                 continue
+            if entry.offset > self.next_offset:
+                break
+            try:
+                batch = decode_batch(entry.data)
+            except CorruptRecordError:
+                if not self._give_up_on(entry):
+                    break
+            except UnknownVersionError as error:
+                self.halted = error
+                break
+            else:
+                accepted.extend(self._replay_batch(batch, entry.offset, now))
             self.next_offset = Offset(entry.offset + 1)
-            accepted.extend(self._replay_entry(entry, now))
         return accepted
 
-    def _replay_entry(self, entry: Entry, now: Seconds) -> list[AnyRecord]:
-        batch = decode_entry(entry)
-        if batch is None or self._is_duplicate(batch):
+    def _give_up_on(self, entry: Entry) -> bool:
+        """Return whether an unreadable entry was read the same often enough.
+
+        Every reader then skips it alike, and its writer finds its batch absent
+        and sends it again. A single bad read must not skip it, because other
+        readers may have read it whole.
+        """
+        suspect = self._suspect
+        if suspect is None or suspect.entry != entry:
+            self._suspect = _Suspect(entry)
+            return False
+        suspect.reads += 1
+        if suspect.reads < CORRUPT_READS:
+            return False
+        self._suspect = None
+        return True
+
+    def _replay_batch(
+        self, batch: Batch, offset: Offset, now: Seconds
+    ) -> list[AnyRecord]:
+        self._suspect = None
+        if not self._writers.take(batch.writer, batch.sequence):
             return []
-        accepted = []
-        rejections = []
-        for record in batch.records:
-            rejection = self._apply(record, batch.epoch, entry.offset, now)
-            rejections.append(rejection)
-            if rejection is None:
-                accepted.append(record)
+        rejections = [
+            self.reducer.apply(record, epoch=batch.epoch, offset=offset, now=now)
+            for record in batch.records
+        ]
         self._decide(batch, rejections)
-        return accepted
-
-    def _apply(
-        self, record: AnyRecord, epoch: Epoch, offset: Offset, now: Seconds
-    ) -> str | None:
-        if isinstance(record, SnapshotTaken):
-            if self.behind_snapshot:
-                self.reducer.restore(record.state)
-                self.behind_snapshot = False
-            return None
-        if self.behind_snapshot:
-            return "the beginning of the stream was trimmed"
-        return self.reducer.apply(record, epoch=epoch, offset=offset, now=now)
-
-    def _is_duplicate(self, batch: Batch) -> bool:
-        if batch.sequence <= self._seen.get(batch.writer, 0):
-            return True
-        self._seen[batch.writer] = batch.sequence
-        return False
+        return [
+            record
+            for record, rejection in zip(batch.records, rejections, strict=True)
+            if rejection is None
+        ]
 
     def _decide(self, batch: Batch, rejections: SequenceOf[str | None]) -> None:
         outstanding = self._outstanding
         if outstanding is None or batch.writer != self.writer:
             return
-        if batch.sequence != outstanding.batch.sequence:
-            return
-        for proposal, rejection in zip(outstanding.proposals, rejections, strict=True):
-            proposal.decided = True
-            proposal.rejection = rejection
-        self.confirmed_at = outstanding.sent_at
-        self._outstanding = None
+        if batch.sequence == outstanding.batch.sequence:
+            outstanding.decide(rejections)
+            self.confirmed_at = outstanding.sent_at
+            self._outstanding = None
 
 
-def decode_entry(entry: Entry) -> Batch | None:
-    """Return the batch of an entry; None if no release can read it.
-
-    A newer version is raised, because skipping it would diverge from writers
-    that understand it. Bytes that are no batch are skipped by every reader alike.
-    """
-    try:
-        return decode_batch(entry.data)
-    except UnknownVersionError as error:
-        if "newer" in error.message:
-            raise
-        return None
+def _is_for(command: Append | Read | None, stream: StreamName) -> bool:
+    """Return whether a command is about the stream itself, not its snapshots."""
+    return command is None or command.stream == stream
--- a/standins/log.py
+++ b/standins/log.py
@@ -1,36 +1,99 @@
-"""A stand-in for the platform's append-only log service."""
+"""A stand-in for the platform's append-only log service.
 
+``POST`` and ``GET /streams/<name>`` are the service. A test sets what goes wrong
+by ``PUT /faults`` (a list of ``FaultRow``), ``PUT /limits`` (``LogLimits``) and
+``PUT /trim/<name>?first=<offset>``.
+"""
+
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs
 
+import msgspec
+
 from plantainhinge.adapters.log_http import Appended
 from plantainhinge.adapters.log_memory import MemoryLog
-from plantainhinge.core.errors import TrimmedError
+from plantainhinge.core.clock import read_monotonic
+from plantainhinge.core.errors import (
+    BadInputError,
+    PlantainhingeError,
+    TrimmedError,
+    UnavailableError,
+    UncertainError,
+)
 from plantainhinge.core.ids import Offset, StreamName
+from plantainhinge.core.messages import Empty
 
+from .log_faults import FaultRow, FaultyLog, LogLimits
 from .wsgi import Environ, Problem, respond
 
+STREAMS = "/streams/"
+TRIM = "/trim/"
+
+StartResponse = Callable[..., Any]
+
 
 class LogApplication:
-    """``POST`` and ``GET /streams/<name>``."""
+    """The log as an HTTP service."""
 
     def __init__(self, log: MemoryLog) -> None:
-        self.log = log
+        self.log = FaultyLog(log, clock=read_monotonic, sleep=time.sleep)
 
     def __call__(
-        self, environ: Environ, start_response: Callable[..., Any]
+        self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one HTTP request."""
-        stream = StreamName(environ["PATH_INFO"].removeprefix("/streams/"))
-        if environ["REQUEST_METHOD"] == "POST":
-            offset = self.log.append(stream, environ["wsgi.input"].read())
-            return respond(start_response, Appended(offset))
+        try:
+            body = self._answer(environ)
+        except UncertainError:
+            return _break_off(start_response)
+        except PlantainhingeError as error:
+            return _refuse(start_response, error)
+        return respond(start_response, body)
+
+    def _answer(self, environ: Environ) -> object:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if method == "PUT":
+            return self._control(environ)
+        stream = StreamName(path.removeprefix(STREAMS))
+        if method == "POST":
+            return Appended(self.log.append(stream, environ["wsgi.input"].read()))
         query = parse_qs(environ["QUERY_STRING"])
         start = Offset(int(query["start"][0]))
-        try:
-            page = self.log.read(stream, start, int(query["max_bytes"][0]))
-        except TrimmedError as error:
-            problem = Problem(code="trimmed", detail=error.message, first=error.first)
-            return respond(start_response, problem, status=410)
-        return respond(start_response, page)
+        return self.log.read(stream, start, int(query["max_bytes"][0]))
+
+    def _control(self, environ: Environ) -> Empty:
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        if path == "/faults":
+            self.log.faults = msgspec.json.decode(body, type=list[FaultRow])
+        elif path == "/limits":
+            self.log.limits = msgspec.json.decode(body, type=LogLimits)
+        elif path.startswith(TRIM):
+            first = int(parse_qs(environ["QUERY_STRING"])["first"][0])
+            self.log.log.trim(StreamName(path.removeprefix(TRIM)), Offset(first))
+        else:
+            raise BadInputError(f"no control at {path!r}", step="log.control")
+        return Empty()
+
+
+def _refuse(start_response: StartResponse, error: PlantainhingeError) -> list[bytes]:
+    problem = Problem(code=error.code, detail=error.message)
+    headers: list[tuple[str, str]] = []
+    status = 400
+    if isinstance(error, TrimmedError):
+        problem.first = error.first
+        status = 410
+    elif isinstance(error, UnavailableError):
+        headers = [("Retry-After", f"{error.retry_after:.3f}")]
+        status = 503 if error.step == "log" else 429
+    elif error.code == "too-large":
+        status = 413
+    return respond(start_response, problem, status=status, headers=headers)
+
+
+def _break_off(start_response: StartResponse) -> list[bytes]:
+    """Send less than the announced length, so that the answer counts as lost."""
+    start_response("200 OK", [("Content-Length", "1000")])
+    return [b"{"]
--- /dev/null
+++ b/standins/log_faults.py
@@ -0,0 +1,186 @@
+"""Faults of the platform's log, put in front of any implementation of it."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from plantainhinge.adapters.log_memory import MemoryLog
+from plantainhinge.core.errors import UnavailableError, UncertainError
+from plantainhinge.core.ids import Offset, Seconds, StreamName
+from plantainhinge.core.messages import Page
+
+RETRY_AFTER_SECONDS = 0.5
+RATE_WINDOW_SECONDS = 1.0
+
+
+class LogFault(Enum):
+    """What goes wrong with a call."""
+
+    REFUSE = "refuse"
+    LOSE_CALL = "lose-call"
+    LOSE_ANSWER = "lose-answer"
+    DELAY = "delay"
+    READ_BEHIND = "read-behind"
+    CORRUPT = "corrupt"
+
+
+class LogOperation(Enum):
+    """Which calls a fault is about."""
+
+    APPEND = "append"
+    READ = "read"
+    ANY = "any"
+
+
+class FaultRow(msgspec.Struct, kw_only=True):
+    """One fault; the first row that matches a call applies to it.
+
+    Parameters
+    ----------
+    stream : StreamName
+        Only this stream; empty for all.
+    calls : int or None
+        How many calls it strikes; None for all.
+    seconds : float
+        Length of a delay.
+    entries : int
+        How many of the newest entries a read from behind does not see.
+    """
+
+    fault: LogFault
+    operation: LogOperation = LogOperation.ANY
+    stream: StreamName = StreamName("")
+    calls: int | None = None
+    seconds: float = 0.0
+    entries: int = 1
+
+    def matches(self, operation: LogOperation, stream: StreamName) -> bool:
+        """Return whether the fault strikes such a call."""
+        about = self.operation in (LogOperation.ANY, operation)
+        return about and self.stream in ("", stream) and self.calls != 0
+
+
+class LogLimits(msgspec.Struct, kw_only=True):
+    """What the log grants; zero is no limit."""
+
+    appends_per_second: int = 0
+    retention_seconds: float = 0.0
+
+
+class FaultyLog:
+    """A log whose calls go wrong as the table of faults says.
+
+    Parameters
+    ----------
+    clock, sleep : callable
+        The time in seconds, and how to let it pass.
+    """
+
+    def __init__(
+        self,
+        log: MemoryLog,
+        *,
+        clock: Callable[[], Seconds],
+        sleep: Callable[[float], None],
+    ) -> None:
+        self.log = log
+        self.limits = LogLimits()
+        self.faults: list[FaultRow] = []
+        self._clock = clock
+        self._sleep = sleep
+        self._lock = threading.Lock()
+        self._taken: deque[Seconds] = deque()
+        self._ages: deque[tuple[Seconds, StreamName, Offset]] = deque()
+
+    def append(self, stream: StreamName, data: bytes) -> Offset:
+        """Append one entry, unless a fault or the rate limit is in the way."""
+        self._limit_rate()
+        fault = self._find_fault(LogOperation.APPEND, stream)
+        self._strike_before(fault)
+        if fault is not None and fault.fault is LogFault.CORRUPT:
+            data = _corrupt(data)
+        offset = self.log.append(stream, data)
+        self._ages.append((self._clock(), stream, offset))
+        if fault is not None and fault.fault is LogFault.LOSE_ANSWER:
+            raise UncertainError("the answer was lost", step="log.append")
+        return offset
+
+    def read(self, stream: StreamName, start: Offset, max_bytes: int) -> Page:
+        """Return entries, unless a fault is in the way."""
+        self._retain()
+        fault = self._find_fault(LogOperation.READ, stream)
+        self._strike_before(fault)
+        page = self.log.read(stream, start, max_bytes)
+        if fault is None:
+            return page
+        if fault.fault is LogFault.LOSE_ANSWER:
+            raise UncertainError("the answer was lost", step="log.read")
+        if fault.fault is LogFault.READ_BEHIND:
+            return _read_behind(page, fault.entries)
+        if fault.fault is LogFault.CORRUPT:
+            return _corrupt_page(page)
+        return page
+
+    def _find_fault(
+        self, operation: LogOperation, stream: StreamName
+    ) -> FaultRow | None:
+        with self._lock:
+            for row in self.faults:
+                if row.matches(operation, stream):
+                    if row.calls is not None:
+                        row.calls -= 1
+                    return row
+        return None
+
+    def _strike_before(self, fault: FaultRow | None) -> None:
+        if fault is None:
+            return
+        self._sleep(fault.seconds)
+        if fault.fault is LogFault.REFUSE:
+            raise UnavailableError(
+                "the log is down", step="log", retry_after=RETRY_AFTER_SECONDS
+            )
+        if fault.fault is LogFault.LOSE_CALL:
+            raise UncertainError("the call was lost", step="log")
+
+    def _limit_rate(self) -> None:
+        now = self._clock()
+        with self._lock:
+            while self._taken and self._taken[0] <= now - RATE_WINDOW_SECONDS:
+                self._taken.popleft()
+            limit = self.limits.appends_per_second
+            if limit and len(self._taken) >= limit:
+                wait = self._taken[0] + RATE_WINDOW_SECONDS - now
+                raise UnavailableError(
+                    "too many appends", step="log.append", retry_after=wait
+                )
+            self._taken.append(now)
+
+    def _retain(self) -> None:
+        retention = self.limits.retention_seconds
+        oldest = self._clock() - retention
+        while retention and self._ages and self._ages[0][0] < oldest:
+            _, stream, offset = self._ages.popleft()
+            self.log.trim(stream, Offset(offset + 1))
+
+
+def _read_behind(page: Page, entries: int) -> Page:
+    end = Offset(max(page.first, page.end - entries))
+    seen = [entry for entry in page.entries if entry.offset < end]
+    return Page(entries=seen, first=page.first, end=end)
+
+
+def _corrupt_page(page: Page) -> Page:
+    entries = [
+        msgspec.structs.replace(entry, data=_corrupt(entry.data))
+        for entry in page.entries
+    ]
+    return Page(entries=entries, first=page.first, end=page.end)
+
+
+def _corrupt(data: bytes) -> bytes:
+    middle = len(data) // 2
+    return data[:middle] + bytes([data[middle] ^ 1]) + data[middle + 1 :]
--- a/standins/wsgi.py
+++ b/standins/wsgi.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from waitress.server import create_server
+from waitress.wasyncore import close_all
 
 Environ = dict[str, Any]
 Application = Callable[[Environ, Callable[..., Any]], Iterable[bytes]]
@@ -17,6 +18,7 @@
     404: "404 Not Found",
     409: "409 Conflict",
     410: "410 Gone",
+    413: "413 Content Too Large",
     429: "429 Too Many Requests",
     503: "503 Service Unavailable",
 }
@@ -59,6 +61,5 @@
     try:
         yield int(server.effective_port)
     finally:
-        server.close()
-        server.trigger.pull_trigger()
+        server.trigger.pull_trigger(lambda: close_all(server._map, ignore_all=True))
         thread.join(timeout=2.0)
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,85 @@
+"""The daemon's share of the log: one timer, one bucket, back-off."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.ids import Seconds
+from plantainhinge.streams.budgets import (
+    APPENDS_PER_SECOND,
+    BACKOFF_SECONDS_MAX,
+    BURST_SECONDS,
+    LogBudget,
+)
+
+
+def append_for(budget, seconds, *, streams, urgent=False, start=100.0):
+    """Return how many appends went out; every stream asks in every tick."""
+    sent = 0
+    for tick in range(int(seconds / 0.05)):
+        now = Seconds(start + tick * 0.05)
+        for _ in range(streams):
+            if budget.may_append(now, urgent=urgent):
+                budget.take_append()
+                sent += 1
+    return sent
+
+
+def test_streams_commit_together_on_one_timer():
+    budget = LogBudget()
+    times = set()
+    for tick in range(200):
+        now = Seconds(100.0 + tick * 0.01)
+        granted = [budget.may_append(now, urgent=False) for _ in range(3)]
+        assert granted in ([True] * 3, [False] * 3)
+        if granted[0]:
+            times.add(now)
+    assert len(times) == 10
+
+
+@given(streams=st.integers(1, 60), seconds=st.integers(1, 30), urgent=st.booleans())
+def test_no_number_of_streams_passes_the_share(streams, seconds, urgent):
+    sent = append_for(LogBudget(), seconds, streams=streams, urgent=urgent)
+    assert sent <= APPENDS_PER_SECOND * (seconds + BURST_SECONDS)
+
+
+def test_an_urgent_record_does_not_wait_for_the_timer():
+    budget = LogBudget()
+    assert budget.may_append(Seconds(100.0), urgent=False)
+    assert not budget.may_append(Seconds(100.01), urgent=False)
+    assert budget.may_append(Seconds(100.01), urgent=True)
+
+
+def test_refusals_by_the_rate_limit_shrink_the_share_and_answers_regain_it():
+    budget = LogBudget()
+    before = budget.commit_period
+    for _ in range(3):
+        budget.note_limited(Seconds(100.0), 0.5)
+    assert budget.rate == APPENDS_PER_SECOND / 8
+    assert budget.commit_period > before
+    assert not budget.may_append(Seconds(100.4), urgent=True)
+    assert budget.may_append(Seconds(100.6), urgent=True)
+    for _ in range(100):
+        budget.note_appended()
+    assert budget.rate == APPENDS_PER_SECOND
+
+
+@given(
+    failures=st.integers(0, 100),
+    draw=st.floats(0, 1, exclude_max=True),
+    wait=st.floats(0, 60),
+)
+def test_back_off_is_bounded_and_never_before_the_log_asked(failures, draw, wait):
+    budget = LogBudget(failures=failures)
+    retry_at = budget.note_failed(Seconds(100.0), wait, draw)
+    assert 100.0 + wait <= retry_at <= 100.0 + max(wait, BACKOFF_SECONDS_MAX)
+    assert retry_at > 100.0
+
+
+@pytest.mark.parametrize(("failures", "calls"), [(0, 4), (1, 1), (9, 1)])
+def test_calls_under_way_are_bounded_and_a_failing_log_is_probed_by_one(
+    failures, calls
+):
+    budget = LogBudget(failures=failures)
+    while budget.may_call():
+        budget.calls_out += 1
+    assert budget.calls_out == calls
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -21,7 +21,7 @@
     def dump(self):
         return b""
 
-    def restore(self, state):
+    def restore(self, state, now):
         pass
 
 
