--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,8 +1,20 @@
 """The copy of a stream: read-back, lost answers and duplicates."""
 
+import pytest
+
 from plantainhinge.adapters.log_memory import MemoryLog
+from plantainhinge.core.errors import TooLargeError, TrimmedError
 from plantainhinge.core.ids import Epoch, Offset, Seconds, StreamName, WriterId
-from plantainhinge.core.records import TaskCancelled
+from plantainhinge.core.messages import Entry, Page
+from plantainhinge.core.records import (
+    RECORD_VERSION,
+    Batch,
+    TaskCancelled,
+    decode_batch,
+    encode_batch,
+    seal,
+)
+from plantainhinge.streams.batches import BATCH_BYTES, RECORD_BYTES_MAX
 from plantainhinge.streams.replica import Append, Replica
 
 STREAM = StreamName("ledger.0")
@@ -29,10 +41,13 @@
     """Run commands until the replica has none; lose the first append answers."""
     while command := replica.next_command(Seconds(now), NO_EPOCH):
         if not isinstance(command, Append):
-            page = log.read(command.stream, command.start, 100_000)
-            replica.on_page(page, Seconds(now))
+            read(replica, log, command, now)
+            continue
+        try:
+            log.append(command.stream, command.data)
+        except TooLargeError:
+            replica.on_append_too_large()
             continue
-        log.append(command.stream, command.data)
         if lose_answers:
             lose_answers -= 1
             replica.on_append_uncertain(Seconds(now))
@@ -40,6 +55,15 @@
             replica.on_appended()
 
 
+def read(replica, log, command, now):
+    try:
+        page = log.read(command.stream, command.start, 100_000)
+    except TrimmedError as error:
+        replica.on_trimmed(Offset(error.first))
+    else:
+        replica.on_page(page, Seconds(now))
+
+
 def make_replica(name="a"):
     return Replica(STREAM, WriterId(name), Recorder())
 
@@ -86,3 +110,116 @@
     replica.on_append_uncertain(Seconds(1.0))
     advance(replica, log, 9.0)
     assert replica.confirmed_at == 1.0
+
+
+def test_a_read_from_behind_does_not_resend_an_acknowledged_batch():
+    log, replica = MemoryLog(), make_replica()
+    advance(replica, log, 0.0)
+    replica.propose(TaskCancelled("t"))
+    command = replica.next_command(Seconds(1.0), NO_EPOCH)
+    replica.on_appended(log.append(command.stream, command.data))
+    replica.next_command(Seconds(1.0), NO_EPOCH)
+    replica.on_page(Page(entries=[], first=Offset(0), end=Offset(0)), Seconds(1.0))
+    assert not replica.caught_up
+    assert replica.next_command(Seconds(1.0), NO_EPOCH) is None
+    advance(replica, log, 2.0)
+    assert log.read(STREAM, Offset(0), 100_000).end == 1
+
+
+@pytest.mark.parametrize(
+    ("spoil", "reads"),
+    [
+        (lambda data: b"", 3),
+        (lambda data: data[:3], 3),
+        (lambda data: data[:-1], 3),
+        (lambda data: data + b"x", 3),
+        (lambda data: data[:-1] + bytes([data[-1] ^ 1]), 3),
+        (lambda data: seal(b"\xc0"), 3),
+    ],
+    ids=["empty", "short", "truncated", "longer", "flipped", "no batch"],
+)
+def test_an_unreadable_entry_is_skipped_after_the_same_bytes_were_read_again(
+    spoil, reads
+):
+    log, replica = MemoryLog(), make_replica()
+    advance(replica, log, 0.0)
+    replica.propose(TaskCancelled("t"))
+    command = replica.next_command(Seconds(1.0), NO_EPOCH)
+    replica.on_appended(log.append(command.stream, spoil(command.data)))
+    for _ in range(reads):
+        assert replica.next_offset == 0
+        command = replica.next_command(Seconds(1.0), NO_EPOCH)
+        page = log.read(command.stream, command.start, 100_000)
+        replica.on_page(page, Seconds(1.0))
+    assert replica.next_offset == 1
+    advance(replica, log, 2.0)
+    assert replica.reducer.tasks == ["t"]
+
+
+def test_one_bad_read_skips_nothing():
+    log, replica = MemoryLog(), make_replica()
+    writer = make_replica("b")
+    advance(writer, log, 0.0)
+    writer.propose(TaskCancelled("t"))
+    advance(writer, log, 1.0)
+    advance(replica, MemoryLog(), 0.0)
+    page = log.read(STREAM, Offset(0), 100_000)
+    bad = [Entry(offset=Offset(0), data=page.entries[0].data[:-1])]
+    replica.next_command(Seconds(1.0), NO_EPOCH)
+    replica.on_page(Page(entries=bad, first=page.first, end=page.end), Seconds(1.0))
+    advance(replica, log, 2.0)
+    assert replica.reducer.tasks == ["t"]
+
+
+def test_a_newer_version_halts_the_copy_for_good_and_says_why():
+    log, replica = MemoryLog(), make_replica()
+    newer = Batch(RECORD_VERSION + 1, WriterId("n"), 1, NO_EPOCH, [])
+    log.append(STREAM, encode_batch(newer))
+    advance(replica, log, 0.0)
+    assert f"version {RECORD_VERSION + 1}" in replica.halted.message
+    assert replica.next_offset == 0
+    assert not replica.caught_up
+    assert replica.next_command(Seconds(99.0), NO_EPOCH) is None
+
+
+def test_a_batch_is_split_by_bytes():
+    log, replica = MemoryLog(), make_replica()
+    advance(replica, log, 0.0)
+    for number in range(5):
+        replica.propose(TaskCancelled(f"{number}" * (BATCH_BYTES // 2)))
+    for now in range(1, 6):
+        advance(replica, log, float(now))
+    entries = log.read(STREAM, Offset(0), 2**30).entries
+    assert len(replica.reducer.tasks) == 5
+    assert len(entries) > 1
+    assert all(len(entry.data) < BATCH_BYTES + 100 for entry in entries)
+
+
+def test_a_batch_too_large_for_the_log_is_split_and_a_lone_record_rejected():
+    log, replica = MemoryLog(entry_bytes_max=300), make_replica()
+    advance(replica, log, 0.0)
+    sizes = [100, 100, 400, 100]
+    proposals = [
+        replica.propose(TaskCancelled(f"{number}" * size))
+        for number, size in enumerate(sizes)
+    ]
+    for now in range(1, 9):
+        advance(replica, log, float(now))
+    assert [p.rejection is None for p in proposals] == [True, True, False, True]
+    assert all(p.decided for p in proposals)
+
+
+def test_a_record_larger_than_any_entry_is_rejected_at_once():
+    proposal = make_replica().propose(TaskCancelled("x" * (RECORD_BYTES_MAX + 1)))
+    assert proposal.decided
+    assert str(RECORD_BYTES_MAX) in proposal.rejection
+
+
+def test_the_epoch_is_that_of_the_moment_the_batch_was_built():
+    log, replica = MemoryLog(), make_replica()
+    advance(replica, log, 0.0)
+    replica.propose(TaskCancelled("t"))
+    replica.next_command(Seconds(1.0), Epoch(1))
+    replica.on_append_refused(Seconds(1.0))
+    command = replica.next_command(Seconds(2.0), Epoch(2))
+    assert decode_batch(command.data).epoch == 1
