--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -127,7 +127,7 @@
     log.append(command.stream, command.data)
     reader = make_replica("b")
     reads = count_reads(reader, log, 210.0)
-    assert (STREAM, 1) in reads
+    assert (STREAM, 2) in reads
     assert [task[0] for task in reader.reducer.tasks] == ["x", "y", "z"]
 
 
