Add the placement policies as pure systems over tables

Cause: placement was first fit on the least loaded worker, with no quotas, no order that ends starvation, no model of interference and nothing that gives way. Baselines are registered beside them. Not wired into the owners yet.

--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -229,13 +229,22 @@
 
 
 class CellDigest(Message, frozen=True):
-    """What a cell can still take, for the ledgers that assign work to it."""
+    """What a cell can still take, for the ledgers that assign work to it.
+
+    Parameters
+    ----------
+    largest_free : Resources
+        The most that one worker has free, each amount by itself.
+    critical : Resources
+        What its latency-critical tasks hold.
+    """
 
     domain: DomainId
     free: Resources
     capacity: Resources
     largest_free: Resources
     workers: int
+    critical: Resources = Resources()
 
 
 class LoadDigest(Message, frozen=True):
--- a/plantainhinge/ledgers/cell_systems.py
+++ b/plantainhinge/ledgers/cell_systems.py
@@ -17,7 +17,7 @@
 from ..core.records import AnyRecord, AttemptClosed, AttemptPlaced, WorkerJoined
 from ..core.resources import Resources
 from ..core.states import AttemptOutcome, InstanceRole, InstanceState
-from ..placement.scores import Candidate, Score, pick_worker
+from ..placement.scores import Candidate, Demand, Score, pick_worker
 from .cell import CellState, WorkerRow
 
 LEASE_SECONDS = 15.0
@@ -157,7 +157,8 @@
 ) -> AnyRecord:
     if offer.cancelled:
         return _decline(offer, AttemptOutcome.CANCELLED, "cancelled before its start")
-    worker = pick_worker(candidates, offer.resources, score)
+    demand = Demand(offer.kind, offer.resources, offer.task_class, offer.service)
+    worker = pick_worker(candidates, demand, score)
     if worker is None:
         return _decline(offer, AttemptOutcome.DECLINED, "no worker has room")
     chosen = candidates[worker]
--- /dev/null
+++ b/plantainhinge/placement/assignment.py
@@ -0,0 +1,207 @@
+"""Assignment of waiting tasks to cells, and why the others wait."""
+
+import heapq
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..core.ids import DomainId, Seconds, ServiceId, TaskId, TeamId
+from ..core.resources import Resources
+from ..core.states import TaskClass
+from .backoff import BackoffTable
+from .cells import CELL_CHOICES, CellRoom, keeps_headroom
+from .queue import ORDERS, Shape, Waiting, WaitingQueue
+from .quotas import QuotaUse, fits_quota
+from .ramp import RampTable
+
+
+class HoldReason(Enum):
+    """Which limit holds a waiting task back."""
+
+    TURN = "its turn"
+    QUOTA = "quota of its team"
+    ROOM = "room in a failure domain"
+    HEADROOM = "room beyond the headroom kept for services"
+    RAMP = "ramp of a returning failure domain"
+    BACK_OFF = "a newer view of the failure domains"
+    DOMAINS_OUT = "a failure domain that is in"
+    STALE_VIEW = "news from the failure domains"
+
+
+SHORT_OF_ROOM = frozenset({HoldReason.ROOM, HoldReason.HEADROOM, HoldReason.BACK_OFF})
+
+
+@dataclass(frozen=True)
+class AssignmentPolicy:
+    """Names of the policies in force, and their limits.
+
+    Parameters
+    ----------
+    headroom_share : float
+        The part of a leaving domain's services that others keep room for.
+    starved_seconds : float
+        After this wait a task that fits nowhere keeps others out of one cell.
+    batch_size : int
+        The most assignments of one plan.
+    """
+
+    order: str = "aged-priority"
+    choice: str = "spread"
+    headroom_share: float = 1.0
+    starved_seconds: float = 900.0
+    batch_size: int = 256
+
+
+@dataclass
+class AssignmentTables:
+    """What the owner of a ledger remembers between plans; lost with the owner."""
+
+    ramp: RampTable = field(default_factory=RampTable)
+    backoff: BackoffTable = field(default_factory=BackoffTable)
+    held: dict[Shape, HoldReason] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """A task that goes to a cell."""
+
+    task: TaskId
+    cell: DomainId
+
+
+@dataclass
+class Site:
+    """What is known of the site while a plan is made; the plan changes it.
+
+    Parameters
+    ----------
+    some_in : bool
+        Whether operators let any failure domain take work.
+    wall : float
+        Wall time in seconds, for the time waited.
+    """
+
+    rooms: dict[DomainId, CellRoom]
+    quotas: Mapping[TeamId, Resources]
+    use: QuotaUse
+    replicas: dict[tuple[ServiceId, DomainId], int]
+    now: Seconds
+    wall: float
+    some_in: bool = True
+    reserved: DomainId | None = None
+    closed_teams: set[TeamId] = field(default_factory=set)
+
+
+def plan_assignments(
+    queue: WaitingQueue, site: Site, tables: AssignmentTables, policy: AssignmentPolicy
+) -> list[Assignment]:
+    """Return the assignments to make now; note in ``tables`` why others wait.
+
+    The cost follows the number of shapes and of assignments, not of tasks.
+    """
+    tables.ramp.follow(site.rooms, site.now)
+    tables.held.clear()
+    planned: list[Assignment] = []
+    for shape, waiting in _walk(queue, policy, tables.held):
+        if len(planned) == policy.batch_size:
+            break
+        cell = _find_cell(shape, site, tables, policy)
+        if isinstance(cell, HoldReason):
+            tables.held[shape] = cell
+            _reserve(shape, waiting, site, cell, policy)
+            continue
+        _take(shape, cell, site, tables)
+        planned.append(Assignment(waiting.task, cell))
+    return planned
+
+
+def _walk(
+    queue: WaitingQueue, policy: AssignmentPolicy, held: Mapping[Shape, HoldReason]
+) -> Iterator[tuple[Shape, Waiting]]:
+    order = ORDERS.find(policy.order)
+    heap = [
+        (order(shape, row[0].since), row[0].task, 0, shape)
+        for shape, row in queue.shapes.items()
+    ]
+    heapq.heapify(heap)
+    while heap:
+        _, _, place, shape = heapq.heappop(heap)
+        row = queue.shapes[shape]
+        yield shape, row[place]
+        place += 1
+        if place < len(row) and shape not in held:
+            rank = order(shape, row[place].since)
+            heapq.heappush(heap, (rank, row[place].task, place, shape))
+
+
+def _find_cell(
+    shape: Shape, site: Site, tables: AssignmentTables, policy: AssignmentPolicy
+) -> DomainId | HoldReason:
+    if not site.rooms:
+        return HoldReason.STALE_VIEW if site.some_in else HoldReason.DOMAINS_OUT
+    fits = fits_quota(site.use, site.quotas, shape.team, shape.resources)
+    if not fits or shape.team in site.closed_teams:
+        return HoldReason.QUOTA
+    rooms = _list_open(shape.resources, site, tables)
+    if isinstance(rooms, HoldReason):
+        return rooms
+    return _choose(shape, rooms, site, policy)
+
+
+def _list_open(
+    need: Resources, site: Site, tables: AssignmentTables
+) -> list[CellRoom] | HoldReason:
+    """Return the cells that may take ``need`` now, or what stands against all."""
+    rooms = [room for room in site.rooms.values() if room.fits(need)]
+    rooms = [room for room in rooms if room.domain != site.reserved]
+    if not rooms:
+        return HoldReason.ROOM
+    rooms = [room for room in rooms if tables.ramp.may_take(room.domain, site.now)]
+    if not rooms:
+        return HoldReason.RAMP
+    find_pause = tables.backoff.find_pause
+    rooms = [room for room in rooms if not find_pause(room.domain, need, site.now)]
+    return rooms or HoldReason.BACK_OFF
+
+
+def _choose(
+    shape: Shape, rooms: list[CellRoom], site: Site, policy: AssignmentPolicy
+) -> DomainId | HoldReason:
+    if shape.task_class is TaskClass.BATCH and not shape.urgent:
+        everywhere = list(site.rooms.values())
+        share = policy.headroom_share
+        need = shape.resources
+        rooms = [r for r in rooms if keeps_headroom(everywhere, r, need, share)]
+        if not rooms:
+            return HoldReason.HEADROOM
+    choose = CELL_CHOICES.find(policy.choice)
+    return choose(rooms, shape, site.replicas).domain
+
+
+def _reserve(
+    shape: Shape,
+    waiting: Waiting,
+    site: Site,
+    reason: HoldReason,
+    policy: AssignmentPolicy,
+) -> None:
+    """Keep work of later rank out, so that a large task gets room in the end."""
+    if site.wall - waiting.since < policy.starved_seconds:
+        return
+    if reason is HoldReason.QUOTA:
+        site.closed_teams.add(shape.team)
+    if reason not in SHORT_OF_ROOM or site.reserved is not None:
+        return
+    able = [r for r in site.rooms.values() if shape.resources.fits_within(r.capacity)]
+    if able:
+        emptiest = max(able, key=lambda room: room.largest_free.millicores)
+        site.reserved = emptiest.domain
+
+
+def _take(shape: Shape, cell: DomainId, site: Site, tables: AssignmentTables) -> None:
+    site.rooms[cell] = site.rooms[cell].take(shape)
+    site.use.take(shape.team, shape.resources)
+    tables.ramp.take(cell)
+    if shape.service:
+        key = (shape.service, cell)
+        site.replicas[key] = site.replicas.get(key, 0) + 1
--- /dev/null
+++ b/plantainhinge/placement/cells.py
@@ -0,0 +1,138 @@
+"""Choice of the cell, that is the failure domain, for a waiting task."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from ..core.configuration import Configuration
+from ..core.ids import DomainId, RegionId, ServiceId
+from ..core.messages import CellDigest
+from ..core.registry import Registry
+from ..core.resources import Resources
+from ..core.states import DomainState, TaskClass
+from .queue import Shape
+
+
+@dataclass(frozen=True)
+class CellRoom:
+    """What a cell can still take, as far as its digest and this plan tell.
+
+    Parameters
+    ----------
+    largest_free : Resources
+        The most that one worker has free, each amount by itself.
+    critical : Resources
+        What its latency-critical tasks hold.
+    """
+
+    domain: DomainId
+    region: RegionId
+    free: Resources
+    largest_free: Resources
+    capacity: Resources
+    critical: Resources = Resources()
+
+    def fits(self, need: Resources) -> bool:
+        """Return whether some worker may have room."""
+        return need.fits_within(self.free) and need.fits_within(self.largest_free)
+
+    def take(self, shape: Shape) -> "CellRoom":
+        """Return the room after a placement."""
+        critical = self.critical
+        if shape.task_class is TaskClass.LATENCY_CRITICAL:
+            critical = critical + shape.resources
+        return replace(self, free=self.free - shape.resources, critical=critical)
+
+
+ReplicaCounts = Mapping[tuple[ServiceId, DomainId], int]
+CellChoice = Callable[[Sequence[CellRoom], Shape, ReplicaCounts], CellRoom]
+CELL_CHOICES: Registry[CellChoice] = Registry("cell choice")
+
+
+@CELL_CHOICES.register("first-fit")
+def choose_first(
+    rooms: Sequence[CellRoom], shape: Shape, replicas: ReplicaCounts
+) -> CellRoom:
+    """Choose the first cell with room."""
+    return rooms[0]
+
+
+@CELL_CHOICES.register("most-free")
+def choose_most_free(
+    rooms: Sequence[CellRoom], shape: Shape, replicas: ReplicaCounts
+) -> CellRoom:
+    """Choose the cell with most free processors."""
+    return max(rooms, key=lambda room: room.free.millicores)
+
+
+@CELL_CHOICES.register("spread")
+def choose_spread(
+    rooms: Sequence[CellRoom], shape: Shape, replicas: ReplicaCounts
+) -> CellRoom:
+    """Choose the cell with fewest replicas of the service, then the emptiest."""
+
+    def weigh(room: CellRoom) -> tuple[int, float]:
+        count = replicas.get((shape.service, room.domain), 0) if shape.service else 0
+        return (-count, find_free_share(room, shape.resources))
+
+    return max(rooms, key=weigh)
+
+
+def find_free_share(room: CellRoom, need: Resources) -> float:
+    """Return the share of the scarcest resource left after a placement."""
+    rest = room.free - need
+    return min(
+        rest.millicores / max(1, room.capacity.millicores),
+        rest.memory_mib / max(1, room.capacity.memory_mib),
+    )
+
+
+def list_rooms(
+    digests: Mapping[DomainId, CellDigest], configuration: Configuration
+) -> dict[DomainId, CellRoom]:
+    """Return the room of each cell that is in and has told of itself."""
+    rooms = {}
+    for name, domain in configuration.domains.items():
+        digest = digests.get(name)
+        if digest is None or domain.state is not DomainState.IN:
+            continue
+        rooms[name] = CellRoom(
+            name,
+            domain.region,
+            digest.free,
+            digest.largest_free,
+            digest.capacity,
+            digest.critical,
+        )
+    return rooms
+
+
+def keeps_headroom(
+    rooms: Iterable[CellRoom], chosen: CellRoom, need: Resources, share: float
+) -> bool:
+    """Return whether a region could still take any one leaving domain's services.
+
+    Parameters
+    ----------
+    share : float
+        The part of a domain's latency-critical resources that the other domains
+        of its region keep free; what is missing is made by evicting batch work.
+    """
+    region = [room for room in rooms if room.region == chosen.region]
+    free = sum((room.free for room in region), Resources()) - need
+    for leaving in region:
+        if len(region) == 1:
+            break
+        own = leaving.free - need if leaving.domain == chosen.domain else leaving.free
+        wanted = scale_resources(leaving.critical, share)
+        if not wanted.fits_within(free - own):
+            return False
+    return True
+
+
+def scale_resources(amount: Resources, share: float) -> Resources:
+    """Return a part of an amount, rounded down."""
+    return Resources(
+        int(amount.millicores * share),
+        int(amount.memory_mib * share),
+        int(amount.accelerators * share),
+    )
--- /dev/null
+++ b/plantainhinge/placement/drain.py
@@ -0,0 +1,120 @@
+"""The order in which a failure domain that was taken out is emptied.
+
+Batch work that the other domains have room for moves at once, highest priority
+first. What they cannot carry works on until the grace time ends and is then
+checkpointed and stopped. Service replicas stay until the grace time ends, so that
+their replacements come up before they go.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..core.ids import Attempt, Seconds, TaskId
+from ..core.registry import Registry
+from ..core.resources import Resources
+from ..core.states import TaskClass
+
+
+@dataclass(frozen=True)
+class DrainLimits:
+    """How long and how fast a domain is emptied.
+
+    Parameters
+    ----------
+    grace_seconds : float
+        From when the domain was seen to be out until all is stopped.
+    first_stops, stops_per_second : float
+        At most ``first_stops + stops_per_second * age`` attempts are stopped
+        before the grace time ends.
+    """
+
+    grace_seconds: float = 20.0
+    first_stops: float = 8.0
+    stops_per_second: float = 20.0
+
+
+@dataclass(frozen=True)
+class DrainRow:
+    """An open attempt of the leaving domain."""
+
+    task: TaskId
+    attempt: Attempt
+    task_class: TaskClass
+    priority: int
+    resources: Resources
+    replaced: bool = False
+
+
+@dataclass
+class DrainTable:
+    """When the domain was seen to leave, and what was stopped since."""
+
+    limits: DrainLimits = DrainLimits()
+    since: Seconds | None = None
+    moved: Resources = Resources()
+    stopped: int = 0
+
+    def follow(self, is_out: bool, now: Seconds) -> None:
+        """Note whether the domain is out; coming back ends the drain."""
+        if not is_out:
+            self.since = None
+        elif self.since is None:
+            self.since = now
+            self.moved = Resources()
+            self.stopped = 0
+
+
+Drain = Callable[[Iterable[DrainRow], Resources, DrainTable, Seconds], list[TaskId]]
+DRAINS: Registry[Drain] = Registry("drain order")
+
+
+@DRAINS.register("at-once")
+def stop_all(
+    rows: Iterable[DrainRow], room: Resources, table: DrainTable, now: Seconds
+) -> list[TaskId]:
+    """Stop everything at once."""
+    return [row.task for row in rows]
+
+
+@DRAINS.register("by-priority")
+def stop_in_order(
+    rows: Iterable[DrainRow], room: Resources, table: DrainTable, now: Seconds
+) -> list[TaskId]:
+    """Stop what the other domains can carry, and the rest when the grace ends.
+
+    Parameters
+    ----------
+    rows
+        Attempts that are open and not stopping yet.
+    room : Resources
+        What the other domains had free when the drain began.
+    """
+    if table.since is None:
+        return []
+    age = now - table.since
+    ordered = sorted(rows, key=_rank)
+    if age >= table.limits.grace_seconds:
+        return [row.task for row in ordered]
+    left = int(table.limits.first_stops + table.limits.stops_per_second * age)
+    left -= table.stopped
+    stopped: list[TaskId] = []
+    for row in ordered:
+        if len(stopped) >= left:
+            break
+        if not _may_move(row, room - table.moved):
+            continue
+        if row.task_class is TaskClass.BATCH:
+            table.moved = table.moved + row.resources
+        stopped.append(row.task)
+    table.stopped += len(stopped)
+    return stopped
+
+
+def _may_move(row: DrainRow, room: Resources) -> bool:
+    if row.task_class is TaskClass.LATENCY_CRITICAL:
+        return row.replaced
+    return row.resources.fits_within(room)
+
+
+def _rank(row: DrainRow) -> tuple[bool, int]:
+    return (row.task_class is not TaskClass.LATENCY_CRITICAL, -row.priority)
--- /dev/null
+++ b/plantainhinge/placement/harm.py
@@ -0,0 +1,245 @@
+"""What to do on a worker whose services are measurably slowed down.
+
+The batch attempt that harms most is throttled first, step by step; only when all
+that matter are throttled as far as they go is the cheapest evicted. Nothing is
+decided on a report whose window began before the last change took effect, and a
+limit is lifted only after a calm time that doubles whenever lifting it did harm.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from ..core.ids import Attempt, Seconds, TaskId, WorkerId
+from ..core.registry import Registry
+from ..core.states import TaskClass
+from .budget import EvictionBudget
+
+
+@dataclass(frozen=True)
+class HarmLimits:
+    """When to act, as slowdowns of services, and how patiently.
+
+    Parameters
+    ----------
+    high, low : float
+        Above ``high`` batch work is held back; below ``low`` limits are lifted.
+    settle_seconds : float
+        Time in which a change shows in the reports, beyond their lag.
+    calm_seconds, longest_calm_seconds : float
+        How long it must be calm before a limit is lifted.
+    throttle_step, throttle_floor : float
+        Each step leaves this share; below the floor there is no further step.
+    matter_share : float
+        Attempts that cause less than this share of the greatest harm are left.
+    """
+
+    high: float = 1.5
+    low: float = 1.2
+    settle_seconds: float = 5.0
+    calm_seconds: float = 30.0
+    longest_calm_seconds: float = 960.0
+    throttle_step: float = 0.5
+    throttle_floor: float = 0.25
+    matter_share: float = 0.3
+
+
+@dataclass(frozen=True)
+class Resident:
+    """An attempt on a worker, as harm is judged by.
+
+    Parameters
+    ----------
+    millicores : int
+        What it was declared with.
+    limit : int
+        The processors it may use now; equal to ``millicores`` without throttle.
+    slowdown : float
+        As reported; counts for latency-critical attempts.
+    harm : float
+        Expected part in the slowdown of the services beside it.
+    unsaved_seconds : float
+        Work lost by stopping it without another checkpoint.
+    """
+
+    task: TaskId
+    attempt: Attempt
+    task_class: TaskClass
+    priority: int
+    millicores: int
+    limit: int
+    slowdown: float = 1.0
+    harm: float = 0.0
+    unsaved_seconds: float = 0.0
+
+    @property
+    def unsaved_work(self) -> float:
+        """Core-seconds lost by stopping it."""
+        return self.unsaved_seconds * self.millicores / 1000
+
+
+@dataclass(frozen=True)
+class WorkerView:
+    """One worker's residents and when their report's window began and ended."""
+
+    worker: WorkerId
+    residents: Sequence[Resident]
+    window_start: Seconds
+
+
+@dataclass(frozen=True)
+class Throttle:
+    """Limit an attempt to ``millicores``; all it declared lifts the limit."""
+
+    task: TaskId
+    attempt: Attempt
+    worker: WorkerId
+    millicores: int
+
+
+@dataclass(frozen=True)
+class Evict:
+    """Checkpoint and stop an attempt, so that it resumes elsewhere."""
+
+    task: TaskId
+    attempt: Attempt
+    worker: WorkerId
+
+
+Relief = Throttle | Evict
+
+
+@dataclass
+class HarmRow:
+    """What was last done on a worker."""
+
+    changed_at: Seconds
+    calm_seconds: float
+    lifted: bool = False
+
+
+@dataclass
+class HarmTable:
+    """Workers on which something was done, and the domain's eviction budget."""
+
+    limits: HarmLimits = HarmLimits()
+    budget: EvictionBudget = field(default_factory=EvictionBudget)
+    rows: dict[WorkerId, HarmRow] = field(default_factory=dict)
+
+
+ReliefPolicy = Callable[[WorkerView, HarmTable, Seconds], list[Relief]]
+RELIEF_POLICIES: Registry[ReliefPolicy] = Registry("relief policy")
+
+
+@RELIEF_POLICIES.register("none")
+def leave_be(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
+    """Do nothing."""
+    return []
+
+
+@RELIEF_POLICIES.register("evict-on-harm")
+def evict_newest(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
+    """Evict some batch attempt whenever a service is slow; knows no model."""
+    if _find_slowdown(view) < table.limits.high:
+        return []
+    batch = _list_batch(view)
+    if not batch:
+        return []
+    return [Evict(batch[-1].task, batch[-1].attempt, view.worker)]
+
+
+@RELIEF_POLICIES.register("throttle-then-evict")
+def relieve(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
+    """Hold back the attempt that harms most, or lift a limit after a calm time."""
+    row = table.rows.get(view.worker)
+    if row and view.window_start < row.changed_at + table.limits.settle_seconds:
+        return []
+    slowdown = _find_slowdown(view)
+    if slowdown >= table.limits.high:
+        return _hold_back(view, table, now)
+    if slowdown <= table.limits.low:
+        return _lift(view, table, now)
+    return []
+
+
+def relieve_workers(
+    views: Iterable[WorkerView], table: HarmTable, policy: str, now: Seconds
+) -> list[Relief]:
+    """Return what to do on workers with fresh reports."""
+    act = RELIEF_POLICIES.find(policy)
+    return [step for view in views for step in act(view, table, now)]
+
+
+def _hold_back(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
+    limits = table.limits
+    causes = _list_causes(view, limits)
+    if not causes:
+        return []
+    softer = [r for r in causes if _next_limit(r, limits) < r.limit]
+    if softer:
+        worst = max(softer, key=lambda r: (r.harm, -r.priority))
+        _note_hold(view.worker, table, now)
+        limit = _next_limit(worst, limits)
+        return [Throttle(worst.task, worst.attempt, view.worker, limit)]
+    if not table.budget.take(now):
+        return []
+    _note_hold(view.worker, table, now)
+    cheapest = min(causes, key=lambda r: (r.priority, r.unsaved_work))
+    return [Evict(cheapest.task, cheapest.attempt, view.worker)]
+
+
+def _note_hold(worker: WorkerId, table: HarmTable, now: Seconds) -> None:
+    limits = table.limits
+    row = table.rows.get(worker)
+    calm = limits.calm_seconds
+    if row is not None:
+        calm = row.calm_seconds
+        if row.lifted:
+            calm = min(calm * 2, limits.longest_calm_seconds)
+    table.rows[worker] = HarmRow(now, calm)
+
+
+def _lift(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
+    limited = [r for r in _list_batch(view) if r.limit < r.millicores]
+    row = table.rows.get(view.worker)
+    if not limited:
+        _forget_when_calm(view.worker, table, now)
+        return []
+    calm = row.calm_seconds if row else table.limits.calm_seconds
+    if row is not None and now < row.changed_at + calm:
+        return []
+    table.rows[view.worker] = HarmRow(now, calm, lifted=True)
+    gentlest = min(limited, key=lambda r: (r.harm, -r.priority))
+    limit = min(gentlest.millicores, round(gentlest.limit / table.limits.throttle_step))
+    return [Throttle(gentlest.task, gentlest.attempt, view.worker, limit)]
+
+
+def _forget_when_calm(worker: WorkerId, table: HarmTable, now: Seconds) -> None:
+    row = table.rows.get(worker)
+    if row is not None and now >= row.changed_at + table.limits.longest_calm_seconds:
+        del table.rows[worker]
+
+
+def _next_limit(resident: Resident, limits: HarmLimits) -> int:
+    floor = round(resident.millicores * limits.throttle_floor)
+    return max(floor, round(resident.limit * limits.throttle_step))
+
+
+def _list_causes(view: WorkerView, limits: HarmLimits) -> list[Resident]:
+    batch = _list_batch(view)
+    greatest = max((r.harm for r in batch), default=0.0)
+    return [r for r in batch if r.harm >= greatest * limits.matter_share]
+
+
+def _list_batch(view: WorkerView) -> list[Resident]:
+    return [r for r in view.residents if r.task_class is TaskClass.BATCH]
+
+
+def _find_slowdown(view: WorkerView) -> float:
+    return max(
+        (
+            r.slowdown
+            for r in view.residents
+            if r.task_class is TaskClass.LATENCY_CRITICAL
+        ),
+        default=1.0,
+    )
--- /dev/null
+++ b/plantainhinge/placement/interference.py
@@ -0,0 +1,153 @@
+"""How much kinds of work slow each other down on one worker.
+
+The slowdown of a kind is estimated as one plus a sum over the kinds beside it:
+a pair's weight times the share of the worker's processors that the other kind
+keeps busy. The estimate therefore shifts with load. The weights are learned by
+normalized least mean squares (Widrow and Hoff, 1960; Nagumo and Noda, 1967) and
+decay towards a prior, so that old findings do not bind for ever.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from ..core.ids import KindId, Seconds
+from ..core.registry import Registry
+from ..core.states import TaskClass
+
+STEP = 0.25
+SMOOTHING = 0.02
+HALF_LIFE_SECONDS = 6 * 3600.0
+MAX_PAIRS = 16_384
+MAX_WEIGHT = 50.0
+BATCH_WEIGHT = 0.2
+
+
+@dataclass(frozen=True)
+class KindLoad:
+    """The share of a worker's processors that one kind keeps busy."""
+
+    kind: KindId
+    task_class: TaskClass
+    load: float
+
+
+@dataclass(frozen=True)
+class Observation:
+    """A slowdown, and the mix over the window that it was measured in.
+
+    Parameters
+    ----------
+    slowdown : float
+        Relative to running alone; 1.0 is no loss.
+    beside : tuple of KindLoad
+        What else ran on the worker in that window.
+    """
+
+    kind: KindId
+    slowdown: float
+    beside: tuple[KindLoad, ...]
+
+
+@dataclass
+class PairRow:
+    """The weight of one ordered pair and when it was last learned."""
+
+    weight: float
+    learned_at: Seconds
+
+
+@dataclass
+class PairTable:
+    """Weights by the kind that suffers and the kind that causes it.
+
+    Parameters
+    ----------
+    prior : float
+        The weight of a pair that was never seen together.
+    """
+
+    prior: float = 0.3
+    rows: dict[tuple[KindId, KindId], PairRow] = field(default_factory=dict)
+
+    def find(self, victim: KindId, other: KindId, now: Seconds) -> float:
+        """Return a pair's weight, decayed to ``now``."""
+        row = self.rows.get((victim, other))
+        if row is None:
+            return self.prior
+        kept = 0.5 ** (max(0.0, now - row.learned_at) / HALF_LIFE_SECONDS)
+        return self.prior + (row.weight - self.prior) * kept
+
+    def set(self, victim: KindId, other: KindId, weight: float, now: Seconds) -> None:
+        """Store a pair's weight, in the place of the oldest when full."""
+        key = (victim, other)
+        self.rows.pop(key, None)
+        if len(self.rows) >= MAX_PAIRS:
+            del self.rows[next(iter(self.rows))]
+        self.rows[key] = PairRow(min(max(weight, 0.0), MAX_WEIGHT), now)
+
+
+def estimate_slowdown(
+    table: PairTable, kind: KindId, beside: Mapping[KindId, KindLoad], now: Seconds
+) -> float:
+    """Return the expected slowdown of a kind beside others."""
+    return 1.0 + sum(
+        table.find(kind, other.kind, now) * other.load for other in beside.values()
+    )
+
+
+def learn(table: PairTable, observation: Observation, now: Seconds) -> None:
+    """Move the weights of the kinds beside towards the measured slowdown."""
+    beside = [other for other in observation.beside if other.load > 0.0]
+    power = sum(other.load**2 for other in beside)
+    if not beside:
+        return
+    weights = [table.find(observation.kind, other.kind, now) for other in beside]
+    expected = 1.0 + sum(
+        weight * other.load for weight, other in zip(weights, beside, strict=True)
+    )
+    error = observation.slowdown - expected
+    for weight, other in zip(weights, beside, strict=True):
+        step = STEP * error * other.load / (power + SMOOTHING)
+        table.set(observation.kind, other.kind, weight + step, now)
+
+
+AddedHarm = Callable[
+    [PairTable, KindLoad, Mapping[KindId, KindLoad], Seconds],
+    float,
+]
+INTERFERENCE_MODELS: Registry[AddedHarm] = Registry("interference model")
+
+
+@INTERFERENCE_MODELS.register("none")
+def expect_no_harm(
+    table: PairTable,
+    arriving: KindLoad,
+    beside: Mapping[KindId, KindLoad],
+    now: Seconds,
+) -> float:
+    """Expect no interference at all."""
+    return 0.0
+
+
+@INTERFERENCE_MODELS.register("pairwise")
+def estimate_added_harm(
+    table: PairTable,
+    arriving: KindLoad,
+    beside: Mapping[KindId, KindLoad],
+    now: Seconds,
+) -> float:
+    """Return the slowdown added to those on the worker and met by the newcomer.
+
+    A batch task's slowdown counts for less than that of latency-critical work.
+    """
+    harm = 0.0
+    for other in beside.values():
+        suffered = table.find(arriving.kind, other.kind, now) * other.load
+        caused = table.find(other.kind, arriving.kind, now) * arriving.load
+        harm += suffered * _weigh(arriving.task_class)
+        harm += caused * _weigh(other.task_class)
+    return harm
+
+
+def _weigh(task_class: TaskClass) -> float:
+    return 1.0 if task_class is TaskClass.LATENCY_CRITICAL else BATCH_WEIGHT
--- /dev/null
+++ b/plantainhinge/placement/quotas.py
@@ -0,0 +1,46 @@
+"""Quotas of teams: the most that a team may have running at once."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..core.configuration import Team
+from ..core.ids import TeamId
+from ..core.resources import Resources
+
+NOTHING = Resources()
+
+
+@dataclass
+class QuotaUse:
+    """What each team has assigned and not ended."""
+
+    used: dict[TeamId, Resources] = field(default_factory=dict)
+
+    def find(self, team: TeamId) -> Resources:
+        """Return what a team uses now."""
+        return self.used.get(team, NOTHING)
+
+    def take(self, team: TeamId, need: Resources) -> None:
+        """Count an attempt that was assigned."""
+        self.used[team] = self.find(team) + need
+
+    def give_back(self, team: TeamId, need: Resources) -> None:
+        """Count off an attempt that ended."""
+        self.used[team] = self.find(team) - need
+
+    def copy(self) -> "QuotaUse":
+        """Return a copy that a plan may change."""
+        return QuotaUse(dict(self.used))
+
+
+def list_quotas(teams: Mapping[TeamId, Team]) -> dict[TeamId, Resources]:
+    """Return each team's quota."""
+    return {name: team.quota.to_resources() for name, team in teams.items()}
+
+
+def fits_quota(
+    use: QuotaUse, quotas: Mapping[TeamId, Resources], team: TeamId, need: Resources
+) -> bool:
+    """Return whether the team may take ``need`` more; an unknown team may not."""
+    quota = quotas.get(team)
+    return quota is not None and (use.find(team) + need).fits_within(quota)
--- /dev/null
+++ b/plantainhinge/placement/residents.py
@@ -0,0 +1,54 @@
+"""What runs on each worker, kept as an index over open attempts."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ..core.ids import KindId, RackId, ServiceId, WorkerId
+from ..core.records import AttemptPlaced
+from ..core.states import TaskClass
+
+
+@dataclass(frozen=True)
+class KindCount:
+    """Attempts of one kind on a worker."""
+
+    kind: KindId
+    task_class: TaskClass
+    count: int
+    millicores: int
+
+
+@dataclass
+class ResidentTable:
+    """Open attempts by worker and kind, and replicas by service and rack."""
+
+    kinds: dict[WorkerId, dict[KindId, KindCount]] = field(default_factory=dict)
+    rack_replicas: Counter[tuple[ServiceId, RackId]] = field(default_factory=Counter)
+    worker_replicas: Counter[tuple[ServiceId, WorkerId]] = field(
+        default_factory=Counter
+    )
+
+    def add(self, placed: AttemptPlaced, rack: RackId) -> None:
+        """Count an attempt that was placed."""
+        self._change(placed, rack, 1)
+
+    def remove(self, placed: AttemptPlaced, rack: RackId) -> None:
+        """Count off an attempt that was closed."""
+        self._change(placed, rack, -1)
+
+    def _change(self, placed: AttemptPlaced, rack: RackId, sign: int) -> None:
+        row = self.kinds.setdefault(placed.worker, {})
+        known = row.get(placed.kind)
+        count = (known.count if known else 0) + sign
+        millicores = (known.millicores if known else 0) + (
+            sign * placed.resources.millicores
+        )
+        if count > 0:
+            row[placed.kind] = KindCount(
+                placed.kind, placed.task_class, count, millicores
+            )
+        else:
+            row.pop(placed.kind, None)
+        if placed.service:
+            self.rack_replicas[placed.service, rack] += sign
+            self.worker_replicas[placed.service, placed.worker] += sign
--- a/plantainhinge/placement/scores.py
+++ b/plantainhinge/placement/scores.py
@@ -1,51 +1,121 @@
 """How well a worker suits a task; the highest score wins."""
 
+import hashlib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from ..core.ids import RackId, WorkerId
+from ..core.ids import Attempt, KindId, RackId, ServiceId, TaskId, WorkerId
 from ..core.registry import Registry
 from ..core.resources import Resources
+from ..core.states import TaskClass
+
+EXPLORE_SHARE = 0.02
+HARM_WEIGHT = 4.0
+RACK_WEIGHT = 1.0
+REPLICA_WEIGHT = 4.0
+SUSPICION_WEIGHT = 2.0
+FIT_WEIGHT = 0.5
 
 
 @dataclass(frozen=True)
 class Candidate:
-    """A worker as the score functions see it."""
+    """A worker as the score functions see it.
+
+    Parameters
+    ----------
+    harm : float
+        Slowdown expected from the placement, for the newcomer and those beside.
+    rack_replicas, worker_replicas : int
+        Replicas of the same service in its rack and on it.
+    suspicion : float
+        From 0 for a healthy worker to 1 for one about to be quarantined.
+    """
 
     worker: WorkerId
     rack: RackId
     capacity: Resources
     free: Resources
+    harm: float = 0.0
+    rack_replicas: int = 0
+    worker_replicas: int = 0
+    suspicion: float = 0.0
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What is to be placed.
+
+    Parameters
+    ----------
+    draw : float
+        From 0 to 1; a small one lets a batch task explore other mixes.
+    """
+
+    kind: KindId
+    resources: Resources
+    task_class: TaskClass = TaskClass.BATCH
+    service: ServiceId = ServiceId("")
+    draw: float = 1.0
+    avoid: frozenset[WorkerId] = field(default_factory=frozenset)
 
 
-Score = Callable[[Candidate, Resources], float]
+Score = Callable[[Candidate, Demand], float]
 SCORES: Registry[Score] = Registry("placement score")
 
 
 @SCORES.register("first-fit")
-def score_first_fit(candidate: Candidate, need: Resources) -> float:
+def score_first_fit(candidate: Candidate, demand: Demand) -> float:
     """Score all workers alike, so that the first with room wins."""
     return 0.0
 
 
 @SCORES.register("least-loaded")
-def score_least_loaded(candidate: Candidate, need: Resources) -> float:
+def score_least_loaded(candidate: Candidate, demand: Demand) -> float:
     """Score by the share of the scarcest resource left after the placement."""
-    rest = candidate.free - need
+    rest = candidate.free - demand.resources
     return min(
         _share(rest.millicores, candidate.capacity.millicores),
         _share(rest.memory_mib, candidate.capacity.memory_mib),
     )
 
 
+@SCORES.register("combined")
+def score_combined(candidate: Candidate, demand: Demand) -> float:
+    """Score by expected harm, spread, health and fragmentation.
+
+    Services go where most is left; batch work fills a worker up on its scarcest
+    resource, so that room for large tasks remains in one piece.
+    """
+    room = score_least_loaded(candidate, demand)
+    if demand.task_class is TaskClass.BATCH and demand.draw < EXPLORE_SHARE:
+        return room - SUSPICION_WEIGHT * candidate.suspicion
+    critical = demand.task_class is TaskClass.LATENCY_CRITICAL
+    score = FIT_WEIGHT * (room if critical else -room)
+    score -= HARM_WEIGHT * candidate.harm
+    score -= RACK_WEIGHT * candidate.rack_replicas
+    score -= REPLICA_WEIGHT * candidate.worker_replicas
+    score -= SUSPICION_WEIGHT * candidate.suspicion
+    return score
+
+
 def pick_worker(
-    candidates: Mapping[WorkerId, Candidate], need: Resources, score: Score
+    candidates: Mapping[WorkerId, Candidate], demand: Demand, score: Score
 ) -> WorkerId | None:
-    """Return the best worker with room for ``need``, or None if there is none."""
-    fitting = [c for c in candidates.values() if need.fits_within(c.free)]
-    if not fitting:
+    """Return the best worker with room, or None if there is none.
+
+    Workers that the demand avoids are taken only when no other has room.
+    """
+    fitting = [c for c in candidates.values() if demand.resources.fits_within(c.free)]
+    wanted = [c for c in fitting if c.worker not in demand.avoid] or fitting
+    if not wanted:
         return None
-    return max(fitting, key=lambda c: score(c, need)).worker
+    return max(wanted, key=lambda c: score(c, demand)).worker
+
+
+def draw_share(task: TaskId, attempt: Attempt) -> float:
+    """Return a number from 0 to 1 that is the same for an attempt everywhere."""
+    digest = hashlib.blake2b(f"{task}.{attempt}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") / 2**64
 
 
 def _share(part: int, whole: int) -> float:
--- /dev/null
+++ b/tests/test_assignment.py
@@ -0,0 +1,208 @@
+"""Assignment of waiting tasks: quotas, room, order, headroom and reasons."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.core.states import TaskClass
+from plantainhinge.placement.assignment import (
+    AssignmentPolicy,
+    AssignmentTables,
+    HoldReason,
+    Site,
+    plan_assignments,
+)
+from plantainhinge.placement.cells import CELL_CHOICES, CellRoom
+from plantainhinge.placement.queue import (
+    AGEING_SECONDS,
+    URGENT_CREDIT_SECONDS,
+    Shape,
+    WaitingQueue,
+)
+from plantainhinge.placement.quotas import QuotaUse
+from plantainhinge.placement.ramp import RampLimits, RampTable
+
+BIG = Resources(1_000_000, 1_000_000, 100)
+NO_RAMP = RampLimits(ramp_seconds=0.0)
+CRITICAL = TaskClass.LATENCY_CRITICAL
+
+
+def cores(count, accelerators=0):
+    return Resources(count * 1000, count * 1024, accelerators)
+
+
+def shape(count=1, **fields):
+    return Shape(**{"team": "t", "kind": "k", "resources": cores(count), **fields})
+
+
+def room(name, free, *, largest=None, capacity=None, critical=0):
+    return CellRoom(
+        name,
+        "r",
+        cores(free),
+        cores(free if largest is None else largest),
+        cores(free if capacity is None else capacity),
+        cores(critical),
+    )
+
+
+def make_site(*rooms, quotas=None, used=None, some_in=True, now=0.0, wall=0.0):
+    quotas = {"t": BIG} if quotas is None else quotas
+    rows = {row.domain: row for row in rooms}
+    return Site(rows, quotas, QuotaUse(used or {}), {}, now, wall, some_in)
+
+
+def make_queue(*tasks):
+    queue = WaitingQueue()
+    for number, (row, since) in enumerate(tasks):
+        queue.add(f"task-{number}", row, since)
+    return queue
+
+
+def plan(queue, site, tables=None, **policy):
+    tables = tables or AssignmentTables(ramp=RampTable(NO_RAMP))
+    return plan_assignments(queue, site, tables, AssignmentPolicy(**policy))
+
+
+shapes = st.builds(
+    Shape,
+    team=st.sampled_from(["a", "b"]),
+    kind=st.sampled_from(["x", "y"]),
+    resources=st.builds(cores, st.integers(1, 9), st.integers(0, 1)),
+    task_class=st.sampled_from(TaskClass),
+    service=st.sampled_from(["", "s"]),
+    priority=st.integers(0, 3),
+    urgent=st.booleans(),
+)
+tasks = st.lists(st.tuples(shapes, st.floats(0, 1e5)), max_size=30)
+amounts = st.builds(cores, st.integers(0, 40), st.integers(0, 3))
+rooms = st.lists(st.tuples(amounts, amounts), min_size=1, max_size=4)
+
+
+@given(tasks, rooms, amounts, amounts, st.sampled_from(sorted(CELL_CHOICES)))
+def test_no_plan_exceeds_room_or_quota(tasks, rooms, quota_a, quota_b, choice):
+    rows = [
+        CellRoom(f"d{n}", "r", free, largest, BIG)
+        for n, (free, largest) in enumerate(rooms)
+    ]
+    quotas = {"a": quota_a, "b": quota_b}
+    queue = make_queue(*tasks)
+    site = make_site(*rows, quotas=quotas, wall=1e5)
+    for step in plan(queue, site, choice=choice, headroom_share=0.0):
+        need = queue.find_shape(step.task).resources
+        largest = {row.domain: row.largest_free for row in rows}[step.cell]
+        assert need.fits_within(largest)
+    for row in site.rooms.values():
+        assert Resources().fits_within(row.free)
+    for team, quota in quotas.items():
+        assert site.use.find(team).fits_within(quota)
+
+
+@given(tasks, st.integers(0, 30))
+def test_urgent_never_waits_behind_work_that_is_not_while_room_exists(tasks, free):
+    fresh = [(row, 1e5) for row, _ in tasks]
+    queue = make_queue(*fresh)
+    site = make_site(room("d", free), quotas={"a": BIG, "b": BIG}, wall=1e5)
+    site.rooms["d"] = replace(site.rooms["d"], free=cores(free, 9), largest_free=BIG)
+    planned = {s.task for s in plan(queue, site, headroom_share=0.0)}
+    late = [t for t in queue if queue.find_shape(t).urgent and t not in planned]
+    before = sum(
+        queue.find_shape(t).resources.millicores
+        for t in planned
+        if queue.find_shape(t).urgent
+    )
+    for task in late:
+        need = queue.find_shape(task).resources
+        assert before + need.millicores > free * 1000
+
+
+def test_a_patient_task_starts_under_a_steady_urgent_load_within_the_bound():
+    patient = shape(1, priority=0)
+    urgent = shape(1, urgent=True, priority=2)
+    bound = URGENT_CREDIT_SECONDS + 2 * AGEING_SECONDS
+    queue = make_queue((patient, 0.0))
+    for second in range(0, int(bound) + 20, 10):
+        queue.add(f"u{second}", urgent, float(second))
+        step = plan(queue, make_site(room("d", 1), wall=second), headroom_share=0.0)[0]
+        queue.remove(step.task)
+        if step.task == "task-0":
+            assert second <= bound + 10
+            return
+    pytest.fail("the patient task starved")
+
+
+def test_a_large_task_gets_a_cell_to_itself_after_its_patience():
+    large, small = shape(8), shape(1, kind="small")
+    queue = make_queue((large, 0.0), (small, 1.0))
+    rooms = (room("a", 3, capacity=8), room("b", 2, capacity=4))
+    young = plan(queue, make_site(*rooms, wall=100.0), headroom_share=0.0)
+    starved = plan(queue, make_site(*rooms, wall=2000.0), headroom_share=0.0)
+    assert [step.cell for step in young] == ["a"]
+    assert [step.cell for step in starved] == ["b"]
+
+
+def test_a_large_task_gets_its_teams_quota_after_its_patience():
+    queue = make_queue((shape(8), 0.0), (shape(1, kind="small"), 1.0))
+    quotas, used = {"t": cores(8)}, {"t": cores(4)}
+    young = make_site(room("a", 20), quotas=quotas, used=used, wall=100.0)
+    assert len(plan(queue, young)) == 1
+    starved = make_site(room("a", 20), quotas=quotas, used=used, wall=2000.0)
+    assert plan(queue, starved) == []
+
+
+def test_replicas_spread_over_domains():
+    replica = shape(1, service="s", task_class=CRITICAL)
+    queue = make_queue(*[(replica, 0.0)] * 6)
+    site = make_site(room("a", 90), room("b", 20), room("c", 20))
+    cells = [step.cell for step in plan(queue, site)]
+    assert sorted(cells) == ["a", "a", "b", "b", "c", "c"]
+
+
+def test_batch_leaves_room_for_the_services_of_any_leaving_domain():
+    queue = make_queue(*[(shape(1), 0.0)] * 50)
+    rooms = [room(name, 20, capacity=30, critical=10) for name in "ab"]
+    tables = AssignmentTables(ramp=RampTable(NO_RAMP))
+    site = make_site(*rooms)
+    plan(queue, site, tables, headroom_share=1.0)
+    assert all(r.free.millicores >= 10_000 for r in site.rooms.values())
+    assert set(tables.held.values()) == {HoldReason.HEADROOM}
+
+
+DECLINED = AssignmentTables(ramp=RampTable(NO_RAMP))
+DECLINED.backoff.note_decline("a", cores(2), 0.0)
+RAMPING = AssignmentTables(ramp=RampTable(RampLimits(first_rate=1e-9)))
+RAMPING.ramp.follow(["a"], 0.0)
+RAMPING.ramp.take("a")
+
+
+@pytest.mark.parametrize(
+    ("site", "tables", "reason"),
+    [
+        (make_site(some_in=False), None, HoldReason.DOMAINS_OUT),
+        (make_site(), None, HoldReason.STALE_VIEW),
+        (make_site(room("a", 1)), None, HoldReason.ROOM),
+        (make_site(room("a", 9, largest=1)), None, HoldReason.ROOM),
+        (make_site(room("a", 9), quotas={"t": cores(1)}), None, HoldReason.QUOTA),
+        (make_site(room("a", 9), quotas={}), None, HoldReason.QUOTA),
+        (make_site(room("a", 9)), DECLINED, HoldReason.BACK_OFF),
+        (make_site(room("a", 9)), RAMPING, HoldReason.RAMP),
+    ],
+)
+def test_the_reason_for_waiting_is_told(site, tables, reason):
+    tables = tables or AssignmentTables(ramp=RampTable(NO_RAMP))
+    assert plan(make_queue((shape(2), 0.0)), site, tables) == []
+    assert tables.held == {shape(2): reason}
+
+
+def test_a_cell_that_declined_is_left_for_a_growing_time():
+    tables = AssignmentTables()
+    pauses = []
+    now = 0.0
+    for _ in range(8):
+        tables.backoff.note_decline("a", cores(1), now)
+        tables.backoff.note_decline("a", cores(1), now)
+        pauses.append(tables.backoff.find_pause("a", cores(1), now))
+        now += pauses[-1]
+    assert pauses == [0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
--- /dev/null
+++ b/tests/test_scores.py
@@ -0,0 +1,74 @@
+"""The combined score: feasibility, harm, spread, health and fragmentation."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.core.states import TaskClass
+from plantainhinge.placement.scores import (
+    SCORES,
+    Candidate,
+    Demand,
+    draw_share,
+    pick_worker,
+)
+
+CAPACITY = Resources(64_000, 250_000, 2)
+CRITICAL = TaskClass.LATENCY_CRITICAL
+COMBINED = SCORES.find("combined")
+BATCH = Demand("k", Resources(4000, 8000))
+REPLICA = Demand("s", Resources(8000, 8000), CRITICAL, "s")
+EXPLORING = replace(BATCH, draw=0.0)
+
+amounts = st.builds(Resources, st.integers(0, 9), st.integers(0, 9), st.integers(0, 2))
+
+
+@given(st.lists(amounts, max_size=6), amounts, st.sampled_from(sorted(SCORES)))
+def test_no_score_picks_a_worker_without_room(frees, need, name):
+    candidates = {
+        f"w{n}": Candidate(f"w{n}", "r", CAPACITY, free) for n, free in enumerate(frees)
+    }
+    worker = pick_worker(candidates, Demand("k", need), SCORES.find(name))
+    if worker is None:
+        assert not any(need.fits_within(free) for free in frees)
+    else:
+        assert need.fits_within(candidates[worker].free)
+
+
+def candidate(name, free=32_000, **fields):
+    return Candidate(name, "r", CAPACITY, Resources(free, 200_000, 2), **fields)
+
+
+@pytest.mark.parametrize(
+    ("demand", "better", "worse"),
+    [
+        (BATCH, candidate("a", 8000), candidate("b", 60_000)),
+        (REPLICA, candidate("a", 60_000), candidate("b", 8000)),
+        (BATCH, candidate("a", 60_000), candidate("b", 8000, harm=1.0)),
+        (REPLICA, candidate("a", 8000), candidate("b", 60_000, rack_replicas=1)),
+        (
+            REPLICA,
+            candidate("a", rack_replicas=3),
+            candidate("b", rack_replicas=1, worker_replicas=1),
+        ),
+        (BATCH, candidate("a", 60_000), candidate("b", 8000, suspicion=0.6)),
+        (EXPLORING, candidate("a", 60_000, harm=9.0), candidate("b", 8000)),
+        (
+            replace(BATCH, avoid=frozenset("b")),
+            candidate("a", harm=9.0),
+            candidate("b"),
+        ),
+    ],
+)
+def test_the_better_worker_is_picked_in_either_order(demand, better, worse):
+    for rows in ([better, worse], [worse, better]):
+        candidates = {row.worker: row for row in rows}
+        assert pick_worker(candidates, demand, COMBINED) == better.worker
+
+
+def test_draws_are_spread_evenly_and_repeat():
+    draws = [draw_share(f"t{n}", 1) for n in range(1000)]
+    assert 0.4 < sum(draws) / 1000 < 0.6
+    assert draws[7] == draw_share("t7", 1)
