--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -157,6 +157,7 @@
     service: ServiceId = ServiceId("")
     checkpoint: str = ""
     run_seconds: float = 0.0
+    priority: int = 0
 
 
 class AttemptClosed(Record, frozen=True, tag="cls"):
--- a/plantainhinge/placement/harm.py
+++ b/plantainhinge/placement/harm.py
@@ -139,19 +139,18 @@
 @RELIEF_POLICIES.register("evict-on-harm")
 def evict_newest(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
     """Evict some batch attempt whenever a service is slow; knows no model."""
-    if _find_slowdown(view) < table.limits.high:
-        return []
     batch = _list_batch(view)
-    if not batch:
+    settled = _is_settled(view, table)
+    if not batch or not settled or _find_slowdown(view) < table.limits.high:
         return []
+    table.rows[view.worker] = HarmRow(now, table.limits.calm_seconds)
     return [Evict(batch[-1].task, batch[-1].attempt, view.worker)]
 
 
 @RELIEF_POLICIES.register("throttle-then-evict")
 def relieve(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
     """Hold back the attempt that harms most, or lift a limit after a calm time."""
-    row = table.rows.get(view.worker)
-    if row and view.window_start < row.changed_at + table.limits.settle_seconds:
+    if not _is_settled(view, table):
         return []
     slowdown = _find_slowdown(view)
     if slowdown >= table.limits.high:
@@ -169,6 +168,13 @@
     return [step for view in views for step in act(view, table, now)]
 
 
+def _is_settled(view: WorkerView, table: HarmTable) -> bool:
+    row = table.rows.get(view.worker)
+    if row is None:
+        return True
+    return view.window_start >= row.changed_at + table.limits.settle_seconds
+
+
 def _hold_back(view: WorkerView, table: HarmTable, now: Seconds) -> list[Relief]:
     limits = table.limits
     causes = _list_causes(view, limits)
--- a/plantainhinge/placement/interference.py
+++ b/plantainhinge/placement/interference.py
@@ -7,7 +7,7 @@
 decay towards a prior, so that old findings do not bind for ever.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..core.ids import KindId, Seconds
@@ -111,29 +111,29 @@
         table.set(observation.kind, other.kind, weight + step, now)
 
 
-AddedHarm = Callable[
-    [PairTable, KindLoad, Mapping[KindId, KindLoad], Seconds],
-    float,
-]
-INTERFERENCE_MODELS: Registry[AddedHarm] = Registry("interference model")
+PairWeight = Callable[[PairTable, KindId, KindId, Seconds], float]
+INTERFERENCE_MODELS: Registry[PairWeight] = Registry("interference model")
 
 
 @INTERFERENCE_MODELS.register("none")
-def expect_no_harm(
-    table: PairTable,
-    arriving: KindLoad,
-    beside: Mapping[KindId, KindLoad],
-    now: Seconds,
+def expect_nothing(
+    table: PairTable, victim: KindId, other: KindId, now: Seconds
 ) -> float:
     """Expect no interference at all."""
     return 0.0
 
 
 @INTERFERENCE_MODELS.register("pairwise")
+def find_weight(table: PairTable, victim: KindId, other: KindId, now: Seconds) -> float:
+    """Return the learned weight of the pair."""
+    return table.find(victim, other, now)
+
+
 def estimate_added_harm(
+    model: PairWeight,
     table: PairTable,
     arriving: KindLoad,
-    beside: Mapping[KindId, KindLoad],
+    beside: Iterable[KindLoad],
     now: Seconds,
 ) -> float:
     """Return the slowdown added to those on the worker and met by the newcomer.
@@ -141,13 +141,25 @@
     A batch task's slowdown counts for less than that of latency-critical work.
     """
     harm = 0.0
-    for other in beside.values():
-        suffered = table.find(arriving.kind, other.kind, now) * other.load
-        caused = table.find(other.kind, arriving.kind, now) * arriving.load
+    for other in beside:
+        suffered = model(table, arriving.kind, other.kind, now) * other.load
+        caused = model(table, other.kind, arriving.kind, now) * arriving.load
         harm += suffered * _weigh(arriving.task_class)
         harm += caused * _weigh(other.task_class)
     return harm
 
 
+def estimate_caused_harm(
+    model: PairWeight,
+    table: PairTable,
+    load: KindLoad,
+    victims: Iterable[KindId],
+    now: Seconds,
+) -> float:
+    """Return the greatest slowdown that a load causes to any of the victims."""
+    caused = (model(table, kind, load.kind, now) * load.load for kind in victims)
+    return max(caused, default=0.0)
+
+
 def _weigh(task_class: TaskClass) -> float:
     return 1.0 if task_class is TaskClass.LATENCY_CRITICAL else BATCH_WEIGHT
--- /dev/null
+++ b/plantainhinge/placement/observation.py
@@ -0,0 +1,119 @@
+"""Workers' reports, taken into the tables of a cell's owner."""
+
+from collections.abc import Iterable, Mapping
+
+from ..core.ids import KindId, Seconds, TaskId, WorkerId
+from ..core.messages import AttemptReport
+from ..core.records import AttemptPlaced
+from ..core.resources import Resources
+from ..core.states import TaskClass
+from .attribution import build_observations
+from .harm import Evict, Relief, Resident, Throttle, WorkerView, relieve_workers
+from .interference import INTERFERENCE_MODELS, KindLoad, estimate_caused_harm, learn
+from .residents import ResidentTable
+from .workers import CellPolicy, CellTables, find_loads
+
+
+def learn_report(
+    worker: WorkerId,
+    capacity: Resources,
+    reports: Iterable[AttemptReport],
+    placed: Mapping[TaskId, AttemptPlaced],
+    tables: CellTables,
+    now: Seconds,
+) -> None:
+    """Take sizes, progress and slowdowns from one worker's report."""
+    rows = [r for r in reports if r.task in placed and r.outcome is None]
+    for row in rows:
+        tables.progress.note(row, now)
+        declared = placed[row.task].resources.millicores
+        throttled = tables.progress.find_limit(row.task, declared) < declared
+        if row.usage.millicores and not throttled:
+            tables.sizes.note(placed[row.task].kind, row.usage)
+    seen = build_observations(worker, capacity, rows, placed, tables.changes, now)
+    for observation in seen:
+        learn(tables.pairs, observation, now)
+
+
+def plan_relief(
+    worker: WorkerId,
+    capacity: Resources,
+    reports: Iterable[AttemptReport],
+    placed: Mapping[TaskId, AttemptPlaced],
+    residents: ResidentTable,
+    tables: CellTables,
+    policy: CellPolicy,
+    now: Seconds,
+) -> list[Relief]:
+    """Return what to throttle, lift or evict on one worker, and note it as done."""
+    rows = [r for r in reports if r.task in placed and r.outcome is None]
+    if not rows:
+        return []
+    oldest = max(row.usage_age for row in rows)
+    beside = find_loads(worker, capacity, residents, tables.sizes)
+    victims = [
+        load.kind
+        for load in beside.values()
+        if load.task_class is TaskClass.LATENCY_CRITICAL
+    ]
+    view = WorkerView(
+        worker,
+        [
+            _build_resident(
+                row, placed[row.task], capacity, victims, tables, now, policy
+            )
+            for row in rows
+        ],
+        Seconds(now - oldest - tables.changes.window),
+    )
+    steps = relieve_workers([view], tables.harm, policy.relief, now)
+    for step in steps:
+        note_relief(step, tables, now)
+    return steps
+
+
+def note_relief(step: Relief, tables: CellTables, now: Seconds) -> None:
+    """Note a step that changes the mix on its worker."""
+    tables.changes.note_arrival(step.worker, step.task, now)
+    match step:
+        case Throttle():
+            tables.progress.set_limit(step.task, step.millicores, now)
+        case Evict():
+            tables.progress.forget(step.task)
+
+
+def note_end(
+    placed: AttemptPlaced, capacity: Resources, tables: CellTables, now: Seconds
+) -> None:
+    """Note that an attempt ended, with the load that it is taken to have had."""
+    used = tables.sizes.expect(placed.kind, placed.resources)
+    share = used / max(1, capacity.millicores)
+    load = KindLoad(placed.kind, placed.task_class, share)
+    tables.changes.note_departure(placed.worker, placed.task, load, now)
+    tables.progress.forget(placed.task)
+
+
+def _build_resident(
+    report: AttemptReport,
+    placed: AttemptPlaced,
+    capacity: Resources,
+    victims: Iterable[KindId],
+    tables: CellTables,
+    now: Seconds,
+    policy: CellPolicy,
+) -> Resident:
+    share = report.usage.millicores / max(1, capacity.millicores)
+    load = KindLoad(placed.kind, placed.task_class, share)
+    model = INTERFERENCE_MODELS.find(policy.model)
+    declared = placed.resources.millicores
+    return Resident(
+        placed.task,
+        placed.attempt,
+        placed.task_class,
+        placed.priority,
+        declared,
+        tables.progress.find_limit(placed.task, declared),
+        slowdown=report.slowdown,
+        harm=estimate_caused_harm(model, tables.pairs, load, victims, now),
+        unsaved_seconds=tables.progress.find_unsaved(placed.task, now),
+    )
--- /dev/null
+++ b/plantainhinge/placement/workers.py
@@ -0,0 +1,115 @@
+"""Choice of the worker in a cell, from all that its owner has learned."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from ..core.ids import KindId, RackId, Seconds, WorkerId
+from ..core.resources import Resources
+from .attribution import ChangeTable
+from .drain import DrainTable
+from .harm import HarmTable
+from .health import HealthTable
+from .interference import (
+    INTERFERENCE_MODELS,
+    KindLoad,
+    PairTable,
+    estimate_added_harm,
+)
+from .progress import ProgressTable
+from .residents import ResidentTable
+from .scores import SCORES, Candidate, Demand, pick_worker
+from .sizes import SizeTable
+
+
+@dataclass(frozen=True)
+class CellPolicy:
+    """Names of the policies in force in a cell."""
+
+    score: str = "combined"
+    model: str = "pairwise"
+    relief: str = "throttle-then-evict"
+    drain: str = "by-priority"
+
+
+@dataclass
+class CellTables:
+    """What the owner of a cell learns; lost with the owner and learned again."""
+
+    pairs: PairTable = field(default_factory=PairTable)
+    sizes: SizeTable = field(default_factory=SizeTable)
+    changes: ChangeTable = field(default_factory=ChangeTable)
+    health: HealthTable = field(default_factory=HealthTable)
+    harm: HarmTable = field(default_factory=HarmTable)
+    drain: DrainTable = field(default_factory=DrainTable)
+    progress: ProgressTable = field(default_factory=ProgressTable)
+
+
+@dataclass(frozen=True)
+class WorkerRoom:
+    """A worker and what its open attempts leave free."""
+
+    worker: WorkerId
+    rack: RackId
+    capacity: Resources
+    free: Resources
+
+
+def choose_worker(
+    rooms: Iterable[WorkerRoom],
+    demand: Demand,
+    residents: ResidentTable,
+    tables: CellTables,
+    policy: CellPolicy,
+    now: Seconds,
+) -> WorkerId | None:
+    """Return the best worker that has room and is not in quarantine."""
+    candidates = {
+        room.worker: _build_candidate(room, demand, residents, tables, policy, now)
+        for room in rooms
+        if demand.resources.fits_within(room.free)
+        and tables.health.may_take(room.worker, now)
+    }
+    return pick_worker(candidates, demand, SCORES.find(policy.score))
+
+
+def find_loads(
+    worker: WorkerId, capacity: Resources, residents: ResidentTable, sizes: SizeTable
+) -> dict[KindId, KindLoad]:
+    """Return the load expected of each kind on a worker."""
+    loads = {}
+    for row in residents.kinds.get(worker, {}).values():
+        each = Resources(row.millicores // row.count)
+        used = row.count * sizes.expect(row.kind, each)
+        share = used / max(1, capacity.millicores)
+        loads[row.kind] = KindLoad(row.kind, row.task_class, share)
+    return loads
+
+
+def _build_candidate(
+    room: WorkerRoom,
+    demand: Demand,
+    residents: ResidentTable,
+    tables: CellTables,
+    policy: CellPolicy,
+    now: Seconds,
+) -> Candidate:
+    used = tables.sizes.expect(demand.kind, demand.resources)
+    arriving = KindLoad(
+        demand.kind, demand.task_class, used / max(1, room.capacity.millicores)
+    )
+    beside = find_loads(room.worker, room.capacity, residents, tables.sizes)
+    model = INTERFERENCE_MODELS.find(policy.model)
+    return Candidate(
+        room.worker,
+        room.rack,
+        room.capacity,
+        room.free,
+        harm=estimate_added_harm(model, tables.pairs, arriving, beside.values(), now),
+        rack_replicas=_count(residents.rack_replicas, demand, room.rack),
+        worker_replicas=_count(residents.worker_replicas, demand, room.worker),
+        suspicion=tables.health.find_suspicion(room.worker, now),
+    )
+
+
+def _count(counts: Mapping, demand: Demand, place: str) -> int:
+    return counts.get((demand.service, place), 0) if demand.service else 0
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -15,6 +15,7 @@
     KindLoad,
     Observation,
     PairTable,
+    estimate_added_harm,
     estimate_slowdown,
     learn,
 )
@@ -63,9 +64,11 @@
     table = PairTable()
     table.set("s", "noisy", 9.0, 0.0)
     arriving = KindLoad("noisy", BATCH, 0.5)
-    beside = {"s": KindLoad("s", CRITICAL, 0.5)}
+    beside = [KindLoad("s", CRITICAL, 0.5)]
     costs = {
-        name: INTERFERENCE_MODELS.find(name)(table, arriving, beside, 0.0)
+        name: estimate_added_harm(
+            INTERFERENCE_MODELS.find(name), table, arriving, beside, 0.0
+        )
         for name in INTERFERENCE_MODELS
     }
     assert costs["none"] == 0.0
