--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -267,6 +267,10 @@
     ----------
     shapes : list of Resources
         The different capacities that its workers have.
+    largest_free : Resources
+        The most that one worker has free, each amount by itself.
+    critical : Resources
+        What its latency-critical tasks hold.
     """
 
     domain: DomainId
@@ -275,6 +279,7 @@
     largest_free: Resources
     workers: int
     shapes: list[Resources] = []
+    critical: Resources = Resources()
 
 
 class LoadDigest(Message, frozen=True):
