--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -4,14 +4,18 @@
 end with a default; any other change takes a new ``RECORD_VERSION``.
 """
 
+import struct
+import zlib
+
 import msgspec
 
-from .errors import UnknownVersionError
+from .errors import CorruptRecordError, UnknownVersionError
 from .ids import (
     Attempt,
     DomainId,
     Epoch,
     KindId,
+    Offset,
     ProcessId,
     RackId,
     RequestId,
@@ -62,6 +66,12 @@
     epoch: Epoch
 
 
+class PredecessorsEnded(Record, frozen=True, tag="pre"):
+    """All owners before have surely ended, so no message of theirs can come."""
+
+    epoch: Epoch
+
+
 class TaskAccepted(Record, frozen=True, tag="acc"):
     """A batch job or service replica enters the ledger."""
 
@@ -108,11 +118,18 @@
 
 
 class RequestClaimed(Record, frozen=True, tag="clm"):
-    """A gateway is the only one to send a non-idempotent request."""
+    """A gateway is the only one to send a non-idempotent request.
+
+    Parameters
+    ----------
+    key_at : float
+        When the key was made, in seconds since the Unix epoch; 0 if unknown.
+    """
 
     key: RequestKey
     request: RequestId
     gateway: ProcessId
+    key_at: float = 0.0
 
 
 class RequestReleased(Record, frozen=True, tag="unc"):
@@ -157,6 +174,7 @@
     service: ServiceId = ServiceId("")
     checkpoint: str = ""
     run_seconds: float = 0.0
+    priority: int = 0
 
 
 class AttemptClosed(Record, frozen=True, tag="cls"):
@@ -171,16 +189,65 @@
 
 
 class ClosureAcknowledged(Record, frozen=True, tag="ack"):
-    """The ledger has recorded the end of the attempt; the cell may forget it."""
+    """The ledger has recorded the end of the attempt; the cell may forget it.
+
+    Parameters
+    ----------
+    ledger : int
+        The ledger partition that recorded it.
+    ledger_epoch, sequence
+        The fence: offers that the ledger sent before are void.
+    """
 
     task: TaskId
     attempt: Attempt
+    ledger: int = 0
+    ledger_epoch: Epoch = Epoch(0)
+    sequence: int = 0
+
+
+class TimeNoted(Record, frozen=True, tag="time"):
+    """The owner's wall clock, from which rows take the times they keep.
+
+    Parameters
+    ----------
+    at : float
+        Seconds since the Unix epoch.
+    """
+
+    at: float
+
+
+class RowsPruned(Record, frozen=True, tag="prn"):
+    """The ledger forgets tasks that ended, and keys made, before a time.
+
+    Parameters
+    ----------
+    tasks_before, claims_before : float
+        Seconds since the Unix epoch.
+    """
+
+    tasks_before: float
+    claims_before: float
 
 
 class SnapshotTaken(Record, frozen=True, tag="snap"):
-    """The whole state of a stream up to this record, encoded by its reducer."""
+    """One part of the state that a stream's records before ``covers`` built up.
+
+    Parameters
+    ----------
+    state : bytes
+        This part of the encoded state.
+    covers : Offset
+        The first offset that the state does not include.
+    part, parts : int
+        Which part this is, from 0, and how many there are.
+    """
 
     state: bytes
+    covers: Offset = Offset(0)
+    part: int = 0
+    parts: int = 1
 
 
 AnyRecord = (
@@ -188,6 +255,7 @@
     | OwnershipClaimed
     | OwnershipConfirmed
     | OwnershipReleased
+    | PredecessorsEnded
     | TaskAccepted
     | TaskCancelled
     | TaskRejected
@@ -201,6 +269,8 @@
     | AttemptPlaced
     | AttemptClosed
     | ClosureAcknowledged
+    | TimeNoted
+    | RowsPruned
     | SnapshotTaken
 )
 
@@ -233,14 +303,25 @@
     version: int
 
 
+_CHECKSUM = struct.Struct(">I")
 _encoder = msgspec.msgpack.Encoder()
 _header_decoder = msgspec.msgpack.Decoder(_Header)
 _batch_decoder = msgspec.msgpack.Decoder(Batch)
 
 
 def encode_batch(batch: Batch) -> bytes:
-    """Return the bytes of one log entry."""
-    return _encoder.encode(batch)
+    """Return the bytes of one log entry: a CRC-32 and the batch."""
+    return seal(_encoder.encode(batch))
+
+
+def seal(body: bytes) -> bytes:
+    """Return ``body`` behind its checksum."""
+    return _CHECKSUM.pack(zlib.crc32(body)) + body
+
+
+def measure_record(record: AnyRecord) -> int:
+    """Return the bytes that a record adds to its batch."""
+    return len(_encoder.encode(record))
 
 
 def decode_batch(data: bytes) -> Batch:
@@ -248,18 +329,36 @@
 
     Raises
     ------
+    CorruptRecordError
+        If the bytes fail their checksum or are no batch.
     UnknownVersionError
-        If a newer release wrote it, or if it is no batch at all.
+        If a newer release wrote it.
     """
+    body = _open(data)
     try:
-        version = _header_decoder.decode(data).version
-        if version > RECORD_VERSION:
-            raise UnknownVersionError(
-                f"record version {version} is newer than {RECORD_VERSION}",
-                step="record.decode",
-            )
-        return _batch_decoder.decode(data)
+        version = _header_decoder.decode(body).version
+        if version <= RECORD_VERSION:
+            return _batch_decoder.decode(body)
     except msgspec.MsgspecError as error:
-        raise UnknownVersionError(
+        raise CorruptRecordError(
             f"not a batch of records: {error}", step="record.decode"
         ) from error
+    raise UnknownVersionError(
+        f"record version {version} is newer than {RECORD_VERSION}",
+        step="record.decode",
+    )
+
+
+def _open(data: bytes) -> bytes:
+    if len(data) < _CHECKSUM.size:
+        raise CorruptRecordError(
+            f"{len(data)} bytes are too few for a batch", step="record.decode"
+        )
+    (expected,) = _CHECKSUM.unpack_from(data)
+    body = data[_CHECKSUM.size :]
+    found = zlib.crc32(body)
+    if found != expected:
+        raise CorruptRecordError(
+            f"checksum is {found:#x}, not {expected:#x}", step="record.decode"
+        )
+    return body
