--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -1,5 +1,6 @@
 """The callers' door: WSGI in, typed requests and answers out."""
 
+import itertools
 import math
 import uuid
 from collections.abc import Callable, Iterable
@@ -25,6 +26,10 @@
     504: "504 Gateway Timeout",
 }
 
+# Ids need to be unique, not secret: a count spares a system call a request.
+_PROCESS_MARK = uuid.uuid4().hex[:24]
+_REQUESTS = itertools.count()
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 
@@ -98,13 +103,17 @@
         )
 
 
+def _make_request_id() -> RequestId:
+    return RequestId(f"{_PROCESS_MARK}{next(_REQUESTS):08x}")
+
+
 def _read_request(environ: Environ) -> CallerRequest:
     kind = environ.get("HTTP_PLANTAINHINGE_KIND", "")
     if not kind:
         raise BadInputError("header Plantainhinge-Kind is missing", step="call.read")
     key = environ.get("HTTP_IDEMPOTENCY_KEY")
     return CallerRequest(
-        request=RequestId(uuid.uuid4().hex),
+        request=_make_request_id(),
         kind=KindId(kind),
         method=environ["REQUEST_METHOD"],
         path=_read_path(environ),
--- a/plantainhinge/routing/choice.py
+++ b/plantainhinge/routing/choice.py
@@ -55,13 +55,17 @@
 
 @CHOICES.register("local-two-choices")
 def choose_near(rows: Sequence[TargetRow], context: ChoiceContext) -> TargetRow:
-    """Return the better of two local targets unless two of all promise less."""
+    """Return the better of two local targets unless two of all promise less.
+
+    All are looked at only if the local one is slow or has no free slot.
+    """
     local = [row for row in rows if row.local]
-    anywhere = _pick(rows, context.draws[0], context.draws[1], context)
     if not local:
-        return anywhere
+        return choose_of_two(rows, context)
     near = _pick(local, context.draws[2], context.draws[3], context)
-    return _take_shorter(near, anywhere, context)
+    if estimate_wait(near, context.typical, context.now) < 2.0 * context.typical:
+        return near
+    return _take_shorter(near, choose_of_two(rows, context), context)
 
 
 def _pick(
