Drain daemons on a planned stop; report every fault of a settings file at once

Cause: closing waitress's server cut the connections in flight, and a settings file told of one fault at a time. Change: a server on waitress that reports unready, lingers, stops accepting and answers what is in flight; a walker over checked structures; a metrics interface with an OpenTelemetry adapter. A ledger that loses its stream answers what was decided and calls the rest uncertain instead of not run.

--- /dev/null
+++ b/plantainhinge/core/metrics.py
@@ -0,0 +1,68 @@
+"""What the daemons measure, and the interface that takes the measurements.
+
+Attributes tell apart few things, such as kinds and reasons; ids of requests and
+tasks belong into events and logs.
+"""
+
+from enum import Enum
+from typing import Protocol
+
+
+class Counter(Enum):
+    """Totals that only rise."""
+
+    REFUSALS = "plantainhinge.requests.refused"
+    RETRIES = "plantainhinge.requests.retried"
+    UNKNOWN_OUTCOMES = "plantainhinge.requests.unknown"
+    STARTS = "plantainhinge.attempts.started"
+    EVICTIONS = "plantainhinge.attempts.evicted"
+    LOST_ATTEMPTS = "plantainhinge.attempts.lost"
+    RENEWALS_FAILED = "plantainhinge.leases.renewals_failed"
+    APPENDS = "plantainhinge.log.appends"
+
+
+class Distribution(Enum):
+    """Durations in seconds, of which the tail is of interest."""
+
+    REQUEST = "plantainhinge.requests.duration"
+    JOB_START = "plantainhinge.jobs.time_to_start"
+    APPEND = "plantainhinge.log.append_duration"
+
+
+class Level(Enum):
+    """Values that rise and fall; the newest one counts."""
+
+    LEASES = "plantainhinge.leases.held"
+    LOG_LAG = "plantainhinge.log.lag"
+    CONFIGURATION_AGE = "plantainhinge.configuration.age"
+    IN_FLIGHT = "plantainhinge.requests.in_flight"
+
+
+class Metrics(Protocol):
+    """Takes measurements from any thread and never blocks."""
+
+    def count(self, counter: Counter, amount: int = 1, **attributes: str) -> None:
+        """Add to a total."""
+
+    def observe(
+        self, distribution: Distribution, seconds: float, **attributes: str
+    ) -> None:
+        """Add one duration."""
+
+    def set(self, level: Level, value: float, **attributes: str) -> None:
+        """Replace the newest value."""
+
+
+class NoMetrics:
+    """Drops every measurement."""
+
+    def count(self, counter: Counter, amount: int = 1, **attributes: str) -> None:
+        """Do nothing."""
+
+    def observe(
+        self, distribution: Distribution, seconds: float, **attributes: str
+    ) -> None:
+        """Do nothing."""
+
+    def set(self, level: Level, value: float, **attributes: str) -> None:
+        """Do nothing."""
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -1,16 +1,33 @@
 """A daemon's settings: a JSON file with comments, checked whole at start."""
 
+import ipaddress
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
-import json5
 import msgspec
 
+from .checks import Fault, convert_document, parse_json
 from .errors import BadInputError
 from .ids import DomainId, InstanceId, RegionId
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+Wait = Annotated[float, msgspec.Meta(ge=0)]
+
+STEP = "settings.check"
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+PORT_MAX = 65535
+
+OVERRIDES = {
+    "address": ("address",),
+    "domain": ("domain",),
+    "instance": ("instance",),
+    "callers-port": ("ports", "callers"),
+    "gateway-peers-port": ("ports", "gateway_peers"),
+    "scheduler-peers-port": ("ports", "scheduler_peers"),
+}
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -18,7 +35,15 @@
 
 
 class Ports(_Section, frozen=True):
-    """TCP ports, the same on every instance of the site."""
+    """TCP ports, the same on every instance of the site.
+
+    Parameters
+    ----------
+    callers : int
+        Where the gateway answers callers.
+    gateway_peers, scheduler_peers : int
+        Where each daemon answers its peers.
+    """
 
     callers: Port = 8080
     gateway_peers: Port = 7101
@@ -26,12 +51,33 @@
 
 
 class Callers(_Section, frozen=True):
-    """Bounds on what callers may send and hold."""
+    """Bounds on what callers may send and hold.
+
+    Parameters
+    ----------
+    threads : int
+        Requests that are worked on at once.
+    connections : int
+        Connections that are open at once; more wait to be accepted.
+    body_bytes, header_bytes : int
+        Longest body and header of a request.
+    idle_seconds : int
+        Time after which an idle connection is closed.
+    linger_seconds : float
+        Time in a planned stop between reporting unready and accepting no more;
+        longer than the balancer takes to notice.
+    drain_seconds : float
+        Longest time in a planned stop for requests in flight; longer than the
+        longest deadline.
+    """
 
     threads: PositiveInt = 64
     connections: PositiveInt = 1000
     body_bytes: PositiveInt = 1_048_576
     header_bytes: PositiveInt = 16_384
+    idle_seconds: PositiveInt = 120
+    linger_seconds: Wait = 3.0
+    drain_seconds: PositiveSeconds = 30.0
 
 
 class Settings(_Section, frozen=True):
@@ -39,18 +85,28 @@
 
     Parameters
     ----------
-    instance : InstanceId
+    instance : str
         This instance's name on the platform's list.
     address : str
         This instance's IP number; daemons listen on it.
+    domain, region : str
+        The failure domain and the region this instance is in.
     log_address, instance_list_address : str
         ``ip:port`` of the platform's services.
+    ports : object
+        TCP ports, the same on every instance of the site.
+    callers : object
+        Bounds on what callers may send and hold.
+    log_level : str
+        One of DEBUG, INFO, WARNING, ERROR.
+    metrics_endpoint : str
+        URL of an OTLP collector for metrics; empty for none.
     """
 
-    instance: InstanceId
+    instance: Annotated[InstanceId, msgspec.Meta(min_length=1, max_length=128)]
     address: str
-    domain: DomainId
-    region: RegionId
+    domain: Annotated[DomainId, msgspec.Meta(min_length=1, max_length=128)]
+    region: Annotated[RegionId, msgspec.Meta(min_length=1, max_length=128)]
     log_address: str
     instance_list_address: str
     ports: Ports = Ports()
@@ -59,17 +115,87 @@
     metrics_endpoint: str = ""
 
 
-def load_settings(path: Path) -> Settings:
+def load_settings(path: Path, overrides: Mapping[str, str] | None = None) -> Settings:
     """Return the checked settings in a file.
 
+    Parameters
+    ----------
+    overrides : mapping
+        Values by the names in ``OVERRIDES`` that go before the file's own.
+
     Raises
     ------
     BadInputError
-        If the file cannot be read, is no JSON, or fails a check.
+        If the file cannot be read, is no JSON, or with every fault in it.
+    """
+    text = read_text(path, step=STEP)
+    document = parse_json(text, step=STEP, source=str(path))
+    faults = []
+    if isinstance(document, dict):
+        for name, value in (overrides or {}).items():
+            _override(document, OVERRIDES[name], value)
+        faults = find_value_faults(document)
+    return convert_document(
+        document, Settings, step=STEP, source=str(path), faults=faults
+    )
+
+
+def read_text(path: Path, *, step: str) -> str:
+    """Return a file's text.
+
+    Raises
+    ------
+    BadInputError
+        If it cannot be read or is not UTF-8.
     """
-    step = "settings.check"
     try:
-        document = json5.loads(path.read_text(encoding="utf-8"))
-        return msgspec.convert(document, Settings)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+        return path.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
         raise BadInputError(str(error), step=step, peer=str(path)) from error
+
+
+def find_value_faults(document: Mapping[str, Any]) -> list[Fault]:
+    """Return every text that has the right type but cannot be used."""
+    faults = []
+    for name, (is_valid, expected) in _TEXT_CHECKS.items():
+        value = document.get(name)
+        if isinstance(value, str) and not is_valid(value):
+            faults.append(Fault(name, repr(value), expected))
+    ports = document.get("ports")
+    if isinstance(ports, dict) and len(set(map(repr, ports.values()))) < len(ports):
+        faults.append(Fault("ports", repr(ports), "all different"))
+    return faults
+
+
+def _override(document: dict[str, Any], keys: tuple[str, ...], value: str) -> None:
+    for key in keys[:-1]:
+        document = document.setdefault(key, {})
+        if not isinstance(document, dict):
+            return
+    document[keys[-1]] = int(value) if value.isdecimal() else value
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_endpoint_url(text: str) -> bool:
+    return not text or text.startswith(("http://", "https://"))
+
+
+def _is_endpoint(text: str) -> bool:
+    ip, _, port = text.rpartition(":")
+    return _is_ip(ip) and port.isdecimal() and 0 < int(port) <= PORT_MAX
+
+
+_TEXT_CHECKS: dict[str, tuple[Callable[[str], bool], str]] = {
+    "address": (_is_ip, "an IP number"),
+    "log_address": (_is_endpoint, "ip:port"),
+    "instance_list_address": (_is_endpoint, "ip:port"),
+    "log_level": (LOG_LEVELS.__contains__, f"one of {list(LOG_LEVELS)}"),
+    "metrics_endpoint": (_is_endpoint_url, "empty or an http:// or https:// URL"),
+}
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -97,6 +97,7 @@
     def stop(self) -> None:
         """Begin a planned stop: report unready."""
         self._stopping = True
+        self.node.leaving = True
 
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return what the caller is told about a request."""
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -6,7 +6,12 @@
 from typing import Any
 
 from ..adapters.peers_grpc import ACKNOWLEDGE, OFFER, Call
-from ..core.errors import BadInputError, NotOwnerError, PlantainhingeError
+from ..core.errors import (
+    BadInputError,
+    NotOwnerError,
+    PlantainhingeError,
+    UncertainError,
+)
 from ..core.ids import Seconds, TaskId
 from ..core.messages import (
     AcknowledgeClosure,
@@ -103,14 +108,19 @@
                 self._offer(offer, now)
 
     def forget(self) -> None:
-        """Tell all who wait that this process is no longer the owner."""
+        """Answer what was decided; tell the rest that it may have been."""
+        self._settle_waiters()
         for waiter in self._waiters:
-            error = NotOwnerError("ownership was lost", step="ledger.call")
+            error = UncertainError("ownership was lost", step="ledger.call")
             waiter.call.answer.set_exception(error)
         self._waiters.clear()
         self._ended.clear()
         self._offer_due.clear()
 
+    def has_waiters(self) -> bool:
+        """Return whether a caller waits for a record to be decided."""
+        return bool(self._waiters)
+
     def _submit(self, call: Call, message: SubmitJob) -> None:
         configuration = self.node.current
         kind = configuration.kinds.get(message.kind) if configuration else None
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -10,6 +10,7 @@
 from ..core.events import EventList, EventRing
 from ..core.ids import DomainId, Epoch, ProcessId, Revision, Seconds, WriterId
 from ..core.messages import CellDigest, Empty, Heartbeat, Instance
+from ..core.metrics import Metrics, NoMetrics
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
 from ..core.states import DaemonRole, InstanceRole
@@ -46,6 +47,7 @@
         commander: Commander,
         driver: LogDriver,
         peers: Peers,
+        metrics: Metrics | None = None,
     ) -> None:
         self.settings = settings
         self.role = role
@@ -55,6 +57,8 @@
         self.commander = commander
         self.driver = driver
         self.peers = peers
+        self.metrics: Metrics = metrics or NoMetrics()
+        self.leaving = False
         self.table = PeerTable()
         self.instances: list[Instance] = []
         self.configuration: Replica[ConfigurationState] = Replica(
@@ -116,7 +120,7 @@
             address=self.address,
             domain=self.settings.domain,
             revision=self.configuration.reducer.revision,
-            ready=self.current is not None,
+            ready=self.current is not None and not self.leaving,
         )
 
     def collect_cells(self, now: Seconds) -> dict[DomainId, CellDigest]:
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -9,11 +9,12 @@
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 
 from pythonjsonlogger.json import JsonFormatter
-from waitress.server import create_server
 
 from ..adapters.callers_http import CallersApplication
+from ..adapters.callers_server import serve_callers
 from ..adapters.instances_http import HttpInstanceList
 from ..adapters.log_http import HttpLog
+from ..adapters.metrics_otel import open_metrics
 from ..adapters.peers_grpc import Call, Peers
 from ..adapters.targets_http import HttpTargets
 from ..adapters.workers_http import HttpWorkers
@@ -32,9 +33,10 @@
 
 TICK_PERIOD = Seconds(0.05)
 POOL_THREADS = 16
-DRAIN_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
 
+logger = logging.getLogger(__name__)
+
 
 def configure_logging(level: str) -> None:
     """Write JSON log lines to standard error."""
@@ -72,31 +74,8 @@
             signal.signal(number, handler)
 
 
-@contextmanager
-def serve_callers(gateway: Gateway, settings: Settings) -> Iterator[None]:
-    """Answer callers by waitress until the block ends."""
-    server = create_server(
-        CallersApplication(gateway),
-        host=settings.address,
-        port=settings.ports.callers,
-        threads=settings.callers.threads,
-        connection_limit=settings.callers.connections,
-        max_request_body_size=settings.callers.body_bytes,
-        max_request_header_size=settings.callers.header_bytes,
-        ident="plantainhinge",
-    )
-    thread = threading.Thread(target=server.run, name="callers")
-    thread.start()
-    try:
-        yield
-    finally:
-        server.close()
-        server.trigger.pull_trigger()
-        thread.join(DRAIN_SECONDS)
-
-
 def run_gateway(settings: Settings) -> None:
-    """Run a gateway until a signal asks it to stop."""
+    """Run a gateway until a signal asks it to stop, then drain it."""
     with ExitStack() as stack:
         stopped = stack.enter_context(await_stop())
         loop: TickLoop[Event] = TickLoop(period=TICK_PERIOD)
@@ -104,13 +83,18 @@
         gateway = Gateway(node, HttpTargets())
         stack.enter_context(_serve_peers(node, loop, gateway.answer))
         stack.enter_context(run_loop(loop, gateway.tick))
-        stack.enter_context(serve_callers(gateway, settings))
-        stopped.wait()
-        gateway.stop()
+        door = CallersApplication(gateway)
+        bounds = settings.callers
+        port = settings.ports.callers
+        with serve_callers(door, settings.address, port, bounds):
+            stopped.wait()
+            logger.info("planned stop: draining")
+            gateway.stop()
+        logger.info("planned stop: drained")
 
 
 def run_scheduler(settings: Settings) -> None:
-    """Run a scheduler until a signal asks it to stop."""
+    """Run a scheduler until a signal asks it to stop, then hand its streams over."""
     with ExitStack() as stack:
         stopped = stack.enter_context(await_stop())
         loop: TickLoop[Event] = TickLoop(period=TICK_PERIOD)
@@ -119,8 +103,10 @@
         stack.enter_context(_serve_peers(node, loop, scheduler.answer))
         stack.enter_context(run_loop(loop, scheduler.tick))
         stopped.wait()
-        loop.post(lambda now: scheduler.stop())
-        _wait_until(scheduler.has_stopped)
+        logger.info("planned stop: handing over")
+        _run_in_tick(loop, scheduler.stop)
+        _wait_until(scheduler.has_stopped, settings.callers.drain_seconds)
+        logger.info("planned stop: handed over")
 
 
 def _serve_peers(
@@ -137,6 +123,9 @@
 def _build_node(
     settings: Settings, role: DaemonRole, loop: TickLoop[Event], stack: ExitStack
 ) -> Node:
+    identity = {"instance": settings.instance, "role": role.value}
+    endpoint = settings.metrics_endpoint
+    metrics = stack.enter_context(open_metrics(endpoint, identity))
     executor = stack.enter_context(ThreadPoolExecutor(POOL_THREADS))
     commander = Commander(loop, executor)
     return Node(
@@ -146,10 +135,22 @@
         commander=commander,
         driver=LogDriver(HttpLog(settings.log_address), commander),
         peers=Peers(),
+        metrics=metrics,
     )
 
 
-def _wait_until(condition: Callable[[], bool]) -> None:
-    deadline = read_monotonic() + DRAIN_SECONDS
+def _run_in_tick(loop: TickLoop[Event], function: Callable[[], None]) -> None:
+    done = threading.Event()
+
+    def run(now: Seconds) -> None:
+        function()
+        done.set()
+
+    loop.post(run)
+    done.wait()
+
+
+def _wait_until(condition: Callable[[], bool], seconds: float) -> None:
+    deadline = read_monotonic() + seconds
     while read_monotonic() < deadline and not condition():
         time.sleep(DRAIN_POLL_SECONDS)
--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -66,12 +66,15 @@
     def stop(self) -> None:
         """Begin a planned stop: release all streams and claim no more."""
         self._stopping = True
+        self.node.leaving = True
         for owner in self._list_owners():
             owner.release()
 
     def has_stopped(self) -> bool:
-        """Return whether no release is undecided."""
-        return not any(o.replica.has_undecided() for o in self._list_owners())
+        """Return whether no release is undecided and nobody waits for an answer."""
+        owners = self._list_owners()
+        waiting = any(ledger.has_waiters() for ledger in self.ledgers.values())
+        return not waiting and not any(o.replica.has_undecided() for o in owners)
 
     def describe(self) -> Heartbeat:
         """Return this process's heartbeat with the streams it owns."""
