--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,123 @@
+"""Callers behind a balancer that tries another entry only if one refuses."""
+
+import http.client
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import msgspec
+
+CALL_TIMEOUT_SECONDS = 30.0
+NO_ENTRY_SECONDS = 0.02
+
+
+class Told(msgspec.Struct, frozen=True, kw_only=True):
+    """What one caller was told, or how the exchange failed.
+
+    Parameters
+    ----------
+    failure : str
+        Why there was no whole answer; empty if there was.
+    at : float
+        Seconds since the Unix epoch when the answer came.
+    """
+
+    path: str
+    status: int = 0
+    outcome: str = ""
+    retry_after: str = ""
+    failure: str = ""
+    body: bytes = b""
+    at: float = 0.0
+
+
+class Caller:
+    """One caller that keeps its connection, as most HTTP clients do.
+
+    Parameters
+    ----------
+    entries : list of str
+        ``ip:port`` of each gateway, the preferred one first.
+    """
+
+    def __init__(self, entries: list[str]) -> None:
+        self._entries = entries
+        self._connection: http.client.HTTPConnection | None = None
+
+    def call(
+        self, method: str, path: str, *, kind: str, key: str = "", body: bytes = b""
+    ) -> Told:
+        """Make one call; only a refused connection is tried elsewhere."""
+        headers = {"Plantainhinge-Kind": kind}
+        if key:
+            headers["Idempotency-Key"] = key
+        try:
+            connection = self._connection or self._connect()
+            self._connection = None
+            connection.request(method, path, body or None, headers)
+            response = connection.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            return Told(path=path, failure=repr(error), at=time.time())
+        if not response.will_close:
+            self._connection = connection
+        return Told(
+            path=path,
+            status=response.status,
+            outcome=response.headers.get("Plantainhinge-Outcome", ""),
+            retry_after=response.headers.get("Retry-After", ""),
+            body=content,
+            at=time.time(),
+        )
+
+    def close(self) -> None:
+        """Close the connection that is kept."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _connect(self) -> http.client.HTTPConnection:
+        for entry in self._entries:
+            connection = http.client.HTTPConnection(entry, timeout=CALL_TIMEOUT_SECONDS)
+            try:
+                connection.connect()
+            except ConnectionRefusedError:
+                continue
+            return connection
+        raise ConnectionRefusedError("every entry refused")
+
+
+@contextmanager
+def keep_calling(
+    entries: list[str], call: Callable[[Caller, int], Told], *, callers: int
+) -> Iterator[list[Told]]:
+    """Let callers call over and over until the block ends; give what they were told.
+
+    Parameters
+    ----------
+    call : callable
+        Makes one call; takes the caller and a number that is never used twice.
+    """
+    told: list[Told] = []
+    stopped = threading.Event()
+
+    def run(first: int) -> None:
+        caller = Caller(entries)
+        number = first
+        while not stopped.is_set():
+            answer = call(caller, number)
+            told.append(answer)
+            number += callers
+            if answer.outcome != "done":
+                time.sleep(NO_ENTRY_SECONDS)
+        caller.close()
+
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(callers)]
+    for thread in threads:
+        thread.start()
+    try:
+        yield told
+    finally:
+        stopped.set()
+        for thread in threads:
+            thread.join()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,6 +26,7 @@
 from plantainhinge.core.states import AttemptOutcome
 
 from .target import TargetApplication
+from .witness import Witness
 from .wsgi import Environ, Problem, respond, serve
 
 START_WINDOW_SECONDS = 5.0
@@ -58,6 +59,7 @@
 
     def __init__(self, name: str, ip: str) -> None:
         self.name = WorkerId(name)
+        self.witness = Witness(name)
         self.ip = ip
         self.history: list[tuple[TaskId, Attempt]] = []
         self._runs: dict[tuple[TaskId, Attempt], _Run] = {}
@@ -142,10 +144,17 @@
         now = time.monotonic()
         run = _Run(message, now, now + message.lease_seconds, ExitStack())
         run.checkpoint = message.checkpoint
+        self.witness.note_start(message)
+        run.stack.callback(self._note_end, (message.task, message.attempt))
         if message.service:
             name = f"{message.task}.{message.attempt}"
             port = run.stack.enter_context(
-                serve(TargetApplication(name), self.ip, 0, TARGET_THREADS)
+                serve(
+                    TargetApplication(name, witness=self.witness),
+                    self.ip,
+                    0,
+                    TARGET_THREADS,
+                )
             )
             run.address = f"{self.ip}:{port}"
         return run
@@ -157,6 +166,11 @@
             self._saved = _measure_progress(run, time.monotonic())
             run.stack.close()
 
+    def _note_end(self, ref: tuple[TaskId, Attempt]) -> None:
+        outcome = self._describe(ref).outcome
+        assert outcome is not None
+        self.witness.note_end(*ref, outcome)
+
     def _describe(self, ref: tuple[TaskId, Attempt]) -> AttemptReport:
         run = self._runs.get(ref)
         return AttemptReport(
@@ -196,6 +210,8 @@
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one HTTP request."""
+        if environ["PATH_INFO"] == "/witness":
+            return respond(start_response, self.worker.witness.report())
         route = self._routes.get(environ["PATH_INFO"])
         if route is None:
             problem = Problem(code="not-found", detail="no such path")
