Prove the promises under faults of real processes

Change: tests kill a gateway and a scheduler, freeze a scheduler past its lease and the log, take a domain out and bring it back, and let five operators race; each is judged by what workers and targets saw.

--- a/standins/site.py
+++ b/standins/site.py
@@ -41,6 +41,7 @@
 STOP_SECONDS = 20.0
 LINGER_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 20
+FETCH_TIMEOUT_SECONDS = 2
 WORKER_CAPACITY = Resources(30_000, 125 * 1024, 0)
 REGION = RegionId("scotland")
 
@@ -142,6 +143,14 @@
         )
         return (finished.stdout + finished.stderr).strip()
 
+    def start_command(self, *arguments: str) -> subprocess.Popen[bytes]:
+        """Start the operators' command and return at once."""
+        return subprocess.Popen(
+            [sys.executable, "-m", "plantainhinge", *arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+
     def apply(self, path: Path) -> str:
         """Apply a configuration file."""
         settings = str(self.folder / "entry-1.jsonc")
@@ -232,7 +241,7 @@
 
 def fetch(address: str, path: str, answer: type[T]) -> T:
     """Return a typed answer of a stand-in."""
-    connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_SECONDS)
+    connection = http.client.HTTPConnection(address, timeout=FETCH_TIMEOUT_SECONDS)
     try:
         connection.request("GET", path)
         return msgspec.json.decode(connection.getresponse().read(), type=answer)
--- a/standins/witness.py
+++ b/standins/witness.py
@@ -68,12 +68,14 @@
                 checkpoint=start.checkpoint,
             )
 
-    def note_end(self, task: str, attempt: int, outcome: AttemptOutcome) -> None:
+    def note_end(
+        self, task: str, attempt: int, outcome: AttemptOutcome, *, ended_at: float
+    ) -> None:
         """Note how an attempt that had started ended."""
         with self._lock:
             seen = self._attempts.get((task, attempt))
             if seen is not None:
-                seen.ended_at = time.time()
+                seen.ended_at = ended_at
                 seen.outcome = outcome
 
     def note_request(self, request: str, method: str, path: str, target: str) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -145,7 +145,7 @@
         run = _Run(message, now, now + message.lease_seconds, ExitStack())
         run.checkpoint = message.checkpoint
         self.witness.note_start(message)
-        run.stack.callback(self._note_end, (message.task, message.attempt))
+        run.stack.callback(self._note_end, run)
         if message.service:
             name = f"{message.task}.{message.attempt}"
             port = run.stack.enter_context(
@@ -166,10 +166,12 @@
             self._saved = _measure_progress(run, time.monotonic())
             run.stack.close()
 
-    def _note_end(self, ref: tuple[TaskId, Attempt]) -> None:
+    def _note_end(self, run: _Run) -> None:
+        ref = (run.start.task, run.start.attempt)
         outcome = self._describe(ref).outcome
         assert outcome is not None
-        self.witness.note_end(*ref, outcome)
+        overdue = max(0.0, time.monotonic() - run.expires_at)
+        self.witness.note_end(*ref, outcome, ended_at=time.time() - overdue)
 
     def _describe(self, ref: tuple[TaskId, Attempt]) -> AttemptReport:
         run = self._runs.get(ref)
--- /dev/null
+++ b/tests/test_site_faults.py
@@ -0,0 +1,266 @@
+"""Faults of real processes, judged by what workers and targets saw."""
+
+import itertools
+import json
+import signal
+import time
+
+import pytest
+
+from plantainhinge.adapters.log_http import HttpLog
+from plantainhinge.core.ids import Epoch, Offset, Seconds
+from plantainhinge.core.records import ConfigurationPublished, decode_batch
+from plantainhinge.streams.configuration import ConfigurationState
+from plantainhinge.streams.names import CONFIGURATION
+from standins.callers import keep_calling
+from standins.demonstration import EXAMPLE
+from standins.site import await_condition, run_site
+
+pytestmark = pytest.mark.processes
+
+DOMAINS = ["scot-a", "scot-b"]
+OPERATORS = 5
+OUT_BOUND_SECONDS = 5.0
+TOLD_AT_ONCE_SECONDS = 6.0
+
+
+@pytest.fixture
+def site():
+    with run_site(domains=DOMAINS) as site:
+        site.apply(EXAMPLE)
+        await_condition(
+            "lookups are answered by both gateways",
+            lambda: all(
+                site.call(n, "GET", "/formulas/1", kind="lookup").status == 200
+                for n in range(2)
+            ),
+        )
+        yield site
+
+
+def look_up(caller, number):
+    return caller.call("GET", f"/formulas/{number}", kind="lookup")
+
+
+def buy(caller, number):
+    path = f"/licences/order-{number}"
+    return caller.call("POST", path, kind="purchase", key=f"order-{number}", body=b"{}")
+
+
+def submit(site, job, *, run_seconds, entry=0):
+    body = json.dumps({"id": job, "kind": "audit", "run_seconds": run_seconds})
+    return site.call(entry, "POST", "/jobs", body=body.encode())
+
+
+def read_state(site, job, entry=1):
+    return json.loads(site.call(entry, "GET", f"/jobs/{job}").body).get("state")
+
+
+def list_attempts(site, job):
+    """Return the attempts of a job as the workers saw them, oldest first."""
+    attempts = [
+        seen
+        for report in site.witness()
+        for seen in report.attempts
+        if seen.task == job
+    ]
+    return sorted(attempts, key=lambda seen: seen.started_at)
+
+
+def list_overlaps(attempts):
+    """Return neighbours of which the later started before the earlier ended."""
+    pairs = itertools.pairwise(attempts)
+    return [(a, b) for a, b in pairs if a.ended_at is None or b.started_at < a.ended_at]
+
+
+def count_runs(site):
+    """Return how often targets ran each purchase, by its path."""
+    runs = {}
+    for report in site.witness():
+        for seen in report.requests:
+            if seen.method == "POST":
+                runs[seen.path] = runs.get(seen.path, 0) + 1
+    return runs
+
+
+def find_owner(site, stream):
+    """Return the name of the scheduler process that owns a stream."""
+    for line in site.show_timeline(stream).splitlines()[::-1]:
+        if "ownership.taken" in line:
+            return line.split()[1].split("/")[0] + "-scheduler"
+    return ""
+
+
+def await_running(site, job):
+    await_condition("the job runs", lambda: bool(list_attempts(site, job)))
+
+
+def test_a_gateway_that_is_killed_leaves_every_purchase_accounted_for(site):
+    entries = [f"{ip}:8080" for ip in site.entries]
+    with keep_calling(entries, buy, callers=4) as told:
+        await_condition("purchases run", lambda: len(told) > 20)
+        site.signal("entry-1-gateway", signal.SIGKILL)
+        site.await_exit("entry-1-gateway")
+        seen = len(told)
+        await_condition("the other entry sells", lambda: len(told) > seen + 20)
+    runs = count_runs(site)
+    assert [path for path, count in runs.items() if count > 1] == []
+    not_run = [t.path for t in told if t.outcome == "not-run"]
+    assert [path for path in not_run if path in runs] == []
+    done = [t.path for t in told if t.outcome == "done"]
+    assert [path for path in done if runs.get(path, 0) != 1] == []
+
+
+def test_a_job_outlives_the_death_of_the_scheduler_that_runs_it(site):
+    assert submit(site, "audit-k", run_seconds=6.0).status == 202
+    await_running(site, "audit-k")
+    domain = find_domain(site, list_attempts(site, "audit-k")[0].worker)
+    victim = find_owner(site, f"cell.{domain}")
+    site.signal(victim, signal.SIGKILL)
+    site.await_exit(victim)
+    await_condition("it finishes", lambda: read_state(site, "audit-k") == "finished")
+    attempts = list_attempts(site, "audit-k")
+    assert [seen.outcome.value for seen in attempts].count("finished") == 1
+    assert list_overlaps(attempts) == []
+
+
+def test_a_scheduler_that_slept_past_its_lease_starts_nothing_twice(site):
+    jobs = [f"audit-f{n}" for n in range(4)]
+    for job in jobs:
+        assert submit(site, job, run_seconds=4.0).status == 202
+    await_running(site, jobs[0])
+    domain = find_domain(site, list_attempts(site, jobs[0])[0].worker)
+    stream = f"cell.{domain}"
+    victim = find_owner(site, stream)
+    site.signal(victim, signal.SIGSTOP)
+    other = next(n for n in ("entry-1", "entry-2") if not victim.startswith(n))
+    await_condition(
+        "the stream is taken over",
+        lambda: find_owner(site, stream).startswith(other),
+    )
+    site.signal(victim, signal.SIGCONT)
+    await_condition(
+        "all jobs finish",
+        lambda: all(read_state(site, job) == "finished" for job in jobs),
+    )
+    for job in jobs:
+        attempts = list_attempts(site, job)
+        outcomes = [seen.outcome.value for seen in attempts]
+        assert (job, outcomes.count("finished")) == (job, 1)
+        assert list_overlaps(attempts) == []
+
+
+def find_domain(site, worker):
+    return next(row.domain for row in site.rows if row.instance == worker)
+
+
+def test_lookups_go_on_while_the_log_is_frozen(site):
+    entries = [f"{ip}:8080" for ip in site.entries]
+    site.signal("log", signal.SIGSTOP)
+    refused_since = time.monotonic()
+    await_condition(
+        "jobs are refused", lambda: submit(site, "never", run_seconds=1.0).status == 503
+    )
+    with keep_calling(entries, look_up, callers=2) as told:
+        started = time.monotonic()
+        answers = [
+            submit(site, "late-job", run_seconds=1.0),
+            site.call(0, "POST", "/licences/late", kind="purchase", key="late"),
+        ]
+        took = time.monotonic() - started
+        await_condition("lookups go on", lambda: len(told) > 200)
+    assert [(a.status, a.outcome, bool(a.retry_after)) for a in answers] == [
+        (503, "not-run", True)
+    ] * 2
+    assert took < TOLD_AT_ONCE_SECONDS
+    assert refused_since < started
+    assert {t.outcome for t in told} == {"done"}
+    site.signal("log", signal.SIGCONT)
+    await_condition(
+        "jobs are accepted",
+        lambda: submit(site, "after", run_seconds=0.1).status == 202,
+    )
+    await_condition("it finishes", lambda: read_state(site, "after") == "finished")
+    assert list_attempts(site, "late-job") == []
+    assert "/licences/late" not in count_runs(site)
+
+
+def test_nothing_starts_in_a_domain_after_it_was_taken_out(site):
+    edited = site.folder / "edited.jsonc"
+    text = EXAMPLE.read_text(encoding="utf-8")
+    marker = '"scot-b": { "region": "scotland", "state": "in" }'
+    edited.write_text(text.replace(marker, marker.replace('"in"', '"out"')))
+    number = 0
+
+    def submit_next(caller, count):
+        nonlocal number
+        number += 1
+        body = json.dumps({"id": f"d-{count}", "kind": "audit", "run_seconds": 0.3})
+        time.sleep(0.1)
+        return caller.call("POST", "/jobs", kind="", body=body.encode())
+
+    def list_starts():
+        return [
+            seen.started_at
+            for report in site.witness()
+            if find_domain(site, report.worker) == "scot-b"
+            for seen in report.attempts
+        ]
+
+    entries = [f"{ip}:8080" for ip in site.entries]
+    with keep_calling(entries, submit_next, callers=2) as told:
+        await_condition("jobs start there", lambda: len(list_starts()) > 2)
+        assert "accepted" in site.apply(edited)
+        applied = time.time()
+        await_condition(
+            "work goes on elsewhere past the bound",
+            lambda: (
+                time.time() > applied + OUT_BOUND_SECONDS + 3
+                and sum(t.status == 202 for t in told if t.at > applied) > 10
+            ),
+        )
+        late = [at for at in list_starts() if at > applied + OUT_BOUND_SECONDS]
+        site.apply(EXAMPLE)
+        back = time.time()
+        await_condition(
+            "jobs start there again", lambda: any(at > back for at in list_starts())
+        )
+    assert late == []
+
+
+def read_publications(site):
+    """Return the operators' documents in the log and whether replay accepts each."""
+    log = HttpLog(f"{site.platform}:9100")
+    state = ConfigurationState()
+    verdicts = []
+    for entry in log.read(CONFIGURATION, Offset(0), 1_000_000).entries:
+        for record in decode_batch(entry.data).records:
+            if isinstance(record, ConfigurationPublished):
+                rejection = state.apply(
+                    record, epoch=Epoch(0), offset=entry.offset, now=Seconds(0.0)
+                )
+                verdicts.append((record.document, rejection is None))
+    return verdicts
+
+
+def test_operators_who_race_are_told_what_the_log_decided(site):
+    documents = {}
+    settings = str(site.folder / "entry-1.jsonc")
+    for number in range(OPERATORS):
+        path = site.folder / f"operator-{number}.jsonc"
+        path.write_text(EXAMPLE.read_text(encoding="utf-8") + f"// {number}\n")
+        documents[number] = path
+    site.signal("log", signal.SIGSTOP)
+    commands = {
+        number: site.start_command("apply", str(path), "--settings", settings)
+        for number, path in documents.items()
+    }
+    time.sleep(1.0)
+    site.signal("log", signal.SIGCONT)
+    codes = {number: command.wait(60) for number, command in commands.items()}
+    verdicts = dict(read_publications(site))
+    told = {
+        verdicts.get(documents[number].read_text(), False): code
+        for number, code in codes.items()
+    }
+    assert told in ({True: 0, False: 3}, {True: 0})
