--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -17,10 +17,12 @@
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
+from ..core.clock import read_monotonic
 from ..core.errors import (
+    BadInputError,
     NotOwnerError,
     PlantainhingeError,
     UnavailableError,
@@ -47,6 +49,8 @@
 
 SERVICE = "plantainhinge.Peers"
 CALL_TIMEOUT_SECONDS = 2.0
+ANSWER_TIMEOUT_SECONDS = 10.0
+DRAIN_POLL_SECONDS = 0.02
 
 Request = TypeVar("Request")
 Answer = TypeVar("Answer")
@@ -157,20 +161,21 @@
             Takes each call that comes in, on the asyncio thread; must not block.
         """
         with self.connect():
+            service = _Service(accept)
             starting = asyncio.run_coroutine_threadsafe(
-                self._start(ip, port, accept), self._loop
+                self._start(ip, port, service), self._loop
             )
             server = starting.result()
             try:
                 yield
             finally:
-                stopping = asyncio.run_coroutine_threadsafe(_stop(server), self._loop)
+                stopping = asyncio.run_coroutine_threadsafe(
+                    _stop(server, service), self._loop
+                )
                 stopping.result()
 
-    async def _start(
-        self, ip: str, port: int, accept: Callable[[Call], None]
-    ) -> Server:
-        server = Server([_Service(accept)], codec=MessageCodec())
+    async def _start(self, ip: str, port: int, service: "_Service") -> Server:
+        server = Server([service], codec=MessageCodec())
         await server.start(ip, port)
         return server
 
@@ -195,7 +200,7 @@
             raise UnavailableError(str(error), step=step, peer=address) from error
         except GRPCError as error:
             raise _translate(error, step, address) from error
-        except (OSError, TimeoutError, StreamTerminatedError) as error:
+        except _UNCERTAIN as error:
             message = str(error) or type(error).__name__
             raise UncertainError(message, step=step, peer=address) from error
 
@@ -208,9 +213,33 @@
         return channel
 
 
+_UNCERTAIN = (
+    OSError,
+    TimeoutError,
+    StreamTerminatedError,
+    ProtocolError,
+    msgspec.MsgspecError,
+)
+
+
 class _Service:
     def __init__(self, accept: Callable[[Call], None]) -> None:
         self._accept = accept
+        self._unanswered = 0
+
+    async def drain(self) -> None:
+        """Wait, for a bounded time, until every call that came in is answered."""
+        deadline = read_monotonic() + ANSWER_TIMEOUT_SECONDS
+        while self._unanswered and read_monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    @contextmanager
+    def _track(self) -> Iterator[None]:
+        self._unanswered += 1
+        try:
+            yield
+        finally:
+            self._unanswered -= 1
 
     def __mapping__(self) -> dict[str, Handler]:
         return {
@@ -225,18 +254,40 @@
 
     def _make_handler(self, method: Method[Any, Any]) -> Callable[..., Any]:
         async def handle(stream: Stream[Any, Any]) -> None:
-            request = await stream.recv_message()
+            request = await _receive(stream)
             answer: Future[Any] = Future()
             self._accept(Call(method, request, answer))
-            try:
-                await stream.send_message(await asyncio.wrap_future(answer))
-            except PlantainhingeError as error:
-                raise _to_status(error) from error
+            with self._track():
+                await _send_answer(stream, answer)
 
         return handle
 
 
-async def _stop(server: Server) -> None:
+async def _receive(stream: Stream[Any, Any]) -> Any:
+    try:
+        request = await stream.recv_message()
+    except msgspec.MsgspecError as error:
+        raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+    if request is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
+    return request
+
+
+async def _send_answer(stream: Stream[Any, Any], answer: Future[Any]) -> None:
+    """Send what the future brings; a caller that hangs up does not cancel it."""
+    waiting = asyncio.shield(asyncio.wrap_future(answer))
+    try:
+        await stream.send_message(
+            await asyncio.wait_for(waiting, ANSWER_TIMEOUT_SECONDS)
+        )
+    except PlantainhingeError as error:
+        raise _to_status(error) from error
+    except TimeoutError as error:
+        raise GRPCError(Status.UNKNOWN, "not answered in time") from error
+
+
+async def _stop(server: Server, service: "_Service") -> None:
+    await service.drain()
     server.close()
     await server.wait_closed()
 
@@ -246,6 +297,8 @@
         return GRPCError(Status.FAILED_PRECONDITION, error.message)
     if isinstance(error, UnavailableError):
         return GRPCError(Status.UNAVAILABLE, error.message)
+    if isinstance(error, BadInputError):
+        return GRPCError(Status.INVALID_ARGUMENT, error.message)
     return GRPCError(Status.UNKNOWN, str(error))
 
 
@@ -255,4 +308,6 @@
         return NotOwnerError(message, step=step, peer=peer)
     if error.status is Status.UNAVAILABLE:
         return UnavailableError(message, step=step, peer=peer)
+    if error.status is Status.INVALID_ARGUMENT:
+        return BadInputError(message, step=step, peer=peer)
     return UncertainError(message, step=step, peer=peer)
