--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -99,6 +99,7 @@
     def stop(self) -> None:
         """Begin a planned stop: report unready."""
         self._stopping = True
+        self.node.leaving = True
 
     def has_stopped(self) -> bool:
         """Return whether no ledger is left to be told of a request."""
