--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -16,7 +16,7 @@
 from ..core.protocols import TargetClient
 from ..core.states import TaskClass
 from ..routing.admission import estimate_outage
-from ..routing.answers import explain_expired_key
+from ..routing.answers import explain_key
 from ..routing.claims import KeyAge, judge_key, read_key_time
 from ..routing.plans import digest_loads, may_route, measure_age
 from ..routing.policy import Policy, build_policy
@@ -165,8 +165,9 @@
         key_at = 0.0
         if not kind.idempotent:
             key_at = read_key_time(request.key)
-            if judge_key(key_at, read_wall()) is KeyAge.EXPIRED:
-                return explain_expired_key()
+            age = judge_key(key_at, read_wall())
+            if age is not KeyAge.RECENT:
+                return explain_key(age)
         return RequestRunner(
             self._surroundings,
             request,
--- a/plantainhinge/routing/answers.py
+++ b/plantainhinge/routing/answers.py
@@ -5,9 +5,11 @@
 from ..core.calls import CallerAnswer
 from ..core.messages import TargetAnswer
 from ..core.states import Outcome
+from .claims import CLAIM_WINDOW_SECONDS, CLOCK_SKEW_SECONDS, KeyAge
 from .requests import Event, RequestState, judge
 from .targets import TargetRow
 
+STATUS_BAD_REQUEST = 400
 STATUS_CONFLICT = 409
 STATUS_GONE = 410
 STATUS_TOO_MANY = 429
@@ -16,6 +18,12 @@
 STATUS_TIMEOUT = 504
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
+_KEY_FAULTS = {
+    KeyAge.EXPIRED: "Idempotency-Key is older than the claims that are kept; valid: "
+    f"up to {CLAIM_WINDOW_SECONDS:.0f} s old",
+    KeyAge.FUTURE: "Idempotency-Key is from the future; valid: up to "
+    f"{CLOCK_SKEW_SECONDS:.0f} s ahead",
+}
 _TIMEOUTS = frozenset({Event.EXPIRED, Event.NO_PLACE})
 
 
@@ -69,14 +77,19 @@
     )
 
 
-def explain_expired_key() -> CallerAnswer:
-    """Return what the caller is told of a key that no ledger remembers."""
+def explain_key(age: KeyAge) -> CallerAnswer:
+    """Return what the caller is told of a key that cannot be claimed.
+
+    An earlier request with the key may have run, also where this gateway's
+    clock is wrong: the outcome is unknown, whatever the status.
+    """
+    expired = age is KeyAge.EXPIRED
     return CallerAnswer(
-        status=STATUS_GONE,
+        status=STATUS_GONE if expired else STATUS_BAD_REQUEST,
         outcome=Outcome.UNKNOWN,
-        code="key-expired",
+        code="key-expired" if expired else "bad-input",
         step="request.check",
-        detail="the key is older than the claims that are kept",
+        detail=_KEY_FAULTS[age],
     )
 
 
