--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -267,6 +267,10 @@
     ----------
     shapes : list of Resources
         The different capacities that its workers have.
+    largest_free : Resources
+        The most that one worker has free, each amount by itself.
+    critical : Resources
+        What its latency-critical tasks hold.
     """
 
     domain: DomainId
@@ -275,6 +279,7 @@
     largest_free: Resources
     workers: int
     shapes: list[Resources] = []
+    critical: Resources = Resources()
 
 
 class LoadDigest(Message, frozen=True):
@@ -461,16 +466,39 @@
 
 
 class QueryTargets(Message, frozen=True):
-    """Asks a cell's owner for the replicas it runs, for a known service."""
+    """Asks a cell's owner for the replicas it runs, for a known service.
+
+    Parameters
+    ----------
+    gateway : ProcessId
+        Who asks; a large cell tells each gateway another part of its replicas.
+    limit : int
+        The most replicas wanted; 0 for all.
+    seen : int
+        The version that the gateway has; 0 if none.
+    """
 
     cell: DomainId
     service: ServiceId
+    gateway: ProcessId = ProcessId("")
+    limit: int = 0
+    seen: int = 0
 
 
 class TargetList(Message, frozen=True):
-    """The replicas of one service in one cell."""
+    """The replicas of one service in one cell.
+
+    Parameters
+    ----------
+    version : int
+        Changes with the list; never 0.
+    unchanged : bool
+        The gateway's version is still right and no replicas are listed.
+    """
 
     targets: list[Target]
+    version: int = 1
+    unchanged: bool = False
 
 
 class QueryEvents(Message, frozen=True):
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -16,7 +16,6 @@
     OfferAttempts,
     OffersTaken,
     QueryTargets,
-    TargetList,
 )
 from ..core.protocols import WorkerClient
 from ..core.records import AnyRecord, ClosureAcknowledged, PredecessorsEnded
@@ -33,6 +32,7 @@
 )
 from ..ledgers.leases import Takeover, find_handover_end, may_renew
 from ..placement.scores import SCORES
+from ..routing.lists import answer_query
 from ..streams.names import name_ledger
 from ..streams.ownership import OWNER_LEASE_SECONDS
 from ..streams.replica import Replica
@@ -93,7 +93,7 @@
                 self._take_offers(call, call.request, now)
             case QueryTargets(service=service):
                 targets = list_targets(self.state, service, self.workers.reports)
-                call.answer.set_result(TargetList(targets=targets))
+                call.answer.set_result(answer_query(targets, call.request))
 
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does; keep leases alive while the log is down."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -27,10 +27,9 @@
 from plantainhinge.core.states import AttemptOutcome
 from plantainhinge.ledgers.leases import START_WINDOW_SECONDS, is_stale
 
-from .target import TargetApplication
-from .wsgi import Environ, Problem, respond, serve
+from .target import Target, serve_target
+from .wsgi import Environ, Problem, respond
 
-TARGET_THREADS = 16
 SWEEP_SECONDS = 0.2
 MILLISECONDS = 1000
 
@@ -213,10 +212,7 @@
         run.checkpoint = message.checkpoint
         if message.service:
             name = f"{message.task}.{message.attempt}"
-            port = run.stack.enter_context(
-                serve(TargetApplication(name), self.ip, 0, TARGET_THREADS)
-            )
-            run.address = f"{self.ip}:{port}"
+            run.address = run.stack.enter_context(serve_target(Target(name), self.ip))
         return run
 
     def _end(self, ref: Ref, outcome: AttemptOutcome, at: float) -> None:
