--- /dev/null
+++ b/tests/test_cell.py
@@ -0,0 +1,134 @@
+"""The replayed state of a cell under two writers, drops and duplicates."""
+
+from hypothesis import given, settings, strategies as st
+
+from plantainhinge.core.ids import DomainId, Epoch, Offset, Seconds
+from plantainhinge.core.records import (
+    AttemptClosed,
+    AttemptPlaced,
+    ClosureAcknowledged,
+    OwnershipClaimed,
+    OwnershipReleased,
+    WorkerJoined,
+    WorkerLeft,
+)
+from plantainhinge.core.resources import Resources
+from plantainhinge.core.states import AttemptOutcome, TaskClass
+from plantainhinge.ledgers.cell import CellState, Fence
+
+CAPACITY = Resources(8, 8, 1)
+TASKS = st.sampled_from(["t1", "t2", "t3"])
+ATTEMPTS = st.integers(1, 4)
+WORKERS = st.sampled_from(["w1", "w2"])
+SIZES = st.builds(Resources, st.integers(0, 6), st.integers(0, 6), st.integers(0, 1))
+EPOCHS = st.integers(1, 3)
+
+
+def place(task, attempt, worker, size):
+    return AttemptPlaced(task, attempt, worker, "k", TaskClass.BATCH, size, 0)
+
+
+def close(task, attempt):
+    return AttemptClosed(task, attempt, AttemptOutcome.EVICTED, "5", 0)
+
+
+def acknowledge(task, attempt, epoch, sequence):
+    return ClosureAcknowledged(task, attempt, 0, epoch, sequence)
+
+
+records = st.one_of(
+    st.builds(place, TASKS, ATTEMPTS, WORKERS, SIZES),
+    st.builds(close, TASKS, ATTEMPTS),
+    st.builds(acknowledge, TASKS, ATTEMPTS, EPOCHS, st.integers(0, 5)),
+    st.builds(WorkerJoined, WORKERS, st.just(""), st.just("r"), st.just(CAPACITY)),
+    st.builds(WorkerLeft, WORKERS),
+    st.builds(OwnershipClaimed, EPOCHS, st.sampled_from(["a", "b"]), st.just("")),
+    st.builds(OwnershipReleased, EPOCHS),
+)
+entries = st.lists(st.tuples(records, EPOCHS, st.integers(1, 2)), max_size=60)
+
+
+def apply(state, record, epoch, now=0.0):
+    return state.apply(record, epoch=Epoch(epoch), offset=Offset(0), now=Seconds(now))
+
+
+def make_owned():
+    state = CellState(DomainId("d"))
+    apply(state, OwnershipClaimed(1, "a", ""), 1)
+    apply(state, WorkerJoined("w1", "", "r", CAPACITY), 1)
+    apply(state, WorkerJoined("w2", "", "r", CAPACITY), 1)
+    return state
+
+
+def check(state):
+    used = {name: Resources() for name in state.workers}
+    for placed in state.open.values():
+        used[placed.worker] = used[placed.worker] + placed.resources
+    for name, worker in state.workers.items():
+        assert worker.free + used[name] == worker.capacity
+        assert Resources().fits_within(worker.free)
+        assert set(worker.attempts) == {
+            task for task, placed in state.open.items() if placed.worker == name
+        }
+    closed = {task for task, row in state.attempts.items() if row.closed is not None}
+    assert closed == {task for tasks in state.closures.values() for task in tasks}
+    assert closed | set(state.open) == set(state.attempts)
+
+
+@settings(max_examples=300)
+@given(entries=entries)
+def test_no_order_of_records_commits_a_worker_beyond_its_capacity(entries):
+    state = make_owned()
+    newest = {}
+    for record, epoch, times in entries:
+        for _ in range(times):
+            owner = state.ownership.epoch if state.ownership.owner else None
+            known = state.attempts.get(getattr(record, "task", None))
+            rejection = apply(state, record, epoch)
+            check(state)
+            if rejection is not None or isinstance(record, OwnershipClaimed):
+                continue
+            assert epoch == owner or isinstance(record, OwnershipReleased)
+            if isinstance(record, AttemptPlaced):
+                assert known is None or known.closed is not None
+                assert known is None or record.attempt > known.attempt
+            if isinstance(record, ClosureAcknowledged):
+                fence = state.fences[record.ledger]
+                assert fence >= newest.get(record.ledger, fence)
+                newest[record.ledger] = fence
+
+
+@settings(max_examples=100)
+@given(entries=entries, cut=st.integers(0, 60))
+def test_a_snapshot_and_any_reader_s_clock_give_the_same_state(entries, cut):
+    first, second = make_owned(), make_owned()
+    for n, (record, epoch, _) in enumerate(entries):
+        if n == cut:
+            dump, second = second.dump(), CellState(DomainId("d"))
+            second.restore(dump, now=Seconds(5.0))
+        verdicts = [apply(first, record, epoch), apply(second, record, epoch, 99.0)]
+        assert verdicts[0] == verdicts[1]
+    assert first.dump() == second.dump()
+    check(second)
+
+
+def test_an_offer_sent_before_an_acknowledgement_is_void_after_it():
+    state = make_owned()
+    apply(state, place("t", 1, "w1", Resources(1, 1, 0)), 1)
+    apply(state, close("t", 1), 1)
+    assert not state.is_void(0, Fence(2, 6))
+    apply(state, acknowledge("t", 1, 2, 7), 1)
+    assert "t" not in state.attempts
+    assert state.is_void(0, Fence(2, 6))
+    assert state.is_void(0, Fence(1, 99))
+    assert not state.is_void(0, Fence(2, 8))
+    assert not state.is_void(0, Fence(3, 1))
+    assert not state.is_void(1, Fence(1, 1))
+
+
+def test_an_owner_that_never_let_go_stays_a_predecessor():
+    state = make_owned()
+    apply(state, OwnershipClaimed(2, "b", ""), 2)
+    apply(state, OwnershipReleased(2), 2)
+    apply(state, OwnershipClaimed(3, "c", ""), 3)
+    assert state.ownership.predecessors == ("a",)
