--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -160,7 +160,8 @@
         self._declared = Revision(0)
 
     def lapse(self) -> None:
-        """Tell all who wait that this process can no longer decide."""
+        """Answer what was decided; tell the rest that it may have been."""
+        self._settle_waiters()
         for waiter in self._waiters:
             waiter.call.answer.set_exception(_explain_lapse(waiter))
         for reporter in self._reporters:
@@ -178,6 +179,10 @@
         self._changed.clear()
         self._unjudged.clear()
 
+    def has_waiters(self) -> bool:
+        """Return whether a caller waits for a record to be decided."""
+        return bool(self._waiters)
+
     def _submit(self, call: Call, message: SubmitJob) -> None:
         configuration = self.node.current
         kind = configuration.kinds.get(message.kind) if configuration else None
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,5 +1,7 @@
 """A stand-in for a target: answers after a service time, with a fault table.
 
+A caller asks for a longer service time by ``?service_ms=`` in the path.
+
 It speaks HTTP over plain sockets, so that a fault can cut an answer anywhere,
 and it counts connections and runs as a witness of its own.
 """
@@ -14,10 +16,15 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from io import BufferedReader
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 
+from .witness import Witness
+
 SERVICE_SECONDS = 0.002
+SERVICE_SECONDS_MAX = 10.0
+MILLISECONDS = 1000
 REQUEST_HEADER = "plantainhinge-request-id"
 ANSWER = (
     "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
@@ -71,6 +78,7 @@
     service_seconds: float = SERVICE_SECONDS
     fault: Fault = Fault.NONE
     plan: list[Fault] = field(default_factory=list)
+    witness: Witness = field(default_factory=lambda: Witness(""))
     executed: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
     most_connections: int = 0
@@ -119,12 +127,13 @@
             self.most_in_flight = max(self.most_in_flight, self.in_flight)
             return self.in_flight
 
-    def execute(self, request: str) -> None:
-        """Run a request in a slot."""
+    def execute(self, request: str, method: str, path: str) -> None:
+        """Run a request in a slot, for as long as its path asks."""
         with self._running:
-            time.sleep(self.service_seconds)
+            time.sleep(_read_service_time(path, self.service_seconds))
             with self.lock:
                 self.executed.append(request)
+            self.witness.note_request(request, method, urlsplit(path).path, self.name)
 
 
 @dataclass
@@ -132,6 +141,7 @@
     connection: socket.socket
     target: Target
     request: str
+    method: str
     path: str
     fault: Fault
 
@@ -144,7 +154,7 @@
             else:
                 if self.fault is Fault.FROZEN:
                     self.target.thaw.wait()
-                self.target.execute(self.request)
+                self.target.execute(self.request, self.method, self.path)
         finally:
             self.in_flight = self.target.enter(-1)
         return _ANSWERS.get(self.fault, _answer_well)(self)
@@ -317,7 +327,15 @@
         headers[name.lower()] = value.strip()
     lines.read(int(headers.get("content-length", "0")))
     request = headers.get(REQUEST_HEADER, "")
-    return _Exchange(connection, target, request, first[1], target.pick_fault())
+    fault = target.pick_fault()
+    return _Exchange(connection, target, request, first[0], first[1], fault)
+
+
+def _read_service_time(path: str, default: float) -> float:
+    values = parse_qs(urlsplit(path).query).get("service_ms")
+    if not values:
+        return default
+    return min(SERVICE_SECONDS_MAX, int(values[0]) / MILLISECONDS)
 
 
 def main() -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -28,6 +28,7 @@
 from plantainhinge.ledgers.leases import START_WINDOW_SECONDS, is_stale
 
 from .target import Target, serve_target
+from .witness import Witness
 from .wsgi import Environ, Problem, respond
 
 SWEEP_SECONDS = 0.2
@@ -84,6 +85,7 @@
         incarnation: int | None = None,
     ) -> None:
         self.name = WorkerId(name)
+        self.witness = Witness(name)
         self.ip = ip
         self.history: list[Ref] = []
         self.incarnation = incarnation or int(time.time() * MILLISECONDS)
@@ -210,9 +212,12 @@
         now = self._clock()
         run = _Run(message, now, now + message.lease_seconds, ExitStack())
         run.checkpoint = message.checkpoint
+        self.witness.note_start(message)
+        run.stack.callback(self._note_end, run)
         if message.service:
             name = f"{message.task}.{message.attempt}"
-            run.address = run.stack.enter_context(serve_target(Target(name), self.ip))
+            target = Target(name, witness=self.witness)
+            run.address = run.stack.enter_context(serve_target(target, self.ip))
         return run
 
     def _end(self, ref: Ref, outcome: AttemptOutcome, at: float) -> None:
@@ -224,6 +229,13 @@
                 tombstone.checkpoint = _measure_progress(run, at)
             run.stack.close()
 
+    def _note_end(self, run: _Run) -> None:
+        ref = (run.start.task, run.start.attempt)
+        outcome = self._describe(ref).outcome
+        assert outcome is not None
+        overdue = max(0.0, self._clock() - run.expires_at)
+        self.witness.note_end(*ref, outcome, ended_at=time.time() - overdue)
+
     def _describe(self, ref: Ref) -> AttemptReport:
         run = self._runs.get(ref)
         tombstone = self._tombstones.get(ref)
@@ -266,6 +278,8 @@
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one HTTP request."""
+        if environ["PATH_INFO"] == "/witness":
+            return respond(start_response, self.worker.witness.report())
         route = self._routes.get(environ["PATH_INFO"])
         if route is None:
             problem = Problem(code="not-found", detail="no such path")
