--- a/tests/contracts/test_workers.py
+++ b/tests/contracts/test_workers.py
@@ -133,6 +133,7 @@
     assert len(bench.renew().attempts) == 1
     assert len(bench.renew(forget=[REF]).attempts) == 0
     bench.now += START_WINDOW_SECONDS - 1.0
+    assert bench.renew().attempts == []
     assert bench.start(as_of=sent_at).outcome is AttemptOutcome.EVICTED
     bench.now += 2.0
     bench.renew()
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,5 +1,6 @@
 """The replayed state of a cell under two writers, drops and duplicates."""
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from plantainhinge.core.ids import DomainId, Epoch, Offset, Seconds
@@ -112,6 +113,22 @@
     check(second)
 
 
+@pytest.mark.parametrize(
+    ("first", "second", "fits"),
+    [
+        (Resources(4, 4, 0), Resources(4, 4, 1), True),
+        (Resources(4, 1, 0), Resources(5, 1, 0), False),
+        (Resources(1, 4, 0), Resources(1, 5, 0), False),
+        (Resources(1, 1, 1), Resources(1, 1, 1), False),
+    ],
+)
+def test_a_placement_that_does_not_fit_is_rejected(first, second, fits):
+    state = make_owned()
+    assert apply(state, place("t1", 1, "w1", first), 1) is None
+    assert (apply(state, place("t2", 1, "w1", second), 1) is None) is fits
+    check(state)
+
+
 def test_an_offer_sent_before_an_acknowledgement_is_void_after_it():
     state = make_owned()
     apply(state, place("t", 1, "w1", Resources(1, 1, 0)), 1)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -325,6 +325,44 @@
         site.await_state(lambda: site.is_final("j"))
 
 
+def test_a_domain_that_is_out_is_emptied_and_its_jobs_finish_elsewhere():
+    with run_site() as site:
+        submit_all(site, run_seconds=60.0)
+        await_running(site)
+        site.set_domain("d1", "out")
+        site.advance(5.0)
+        for worker in site.workers.values():
+            assert worker.domain == "d2" or not worker.list_running()
+        await_finished(site, 600.0)
+        assert {end[0] for end in site.ends.values()} == {
+            AttemptOutcome.EVICTED,
+            AttemptOutcome.FINISHED,
+        }
+
+
+@pytest.mark.parametrize("ticks", range(1, 9))
+def test_jobs_on_their_way_to_a_domain_that_goes_out_finish_elsewhere(ticks):
+    with run_site() as site:
+        submit_all(site)
+        site.advance(ticks * TICK_SECONDS)
+        site.kill(site.find_owner("cell.d1").name)
+        site.set_domain("d1", "out")
+        await_finished(site, 120.0)
+
+
+def test_a_stream_is_not_let_go_of_while_a_start_is_out():
+    with run_site() as site:
+        submit_all(site)
+        owner = site.find_owner("cell.d1")
+        site.await_state(lambda: _has_queued_start(owner))
+        cell = owner.scheduler.cells["d1"]
+        owner.scheduler.stop()
+        for _ in range(4):
+            owner.scheduler.tick([], site.now)
+        assert not cell._released
+        site.await_state(owner.scheduler.has_stopped, 5.0)
+
+
 def test_a_planned_stop_hands_over_without_waiting_for_the_lease():
     with run_site() as site:
         submit_all(site, run_seconds=20.0)
