--- /dev/null
+++ b/bench/ledger_costs.py
@@ -0,0 +1,226 @@
+"""What ledgers, cells and takeovers cost, and how soon urgent work starts.
+
+Real schedulers run over the small fakes of the tests, on paused time; processor
+time is the schedulers' own. Nothing is random.
+"""
+
+import argparse
+import time
+import tracemalloc
+
+from plantainhinge.core.ids import DomainId, Epoch, Offset, Seconds
+from plantainhinge.core.records import (
+    AttemptClosed,
+    AttemptPlaced,
+    ClosureAcknowledged,
+    OwnershipClaimed,
+    WorkerJoined,
+)
+from plantainhinge.core.resources import Resources
+from plantainhinge.core.states import AttemptOutcome, TaskClass
+from plantainhinge.ledgers.cell import CellState
+from tests.harness import run_site
+
+LARGE = Resources(10**9, 10**9, 0)
+SMALL = Resources(1000, 1024, 0)
+SCALES = (1, 4, 16)
+TASKS_TODAY = 300
+WORKERS_TODAY = 35
+MICROSECONDS = 1e6
+QUIET_SECONDS = 20.0
+LONG_RUN_SECONDS = 1e6
+STREAMS = ("ledger.0", "cell.d1", "cell.d2")
+
+
+def measure_replay() -> None:
+    """Print replay time, and memory a task and a worker, of one cell."""
+    for scale in SCALES:
+        tasks, workers = TASKS_TODAY * scale, WORKERS_TODAY * scale
+        tracemalloc.start()
+        state = CellState(DomainId("d"))
+        apply(state, OwnershipClaimed(Epoch(1), "p", ""))
+        before = tracemalloc.get_traced_memory()[0]
+        for n in range(workers):
+            apply(state, WorkerJoined(f"w{n}", "127.0.0.1:8000", "rack", LARGE))
+        joined = tracemalloc.get_traced_memory()[0]
+        for n in range(tasks):
+            apply(state, make_placement(f"job-{n:012}", n % workers))
+        placed = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        replay = time_life_cycles(state, workers)
+        print(
+            f"cell {scale}x: {tasks} tasks, {workers} workers:"
+            f" {replay:.2f} us a record replayed,"
+            f" {(placed - joined) / tasks:.0f} B a task,"
+            f" {(joined - before) / workers:.0f} B a worker"
+        )
+
+
+def apply(state: CellState, record: object) -> None:
+    """Apply a record that must be accepted."""
+    rejection = state.apply(record, epoch=Epoch(1), offset=Offset(0), now=Seconds(0.0))
+    assert rejection is None, rejection
+
+
+def make_placement(task: str, worker: int) -> AttemptPlaced:
+    """Return a placement on the worker of that number."""
+    return AttemptPlaced(
+        task, 1, f"w{worker}", "audit", TaskClass.BATCH, SMALL, 0, "", "", 60.0
+    )
+
+
+def time_life_cycles(state: CellState, workers: int) -> float:
+    """Return the microseconds a record of 1000 attempts from placement to end."""
+    records: list[object] = []
+    for n in range(1000):
+        task = f"more-{n}"
+        records.append(make_placement(task, n % workers))
+        records.append(AttemptClosed(task, 1, AttemptOutcome.FINISHED, "60", 0))
+        records.append(ClosureAcknowledged(task, 1, 0, Epoch(1), n))
+    began = time.perf_counter()
+    for record in records:
+        apply(state, record)
+    return (time.perf_counter() - began) / len(records) * MICROSECONDS
+
+
+class TickTimer:
+    """Sums the processor time of the schedulers' ticks."""
+
+    def __init__(self, site) -> None:
+        self.spent = 0.0
+        self.count = 0
+        for process in site.processes.values():
+            self._wrap(process.scheduler)
+
+    def _wrap(self, scheduler) -> None:
+        tick = scheduler.tick
+
+        def timed(events, now) -> None:
+            began = time.process_time()
+            tick(events, now)
+            self.spent += time.process_time() - began
+            self.count += 1
+
+        scheduler.tick = timed
+
+
+def fill(site, tasks: int) -> None:
+    """Submit long jobs and wait until all run."""
+    for n in range(tasks):
+        site.submit(f"job-{n:012}", run_seconds=LONG_RUN_SECONDS)
+    site.await_state(lambda: len(site.starts) >= tasks, 300.0)
+    site.advance(QUIET_SECONDS)
+
+
+def measure_quiet_ticks() -> None:
+    """Print what a scheduler costs while tasks run and nothing changes."""
+    for scale in SCALES:
+        workers = WORKERS_TODAY * scale // 2
+        with run_site(workers_per_domain=workers) as site:
+            fill(site, workers * 4)
+            timer = TickTimer(site)
+            size = measure_log(site)
+            site.advance(QUIET_SECONDS)
+            bytes_quiet = (measure_log(site) - size) / QUIET_SECONDS
+            print(
+                f"quiet {scale}x: {workers * 4} tasks on {workers * 2} workers:"
+                f" {timer.spent / timer.count * MICROSECONDS:.0f} us a tick,"
+                f" {timer.spent / QUIET_SECONDS * 1000:.2f} ms a second in all"
+                f" processes, {bytes_quiet:.0f} B/s on the log"
+            )
+
+
+def measure_log(site) -> int:
+    """Return the bytes in the streams of the ledger and the cells."""
+    streams = site.log.inner._streams
+    names = [name for name in streams if name in STREAMS]
+    return sum(len(entry) for name in names for entry in streams[name].entries)
+
+
+def measure_starts(jobs: int = 1000) -> None:
+    """Print bytes and processor time of a job from submission to its end."""
+    with run_site(workers_per_domain=100, tick_seconds=0.05) as site:
+        size = measure_log(site)
+        site.advance(QUIET_SECONDS)
+        quiet = (measure_log(site) - size) / QUIET_SECONDS
+        timer = TickTimer(site)
+        size, began = measure_log(site), site.now
+        for n in range(jobs):
+            site.submit(f"job-{n:012}", run_seconds=2.0)
+            if n % 10 == 9:
+                site.advance(0.1)
+        site.await_state(lambda: len(site.ends) >= jobs)
+        site.advance(10.0)
+        seconds = site.now - began
+        grown = measure_log(site) - size - quiet * seconds
+        print(
+            f"starts: {jobs} jobs in {seconds:.1f} s: {grown / jobs:.0f} B a job on"
+            f" the log, {timer.spent / jobs * MICROSECONDS:.0f} us a job of the"
+            f" schedulers' processor time, quiet ticks included"
+        )
+
+
+def measure_takeover(attempts: int = 1000) -> None:
+    """Print how long a new owner takes to adopt all open attempts of a cell."""
+    with run_site(workers_per_domain=attempts // 2, domains={"d1": "in"}) as site:
+        fill(site, attempts)
+        old = site.find_owner("cell.d1")
+        site.kill(old.name)
+        killed_at = site.now
+        site.await_state(lambda: site.find_owner("cell.d1") is not None)
+        taken_at = site.now
+        timer = TickTimer(site)
+        cell = site.find_owner("cell.d1").scheduler.cells["d1"]
+        site.await_state(lambda: len(cell.workers.reports) >= attempts)
+        print(
+            f"takeover: {attempts} attempts on {attempts // 2} workers: owned"
+            f" {taken_at - killed_at:.2f} s after the kill, all adopted"
+            f" {site.now - taken_at:.2f} s later (ticks of {site.tick_seconds} s),"
+            f" {timer.spent * 1000:.0f} ms of processor time,"
+            f" {len(site.starts) - attempts} started again"
+        )
+
+
+def measure_urgent(rate: int = 110, seconds: int = 10) -> None:
+    """Print the time from submission to start while the rate lasts."""
+    domains = {f"d{n}": "in" for n in range(1, 5)}
+    options = {"workers_per_domain": 75, "domains": domains, "tick_seconds": 0.05}
+    with run_site(jobs_urgent=True, **options) as site:
+        site.advance(QUIET_SECONDS)
+        submitted: dict[str, float] = {}
+        for n in range(rate * seconds):
+            task = f"job-{n:012}"
+            submitted[task] = site.now
+            site.submit(task, run_seconds=1.0)
+            if n % 11 == 10:
+                site.advance(11 / rate)
+        site.await_state(lambda: len(site.starts) >= rate * seconds)
+        waits = sorted(
+            start[1] - submitted[ref[0]] for ref, start in site.starts.items()
+        )
+        print(
+            f"urgent: {len(waits)} starts at {rate}/s, each call takes one tick of"
+            f" {site.tick_seconds} s: p50 {waits[len(waits) // 2]:.2f} s,"
+            f" p99 {waits[int(len(waits) * 0.99)]:.2f} s, worst {waits[-1]:.2f} s"
+        )
+
+
+PARTS = {
+    "replay": measure_replay,
+    "quiet": measure_quiet_ticks,
+    "starts": measure_starts,
+    "takeover": measure_takeover,
+    "urgent": measure_urgent,
+}
+
+
+def main() -> None:
+    """Run the parts named, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", choices=[[], *PARTS], default=[])
+    for name in parser.parse_args().parts or PARTS:
+        PARTS[name]()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -266,6 +266,9 @@
     finals: dict = field(default_factory=dict)
     jobs: list = field(default_factory=list)
     attempts_limit: int = 5
+    tick_seconds: float = TICK_SECONDS
+    partitions: int = 1
+    jobs_urgent: bool = False
     kill_after: int = 0
     effects: int = 0
     _stepping: Process | None = None
@@ -337,13 +340,14 @@
             "domains": {
                 n: {"region": "r", "state": s} for n, s in self.domains.items()
             },
-            "teams": {"t": {"quota": {"processors": 1000, "memory_gib": 1000}}},
+            "teams": {"t": {"quota": {"processors": 100000, "memory_gib": 100000}}},
             "services": {},
             "kinds": {
                 "small": {
                     "team": "t",
                     "task_class": "batch",
                     "task": {"processors": 4, "memory_gib": 1},
+                    "urgent": self.jobs_urgent,
                 },
                 "huge": {
                     "team": "t",
@@ -352,7 +356,7 @@
                 },
             },
             "limits": {
-                "ledger_partitions": 1,
+                "ledger_partitions": self.partitions,
                 "attempts_per_task": self.attempts_limit,
             },
         }
@@ -373,7 +377,7 @@
     def advance(self, seconds):
         end = self.now + seconds
         while self.now < end - 1e-9:
-            self.now = round(self.now + TICK_SECONDS, 6)
+            self.now = round(self.now + self.tick_seconds, 6)
             self._carry_messages()
             for process in list(self.processes.values()):
                 self._stepping = process
