Check the whole document in one report, and make apply conditional and repeatable

Change: faults carry path, value and valid values; publications carry the checked form, and entries above 1 KB are compressed; the newest revision that is not understood is told apart from the one that runs; changes that would split claims or ledgers are refused; apply recognises its own success and shows what changed. An absent batch is sent again at most each commit period: a test with a reused writer id showed a loop that never paused.

--- a/plantainhinge/cli/apply.py
+++ b/plantainhinge/cli/apply.py
@@ -1,89 +1,272 @@
 """Applying a configuration: proposed to the log, decided by reading it back."""
 
 import time
+from collections.abc import Callable
+from enum import Enum
 
+import msgspec
+
+from ..core.checks import find_transition_faults
 from ..core.clock import read_monotonic
+from ..core.configuration import Configuration
+from ..core.differences import Difference, edit_domain_state, find_differences
+from ..core.documents import encode_checked, parse_configuration
 from ..core.errors import (
+    BadInputError,
+    PlantainhingeError,
     RaceLostError,
+    TooLargeError,
     TrimmedError,
     UnavailableError,
     UncertainError,
 )
-from ..core.ids import Epoch, Offset, Revision, WriterId
+from ..core.ids import DomainId, Epoch, Offset, Revision, Seconds, WriterId
 from ..core.protocols import PlatformLog
 from ..core.records import ConfigurationPublished
-from ..streams.configuration import ConfigurationState
+from ..core.states import DomainState
+from ..streams.configuration import ConfigurationHistory
 from ..streams.names import CONFIGURATION
-from ..streams.replica import Append, Proposal, Read, Replica
+from ..streams.replica import Append, Read, Replica
 
 APPLY_TIMEOUT_SECONDS = 20.0
 RETRY_SECONDS = 0.2
+POLL_SECONDS = 0.02
 READ_BYTES = 262_144
+STEP = "configuration.apply"
+NO_EPOCH = Epoch(0)
+
+
+class ApplyOutcome(Enum):
+    """How an apply that succeeded went."""
+
+    ACCEPTED = "accepted"
+    ALREADY_IN_FORCE = "already in force"
+    REPLACED_SINCE = "accepted earlier and replaced since"
+
+
+class Applied(msgspec.Struct, frozen=True, kw_only=True):
+    """A revision that the document has, and what it changed."""
+
+    revision: Revision
+    outcome: ApplyOutcome
+    differences: list[Difference] = []
+
+
+class ConfigurationSession:
+    """An operators' command at work on the configuration stream.
+
+    Parameters
+    ----------
+    timeout : float
+        Seconds that the log may take in all.
+    sleep : callable
+        How to wait between two calls.
+    """
+
+    def __init__(
+        self,
+        log: PlatformLog,
+        writer: WriterId,
+        *,
+        timeout: float = APPLY_TIMEOUT_SECONDS,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self.replica: Replica[ConfigurationHistory] = Replica(
+            CONFIGURATION, writer, ConfigurationHistory()
+        )
+        self._log = log
+        self._timeout = timeout
+        self._sleep = sleep
+        self._may_have_landed = False
+
+    @property
+    def state(self) -> ConfigurationHistory:
+        """What the stream says, as far as it was read."""
+        return self.replica.reducer
+
+    def read(self) -> ConfigurationHistory:
+        """Read the stream to its end."""
+        self._advance(lambda: self.replica.caught_up)
+        return self.state
+
+    def publish(self, record: ConfigurationPublished) -> str | None:
+        """Append a record and return why replay rejected it, or None."""
+        proposal = self.replica.propose(record, urgent=True)
+        self._advance(lambda: proposal.decided)
+        return proposal.rejection
+
+    def _advance(self, is_done: Callable[[], bool]) -> None:
+        deadline = read_monotonic() + self._timeout
+        while not is_done():
+            now = read_monotonic()
+            if self.replica.halted is not None:
+                raise self.replica.halted
+            if self.replica.is_lost:
+                raise TrimmedError(
+                    "the newest configuration is no longer in the log",
+                    step=STEP,
+                    first=self.replica.next_offset,
+                )
+            if now >= deadline:
+                raise self._give_up()
+            command = self.replica.next_command(now, NO_EPOCH)
+            if command is None:
+                self._sleep(POLL_SECONDS)
+            else:
+                self._execute(command)
+
+    def _give_up(self) -> PlantainhingeError:
+        if self._may_have_landed:
+            message = "the log did not answer in time; apply the same file again"
+            return UncertainError(message, step=STEP)
+        message = "the log is down; nothing was applied"
+        return UnavailableError(message, step=STEP, retry_after=RETRY_SECONDS)
+
+    def _execute(self, command: Append | Read) -> None:
+        if isinstance(command, Append):
+            self._append(command)
+        else:
+            self._read(command)
 
+    def _append(self, command: Append) -> None:
+        try:
+            offset = self._log.append(command.stream, command.data)
+            self._may_have_landed = True
+            self.replica.on_appended(offset)
+        except TooLargeError:
+            self.replica.on_append_too_large()
+        except UncertainError:
+            self._may_have_landed = True
+            self.replica.on_append_uncertain(_plan_retry())
+        except UnavailableError as error:
+            self.replica.on_append_refused(_plan_retry(error.retry_after))
 
-def read_configuration(
-    log: PlatformLog, writer: WriterId
-) -> Replica[ConfigurationState]:
-    """Return a replica of the configuration stream, read to its end."""
-    replica = Replica(CONFIGURATION, writer, ConfigurationState())
-    _advance(replica, log, lambda: replica.caught_up)
-    return replica
+    def _read(self, command: Read) -> None:
+        try:
+            page = self._log.read(command.stream, command.start, READ_BYTES)
+            self.replica.on_page(page, read_monotonic())
+        except TrimmedError as error:
+            self.replica.on_trimmed(Offset(error.first))
+        except (UncertainError, UnavailableError):
+            self.replica.on_refused(_plan_retry())
 
 
 def apply_configuration(
-    log: PlatformLog, writer: WriterId, document: str, *, operator: str
-) -> Revision:
-    """Publish a checked document and return the revision it got.
+    session: ConfigurationSession,
+    document: str,
+    *,
+    operator: str,
+    based_on: Revision | None = None,
+) -> Applied:
+    """Put a document in force, whole or not at all.
+
+    Parameters
+    ----------
+    based_on : Revision or None
+        The revision the document was made from; None for the newest.
 
     Raises
     ------
+    BadInputError
+        If the document has faults, or must not follow the newest revision.
     RaceLostError
-        If another operator's document came first.
+        If another document came first; the message shows what it changed.
+    UnavailableError
+        If the log was down and nothing was sent.
     UncertainError
         If the log could not be read back in time.
     """
-    replica = read_configuration(log, writer)
-    revision = replica.reducer.revision
-    proposal = replica.propose(ConfigurationPublished(document, revision, operator))
-    _advance(replica, log, lambda: proposal.decided)
-    _raise_if_rejected(proposal)
-    return replica.reducer.revision
-
-
-def _raise_if_rejected(proposal: Proposal) -> None:
-    if proposal.rejection is not None:
-        raise RaceLostError(proposal.rejection, step="configuration.apply")
-
-
-def _advance(replica, log, is_done) -> None:  # type: ignore[no-untyped-def]
-    deadline = read_monotonic() + APPLY_TIMEOUT_SECONDS
-    while not is_done():
-        now = read_monotonic()
-        if now >= deadline:
-            raise UncertainError(
-                "the log did not answer in time", step="configuration.apply"
-            )
-        command = replica.next_command(now, Epoch(0))
-        if command is None:
-            time.sleep(RETRY_SECONDS / 10)
-        else:
-            _execute(command, replica, log)
+    configuration = parse_configuration(document)
+    before = session.read()
+    if before.revision and before.document == document:
+        return Applied(revision=before.revision, outcome=ApplyOutcome.ALREADY_IN_FORCE)
+    base = before.revision if based_on is None else based_on
+    if base != before.revision:
+        return _recognise_own(before, document, base)
+    _check_transition(before.configuration, configuration)
+    differences = find_differences(before.configuration, configuration)
+    rejection = session.publish(
+        ConfigurationPublished(document, base, operator, encode_checked(configuration))
+    )
+    if rejection is not None:
+        raise _tell_race(session.state, base, rejection)
+    return Applied(
+        revision=_find_own(session.state, base),
+        outcome=ApplyOutcome.ACCEPTED,
+        differences=differences,
+    )
 
 
-def _execute(command, replica, log) -> None:  # type: ignore[no-untyped-def]
-    retry_at = read_monotonic() + RETRY_SECONDS
-    try:
-        if isinstance(command, Append):
-            log.append(command.stream, command.data)
-            replica.on_appended()
-        elif isinstance(command, Read):
-            page = log.read(command.stream, command.start, READ_BYTES)
-            replica.on_page(page, read_monotonic())
-    except TrimmedError as error:
-        replica.on_trimmed(Offset(error.first))
-    except UncertainError:
-        replica.on_append_uncertain(retry_at)
-    except UnavailableError:
-        replica.on_append_refused(retry_at) if isinstance(
-            command, Append
-        ) else replica.on_refused(retry_at)
+def change_domain(
+    session: ConfigurationSession,
+    domain: DomainId,
+    state: DomainState,
+    *,
+    operator: str,
+) -> Applied:
+    """Take a failure domain out, or back in, and change nothing else.
+
+    Raises
+    ------
+    BadInputError
+        If there is no configuration, or no such domain in it.
+    """
+    newest = session.read()
+    if not newest.revision:
+        raise BadInputError("no configuration is in force", step=STEP)
+    document = edit_domain_state(newest.document, domain, state)
+    return apply_configuration(
+        session, document, operator=operator, based_on=newest.revision
+    )
+
+
+def diff_configuration(
+    session: ConfigurationSession, document: str
+) -> list[Difference]:
+    """Return what applying a document would change."""
+    return find_differences(session.read().configuration, parse_configuration(document))
+
+
+def _check_transition(before: Configuration | None, after: Configuration) -> None:
+    if before is None:
+        return
+    faults = list(find_transition_faults(before, after))
+    if faults:
+        lines = "\n".join(f"  {fault}" for fault in faults)
+        raise BadInputError(f"{len(faults)} faults:\n{lines}", step=STEP)
+
+
+def _recognise_own(
+    newest: ConfigurationHistory, document: str, base: Revision
+) -> Applied:
+    """Return the success of an earlier apply whose answer was lost."""
+    own = _find_own(newest, base)
+    if newest.documents[own] != document:
+        raise _tell_race(newest, base)
+    return Applied(revision=own, outcome=ApplyOutcome.REPLACED_SINCE)
+
+
+def _find_own(state: ConfigurationHistory, base: Revision) -> Revision:
+    """Return the first revision after ``base``: replay accepts one only."""
+    later = [revision for revision in state.documents if revision > base]
+    return min(later, default=state.revision)
+
+
+def _tell_race(
+    newest: ConfigurationHistory, base: Revision, rejection: str = ""
+) -> RaceLostError:
+    lines = [
+        f"made from revision {base}; {newest.operator!r} has published "
+        f"revision {newest.revision} since"
+    ]
+    made_from = newest.documents.get(base)
+    if newest.configuration is not None and made_from:
+        changes = find_differences(parse_configuration(made_from), newest.configuration)
+        lines.extend(f"  {change}" for change in changes)
+    elif rejection:
+        lines.append(rejection)
+    return RaceLostError("\n".join(lines), step=STEP)
+
+
+def _plan_retry(retry_after: float = 0.0) -> Seconds:
+    return Seconds(read_monotonic() + max(RETRY_SECONDS, retry_after))
--- a/plantainhinge/cli/main.py
+++ b/plantainhinge/cli/main.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from ..adapters.log_http import HttpLog
-from ..core.configuration import parse_configuration
+from ..core.documents import parse_configuration
 from ..core.errors import PlantainhingeError
 from ..core.ids import WriterId
 from ..core.settings import Settings, load_settings
 from ..daemons.process import configure_logging, run_gateway, run_scheduler
-from .apply import apply_configuration
+from .apply import ConfigurationSession, apply_configuration
 from .timeline import collect_events, format_event
 
 
@@ -87,10 +87,9 @@
     text = options.file.read_text(encoding="utf-8")
     parse_configuration(text, source=str(options.file))
     writer = WriterId(f"operator/{uuid.uuid4().hex}")
-    revision = apply_configuration(
-        HttpLog(settings.log_address), writer, text, operator=getpass.getuser()
-    )
-    print(f"revision {revision} is accepted")
+    session = ConfigurationSession(HttpLog(settings.log_address), writer)
+    applied = apply_configuration(session, text, operator=getpass.getuser())
+    print(f"revision {applied.revision} is {applied.outcome.value}")
 
 
 def _timeline(options: argparse.Namespace) -> None:
--- a/plantainhinge/core/configuration.py
+++ b/plantainhinge/core/configuration.py
@@ -2,14 +2,14 @@
 
 from typing import Annotated
 
-import json5
 import msgspec
 
-from .errors import BadInputError
 from .ids import DomainId, KindId, RegionId, ServiceId, TeamId
 from .resources import Resources
 from .states import DomainState, TaskClass
 
+SCHEMA = 1
+
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
@@ -99,50 +99,9 @@
 class Configuration(_Section, frozen=True):
     """Everything the operators declare."""
 
-    schema: Annotated[int, msgspec.Meta(ge=1, le=1)]
+    schema: Annotated[int, msgspec.Meta(ge=1, le=SCHEMA)]
     domains: dict[DomainId, Domain]
     teams: dict[TeamId, Team]
     services: dict[ServiceId, Service]
     kinds: dict[KindId, Kind]
     limits: Limits = Limits()
-
-
-def find_faults(configuration: Configuration) -> list[str]:
-    """Return every broken reference, each as ``path: what is wrong``."""
-    faults = []
-    teams = sorted(configuration.teams)
-    services = sorted(configuration.services)
-    for name, service in configuration.services.items():
-        if service.team not in configuration.teams:
-            faults.append(
-                f"services.{name}.team: {service.team!r} is unknown; valid: {teams}"
-            )
-    for kind_name, kind in configuration.kinds.items():
-        where = f"kinds.{kind_name}"
-        if kind.team not in configuration.teams:
-            faults.append(f"{where}.team: {kind.team!r} is unknown; valid: {teams}")
-        if kind.service is not None and kind.service not in configuration.services:
-            faults.append(
-                f"{where}.service: {kind.service!r} is unknown; valid: {services}"
-            )
-    return faults
-
-
-def parse_configuration(text: str, *, source: str = "configuration") -> Configuration:
-    """Return the checked configuration in a JSON document with comments.
-
-    Raises
-    ------
-    BadInputError
-        If the text is no JSON, or fails any check.
-    """
-    step = "configuration.check"
-    try:
-        document = json5.loads(text)
-        configuration = msgspec.convert(document, Configuration)
-    except (ValueError, msgspec.ValidationError) as error:
-        raise BadInputError(str(error), step=step, peer=source) from error
-    faults = find_faults(configuration)
-    if faults:
-        raise BadInputError("; ".join(faults), step=step, peer=source)
-    return configuration
--- /dev/null
+++ b/plantainhinge/core/differences.py
@@ -0,0 +1,107 @@
+"""What differs between two configurations, and small edits of their text."""
+
+import re
+from collections.abc import Iterator
+
+import msgspec
+
+from .configuration import Configuration
+from .documents import parse_configuration
+from .errors import BadInputError
+from .ids import DomainId
+from .states import DomainState
+
+STEP = "configuration.edit"
+MISSING = object()
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """One value that changed; None stands for a value that was not there."""
+
+    path: str
+    before: object
+    after: object
+
+    def __str__(self) -> str:
+        return f"{self.path}: {_show(self.before)} -> {_show(self.after)}"
+
+
+def find_differences(
+    before: Configuration | None, after: Configuration
+) -> list[Difference]:
+    """Return every value that changed, by its path."""
+    old = dict(_flatten(msgspec.to_builtins(before), "")) if before else {}
+    new = dict(_flatten(msgspec.to_builtins(after), ""))
+    return [
+        Difference(path, old.get(path), new.get(path))
+        for path in sorted({*old, *new})
+        if old.get(path, MISSING) != new.get(path, MISSING)
+    ]
+
+
+def edit_domain_state(text: str, domain: DomainId, state: DomainState) -> str:
+    """Return the document with one domain's state changed, comments kept.
+
+    Raises
+    ------
+    BadInputError
+        If the domain is unknown, or is written so that the edit would not be
+        sure to change its state and nothing else.
+    """
+    before = parse_configuration(text)
+    if domain not in before.domains:
+        raise BadInputError(
+            f"domain {domain!r} is unknown; valid: {sorted(before.domains)}",
+            step=STEP,
+        )
+    if before.domains[domain].state is state:
+        return text
+    changed = msgspec.structs.replace(before.domains[domain], state=state)
+    wanted = msgspec.structs.replace(
+        before, domains={**before.domains, domain: changed}
+    )
+    for edited in _try_edits(text, domain, state):
+        if _reads_as(edited, wanted):
+            return edited
+    raise BadInputError(
+        f"domains.{domain}: write the state by hand, as in "
+        f'"{domain}": {{ "region": "...", "state": "{state.value}" }}',
+        step=STEP,
+    )
+
+
+def _try_edits(text: str, domain: DomainId, state: DomainState) -> Iterator[str]:
+    named = rf"""(["']?){re.escape(domain)}\1\s*:\s*\{{"""
+    for match in re.finditer(named, text):
+        start = match.end()
+        stop = text.find("}", start)
+        body, count = re.subn(
+            r"""((["']?)state\2\s*:\s*)(["'])\w+\3""",
+            rf"\g<1>\g<3>{state.value}\g<3>",
+            text[start:stop],
+            count=1,
+        )
+        if not count:
+            body = f' "state": "{state.value}",{text[start:stop]}'
+        yield text[:start] + body + text[stop:]
+
+
+def _reads_as(text: str, wanted: Configuration) -> bool:
+    try:
+        return parse_configuration(text) == wanted
+    except BadInputError:
+        return False
+
+
+def _flatten(value: object, path: str) -> Iterator[tuple[str, object]]:
+    if not isinstance(value, dict):
+        yield path, value
+        return
+    if not value:
+        yield path, "{}"
+    for key, item in value.items():
+        yield from _flatten(item, f"{path}.{key}" if path else key)
+
+
+def _show(value: object) -> str:
+    return "none" if value is None else msgspec.json.encode(value).decode()
--- /dev/null
+++ b/plantainhinge/core/faults.py
@@ -0,0 +1,110 @@
+"""Faults of a document: each with its path, the value and the valid ones."""
+
+import re
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from typing import Any, get_args, get_origin
+
+import msgspec
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One thing that is wrong in a document.
+
+    Parameters
+    ----------
+    path : str
+        Keys from the root, joined by dots; empty for the root.
+    """
+
+    path: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.path or 'document'}: {self.problem}"
+
+
+class DocumentObject(dict[str, Any]):
+    """An object of a document that remembers keys given more than once."""
+
+    def __init__(self, pairs: Iterable[tuple[str, Any]]) -> None:
+        held = list(pairs)
+        super().__init__(held)
+        keys = [key for key, _ in held]
+        self.repeated = sorted({key for key in keys if keys.count(key) > 1})
+
+
+def find_shape_faults(value: object, shape: Any, path: str = "") -> Iterator[Fault]:
+    """Yield every place where a document does not have the shape of a type.
+
+    Parameters
+    ----------
+    shape : type
+        A struct, a mapping of names to structs, or any type of a single value.
+    """
+    if isinstance(value, DocumentObject):
+        for key in value.repeated:
+            yield Fault(_join(path, key), "is given more than once")
+    if _is_struct(shape):
+        yield from _check_struct(value, shape, path)
+    elif get_origin(shape) is dict:
+        yield from _check_mapping(value, shape, path)
+    else:
+        yield from _check_value(value, shape, path)
+
+
+def describe_unknown(value: str, valid: list[str]) -> str:
+    """Return the problem of a name that refers to nothing."""
+    return f"{value!r} is unknown; valid: {valid}"
+
+
+def _check_struct(value: object, shape: Any, path: str) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield Fault(path, f"{value!r} is no object")
+        return
+    fields = {field.encode_name: field for field in msgspec.structs.fields(shape)}
+    for key in value:
+        if key not in fields:
+            yield Fault(_join(path, key), f"is unknown; valid: {sorted(fields)}")
+    for key, field in fields.items():
+        if key in value:
+            yield from find_shape_faults(value[key], field.type, _join(path, key))
+        elif field.required:
+            yield Fault(_join(path, key), "is missing")
+
+
+def _check_mapping(value: object, shape: Any, path: str) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield Fault(path, f"{value!r} is no object")
+        return
+    for key, item in value.items():
+        where = _join(path, key)
+        if not NAME.fullmatch(key):
+            yield Fault(where, f"{key!r} is no name; valid: {NAME.pattern}")
+        yield from find_shape_faults(item, get_args(shape)[1], where)
+
+
+def _check_value(value: object, shape: Any, path: str) -> Iterator[Fault]:
+    try:
+        msgspec.convert(value, shape)
+    except msgspec.ValidationError as error:
+        valid = f"; valid: {_list_members(shape)}" if _is_enum(shape) else ""
+        yield Fault(path, f"{value!r} is wrong: {error}{valid}")
+
+
+def _is_struct(shape: Any) -> bool:
+    return isinstance(shape, type) and issubclass(shape, msgspec.Struct)
+
+
+def _is_enum(shape: Any) -> bool:
+    return isinstance(shape, type) and issubclass(shape, Enum)
+
+
+def _list_members(shape: type[Enum]) -> list[str]:
+    return [member.value for member in shape]
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -39,11 +39,21 @@
 
 
 class ConfigurationPublished(Record, frozen=True, tag="conf"):
-    """A whole configuration, made from the revision ``based_on``."""
+    """A whole configuration, made from the revision ``based_on``.
+
+    Parameters
+    ----------
+    document : str
+        The operators' text, with its comments.
+    checked : bytes
+        The same configuration as its publisher checked it, in plain JSON, which
+        readers decode without parsing the text; empty to parse the text.
+    """
 
     document: str
     based_on: Revision
     operator: str
+    checked: bytes = b""
 
 
 class OwnershipClaimed(Record, frozen=True, tag="own"):
@@ -251,19 +261,26 @@
 
 
 _CHECKSUM = struct.Struct(">I")
+_COMPRESS_FROM_BYTES = 1024
+_PLAIN = b"\x00"
+_COMPRESSED = b"\x01"
 _encoder = msgspec.msgpack.Encoder()
 _header_decoder = msgspec.msgpack.Decoder(_Header)
 _batch_decoder = msgspec.msgpack.Decoder(Batch)
 
 
 def encode_batch(batch: Batch) -> bytes:
-    """Return the bytes of one log entry: a CRC-32 and the batch."""
+    """Return the bytes of one log entry: CRC-32, packing, and the batch."""
     return seal(_encoder.encode(batch))
 
 
 def seal(body: bytes) -> bytes:
-    """Return ``body`` behind its checksum."""
-    return _CHECKSUM.pack(zlib.crc32(body)) + body
+    """Return ``body``, compressed if it is large, behind its checksum."""
+    if len(body) < _COMPRESS_FROM_BYTES:
+        packed = _PLAIN + body
+    else:
+        packed = _COMPRESSED + zlib.compress(body)
+    return _CHECKSUM.pack(zlib.crc32(packed)) + packed
 
 
 def measure_record(record: AnyRecord) -> int:
@@ -297,15 +314,24 @@
 
 
 def _open(data: bytes) -> bytes:
-    if len(data) < _CHECKSUM.size:
+    if len(data) <= _CHECKSUM.size:
         raise CorruptRecordError(
             f"{len(data)} bytes are too few for a batch", step="record.decode"
         )
     (expected,) = _CHECKSUM.unpack_from(data)
-    body = data[_CHECKSUM.size :]
-    found = zlib.crc32(body)
+    packed = data[_CHECKSUM.size :]
+    found = zlib.crc32(packed)
     if found != expected:
         raise CorruptRecordError(
             f"checksum is {found:#x}, not {expected:#x}", step="record.decode"
         )
-    return body
+    return _unpack(packed)
+
+
+def _unpack(packed: bytes) -> bytes:
+    if not packed.startswith(_COMPRESSED):
+        return packed[1:]
+    try:
+        return zlib.decompress(packed[1:])
+    except zlib.error as error:
+        raise CorruptRecordError(str(error), step="record.decode") from error
--- a/plantainhinge/streams/batches.py
+++ b/plantainhinge/streams/batches.py
@@ -46,12 +46,19 @@
     ----------
     sent_at : Seconds or None
         When it was sent first; a resend does not change it.
+    send_from : Seconds
+        A resend waits until then.
     """
 
     batch: Batch
     proposals: list[Proposal]
     sent_at: Seconds | None = None
     must_send: bool = True
+    send_from: Seconds = Seconds(0.0)
+
+    def is_due(self, now: Seconds) -> bool:
+        """Return whether the batch must be sent now."""
+        return self.must_send and now >= self.send_from
 
     def decide(self, rejections: SequenceOf[str | None]) -> None:
         """Note the verdicts of replay, in the order of the records."""
--- a/plantainhinge/streams/configuration.py
+++ b/plantainhinge/streams/configuration.py
@@ -1,11 +1,12 @@
 """Replayed state of the configuration stream: the newest accepted revision."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
-from ..core.configuration import Configuration, parse_configuration
-from ..core.errors import BadInputError
+from ..core.configuration import Configuration
+from ..core.documents import decode_checked, encode_checked, parse_configuration
+from ..core.errors import BadInputError, UnknownVersionError
 from ..core.ids import Epoch, Offset, Revision, Seconds
 from ..core.records import AnyRecord, ConfigurationPublished
 
@@ -15,15 +16,35 @@
 class _Dump(msgspec.Struct, array_like=True):
     revision: int
     document: str
+    operator: str
+    running: int
+    checked: bytes
 
 
 @dataclass
 class ConfigurationState:
-    """The configuration in force; a revision is its offset plus one."""
+    """The newest accepted configuration; a revision is its offset plus one.
+
+    Parameters
+    ----------
+    revision : Revision
+        The newest that was accepted, and the one the next is made from.
+    document, operator : str
+        Its text, and who published it.
+    configuration : Configuration or None
+        The newest one that this release understands.
+    running : Revision
+        The revision of ``configuration``.
+    not_understood : str
+        Why ``revision`` cannot run here; empty if it does.
+    """
 
     revision: Revision = NO_REVISION
     document: str = ""
+    operator: str = ""
     configuration: Configuration | None = None
+    running: Revision = NO_REVISION
+    not_understood: str = ""
 
     def apply(
         self, record: AnyRecord, *, epoch: Epoch, offset: Offset, now: Seconds
@@ -34,21 +55,71 @@
         if record.based_on != self.revision:
             return f"made from revision {record.based_on}, newest is {self.revision}"
         try:
-            configuration = parse_configuration(record.document)
+            configuration = _decode(record)
+        except UnknownVersionError as error:
+            self.not_understood = error.message
         except BadInputError as error:
             return error.message
+        else:
+            self._run(configuration, Revision(offset + 1))
         self.revision = Revision(offset + 1)
         self.document = record.document
-        self.configuration = configuration
+        self.operator = record.operator
         return None
 
     def dump(self) -> bytes:
-        """Return the revision and its document."""
-        return msgspec.msgpack.encode(_Dump(self.revision, self.document))
+        """Return the newest revision, and the one that runs if it is another."""
+        checked = b""
+        if self.configuration is not None:
+            checked = encode_checked(self.configuration)
+        dump = _Dump(self.revision, self.document, self.operator, self.running, checked)
+        return msgspec.msgpack.encode(dump)
 
     def restore(self, state: bytes, now: Seconds) -> None:
-        """Take over the revision of a snapshot."""
+        """Take over the revisions of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
+        if dump.checked:
+            self._run(decode_checked(dump.checked), Revision(dump.running))
+        if dump.running != dump.revision:
+            self._try_newest(dump)
         self.revision = Revision(dump.revision)
         self.document = dump.document
-        self.configuration = parse_configuration(dump.document)
+        self.operator = dump.operator
+
+    def _run(self, configuration: Configuration, revision: Revision) -> None:
+        self.configuration = configuration
+        self.running = revision
+        self.not_understood = ""
+
+    def _try_newest(self, dump: _Dump) -> None:
+        """Read a document that the snapshot's writer did not understand."""
+        try:
+            self._run(parse_configuration(dump.document), Revision(dump.revision))
+        except (BadInputError, UnknownVersionError) as error:
+            self.not_understood = error.message
+
+
+@dataclass
+class ConfigurationHistory(ConfigurationState):
+    """Also keeps every accepted document that the log still holds."""
+
+    documents: dict[Revision, str] = field(default_factory=dict)
+
+    def apply(
+        self, record: AnyRecord, *, epoch: Epoch, offset: Offset, now: Seconds
+    ) -> str | None:
+        """Accept a publication and remember its document."""
+        rejection = super().apply(record, epoch=epoch, offset=offset, now=now)
+        self.documents[self.revision] = self.document
+        return rejection
+
+    def restore(self, state: bytes, now: Seconds) -> None:
+        """Take over a snapshot and remember its document."""
+        super().restore(state, now)
+        self.documents[self.revision] = self.document
+
+
+def _decode(record: ConfigurationPublished) -> Configuration:
+    if record.checked:
+        return decode_checked(record.checked)
+    return parse_configuration(record.document)
--- a/plantainhinge/streams/replica.py
+++ b/plantainhinge/streams/replica.py
@@ -263,8 +263,9 @@
             self._append_due = Seconds(now + self.append_period)
             self._outstanding = self._queue.take_batch(epoch)
         outstanding = self._outstanding
-        if outstanding is not None and outstanding.must_send:
+        if outstanding is not None and outstanding.is_due(now):
             outstanding.must_send = False
+            outstanding.send_from = Seconds(now + self.append_period)
             if outstanding.sent_at is None:
                 outstanding.sent_at = now
             return Append(self.stream, encode_batch(outstanding.batch))
