--- a/plantainhinge/cli/apply.py
+++ b/plantainhinge/cli/apply.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from ..core.checks import find_transition_faults
 from ..core.clock import read_monotonic
 from ..core.configuration import Configuration
 from ..core.differences import Difference, edit_domain_state, find_differences
@@ -23,6 +22,7 @@
 from ..core.ids import DomainId, Epoch, Offset, Revision, Seconds, WriterId
 from ..core.protocols import PlatformLog
 from ..core.records import ConfigurationPublished
+from ..core.rules import find_transition_faults
 from ..core.states import DomainState
 from ..streams.configuration import ConfigurationHistory
 from ..streams.names import CONFIGURATION
--- a/plantainhinge/core/documents.py
+++ b/plantainhinge/core/documents.py
@@ -3,10 +3,10 @@
 import json5
 import msgspec
 
-from .checks import find_reference_faults
 from .configuration import SCHEMA, Configuration
 from .errors import BadInputError, UnknownVersionError
 from .faults import DocumentObject, Fault, find_shape_faults
+from .rules import find_reference_faults
 
 STEP = "configuration.check"
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from plantainhinge.core.checks import find_transition_faults
 from plantainhinge.core.differences import edit_domain_state, find_differences
 from plantainhinge.core.documents import (
     decode_checked,
@@ -12,6 +11,7 @@
     parse_configuration,
 )
 from plantainhinge.core.errors import BadInputError, UnknownVersionError
+from plantainhinge.core.rules import find_transition_faults
 from plantainhinge.core.states import DomainState
 
 TEXT = """
