--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -1,6 +1,7 @@
 """The callers' door: WSGI in, typed requests and answers out."""
 
 import itertools
+import logging
 import math
 import uuid
 from collections.abc import Callable, Iterable
@@ -9,10 +10,11 @@
 import msgspec
 
 from ..core.calls import CallerAnswer, CallerRequest
-from ..core.errors import BadInputError, PlantainhingeError, UnavailableError
+from ..core.errors import BadInputError, PlantainhingeError
 from ..core.ids import KindId, RequestId, RequestKey, TaskId
 from ..core.messages import JobAccount
 from ..core.states import Outcome
+from ..routing.answers import explain_error
 
 STATUS_LINES = {
     200: "200 OK",
@@ -30,10 +32,15 @@
 _PROCESS_MARK = uuid.uuid4().hex[:24]
 _REQUESTS = itertools.count()
 
+logger = logging.getLogger(__name__)
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 
 
+_OWN_FAULT = PlantainhingeError("a fault of the gateway", step="call.answer")
+
+
 class JobRequest(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The body of ``POST /jobs``."""
 
@@ -74,7 +81,10 @@
         try:
             answer = self._route(environ)
         except PlantainhingeError as error:
-            answer = _answer_error(error)
+            answer = explain_error(error)
+        except Exception:
+            logger.exception("a request failed by a fault of this process")
+            answer = explain_error(_OWN_FAULT)
         return _respond(answer, start_response)
 
     def _route(self, environ: Environ) -> CallerAnswer:
@@ -154,31 +164,6 @@
     return CallerAnswer(status=status, outcome=Outcome.DONE, body=body)
 
 
-def _answer_error(error: PlantainhingeError) -> CallerAnswer:
-    if isinstance(error, BadInputError):
-        status, retry_after = 400, None
-    elif isinstance(error, UnavailableError):
-        status, retry_after = 503, error.retry_after
-    else:
-        return CallerAnswer(
-            status=502,
-            outcome=Outcome.UNKNOWN,
-            code=error.code,
-            step=error.step,
-            peer=error.peer,
-            detail=error.message,
-        )
-    return CallerAnswer(
-        status=status,
-        outcome=Outcome.NOT_RUN,
-        retry_after=retry_after,
-        code=error.code,
-        step=error.step,
-        peer=error.peer,
-        detail=error.message,
-    )
-
-
 def _respond(answer: CallerAnswer, start_response: StartResponse) -> list[bytes]:
     body = answer.body
     content_type = answer.content_type
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -10,13 +10,19 @@
 from ..core.calls import CallerAnswer, CallerRequest
 from ..core.clock import read_monotonic, read_wall
 from ..core.configuration import Configuration, Kind
-from ..core.errors import BadInputError, NotOwnerError, UnavailableError
-from ..core.ids import KindId, Seconds, TaskId
+from ..core.errors import (
+    BadInputError,
+    NotOwnerError,
+    PlantainhingeError,
+    UnavailableError,
+)
+from ..core.ids import KindId, Seconds, ServiceId, TaskId
 from ..core.messages import Heartbeat, JobAccount, SubmitJob
+from ..core.metrics import Counter, Distribution, Level
 from ..core.protocols import TargetClient
-from ..core.states import TaskClass
+from ..core.states import Outcome, TaskClass
 from ..routing.admission import estimate_outage
-from ..routing.answers import explain_key
+from ..routing.answers import explain_error, explain_key
 from ..routing.claims import KeyAge, judge_key, read_key_time
 from ..routing.plans import digest_loads, may_route, measure_age
 from ..routing.policy import Policy, build_policy
@@ -61,7 +67,7 @@
             targets=targets,
             claim=self.ledgers.claim,
             finish=self.ledgers.finish,
-            note=node.events.add,
+            note_retry=self._note_retry,
             read_now=read_monotonic,
         )
         node.describe = self.describe
@@ -73,6 +79,9 @@
         self.node.step(now)
         self.ledgers.step(now)
         self._refresh(now)
+        in_flight, _ = self.places.read_loads(now)
+        for service, count in in_flight.items():
+            self.node.metrics.set(Level.IN_FLIGHT, count, service=service)
         if now >= self._idle_due:
             self._idle_due = Seconds(now + IDLE_PERIOD_SECONDS)
             self._targets.close_idle()
@@ -107,18 +116,13 @@
 
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return what the caller is told about a request."""
-        kind = self._find_kind(self._require_configuration(), request.kind)
+        began = read_monotonic()
         self.node.events.add("request.received", request.request, kind=request.kind)
-        answer = self._hold_thread(
-            request.kind, kind.task_class, lambda: self._handle(request, kind)
-        )
-        self.node.events.add(
-            "request.answered",
-            request.request,
-            outcome=answer.outcome.value,
-            status=str(answer.status),
-            key=request.key or "",
-        )
+        try:
+            answer = self._answer_request(request)
+        except PlantainhingeError as error:
+            answer = explain_error(error)
+        self._note_answered(request, answer, read_monotonic() - began)
         return answer
 
     def submit(self, job: JobRequest) -> JobAccount:
@@ -137,31 +141,79 @@
         """Cancel a job in the ledger that has it."""
         return self._run_job_call(lambda: self.ledgers.cancel(task))
 
+    def _answer_request(self, request: CallerRequest) -> CallerAnswer:
+        kind = self._find_kind(self._require_configuration(), request.kind)
+        if kind.service is None:
+            raise BadInputError(
+                f"kind {request.kind!r} is batch work; submit it to /jobs",
+                step="request.check",
+            )
+        self._require_routing()
+        return self._hold_thread(
+            request.kind,
+            kind.task_class,
+            lambda: self._run(request, kind, ServiceId(kind.service or "")),
+            service=kind.service,
+        )
+
+    def _note_retry(self, request: CallerRequest) -> None:
+        self.node.events.add("request.retried", request.request)
+        self.node.metrics.count(Counter.RETRIES, kind=request.kind)
+
+    def _note_answered(
+        self, request: CallerRequest, answer: CallerAnswer, seconds: float
+    ) -> None:
+        outcome = answer.outcome.value
+        self.node.events.add(
+            "request.answered",
+            request.request,
+            outcome=outcome,
+            status=str(answer.status),
+            key=request.key or "",
+        )
+        metrics = self.node.metrics
+        metrics.observe(
+            Distribution.REQUEST, seconds, kind=request.kind, outcome=outcome
+        )
+        if answer.outcome is Outcome.NOT_RUN:
+            metrics.count(Counter.REFUSALS, kind=request.kind, reason=answer.code)
+        elif answer.outcome is Outcome.UNKNOWN:
+            metrics.count(
+                Counter.UNKNOWN_OUTCOMES, kind=request.kind, reason=answer.code
+            )
+
     def _run_job_call(self, call: Callable[[], JobAccount]) -> JobAccount:
         return self._hold_thread(JOBS, TaskClass.BATCH, call)
 
     def _hold_thread(
-        self, kind: KindId, task_class: TaskClass, call: Callable[[], T]
+        self,
+        kind: KindId,
+        task_class: TaskClass,
+        call: Callable[[], T],
+        *,
+        service: ServiceId | None = None,
     ) -> T:
         if not self.places.enter(kind, task_class):
-            wait = estimate_outage(0.0, self.places.random.random())
             raise UnavailableError(
                 f"{kind!r} holds all the threads it may",
                 step="request.admit",
-                retry_after=wait,
+                retry_after=self._estimate_thread(task_class, service),
             )
         try:
             return call()
         finally:
             self.places.leave(kind, task_class)
 
-    def _handle(self, request: CallerRequest, kind: Kind) -> CallerAnswer:
-        if kind.service is None:
-            raise BadInputError(
-                f"kind {request.kind!r} is batch work; submit it to /jobs",
-                step="request.check",
-            )
-        self._require_routing()
+    def _estimate_thread(
+        self, task_class: TaskClass, service: ServiceId | None
+    ) -> float:
+        if service is None:
+            return estimate_outage(0.0, self.places.random.random())
+        return self.places.refuse(service, task_class, read_monotonic())
+
+    def _run(
+        self, request: CallerRequest, kind: Kind, service: ServiceId
+    ) -> CallerAnswer:
         key_at = 0.0
         if not kind.idempotent:
             key_at = read_key_time(request.key)
@@ -172,7 +224,7 @@
             self._surroundings,
             request,
             kind,
-            service=kind.service,
+            service=service,
             deadline_at=_find_deadline(request, kind, read_monotonic()),
             key_at=key_at,
         ).run()
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -92,6 +92,7 @@
             stopped.wait()
             logger.info("planned stop: draining")
             gateway.stop()
+        _wait_until(gateway.has_stopped, bounds.drain_seconds)
         logger.info("planned stop: drained")
 
 
--- a/plantainhinge/daemons/request_runner.py
+++ b/plantainhinge/daemons/request_runner.py
@@ -32,7 +32,6 @@
 
 Ask = Callable[[ClaimRequest, float], ClaimAnswer]
 Finish = Callable[[FinishClaim], None]
-Note = Callable[..., object]
 
 
 @dataclass(frozen=True)
@@ -43,8 +42,8 @@
     ----------
     claim, finish : callable
         Ask the ledger for a claim, and tell it how the request went.
-    note : callable
-        Adds an event to the time line.
+    note_retry : callable
+        Takes each request that is sent once more.
     read_now : callable
         Returns monotonic seconds.
     """
@@ -54,7 +53,7 @@
     targets: TargetClient
     claim: Ask
     finish: Finish
-    note: Note
+    note_retry: Callable[[CallerRequest], None]
     read_now: Callable[[], Seconds]
 
 
@@ -123,7 +122,7 @@
     def _spend(self) -> bool:
         allowed = self._places.spend(self._service)
         if allowed:
-            self._around.note("request.retried", self._request.request)
+            self._around.note_retry(self._request)
         return allowed
 
     def _admit(self) -> Event:
--- a/plantainhinge/routing/answers.py
+++ b/plantainhinge/routing/answers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..core.calls import CallerAnswer
+from ..core.errors import BadInputError, PlantainhingeError, UnavailableError
 from ..core.messages import TargetAnswer
 from ..core.states import Outcome
 from .claims import CLAIM_WINDOW_SECONDS, CLOCK_SKEW_SECONDS, KeyAge
@@ -93,6 +94,25 @@
     )
 
 
+def explain_error(error: PlantainhingeError) -> CallerAnswer:
+    """Return what the caller is told of an error that ended its request."""
+    status, outcome, retry_after = STATUS_BAD_GATEWAY, Outcome.UNKNOWN, None
+    if isinstance(error, BadInputError):
+        status, outcome = STATUS_BAD_REQUEST, Outcome.NOT_RUN
+    elif isinstance(error, UnavailableError):
+        status, outcome = STATUS_UNAVAILABLE, Outcome.NOT_RUN
+        retry_after = error.retry_after
+    return CallerAnswer(
+        status=status,
+        outcome=outcome,
+        retry_after=retry_after,
+        code=error.code,
+        step=error.step,
+        peer=error.peer,
+        detail=error.message,
+    )
+
+
 def _pick_status(state: RequestState, outcome: Outcome) -> int:
     if outcome is Outcome.NOT_RUN:
         turned_away = state.last is Event.TURNED_AWAY
--- a/tests/test_request_runner.py
+++ b/tests/test_request_runner.py
@@ -73,7 +73,7 @@
             targets=self.targets,
             claim=self.ledger.claim,
             finish=self.ledger.finish,
-            note=lambda *_, **__: None,
+            note_retry=lambda request: None,
             read_now=self.clock.read,
         )
         runner = RequestRunner(
