--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,208 @@
+"""The gateway as callers and peers see it, with fakes at its interfaces."""
+
+import time
+
+import pytest
+
+from plantainhinge.adapters.callers_http import CallersApplication
+from plantainhinge.adapters.log_memory import MemoryLog
+from plantainhinge.core.calls import CallerRequest
+from plantainhinge.core.configuration import Configuration, Domain, Kind, Service, Team
+from plantainhinge.core.messages import Heartbeat
+from plantainhinge.core.settings import Settings
+from plantainhinge.core.states import DaemonRole, Outcome, TaskClass
+from plantainhinge.daemons.gateway import Gateway
+from plantainhinge.daemons.log_driver import LogDriver
+from plantainhinge.daemons.node import Node
+from plantainhinge.routing.claims import CLAIM_WINDOW_SECONDS, CLOCK_SKEW_SECONDS
+from standins.keys import make_key
+
+from .fakes import Clock, FakeTargets
+from .harness import FakeCommander
+from .test_request_runner import list_targets
+
+CONFIGURATION = Configuration(
+    schema=1,
+    domains={"d": Domain(region="r")},
+    teams={"t": Team(quota={})},
+    services={"s": Service(team="t", replicas=3, task={})},
+    kinds={
+        "lookup": Kind(team="t", task_class=TaskClass.LATENCY_CRITICAL, service="s"),
+        "sync": Kind(team="t", task_class=TaskClass.BATCH, service="s"),
+        "purchase": Kind(
+            team="t",
+            task_class=TaskClass.LATENCY_CRITICAL,
+            service="s",
+            idempotent=False,
+        ),
+        "audit": Kind(team="t", task_class=TaskClass.BATCH),
+    },
+)
+
+
+class Peerless:
+    """Peers of a gateway that has none."""
+
+    def call(self, address, method, request, *, timeout=0.0):
+        raise AssertionError("nobody to call")
+
+
+class Quiet:
+    """An instance list without entries."""
+
+    def fetch(self):
+        return []
+
+
+class Entry:
+    """One gateway that knows three targets."""
+
+    def __init__(self):
+        self.inbox, self.dead = [], False
+        self.commander = FakeCommander(self)
+        settings = Settings(
+            instance="entry-1",
+            address="127.0.0.1",
+            domain="d",
+            region="r",
+            log_address="127.0.0.1:1",
+            instance_list_address="127.0.0.1:1",
+        )
+        self.node = Node(
+            settings,
+            DaemonRole.GATEWAY,
+            instances=Quiet(),
+            commander=self.commander,
+            driver=LogDriver(MemoryLog(), self.commander),
+            peers=Peerless(),
+        )
+        self.targets = FakeTargets(Clock())
+        self.gateway = Gateway(self.node, self.targets)
+        self.gateway.places.table.replace("s", "d", list_targets(3), now=0.0)
+
+    def configure(self):
+        self.node.configuration.reducer.configuration = CONFIGURATION
+        self.tick()
+        return self
+
+    def tick(self, now=None):
+        self.commander.execute()
+        events, self.inbox = self.inbox, []
+        self.gateway.tick(events, time.monotonic() if now is None else now)
+
+    def handle(self, kind="lookup", key=None):
+        return self.gateway.handle(
+            CallerRequest(
+                request="r1", kind=kind, method="GET", path="/", body=b"", key=key
+            )
+        )
+
+
+@pytest.fixture
+def entry():
+    return Entry().configure()
+
+
+def test_before_any_configuration_nothing_is_routed():
+    entry = Entry()
+    entry.tick()
+    answer = entry.handle()
+    assert (answer.status, answer.outcome) == (503, Outcome.NOT_RUN)
+    assert answer.retry_after >= 1.0
+    assert not entry.gateway.is_ready()
+
+
+@pytest.mark.parametrize(
+    ("kind", "age", "status", "outcome"),
+    [
+        ("lookup", None, 200, "done"),
+        ("sync", None, 200, "done"),
+        ("audit", None, 400, "not-run"),
+        ("nothing", None, 400, "not-run"),
+        ("purchase", None, 400, "not-run"),
+        ("purchase", 0.0, 503, "not-run"),
+        ("purchase", CLAIM_WINDOW_SECONDS + 9.0, 410, "unknown"),
+        ("purchase", -CLOCK_SKEW_SECONDS - 9.0, 400, "unknown"),
+    ],
+)
+def test_each_kind_is_told_what_became_of_it(entry, kind, age, status, outcome):
+    key = None if age is None else make_key(time.time() - age)
+    answer = entry.handle(kind, key)
+    assert (answer.status, answer.outcome) == (status, Outcome(outcome))
+    assert len(entry.targets.sent) == (outcome == "done")
+    names = [event.name for event in entry.node.events.select("r1")]
+    assert names[0] == "request.received"
+    assert names[-1] == "request.answered"
+
+
+def test_a_wave_of_one_kind_leaves_threads_to_the_others(entry):
+    places = entry.gateway.places
+    while places.enter("sync", TaskClass.BATCH):
+        pass
+    refused = entry.handle("sync")
+    assert (refused.status, refused.outcome) == (503, Outcome.NOT_RUN)
+    assert refused.retry_after >= 1.0
+    assert entry.handle("lookup").outcome is Outcome.DONE
+
+
+def test_a_gateway_left_behind_by_its_peers_routes_nothing(entry):
+    assert entry.handle().outcome is Outcome.DONE
+    ahead = Heartbeat(
+        process="other",
+        incarnation=1,
+        role=DaemonRole.GATEWAY,
+        address="127.0.0.9:1",
+        domain="d",
+        revision=entry.node.configuration.reducer.revision + 1,
+        ready=True,
+    )
+    later = time.monotonic() + 3600.0
+    entry.node.driver.drive = lambda *_, **__: None
+    entry.tick(later)
+    assert entry.handle().outcome is Outcome.DONE
+    entry.node.table.note(ahead, later)
+    entry.tick(later)
+    assert entry.handle().outcome is Outcome.NOT_RUN
+    assert not entry.gateway.is_ready()
+
+
+def test_a_heartbeat_carries_the_load(entry):
+    for _ in range(5):
+        entry.handle()
+    (digest,) = entry.gateway.describe().loads
+    assert digest.service == "s"
+    assert digest.arrivals_per_second > 0.0
+    assert digest.in_flight == 0
+
+
+def test_a_planned_stop_is_told_to_the_balancer_and_still_answers(entry):
+    entry.gateway.stop()
+    assert not entry.gateway.is_ready()
+    assert not entry.gateway.describe().ready
+    assert entry.handle().outcome is Outcome.DONE
+
+
+def test_a_fault_of_our_own_leaves_the_outcome_unknown(entry):
+    def fail(request):
+        raise KeyError("a fault")
+
+    entry.gateway.handle = fail
+    told = {}
+
+    def start_response(status, headers):
+        told.update(headers, status=status)
+
+    environ = {
+        "PATH_INFO": "/x",
+        "REQUEST_METHOD": "GET",
+        "HTTP_PLANTAINHINGE_KIND": "lookup",
+        "wsgi.input": _Empty(),
+    }
+    CallersApplication(entry.gateway)(environ, start_response)
+    assert told["status"].startswith("502")
+    assert told["Plantainhinge-Outcome"] == "unknown"
+
+
+class _Empty:
+    def read(self):
+        return b""
