--- a/bench/request_relay.py
+++ b/bench/request_relay.py
@@ -20,7 +20,7 @@
 from plantainhinge.adapters.log_memory import MemoryLog
 from plantainhinge.adapters.peers_grpc import Peers
 from plantainhinge.adapters.targets_http import HttpTargets
-from plantainhinge.core.configuration import parse_configuration
+from plantainhinge.core.documents import parse_configuration
 from plantainhinge.core.ids import DomainId, Seconds, ServiceId, TargetId
 from plantainhinge.core.messages import Instance, Target
 from plantainhinge.core.settings import Settings
--- a/plantainhinge/daemons/places.py
+++ b/plantainhinge/daemons/places.py
@@ -6,6 +6,7 @@
 import random
 import threading
 from collections import deque
+from collections.abc import Set as AbstractSet
 from concurrent.futures import (
     Future,
     TimeoutError as FutureTimeoutError,
@@ -134,6 +135,9 @@
         left: float,
     ) -> TargetRow | None:
         """Return a place, waiting in line for part of the ``left`` seconds."""
+        row = self.take_at_once(service, task_class, tried, now=now)
+        if row is not None:
+            return row
         waiter = self.ask(service, task_class, tried, now=now)
         try:
             return waiter.place.result(bound_queue_wait(left))
@@ -151,10 +155,11 @@
         """Return a request for a place, done at once if one is free."""
         waiter = Waiter(service, task_class, frozenset(tried))
         with self.lock:
-            line = self._waiting[task_class]
-            row = None if self._count_ahead(task_class) else self._try_take(waiter, now)
+            row = None
+            if not self._count_ahead(task_class):
+                row = self._try_take(service, task_class, tried, now)
             if row is None:
-                line.append(waiter)
+                self._waiting[task_class].append(waiter)
             else:
                 waiter.place.set_result(row)
         return waiter
@@ -179,7 +184,7 @@
         with self.lock:
             if self._count_ahead(task_class):
                 return None
-            return self._try_take(Waiter(service, task_class, frozenset(tried)), now)
+            return self._try_take(service, task_class, tried, now)
 
     def give_back(
         self, row: TargetRow, task_class: TaskClass, *, now: Seconds, abandoned: bool
@@ -277,24 +282,30 @@
             free=not ahead and in_use < places,
         )
 
-    def _try_take(self, waiter: Waiter, now: Seconds) -> TargetRow | None:
-        plan = self._plans.get(waiter.service)
+    def _try_take(
+        self,
+        service: ServiceId,
+        task_class: TaskClass,
+        tried: AbstractSet[TargetId],
+        now: Seconds,
+    ) -> TargetRow | None:
+        plan = self._plans.get(service)
         if plan is None:
             return None
-        batch = waiter.task_class is TaskClass.BATCH
+        batch = task_class is TaskClass.BATCH
         rows = list_open(
-            [row for row in plan.rows if not row.leaving],
+            plan.rows,
             limit=plan.soft,
             hard=plan.hard,
             batch=batch,
             now=now,
         )
-        if waiter.tried:
-            rows = [row for row in rows if row.target.target not in waiter.tried]
+        if tried:
+            rows = [row for row in rows if row.target.target not in tried]
         if not rows:
             return None
-        load = self._find_load(waiter.service)
-        row = self.policy.choose(rows, self._build_context(waiter.service, load, now))
+        load = self._find_load(service)
+        row = self.policy.choose(rows, self._build_context(service, load, now))
         note_sent(row, batch=batch)
         load.in_flight += 1
         return row
@@ -314,7 +325,8 @@
     def _serve_waiting(self, now: Seconds) -> None:
         for line in self._waiting.values():
             while line:
-                row = self._try_take(line[0], now)
+                first = line[0]
+                row = self._try_take(first.service, first.task_class, first.tried, now)
                 if row is None:
                     break
                 line.popleft().place.set_result(row)
--- a/plantainhinge/routing/ejection.py
+++ b/plantainhinge/routing/ejection.py
@@ -54,7 +54,8 @@
 ) -> list[TargetRow]:
     """Return the targets that may get one more request of this gateway.
 
-    Ejection is overruled when it would leave less than half of the targets.
+    A target that said it is leaving gets none. Ejection is overruled when it would
+    leave less than half of the targets.
 
     Parameters
     ----------
@@ -66,7 +67,9 @@
     return [
         row
         for row in rows
-        if count_connections(row, now) < hard
+        if row.in_flight < limit
+        and not row.leaving
+        and count_connections(row, now) < hard
         and row.in_flight < _bound_in_flight(row, limit, now, overruled)
         and (not batch or row.batch_in_flight < row.batch_share)
     ]
