--- a/bench/placement_policies.py
+++ b/bench/placement_policies.py
@@ -74,14 +74,14 @@
     "no model, throttle": replace(POLICY, cell=CellPolicy(model="none")),
     "least loaded": Variant(
         CellPolicy("least-loaded", "none", "evict-on-harm", "at-once"),
-        AssignmentPolicy(choice="most-free", headroom_share=0.0),
+        AssignmentPolicy(choice="most-free", headroom_share=0.0, makes_room=False),
         NO_RAMP,
         surge=False,
         preempt=False,
     ),
     "first fit": Variant(
         CellPolicy("first-fit", "none", "evict-on-harm", "at-once"),
-        AssignmentPolicy(choice="first-fit", headroom_share=0.0),
+        AssignmentPolicy(choice="first-fit", headroom_share=0.0, makes_room=False),
         NO_RAMP,
         surge=False,
         preempt=False,
@@ -206,7 +206,16 @@
                 key = (job.service, self._find_cell(job))
                 replicas[key] = replicas.get(key, 0) + 1
         now = float(self.model.now)
-        site = Site(rooms, {TEAM: PLENTY}, QuotaUse(), replicas, now, now)
+        short = frozenset("r") if len(domains_in) < len(self.domains) else frozenset()
+        site = Site(
+            rooms,
+            {TEAM: PLENTY},
+            QuotaUse(),
+            replicas,
+            now,
+            now,
+            short_regions=short,
+        )
         for step in plan_assignments(
             self.queue, site, self.ledger, self.variant.assignment
         ):
@@ -249,9 +258,10 @@
             rooms, demand, cell.residents, cell.tables, self.variant.cell, now
         )
         if name is None:
-            self.ledger.backoff.note_decline(domain, job.resources, now)
             if job.service and self.variant.preempt:
                 self._preempt(job, domain)
+            else:
+                self.ledger.backoff.note_decline(domain, job.resources, now)
             return
         self.queue.remove(job.task)
         job.attempt += 1
--- a/plantainhinge/placement/cells.py
+++ b/plantainhinge/placement/cells.py
@@ -21,7 +21,7 @@
     largest_free : Resources
         The most that one worker has free, each amount by itself.
     critical : Resources
-        What its latency-critical tasks hold.
+        What its latency-critical tasks hold, and urgent ones of this plan.
     """
 
     domain: DomainId
@@ -35,12 +35,22 @@
         """Return whether some worker may have room."""
         return need.fits_within(self.free) and need.fits_within(self.largest_free)
 
+    def may_make_room(self, need: Resources) -> bool:
+        """Return whether evicting batch attempts may make room."""
+        return need.fits_within(self.capacity - self.critical)
+
     def take(self, shape: Shape) -> "CellRoom":
-        """Return the room after a placement."""
+        """Return the room after a placement, or after room was made for it."""
         critical = self.critical
-        if shape.task_class is TaskClass.LATENCY_CRITICAL:
+        if cannot_wait(shape):
             critical = critical + shape.resources
-        return replace(self, free=self.free - shape.resources, critical=critical)
+        free = _subtract_to_zero(self.free, shape.resources)
+        return replace(self, free=free, critical=critical)
+
+
+def cannot_wait(shape: Shape) -> bool:
+    """Return whether batch work that can wait gives way to the task."""
+    return shape.urgent or shape.task_class is TaskClass.LATENCY_CRITICAL
 
 
 ReplicaCounts = Mapping[tuple[ServiceId, DomainId], int]
@@ -129,6 +139,13 @@
     return True
 
 
+def _subtract_to_zero(amount: Resources, taken: Resources) -> Resources:
+    rest = amount - taken
+    return Resources(
+        max(0, rest.millicores), max(0, rest.memory_mib), max(0, rest.accelerators)
+    )
+
+
 def scale_resources(amount: Resources, share: float) -> Resources:
     """Return a part of an amount, rounded down."""
     return Resources(
--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -104,7 +104,9 @@
         room.rack,
         room.capacity,
         room.free,
-        harm=estimate_added_harm(model, tables.pairs, arriving, beside.values(), now),
+        harm=estimate_added_harm(
+            model, tables.pairs, arriving, list(beside.values()), now
+        ),
         rack_replicas=_count(residents.rack_replicas, demand, room.rack),
         worker_replicas=_count(residents.worker_replicas, demand, room.worker),
         suspicion=tables.health.find_suspicion(room.worker, now),
