Let ledgers assign by the placement policies

Cause: assignment was a scan of all waiting tasks by urgency and priority, with no quotas, and a job's account named one reason for every wait. Change: the ledger keeps its waiting tasks by shape and its teams' use as indexes; assignment, back-off from cells that declined, replacements beside leaving replicas and reasons for waiting are calls into placement. Closures carry the worker, so that a job that fails on three workers is final and a later attempt avoids them. Offers carry priority and urgency.

--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -409,6 +409,9 @@
     checkpoint: str = ""
     run_seconds: float = 0.0
     cancelled: bool = False
+    priority: int = 0
+    urgent: bool = False
+    avoid: list[WorkerId] = []
 
 
 class OfferAttempts(Message, frozen=True):
@@ -441,6 +444,7 @@
     outcome: AttemptOutcome
     checkpoint: str = ""
     reason: str = ""
+    worker: WorkerId = WorkerId("")
 
 
 class ReportClosures(Message, frozen=True):
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -115,6 +115,7 @@
     outcome: AttemptOutcome
     checkpoint: str
     reason: str = ""
+    worker: WorkerId = WorkerId("")
 
 
 class RequestClaimed(Record, frozen=True, tag="clm"):
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -43,9 +43,11 @@
     describe_task,
     end_attempt,
     is_open,
+    note_declines,
     prune_rows,
     reject_hopeless,
 )
+from ..placement.assignment import AssignmentTables
 from ..streams.replica import Proposal, Replica
 from .node import NO_EPOCH, Node
 from .offers import Offers
@@ -94,6 +96,8 @@
         self._unjudged: dict[TaskId, None] = {}
         self._declared = Revision(0)
         self._assign_due = Seconds(0.0)
+        self._placing = AssignmentTables()
+        self._now = Seconds(0.0)
         self._prune_due = Seconds(0.0)
 
     def answer(self, call: Call, now: Seconds) -> None:
@@ -119,6 +123,7 @@
 
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does, and answer what was decided."""
+        self._now = now
         self._settle_waiters()
         super().step(now, rank)
         self._answer_reporters(now)
@@ -132,6 +137,7 @@
         self._changed.clear()
         self._unjudged.update(dict.fromkeys(changed))
         records = self._take_ended()
+        note_declines(self.state, records, self._placing, now)
         records.extend(self._silent)
         self._silent.clear()
         records.extend(self._declare(configuration, changed))
@@ -158,6 +164,7 @@
         self.offers.note_changed(list(self.state.assigned), now)
         self._changed.update(self.state.waiting)
         self._declared = Revision(0)
+        self._placing = AssignmentTables()
 
     def lapse(self) -> None:
         """Tell all who wait that this process can no longer decide."""
@@ -236,7 +243,8 @@
             )
             call.answer.set_exception(error)
         else:
-            call.answer.set_result(describe_task(row))
+            account = describe_task(self.state, row, self._placing, self._now)
+            call.answer.set_result(account)
 
     def _tell_claim(self, proposal: Proposal, call: Call, fenced: bool) -> None:
         granted = proposal.rejection is None
@@ -324,7 +332,14 @@
         if configuration.domains.keys() <= cells.keys():
             self._unjudged.clear()
         rejected = {record.task for record in hopeless}
-        assigned = assign_waiting(self.state, cells, configuration)
+        assigned = assign_waiting(
+            self.state,
+            cells,
+            configuration,
+            self._placing,
+            now=now,
+            wall=read_wall(),
+        )
         return [*hopeless, *(r for r in assigned if r.task not in rejected)]
 
     def _keep_time(self, now: Seconds, has_others: bool) -> list[AnyRecord]:
--- a/plantainhinge/ledgers/cell.py
+++ b/plantainhinge/ledgers/cell.py
@@ -35,6 +35,7 @@
     WorkerLeft,
 )
 from ..core.resources import Resources
+from ..placement.residents import ResidentTable
 from ..streams.ownership import Ownership
 
 
@@ -98,6 +99,8 @@
         Tasks whose rows have changed since ``take_changed``; values are unused.
     membership : int
         Rises with each worker that joins or leaves.
+    residents : ResidentTable
+        Index over ``open`` by worker and kind.
     """
 
     domain: DomainId
@@ -110,6 +113,7 @@
     replicas: dict[ServiceId, dict[TaskId, None]] = field(default_factory=dict)
     changed: dict[TaskId, None] = field(default_factory=dict)
     membership: int = 0
+    residents: ResidentTable = field(default_factory=ResidentTable)
 
     def apply(
         self, record: AnyRecord, *, epoch: Epoch, offset: Offset, now: Seconds
@@ -169,6 +173,7 @@
         self.open = {}
         self.closures = {}
         self.replicas = {}
+        self.residents = ResidentTable()
         self.changed = dict.fromkeys(self.attempts)
         for row in self.attempts.values():
             if row.closed is not None:
@@ -178,6 +183,7 @@
 
     def _index_open(self, placed: AttemptPlaced) -> None:
         self.open[placed.task] = placed
+        self.residents.add(placed, self.workers[placed.worker].rack)
         if placed.service:
             self.replicas.setdefault(placed.service, {})[placed.task] = None
 
@@ -255,6 +261,7 @@
         worker = self.workers[placed.worker]
         worker.free = worker.free + placed.resources
         del worker.attempts[placed.task]
+        self.residents.remove(placed, worker.rack)
         if placed.service:
             self.replicas[placed.service].pop(placed.task, None)
 
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -6,7 +6,7 @@
 
 import heapq
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,7 +22,9 @@
     RequestId,
     RequestKey,
     Seconds,
+    ServiceId,
     TaskId,
+    WorkerId,
 )
 from ..core.records import (
     AnyRecord,
@@ -47,6 +49,8 @@
     ClaimState,
     TaskState,
 )
+from ..placement.queue import Shape, WaitingQueue
+from ..placement.quotas import QuotaUse
 from ..streams.ownership import Ownership
 
 NO_ATTEMPT = Attempt(0)
@@ -64,8 +68,11 @@
         The newest attempt; 0 before the first.
     cancelling : bool
         A cancellation was recorded while an attempt was open.
-    ended_at : float
-        When it reached its final state, in seconds since the Unix epoch.
+    ended_at, accepted_at : float
+        When it reached its final state and when it was accepted, in seconds since
+        the Unix epoch.
+    failed_on : list of WorkerId
+        The distinct workers on which an attempt failed.
     """
 
     accepted: TaskAccepted
@@ -77,6 +84,8 @@
     failures: int = 0
     cancelling: bool = False
     ended_at: float = 0.0
+    accepted_at: float = 0.0
+    failed_on: list[WorkerId] = []
 
 
 class ClaimRow(msgspec.Struct):
@@ -122,6 +131,12 @@
         Index over ``tasks`` that are service replicas and not final.
     changed : dict
         Tasks whose rows have changed since ``take_changed``; values are unused.
+    queue : WaitingQueue
+        Index over ``waiting`` by shape.
+    use : QuotaUse
+        What ``assigned`` tasks hold of their teams' quotas.
+    replica_cells : Counter
+        Assigned replicas by service and cell.
     """
 
     partition: int
@@ -135,6 +150,9 @@
     claims_pruned_before: float = 0.0
     replicas: dict[TaskId, None] = field(default_factory=dict)
     changed: dict[TaskId, None] = field(default_factory=dict)
+    queue: WaitingQueue = field(default_factory=WaitingQueue)
+    use: QuotaUse = field(default_factory=QuotaUse)
+    replica_cells: Counter[tuple[ServiceId, DomainId]] = field(default_factory=Counter)
     _finals: deque[TaskId] = field(default_factory=deque)
     _keys: list[tuple[float, RequestKey]] = field(default_factory=list)
 
@@ -201,6 +219,9 @@
         self.waiting = {}
         self.assigned = {}
         self.replicas = {}
+        self.queue = WaitingQueue()
+        self.use = QuotaUse()
+        self.replica_cells = Counter()
         for task in self.tasks:
             self._index(task)
         final = [
@@ -248,10 +269,12 @@
     def _accept(self, record: TaskAccepted) -> str | None:
         known = self.tasks.get(record.task)
         if known is None:
-            self.tasks[record.task] = TaskRow(record)
+            self.tasks[record.task] = TaskRow(record, accepted_at=self.time)
         elif record.service and known.state in FINAL_TASK_STATES:
             self._finals.remove(record.task)
-            self.tasks[record.task] = TaskRow(record, attempt=known.attempt)
+            self.tasks[record.task] = TaskRow(
+                record, attempt=known.attempt, accepted_at=self.time
+            )
         else:
             return f"task {record.task} is accepted already"
         self._index(record.task)
@@ -294,10 +317,16 @@
             return f"attempt {record.attempt} is not the open one, {row.attempt}"
         row.checkpoint = record.checkpoint or row.checkpoint
         row.reason = record.reason
-        row.failures += record.outcome is AttemptOutcome.FAILED
+        if record.outcome is AttemptOutcome.FAILED:
+            self._note_failure(row, record.worker)
         self._settle(record, row)
         return None
 
+    def _note_failure(self, row: TaskRow, worker: WorkerId) -> None:
+        row.failures += 1
+        if worker and worker not in row.failed_on:
+            row.failed_on = [*row.failed_on, worker]
+
     def _settle(self, record: AttemptEnded, row: TaskRow) -> None:
         if record.outcome is AttemptOutcome.FINISHED:
             self._finish(record.task, TaskState.FINISHED, record.reason)
@@ -350,15 +379,42 @@
         row = self.tasks[task]
         self.changed[task] = None
         self.waiting.pop(task, None)
-        self.assigned.pop(task, None)
+        self.queue.remove(task)
+        if task in self.assigned:
+            del self.assigned[task]
+            self._count_assigned(row, -1)
         self.replicas.pop(task, None)
         if row.state is TaskState.WAITING:
             self.waiting[task] = None
+            self.queue.add(task, find_shape(row.accepted), row.accepted_at)
         elif row.state is TaskState.ASSIGNED:
             self.assigned[task] = None
+            self._count_assigned(row, 1)
         if row.accepted.service and row.state not in FINAL_TASK_STATES:
             self.replicas[task] = None
 
+    def _count_assigned(self, row: TaskRow, sign: int) -> None:
+        accepted = row.accepted
+        if sign > 0:
+            self.use.take(accepted.team, accepted.resources)
+        else:
+            self.use.give_back(accepted.team, accepted.resources)
+        if accepted.service and row.cell is not None:
+            self.replica_cells[accepted.service, row.cell] += sign
+
+
+def find_shape(accepted: TaskAccepted) -> Shape:
+    """Return what placement needs to know of a task."""
+    return Shape(
+        accepted.team,
+        accepted.kind,
+        accepted.resources,
+        accepted.task_class,
+        accepted.service,
+        accepted.priority,
+        accepted.urgent,
+    )
+
 
 _HANDLERS: dict[type, Callable[[LedgerState, Any], str | None]] = {
     TaskAccepted: LedgerState._accept,
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -1,9 +1,12 @@
 """Decisions of a ledger's owner, as functions over its tables."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import count, islice
+
+from msgspec.structs import replace
 
 from ..core.configuration import Configuration, Kind
-from ..core.ids import Attempt, DomainId, ServiceId, TaskId, TeamId
+from ..core.ids import Attempt, DomainId, RegionId, Seconds, ServiceId, TaskId, TeamId
 from ..core.messages import (
     CellDigest,
     Closure,
@@ -21,7 +24,19 @@
     TaskRejected,
 )
 from ..core.resources import Resources
-from ..core.states import DomainState, TaskClass, TaskState
+from ..core.states import AttemptOutcome, DomainState, TaskClass, TaskState
+from ..placement.assignment import (
+    AssignmentPolicy,
+    AssignmentTables,
+    Site,
+    plan_assignments,
+)
+from ..placement.cells import list_rooms
+from ..placement.feasibility import explain_infeasible
+from ..placement.health import HealthLimits, explain_poison
+from ..placement.quotas import list_quotas
+from ..placement.replicas import ReplicaRow, plan_replicas
+from ..placement.waits import explain_wait
 from ..streams.names import find_partition
 from .ledger import (
     CLAIM_WINDOW_SECONDS,
@@ -33,6 +48,7 @@
 LOOK_AGAIN_SECONDS = 1.0
 SERVICE_PRIORITY = 1_000_000
 PRUNE_SLACK_SECONDS = 60.0
+DEFAULT_POLICY = AssignmentPolicy()
 
 
 def name_replica(service: ServiceId, index: int) -> TaskId:
@@ -57,18 +73,22 @@
 def declare_replicas(
     state: LedgerState, configuration: Configuration
 ) -> list[AnyRecord]:
-    """Return the records that bring the replicas to their declared counts."""
+    """Return the records that bring the replicas to their declared counts.
+
+    A replica in a domain that is out gets its replacement beside it.
+    """
     records: list[AnyRecord] = []
-    declared = set()
+    cells_in = _list_in(configuration)
+    rows = _list_replicas(state)
     for name, service in configuration.services.items():
         if not _keeps(state, service.team, configuration):
             continue
-        for index in range(service.replicas):
-            task = name_replica(name, index)
-            declared.add(task)
-            if task not in state.replicas:
-                records.append(_accept_replica(task, name, configuration))
-    records.extend(_cancel_undeclared(state, declared))
+        plan = plan_replicas(rows.pop(name, ()), service.replicas, cells_in)
+        records.extend(TaskCancelled(task) for task in plan.cancel)
+        for task in islice(_list_free_names(state, name), plan.add):
+            records.append(_accept_replica(task, name, configuration))
+    for undeclared in rows.values():
+        records.extend(TaskCancelled(row.task) for row in undeclared)
     return records
 
 
@@ -76,24 +96,51 @@
     state: LedgerState,
     cells: Mapping[DomainId, CellDigest],
     configuration: Configuration,
+    tables: AssignmentTables,
+    *,
+    now: Seconds,
+    wall: float,
+    policy: AssignmentPolicy = DEFAULT_POLICY,
 ) -> list[AttemptAssigned]:
-    """Return an assignment for each waiting task that some cell has room for."""
-    free = {
-        domain: digest.free
-        for domain, digest in cells.items()
-        if domain in configuration.domains
-        and configuration.domains[domain].state is DomainState.IN
-    }
-    records = []
-    for task in sorted(state.waiting, key=lambda t: _rank(state.tasks[t])):
-        row = state.tasks[task]
-        need = row.accepted.resources
-        cell = _pick_cell(free, need)
-        if cell is None:
+    """Return the assignments of waiting tasks to cells; ``tables`` keep the rest.
+
+    Parameters
+    ----------
+    wall : float
+        Seconds since the Unix epoch.
+    """
+    site = Site(
+        rooms=list_rooms(cells, configuration),
+        quotas=list_quotas(configuration.teams),
+        use=state.use.copy(),
+        replicas=dict(state.replica_cells),
+        now=now,
+        wall=wall,
+        some_in=bool(_list_in(configuration)),
+        short_regions=_list_short_regions(configuration),
+    )
+    planned = plan_assignments(state.queue, site, tables, policy)
+    return [
+        AttemptAssigned(
+            step.task, Attempt(state.tasks[step.task].attempt + 1), step.cell
+        )
+        for step in planned
+    ]
+
+
+def note_declines(
+    state: LedgerState,
+    ended: Iterable[AnyRecord],
+    tables: AssignmentTables,
+    now: Seconds,
+) -> None:
+    """Keep away for a while from cells that had no room after all."""
+    for record in ended:
+        if not isinstance(record, AttemptEnded):
             continue
-        free[cell] = free[cell] - need
-        records.append(AttemptAssigned(task, Attempt(row.attempt + 1), cell))
-    return records
+        row = state.tasks[record.task]
+        if record.outcome is AttemptOutcome.DECLINED and row.cell is not None:
+            tables.backoff.note_decline(row.cell, row.accepted.resources, now)
 
 
 def build_offer(state: LedgerState, task: TaskId) -> OfferAttempt:
@@ -114,6 +161,9 @@
         checkpoint=row.checkpoint,
         run_seconds=accepted.run_seconds,
         cancelled=row.cancelling,
+        priority=accepted.priority,
+        urgent=accepted.urgent,
+        avoid=row.failed_on,
     )
 
 
@@ -133,6 +183,7 @@
         closure.outcome,
         closure.checkpoint,
         closure.reason,
+        closure.worker,
     )
 
 
@@ -144,14 +195,13 @@
 ) -> list[TaskRejected]:
     """Return a final answer for each of the waiting tasks that can never run."""
     shapes = _collect_shapes(cells, configuration)
-    limit = configuration.limits.attempts_per_task
     records = []
     for task in tasks:
         row = state.tasks.get(task)
         if row is None or row.state is not TaskState.WAITING:
             continue
-        reason = _find_hopelessness(row, shapes, limit)
-        if reason is not None:
+        reason = _find_hopelessness(row, shapes, configuration)
+        if reason:
             records.append(TaskRejected(task, reason))
     return records
 
@@ -174,10 +224,11 @@
     return RowsPruned(tasks_before, claims_before) if is_due else None
 
 
-def describe_task(row: TaskRow) -> JobAccount:
+def describe_task(
+    state: LedgerState, row: TaskRow, tables: AssignmentTables, now: Seconds
+) -> JobAccount:
     """Return a task's account for callers and operators."""
-    waiting = row.state is TaskState.WAITING
-    return JobAccount(
+    account = JobAccount(
         task=row.accepted.task,
         team=row.accepted.team,
         kind=row.accepted.kind,
@@ -185,9 +236,12 @@
         attempts=row.attempt,
         cell=row.cell,
         reason=row.reason,
-        waits_for="room in a failure domain" if waiting else "",
         look_again=LOOK_AGAIN_SECONDS,
     )
+    if row.state is not TaskState.WAITING:
+        return account
+    wait = explain_wait(row.accepted.task, state.queue, tables, now)
+    return replace(account, waits_for=wait.reason.value, look_again=wait.look_again)
 
 
 def _keeps(state: LedgerState, team: TeamId, configuration: Configuration) -> bool:
@@ -212,44 +266,63 @@
     )
 
 
-def _cancel_undeclared(state: LedgerState, declared: set[TaskId]) -> list[AnyRecord]:
-    return [
-        TaskCancelled(task)
-        for task in state.replicas
-        if task not in declared and not state.tasks[task].cancelling
-    ]
+def _list_replicas(state: LedgerState) -> dict[ServiceId, list[ReplicaRow]]:
+    rows: dict[ServiceId, list[ReplicaRow]] = {}
+    for task in state.replicas:
+        row = state.tasks[task]
+        if not row.cancelling:
+            index = int(task.rpartition("/")[2])
+            replica = ReplicaRow(task, index, row.state, row.cell)
+            rows.setdefault(row.accepted.service, []).append(replica)
+    return rows
 
 
-def _rank(row: TaskRow) -> tuple[bool, int]:
-    return (not row.accepted.urgent, -row.accepted.priority)
+def _list_free_names(state: LedgerState, service: ServiceId) -> Iterator[TaskId]:
+    names = (name_replica(service, index) for index in count())
+    return (name for name in names if name not in state.replicas)
 
 
-def _pick_cell(free: Mapping[DomainId, Resources], need: Resources) -> DomainId | None:
-    fitting = [domain for domain, room in free.items() if need.fits_within(room)]
-    return max(fitting, key=lambda domain: free[domain].millicores, default=None)
+def _list_in(configuration: Configuration) -> frozenset[DomainId]:
+    return frozenset(
+        name
+        for name, domain in configuration.domains.items()
+        if domain.state is DomainState.IN
+    )
+
+
+def _list_short_regions(configuration: Configuration) -> frozenset[RegionId]:
+    return frozenset(
+        domain.region
+        for domain in configuration.domains.values()
+        if domain.state is DomainState.OUT
+    )
 
 
 def _collect_shapes(
     cells: Mapping[DomainId, CellDigest], configuration: Configuration
-) -> list[Resources] | None:
-    """Return all capacities of workers, or None while any domain's are unknown."""
-    shapes: list[Resources] = []
+) -> frozenset[Resources] | None:
+    """Return all capacities of workers, or None while any domain's are unknown.
+
+    A domain that is missing may hold the only workers that are large enough.
+    """
+    shapes: set[Resources] = set()
     for domain in configuration.domains:
         digest = cells.get(domain)
         if digest is None or not digest.shapes:
             return None
-        shapes.extend(digest.shapes)
-    return shapes
+        shapes.update(digest.shapes)
+    return frozenset(shapes)
 
 
 def _find_hopelessness(
-    row: TaskRow, shapes: list[Resources] | None, limit: int
-) -> str | None:
-    if row.accepted.service:
-        return None
-    if row.failures >= limit:
+    row: TaskRow, shapes: frozenset[Resources] | None, configuration: Configuration
+) -> str:
+    accepted = row.accepted
+    if accepted.service:
+        return ""
+    if row.failures >= configuration.limits.attempts_per_task:
         return f"failed {row.failures} times; last: {row.reason or 'no reason given'}"
-    need = row.accepted.resources
-    if shapes is None or any(need.fits_within(shape) for shape in shapes):
-        return None
-    return f"needs {need}; no worker has more than one of {shapes}"
+    poison = explain_poison(frozenset(row.failed_on), HealthLimits())
+    if poison:
+        return f"{poison}; last: {row.reason or 'no reason given'}"
+    return explain_infeasible(accepted.resources, accepted.team, configuration, shapes)
--- a/plantainhinge/placement/assignment.py
+++ b/plantainhinge/placement/assignment.py
@@ -9,6 +9,7 @@
 from ..core.resources import Resources
 from .backoff import BackoffTable
 from .cells import CELL_CHOICES, CellRoom, cannot_wait, keeps_headroom
+from .pace import Pace
 from .queue import ORDERS, Shape, Waiting, WaitingQueue
 from .quotas import QuotaUse, fits_quota
 from .ramp import RampTable
@@ -61,6 +62,7 @@
     ramp: RampTable = field(default_factory=RampTable)
     backoff: BackoffTable = field(default_factory=BackoffTable)
     held: dict[Shape, HoldReason] = field(default_factory=dict)
+    pace: Pace = field(default_factory=Pace)
 
 
 @dataclass(frozen=True)
@@ -105,6 +107,7 @@
     The cost follows the number of shapes and of assignments, not of tasks.
     """
     tables.ramp.follow(site.rooms, site.now)
+    tables.backoff.expire(site.now)
     tables.held.clear()
     planned: list[Assignment] = []
     for shape, waiting in _walk(queue, policy, tables.held):
@@ -117,6 +120,7 @@
             continue
         _take(shape, cell, site, tables)
         planned.append(Assignment(waiting.task, cell))
+    tables.pace.note(len(planned), site.now)
     return planned
 
 
--- a/plantainhinge/placement/feasibility.py
+++ b/plantainhinge/placement/feasibility.py
@@ -1,29 +1,8 @@
 """Jobs that can never run, whatever ends on the site."""
 
-from collections.abc import Iterable
-
 from ..core.configuration import Configuration
-from ..core.ids import DomainId, TeamId
-from ..core.messages import Instance
+from ..core.ids import TeamId
 from ..core.resources import Resources
-from ..core.states import InstanceRole
-
-
-def list_capacities(
-    instances: Iterable[Instance], domains: Iterable[DomainId]
-) -> frozenset[Resources] | None:
-    """Return the distinct sizes of workers; None while a domain shows none.
-
-    A domain that is missing from the list may hold the only workers that are
-    large enough, so that nothing can be said without it.
-    """
-    missing = set(domains)
-    capacities = set()
-    for row in instances:
-        if row.role is InstanceRole.WORKER:
-            missing.discard(row.domain)
-            capacities.add(row.capacity)
-    return None if missing or not capacities else frozenset(capacities)
 
 
 def explain_infeasible(
@@ -32,7 +11,13 @@
     configuration: Configuration,
     capacities: frozenset[Resources] | None,
 ) -> str:
-    """Return why a job can never run; empty if it can, or if that is not known."""
+    """Return why a job can never run; empty if it can, or if that is not known.
+
+    Parameters
+    ----------
+    capacities : frozenset of Resources or None
+        The sizes of all workers; None while some are unknown.
+    """
     declared = configuration.teams.get(team)
     if declared is None:
         return f"team {team!r} is unknown; valid: {sorted(configuration.teams)}"
--- a/plantainhinge/placement/residents.py
+++ b/plantainhinge/placement/residents.py
@@ -5,6 +5,7 @@
 
 from ..core.ids import KindId, RackId, ServiceId, WorkerId
 from ..core.records import AttemptPlaced
+from ..core.resources import Resources
 from ..core.states import TaskClass
 
 
@@ -20,13 +21,20 @@
 
 @dataclass
 class ResidentTable:
-    """Open attempts by worker and kind, and replicas by service and rack."""
+    """Open attempts by worker and kind, and replicas by service and rack.
+
+    Parameters
+    ----------
+    critical : Resources
+        What latency-critical attempts hold in all.
+    """
 
     kinds: dict[WorkerId, dict[KindId, KindCount]] = field(default_factory=dict)
     rack_replicas: Counter[tuple[ServiceId, RackId]] = field(default_factory=Counter)
     worker_replicas: Counter[tuple[ServiceId, WorkerId]] = field(
         default_factory=Counter
     )
+    critical: Resources = Resources()
 
     def add(self, placed: AttemptPlaced, rack: RackId) -> None:
         """Count an attempt that was placed."""
@@ -49,6 +57,10 @@
             )
         else:
             row.pop(placed.kind, None)
+        if placed.task_class is TaskClass.LATENCY_CRITICAL:
+            held = self.critical
+            need = placed.resources
+            self.critical = held + need if sign > 0 else held - need
         if placed.service:
             self.rack_replicas[placed.service, rack] += sign
             self.worker_replicas[placed.service, placed.worker] += sign
