Let cells place, relieve, drain and quarantine by the placement policies

Cause: cells took the least loaded worker, stopped all at once when their domain went out, and never used throttle, reports of slowdown, or failures of workers. Change: place_offers chooses by the combined score with the learned model, holds offers that cannot wait while batch gives way under a budget, and skips quarantined workers; reports teach sizes and pairs and lead to throttle before evict; a domain that is out is emptied by priority within what others can carry, and wholly when the grace ends. Attempts that have not started are stopped at once. Ruled out: declining an offer while its room is being made; the ledger would back off from the cell that works for it.

--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -176,6 +176,7 @@
     checkpoint: str = ""
     run_seconds: float = 0.0
     priority: int = 0
+    urgent: bool = False
 
 
 class AttemptClosed(Record, frozen=True, tag="cls"):
--- /dev/null
+++ b/plantainhinge/daemons/cell_learning.py
@@ -0,0 +1,169 @@
+"""What a cell's owner learns from its workers, and what it does about harm."""
+
+from collections.abc import Callable
+
+from ..core.ids import Seconds, TaskId, WorkerId
+from ..core.messages import AttemptReport
+from ..core.records import AttemptPlaced
+from ..core.resources import Resources
+from ..core.states import AttemptOutcome, DomainState
+from ..ledgers.cell import CellState
+from ..placement.drain import DRAINS, DrainRow
+from ..placement.harm import Evict, Relief, Throttle
+from ..placement.observation import learn_report, note_end, plan_relief
+from ..placement.workers import CellPolicy, CellTables
+from ..streams.replica import Replica
+from .cell_workers import CellWorkers
+from .node import Node
+
+DRAIN_PERIOD_SECONDS = 0.5
+
+
+class CellLearning:
+    """The tables that placement in one cell is decided by; lost with the owner."""
+
+    def __init__(self, node: Node, replica: Replica[CellState]) -> None:
+        self.tables = CellTables()
+        self.policy = CellPolicy()
+        self._node = node
+        self._replica = replica
+        self._drain_due = Seconds(0.0)
+        self._room = Resources()
+
+    @property
+    def state(self) -> CellState:
+        """The replayed state of the cell."""
+        return self._replica.reducer
+
+    def take_report(
+        self,
+        worker: WorkerId,
+        reports: list[AttemptReport],
+        workers: CellWorkers,
+        now: Seconds,
+    ) -> None:
+        """Learn from a worker's report, and relieve its services if need be."""
+        row = self.state.workers[worker]
+        mine = {
+            task: self.state.open[task]
+            for task in row.attempts
+            if not workers.is_stopping(task)
+        }
+        told = [
+            report
+            for report in reports
+            if report.task in mine and mine[report.task].attempt == report.attempt
+        ]
+        learn_report(worker, row.capacity, told, mine, self.tables, now)
+        steps = plan_relief(
+            worker,
+            row.capacity,
+            told,
+            mine,
+            self.state.residents,
+            self.tables,
+            self.policy,
+            now,
+        )
+        for step in steps:
+            self._carry_out(step, mine[step.task], workers, now)
+
+    def note_changed(
+        self, tasks: list[TaskId], workers: CellWorkers, now: Seconds
+    ) -> None:
+        """Take in attempts that were placed or closed."""
+        for task in tasks:
+            row = self.state.attempts.get(task)
+            if row is None or row.placed is None:
+                continue
+            if row.closed is None:
+                self._note_placed(row.placed, now)
+            elif row.placed.worker in self.state.workers:
+                failed = task in workers.failed_starts
+                outcome = AttemptOutcome.FAILED if failed else row.closed.outcome
+                self._note_closed(row.placed, outcome, now)
+                workers.failed_starts.discard(task)
+
+    def list_drained(
+        self, is_in: bool, workers: CellWorkers, now: Seconds
+    ) -> list[TaskId]:
+        """Return the attempts to stop now because the domain is out."""
+        drain = self.tables.drain
+        if drain.since is None and not is_in:
+            self._room = self._find_room(now)
+            self._drain_due = now
+        drain.follow(not is_in, now)
+        if is_in or now < self._drain_due:
+            return []
+        self._drain_due = Seconds(now + DRAIN_PERIOD_SECONDS)
+        kept = [task for task in self.state.open if not workers.is_stopping(task)]
+        unstarted = [task for task in kept if task not in workers.reports]
+        rows = [
+            _build_drain_row(self.state.open[task])
+            for task in kept
+            if task in workers.reports
+        ]
+        stop = DRAINS.find(self.policy.drain)
+        return [*unstarted, *stop(rows, self._room, drain, now)]
+
+    def _carry_out(
+        self, step: Relief, placed: AttemptPlaced, workers: CellWorkers, now: Seconds
+    ) -> None:
+        match step:
+            case Evict():
+                self._node.events.add(
+                    "attempt.evicting", placed.task, worker=placed.worker
+                )
+                workers.order_stop(placed.task, now)
+            case Throttle():
+                undo = self._build_undo(placed, now)
+                workers.throttle(placed, step.millicores, undo)
+
+    def _build_undo(self, placed: AttemptPlaced, now: Seconds) -> Callable[[], None]:
+        declared = placed.resources.millicores
+
+        def undo() -> None:
+            if self.state.open.get(placed.task) == placed:
+                self.tables.progress.set_limit(placed.task, declared, now)
+
+        return undo
+
+    def _find_room(self, now: Seconds) -> Resources:
+        """Return what the other domains have free."""
+        configuration = self._node.current
+        room = Resources()
+        for domain, digest in self._node.collect_cells(now).items():
+            declared = configuration.domains.get(domain) if configuration else None
+            is_other = domain != self.state.domain
+            if declared and is_other and declared.state is DomainState.IN:
+                room = room + digest.free
+        return room
+
+    def _note_placed(self, placed: AttemptPlaced, now: Seconds) -> None:
+        self.tables.changes.note_arrival(placed.worker, placed.task, now)
+        self.tables.health.note_placed(placed.worker, now)
+
+    def _note_closed(
+        self, placed: AttemptPlaced, outcome: AttemptOutcome, now: Seconds
+    ) -> None:
+        capacity = self.state.workers[placed.worker].capacity
+        note_end(placed, capacity, self.tables, now)
+        health = self.tables.health
+        match outcome:
+            case AttemptOutcome.FINISHED:
+                health.note_success(placed.worker, placed.kind, placed.task)
+            case AttemptOutcome.FAILED:
+                count = len(self.state.workers)
+                health.note_failure(placed.worker, placed.kind, placed.task, count, now)
+            case _:
+                health.note_unclear(placed.worker)
+
+
+def _build_drain_row(placed: AttemptPlaced) -> DrainRow:
+    return DrainRow(
+        placed.task,
+        placed.attempt,
+        placed.task_class,
+        placed.priority,
+        placed.resources,
+    )
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -6,9 +6,10 @@
 from ..adapters.peers_grpc import REPORT_CLOSURES, Call
 from ..core.due import DueQueue
 from ..core.errors import NotOwnerError
-from ..core.ids import ProcessId, Seconds, TaskId
+from ..core.ids import ProcessId, Seconds, TaskId, WorkerId
 from ..core.messages import (
     AttemptRef,
+    AttemptReport,
     CellDigest,
     ClosuresTaken,
     Instance,
@@ -21,21 +22,19 @@
 from ..core.records import AnyRecord, ClosureAcknowledged, PredecessorsEnded
 from ..core.states import DomainState
 from ..ledgers.cell import CellState, Fence
+from ..ledgers.cell_placement import decline_offers, is_known, place_offers
 from ..ledgers.cell_systems import (
     build_closures,
-    decline_offers,
     digest_cell,
-    is_known,
     join_workers,
     list_targets,
-    place_offers,
 )
 from ..ledgers.leases import Takeover, find_handover_end, may_renew
-from ..placement.scores import SCORES
 from ..routing.lists import answer_query
 from ..streams.names import name_ledger
 from ..streams.ownership import OWNER_LEASE_SECONDS
 from ..streams.replica import Replica
+from .cell_learning import CellLearning
 from .cell_workers import CellWorkers
 from .node import Node
 from .stream_owner import StreamOwner
@@ -66,13 +65,13 @@
         self, node: Node, replica: Replica[CellState], client: WorkerClient
     ) -> None:
         super().__init__(node, replica)
-        self.workers = CellWorkers(node, replica, client)
+        self.workers = CellWorkers(node, replica, client, self._observe)
+        self.learning = CellLearning(node, replica)
         self._offers: dict[TaskId, _Offered] = {}
         self._waiters: list[_Waiter] = []
         self._acknowledged: dict[TaskId, ClosureAcknowledged] = {}
         self._reports_due: DueQueue[int] = DueQueue()
         self._instances_seen: list[Instance] = []
-        self._was_in = True
         self._taken_at = Seconds(0.0)
         self._predecessors_due = Seconds(0.0)
         self._gone: dict[ProcessId, Seconds] = {}
@@ -117,8 +116,10 @@
     def act(self, now: Seconds) -> None:
         """Start what is placed, stop what must not run, report what has ended."""
         changed = self.state.take_changed()
+        self.learning.note_changed(changed, self.workers, now)
         self.workers.note_changed(changed, now)
-        self._follow_domain(changed, now)
+        for task in self.learning.list_drained(self._is_in(), self.workers, now):
+            self.workers.order_stop(task, now)
         for task in changed:
             self._note_closure(task, now)
         if self._is_in() and self.node.is_fresh(now):
@@ -130,11 +131,10 @@
     def begin(self, now: Seconds) -> None:
         """Take up all open attempts and all closures to report."""
         self._taken_at = now
+        self.learning = CellLearning(self.node, self.replica)
         self.workers.begin(self._describe_takeover(), now)
         for ledger in self.state.closures:
             self._reports_due.set(ledger, now)
-        for task in self.state.open if not self._is_in() else ():
-            self.workers.order_stop(task, now)
 
     def lapse(self) -> None:
         """Refuse offers that wait; leases are kept."""
@@ -195,9 +195,18 @@
         self._offers.clear()
         if not self._is_in():
             return decline_offers(self.state, offers, "the failure domain is out")
-        score = SCORES.find("least-loaded")
-        usable = self.workers.list_usable(now)
-        return place_offers(self.state, offers, score, usable=usable)
+        placing = place_offers(
+            self.state,
+            offers,
+            self.learning.tables,
+            self.learning.policy,
+            usable=self.workers.list_usable(now),
+            now=now,
+        )
+        for task in placing.evicted:
+            self.node.events.add("attempt.evicting", task)
+            self.workers.order_stop(task, now)
+        return placing.records
 
     def _find_fences(self) -> dict[int, Fence]:
         """Return the fences with those in the acknowledgements about to be taken."""
@@ -214,12 +223,10 @@
             return False
         return configuration.domains[domain].state is DomainState.IN
 
-    def _follow_domain(self, changed: list[TaskId], now: Seconds) -> None:
-        is_in = self._is_in()
-        if not is_in:
-            for task in self.state.open if self._was_in else changed:
-                self.workers.order_stop(task, now)
-        self._was_in = is_in
+    def _observe(
+        self, worker: WorkerId, reports: list[AttemptReport], now: Seconds
+    ) -> None:
+        self.learning.take_report(worker, reports, self.workers, now)
 
     def _find_start_deadline(self) -> Seconds:
         confirmed_at = self.replica.confirmed_at or 0.0
--- a/plantainhinge/daemons/cell_workers.py
+++ b/plantainhinge/daemons/cell_workers.py
@@ -13,6 +13,7 @@
     AttemptReport,
     StartTask,
     StopTask,
+    ThrottleTask,
     WorkerReport,
 )
 from ..core.protocols import WorkerClient
@@ -43,17 +44,29 @@
 NOT_SEEN = -1
 
 T = TypeVar("T")
+Observe = Callable[[WorkerId, list[AttemptReport], Seconds], None]
 
 
 class CellWorkers:
     """What one owner of a cell knows of the workers, and its calls to them.
 
     Work waits in queues by due time, so a step costs what is due.
+
+    Parameters
+    ----------
+    observe : callable
+        Is told the attempts in each worker's report.
     """
 
     def __init__(
-        self, node: Node, replica: Replica[CellState], client: WorkerClient
+        self,
+        node: Node,
+        replica: Replica[CellState],
+        client: WorkerClient,
+        observe: Observe,
     ) -> None:
+        self.failed_starts: set[TaskId] = set()
+        self._observe = observe
         self.reports: dict[TaskId, AttemptReport] = {}
         self.readings: dict[WorkerId, Reading] = {}
         self._node = node
@@ -134,6 +147,27 @@
         self._stops.add(task, now)
         self._starts.discard(task)
 
+    def throttle(
+        self, placed: AttemptPlaced, millicores: int, undo: Callable[[], None]
+    ) -> None:
+        """Limit an attempt's processors; ``undo`` is called if that failed."""
+        self._node.events.add(
+            "attempt.throttling", placed.task, millicores=str(millicores)
+        )
+        message = ThrottleTask(
+            task=placed.task,
+            attempt=placed.attempt,
+            cell_epoch=self.state.ownership.epoch,
+            millicores=millicores,
+        )
+
+        def finish(future: Future[AttemptReport], now: Seconds) -> None:
+            if future.exception() is not None:
+                undo()
+
+        address = self.state.workers[placed.worker].address
+        self._run(self._client.throttle, address, message, then=finish)
+
     def is_stopping(self, task: TaskId) -> bool:
         """Return whether a stop was ordered."""
         return task in self._stops
@@ -158,6 +192,7 @@
 
     def forget(self) -> None:
         """Drop everything known under the epoch that ended."""
+        self.failed_starts.clear()
         self.reports.clear()
         self.readings.clear()
         self._flights.clear()
@@ -242,6 +277,7 @@
             self.readings[worker] = reading
             self._sure_ends.set(worker, find_sure_end(reading, self._takeover))
             self._reconcile(report, asked_at, now)
+            self._observe(worker, report.attempts, now)
 
     def _reconcile(self, report: WorkerReport, asked_at: Seconds, now: Seconds) -> None:
         reported = set()
@@ -301,6 +337,7 @@
             self.reports[placed.task] = report
             self._starts.discard(placed.task)
         elif flight.answered_at is None and flight.tries >= START_TRIES:
+            self.failed_starts.add(placed.task)
             self._lose(placed, f"worker {placed.worker} failed {flight.tries} starts")
         else:
             closed = close_attempt(placed, report)
--- a/plantainhinge/ledgers/cell_systems.py
+++ b/plantainhinge/ledgers/cell_systems.py
@@ -1,6 +1,6 @@
 """Decisions of a cell's owner, as functions over its tables."""
 
-from collections.abc import Collection, Container, Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from itertools import islice
 
 from ..core.ids import Seconds, ServiceId, TaskId, WorkerId
@@ -10,7 +10,6 @@
     CellDigest,
     Closure,
     Instance,
-    OfferAttempt,
     RenewLeases,
     ReportClosures,
     StartTask,
@@ -25,7 +24,6 @@
 )
 from ..core.resources import Resources
 from ..core.states import AttemptOutcome, InstanceRole, InstanceState
-from ..placement.scores import Candidate, Demand, Score, pick_worker
 from .cell import CellState, WorkerRow
 from .leases import LEASE_SECONDS, Reading, find_start_limit
 
@@ -61,49 +59,6 @@
     )
 
 
-def place_offers(
-    state: CellState,
-    offers: Iterable[OfferAttempt],
-    score: Score,
-    *,
-    usable: Collection[WorkerId],
-) -> list[AnyRecord]:
-    """Return a placement or a refusal for each offer that is not known yet.
-
-    Parameters
-    ----------
-    usable : collection of WorkerId
-        The workers that have answered this owner lately.
-    """
-    candidates = {
-        name: Candidate(name, row.rack, row.capacity, row.free)
-        for name, row in state.workers.items()
-        if name in usable
-    }
-    return [
-        _place(offer, candidates, score)
-        for offer in offers
-        if not is_known(state, offer)
-    ]
-
-
-def decline_offers(
-    state: CellState, offers: Iterable[OfferAttempt], reason: str
-) -> list[AnyRecord]:
-    """Return a refusal for each offer that is not known yet."""
-    return [
-        _decline(offer, AttemptOutcome.DECLINED, reason)
-        for offer in offers
-        if not is_known(state, offer)
-    ]
-
-
-def is_known(state: CellState, offer: OfferAttempt) -> bool:
-    """Return whether the cell has placed or closed the attempt, or a later one."""
-    known = state.attempts.get(offer.task)
-    return known is not None and known.attempt >= offer.attempt
-
-
 def close_attempt(placed: AttemptPlaced, report: AttemptReport) -> AttemptClosed:
     """Return the closure of an attempt that its worker says has ended."""
     assert report.outcome is not None
@@ -202,6 +157,7 @@
             outcome=record.outcome,
             checkpoint=record.checkpoint,
             reason=record.reason,
+            worker=_find_worker(state, record),
         )
         for record in closed
         if record is not None
@@ -209,6 +165,11 @@
     return ReportClosures(ledger=ledger, cell=state.domain, closures=closures)
 
 
+def _find_worker(state: CellState, closed: AttemptClosed) -> WorkerId:
+    placed = state.attempts[closed.task].placed
+    return placed.worker if placed else WorkerId("")
+
+
 def list_targets(
     state: CellState, service: ServiceId, reports: Mapping[TaskId, AttemptReport]
 ) -> list[Target]:
@@ -239,46 +200,17 @@
         domain=state.domain,
         free=sum((row.free for row in rows), Resources()),
         capacity=sum((row.capacity for row in rows), Resources()),
-        largest_free=max(
-            (row.free for row in rows),
-            key=lambda free: free.millicores,
-            default=Resources(),
-        ),
+        largest_free=_find_largest([row.free for row in rows]),
         workers=len(rows),
         shapes=list(dict.fromkeys(row.capacity for row in rows)),
+        critical=state.residents.critical,
     )
 
 
-def _place(
-    offer: OfferAttempt, candidates: dict[WorkerId, Candidate], score: Score
-) -> AnyRecord:
-    if offer.cancelled:
-        return _decline(offer, AttemptOutcome.CANCELLED, "cancelled before its start")
-    demand = Demand(offer.kind, offer.resources, offer.task_class, offer.service)
-    worker = pick_worker(candidates, demand, score)
-    if worker is None:
-        return _decline(offer, AttemptOutcome.DECLINED, "no worker has room")
-    chosen = candidates[worker]
-    candidates[worker] = Candidate(
-        worker, chosen.rack, chosen.capacity, chosen.free - offer.resources
-    )
-    return AttemptPlaced(
-        task=offer.task,
-        attempt=offer.attempt,
-        worker=worker,
-        kind=offer.kind,
-        task_class=offer.task_class,
-        resources=offer.resources,
-        ledger=offer.ledger,
-        service=offer.service,
-        checkpoint=offer.checkpoint,
-        run_seconds=offer.run_seconds,
-    )
-
-
-def _decline(
-    offer: OfferAttempt, outcome: AttemptOutcome, reason: str
-) -> AttemptClosed:
-    return AttemptClosed(
-        offer.task, offer.attempt, outcome, offer.checkpoint, offer.ledger, reason
+def _find_largest(amounts: list[Resources]) -> Resources:
+    """Return the most that one worker has, each amount by itself."""
+    return Resources(
+        max((amount.millicores for amount in amounts), default=0),
+        max((amount.memory_mib for amount in amounts), default=0),
+        max((amount.accelerators for amount in amounts), default=0),
     )
--- /dev/null
+++ b/plantainhinge/placement/holds.py
@@ -0,0 +1,48 @@
+"""Offers that a full cell holds while batch attempts give way to them."""
+
+from dataclasses import dataclass, field
+
+from ..core.ids import Seconds, TaskId, WorkerId
+from .budget import BudgetLimits, EvictionBudget
+
+HOLD_SECONDS = 10.0
+MOST_VICTIMS = 8
+PREEMPTIONS = BudgetLimits(burst=16, per_second=1.0)
+
+
+@dataclass(frozen=True)
+class Hold:
+    """A worker on which room is being made, until a time."""
+
+    worker: WorkerId
+    until: Seconds
+
+
+@dataclass
+class HoldTable:
+    """Offers that are held, and the budget of evictions for them."""
+
+    budget: EvictionBudget = field(default_factory=lambda: EvictionBudget(PREEMPTIONS))
+    rows: dict[TaskId, Hold] = field(default_factory=dict)
+
+    def hold(self, task: TaskId, worker: WorkerId, now: Seconds) -> None:
+        """Hold an offer while room is made on a worker."""
+        self.rows = {
+            name: row
+            for name, row in self.rows.items()
+            if now < row.until + HOLD_SECONDS
+        }
+        self.rows[task] = Hold(worker, Seconds(now + HOLD_SECONDS))
+
+    def release(self, task: TaskId) -> None:
+        """Hold the offer no longer."""
+        self.rows.pop(task, None)
+
+    def is_held(self, task: TaskId, now: Seconds) -> bool:
+        """Return whether the offer may still wait for room."""
+        row = self.rows.get(task)
+        return row is not None and now < row.until
+
+    def list_reserved(self, now: Seconds) -> frozenset[WorkerId]:
+        """Return the workers on which room is being made."""
+        return frozenset(r.worker for r in self.rows.values() if now < r.until)
--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -9,6 +9,7 @@
 from .drain import DrainTable
 from .harm import HarmTable
 from .health import HealthTable
+from .holds import HoldTable
 from .interference import (
     INTERFERENCE_MODELS,
     KindLoad,
@@ -42,6 +43,7 @@
     harm: HarmTable = field(default_factory=HarmTable)
     drain: DrainTable = field(default_factory=DrainTable)
     progress: ProgressTable = field(default_factory=ProgressTable)
+    holds: HoldTable = field(default_factory=HoldTable)
 
 
 @dataclass(frozen=True)
