--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -66,12 +66,15 @@
     def stop(self) -> None:
         """Begin a planned stop: let go of all streams and claim no more."""
         self._stopping = True
+        self.node.leaving = True
         for owner in self._list_owners():
             owner.release()
 
     def has_stopped(self) -> bool:
-        """Return whether all streams were let go of."""
-        return all(owner.has_released() for owner in self._list_owners())
+        """Return whether all streams were let go of and nobody waits for an answer."""
+        waiting = any(ledger.has_waiters() for ledger in self.ledgers.values())
+        released = all(owner.has_released() for owner in self._list_owners())
+        return released and not waiting
 
     def describe(self) -> Heartbeat:
         """Return this process's heartbeat with the streams it owns."""
