Prove that owners use the policies, and keep limits over a change of owner

Cause: trials through real schedulers showed that an urgent offer waited for the ledger's next repeat after its room was made, that budgets of a new owner grew only once asked, that a new owner did not know earlier throttles, and that quarantined workers counted as room. Change: held offers stay with the cell, budgets grow from the takeover, workers report the limit an attempt runs under, digests leave out resting workers.

--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -160,6 +160,8 @@
         Service time or progress relative to running alone; 1.0 is no loss.
     usage_age : float
         Seconds since the reporting window ended.
+    limit : int
+        The processors that a throttle leaves it, in millicores; 0 for no throttle.
     """
 
     task: TaskId
@@ -171,6 +173,7 @@
     usage: Resources = Resources()
     slowdown: float = 1.0
     usage_age: float = 0.0
+    limit: int = 0
 
 
 class WorkerReport(Message, frozen=True):
--- a/plantainhinge/daemons/cell_learning.py
+++ b/plantainhinge/daemons/cell_learning.py
@@ -35,6 +35,12 @@
         """The replayed state of the cell."""
         return self._replica.reducer
 
+    def begin(self, now: Seconds) -> None:
+        """Forget all, and let the budgets grow from nothing."""
+        self.tables = CellTables()
+        self.tables.harm.budget.fill(now)
+        self.tables.holds.budget.fill(now)
+
     def take_report(
         self,
         worker: WorkerId,
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -73,12 +73,14 @@
         self._reports_due: DueQueue[int] = DueQueue()
         self._instances_seen: list[Instance] = []
         self._taken_at = Seconds(0.0)
+        self._now = Seconds(0.0)
         self._predecessors_due = Seconds(0.0)
         self._gone: dict[ProcessId, Seconds] = {}
 
     def digest(self) -> CellDigest:
         """Return what the cell can still take."""
-        return digest_cell(self.state)
+        resting = self.learning.tables.health.list_resting(self._now)
+        return digest_cell(self.state, skip=resting)
 
     def answer(self, call: Call, now: Seconds) -> None:
         """Answer a call about this cell."""
@@ -96,6 +98,7 @@
 
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does; keep leases alive while the log is down."""
+        self._now = now
         super().step(now, rank)
         self._answer_offers(now)
         if self._may_renew(now):
@@ -131,7 +134,7 @@
     def begin(self, now: Seconds) -> None:
         """Take up all open attempts and all closures to report."""
         self._taken_at = now
-        self.learning = CellLearning(self.node, self.replica)
+        self.learning.begin(now)
         self.workers.begin(self._describe_takeover(), now)
         for ledger in self.state.closures:
             self._reports_due.set(ledger, now)
@@ -192,7 +195,7 @@
             for offered in self._offers.values()
             if offered.fence >= fences.get(offered.offer.ledger, Fence())
         ]
-        self._offers.clear()
+        taken, self._offers = self._offers, {}
         if not self._is_in():
             return decline_offers(self.state, offers, "the failure domain is out")
         placing = place_offers(
@@ -206,6 +209,11 @@
         for task in placing.evicted:
             self.node.events.add("attempt.evicting", task)
             self.workers.order_stop(task, now)
+        self._offers = {
+            task: offered
+            for task, offered in taken.items()
+            if self.learning.tables.holds.is_held(task, now)
+        }
         return placing.records
 
     def _find_fences(self) -> dict[int, Fence]:
--- a/plantainhinge/daemons/cell_workers.py
+++ b/plantainhinge/daemons/cell_workers.py
@@ -151,6 +151,7 @@
         self, placed: AttemptPlaced, millicores: int, undo: Callable[[], None]
     ) -> None:
         """Limit an attempt's processors; ``undo`` is called if that failed."""
+        reading = self.readings[placed.worker]
         self._node.events.add(
             "attempt.throttling", placed.task, millicores=str(millicores)
         )
@@ -159,6 +160,8 @@
             attempt=placed.attempt,
             cell_epoch=self.state.ownership.epoch,
             millicores=millicores,
+            as_of=reading.clock,
+            incarnation=reading.incarnation,
         )
 
         def finish(future: Future[AttemptReport], now: Seconds) -> None:
--- a/plantainhinge/ledgers/cell_systems.py
+++ b/plantainhinge/ledgers/cell_systems.py
@@ -193,14 +193,21 @@
     return targets
 
 
-def digest_cell(state: CellState) -> CellDigest:
-    """Return what the cell can still take."""
+def digest_cell(state: CellState, *, skip: Container[WorkerId] = ()) -> CellDigest:
+    """Return what the cell can still take.
+
+    Parameters
+    ----------
+    skip : container of WorkerId
+        Workers whose free resources do not count.
+    """
     rows = list(state.workers.values())
+    free = [row.free for name, row in state.workers.items() if name not in skip]
     return CellDigest(
         domain=state.domain,
-        free=sum((row.free for row in rows), Resources()),
+        free=sum(free, Resources()),
         capacity=sum((row.capacity for row in rows), Resources()),
-        largest_free=_find_largest([row.free for row in rows]),
+        largest_free=_find_largest(free),
         workers=len(rows),
         shapes=list(dict.fromkeys(row.capacity for row in rows)),
         critical=state.residents.critical,
--- a/plantainhinge/placement/health.py
+++ b/plantainhinge/placement/health.py
@@ -109,6 +109,10 @@
         known = self.quarantined.get(worker)
         return known is None or (now >= known.until and not known.probing)
 
+    def list_resting(self, now: Seconds) -> frozenset[WorkerId]:
+        """Return the workers in quarantine that are not ready for a probe."""
+        return frozenset(w for w in self.quarantined if not self.may_take(w, now))
+
     def note_placed(self, worker: WorkerId, now: Seconds) -> None:
         """Note that a worker was given an attempt; in quarantine it is the probe."""
         known = self.quarantined.get(worker)
--- a/plantainhinge/placement/progress.py
+++ b/plantainhinge/placement/progress.py
@@ -25,7 +25,8 @@
         """Note a report; a new checkpoint means that nothing is unsaved."""
         row = self.rows.get(report.task)
         if row is None:
-            self.rows[report.task] = ProgressRow(report.checkpoint, now)
+            limit = report.limit or None
+            self.rows[report.task] = ProgressRow(report.checkpoint, now, limit)
         elif row.checkpoint != report.checkpoint:
             row.checkpoint = report.checkpoint
             row.saved_at = now
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -246,6 +246,7 @@
             outcome=tombstone.outcome if tombstone else None,
             address=run.address if run else "",
             checkpoint=known.checkpoint if known else "",
+            limit=(run.millicores or 0) if run else 0,
         )
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -169,6 +169,9 @@
     def stop(self, address, message):
         return self._affect(address, "stop", message)
 
+    def throttle(self, address, message):
+        return self._call(address, "throttle", message)
+
     def _affect(self, address, verb, message):
         try:
             return self._call(address, verb, message)
@@ -240,6 +243,7 @@
     finals: dict = field(default_factory=dict)
     jobs: list = field(default_factory=list)
     attempts_limit: int = 5
+    declared: dict = field(default_factory=dict)
     kill_after: int = 0
     effects: int = 0
     _stepping: Process | None = None
@@ -330,7 +334,7 @@
                 "attempts_per_task": self.attempts_limit,
             },
         }
-        text = json.dumps(document)
+        text = json.dumps(document | self.declared)
         record = ConfigurationPublished(text, self._revision, "operator")
         writer = WriterId(f"operator-{self._revision}")
         batch = Batch(RECORD_VERSION, writer, Sequence(1), Epoch(0), [record])
