--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -9,6 +9,7 @@
 from .drain import DrainTable
 from .harm import HarmTable
 from .health import HealthTable
+from .holds import HoldTable
 from .interference import (
     INTERFERENCE_MODELS,
     KindLoad,
@@ -42,6 +43,7 @@
     harm: HarmTable = field(default_factory=HarmTable)
     drain: DrainTable = field(default_factory=DrainTable)
     progress: ProgressTable = field(default_factory=ProgressTable)
+    holds: HoldTable = field(default_factory=HoldTable)
 
 
 @dataclass(frozen=True)
@@ -104,7 +106,9 @@
         room.rack,
         room.capacity,
         room.free,
-        harm=estimate_added_harm(model, tables.pairs, arriving, beside.values(), now),
+        harm=estimate_added_harm(
+            model, tables.pairs, arriving, list(beside.values()), now
+        ),
         rack_replicas=_count(residents.rack_replicas, demand, room.rack),
         worker_replicas=_count(residents.worker_replicas, demand, room.worker),
         suspicion=tables.health.find_suspicion(room.worker, now),
