--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -30,19 +30,20 @@
 )
 from ..core.events import EventList
 from ..core.messages import (
-    AcknowledgeClosure,
     CancelJob,
     ClaimAnswer,
     ClaimRequest,
+    ClosuresTaken,
     Empty,
     FinishClaim,
     Heartbeat,
     JobAccount,
-    OfferAnswer,
-    OfferAttempt,
+    OfferAttempts,
+    OffersTaken,
     QueryEvents,
     QueryJob,
     QueryTargets,
+    ReportClosures,
     SubmitJob,
     TargetList,
 )
@@ -76,8 +77,8 @@
 QUERY_JOB = Method("QueryJob", QueryJob, JobAccount)
 CLAIM = Method("Claim", ClaimRequest, ClaimAnswer)
 FINISH_CLAIM = Method("FinishClaim", FinishClaim, Empty)
-OFFER = Method("Offer", OfferAttempt, OfferAnswer)
-ACKNOWLEDGE = Method("Acknowledge", AcknowledgeClosure, Empty)
+OFFER = Method("Offer", OfferAttempts, OffersTaken)
+REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
 
@@ -89,7 +90,7 @@
     CLAIM,
     FINISH_CLAIM,
     OFFER,
-    ACKNOWLEDGE,
+    REPORT_CLOSURES,
     QUERY_TARGETS,
     QUERY_EVENTS,
 ]
@@ -277,13 +278,20 @@
     """Send what the future brings; a caller that hangs up does not cancel it."""
     waiting = asyncio.shield(asyncio.wrap_future(answer))
     try:
-        await stream.send_message(
-            await asyncio.wait_for(waiting, ANSWER_TIMEOUT_SECONDS)
-        )
+        message = await asyncio.wait_for(waiting, ANSWER_TIMEOUT_SECONDS)
     except PlantainhingeError as error:
-        raise _to_status(error) from error
-    except TimeoutError as error:
-        raise GRPCError(Status.UNKNOWN, "not answered in time") from error
+        await _send_status(stream, _to_status(error))
+    except TimeoutError:
+        await _send_status(stream, GRPCError(Status.UNKNOWN, "not answered in time"))
+    else:
+        await stream.send_message(message)
+        await stream.send_trailing_metadata()
+
+
+async def _send_status(stream: Stream[Any, Any], error: GRPCError) -> None:
+    await stream.send_trailing_metadata(
+        status=error.status, status_message=error.message
+    )
 
 
 async def _stop(server: Server, service: "_Service") -> None:
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -34,6 +34,8 @@
 TICK_PERIOD = Seconds(0.05)
 POOL_THREADS = 16
 DRAIN_POLL_SECONDS = 0.05
+HANDOVER_SECONDS = 10.0
+HANDOVER_LINGER_SECONDS = 2.5
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +107,8 @@
         stopped.wait()
         logger.info("planned stop: handing over")
         _run_in_tick(loop, scheduler.stop)
-        _wait_until(scheduler.has_stopped, settings.callers.drain_seconds)
+        _wait_until(scheduler.has_stopped, HANDOVER_SECONDS)
+        time.sleep(HANDOVER_LINGER_SECONDS)
         logger.info("planned stop: handed over")
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -39,6 +39,7 @@
 WAIT_SECONDS = 60.0
 POLL_SECONDS = 0.1
 STOP_SECONDS = 20.0
+DAEMONS = ("gateway", "scheduler")
 LINGER_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 20
 FETCH_TIMEOUT_SECONDS = 2
@@ -96,7 +97,7 @@
             domain = self.domains[number % len(self.domains)]
             self.rows.append(_list_entry(name, ip, domain))
             settings = self.write_settings(name, ip, domain)
-            for daemon in ("gateway", "scheduler"):
+            for daemon in DAEMONS:
                 self.start_daemon(daemon, name, settings)
 
     def start_daemon(self, daemon: str, instance: str, settings: Path) -> None:
@@ -209,12 +210,16 @@
 
     def stop(self) -> None:
         """Stop all processes, daemons first."""
-        for process in reversed(self.processes.values()):
-            process.send_signal(signal.SIGCONT)
-            process.send_signal(signal.SIGTERM)
-        deadline = time.monotonic() + STOP_SECONDS
+        daemons = [n for n in self.processes if n.endswith(DAEMONS)]
+        standins = [n for n in self.processes if n not in daemons]
         for process in self.processes.values():
-            _reap(process, deadline)
+            process.send_signal(signal.SIGCONT)
+        for names in (daemons, standins):
+            deadline = time.monotonic() + STOP_SECONDS
+            for name in names:
+                self.processes[name].send_signal(signal.SIGTERM)
+            for name in names:
+                _reap(self.processes[name], deadline)
 
     def _start_standin(self, kind: str, name: str, ip: str, port: int) -> None:
         options = ("--name", name, "--ip", ip, "--port", str(port))
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -14,6 +14,7 @@
 from plantainhinge.streams.names import CONFIGURATION
 from standins.callers import keep_calling
 from standins.demonstration import EXAMPLE
+from standins.keys import make_key
 from standins.site import await_condition, run_site
 
 pytestmark = pytest.mark.processes
@@ -44,7 +45,8 @@
 
 def buy(caller, number):
     path = f"/licences/order-{number}"
-    return caller.call("POST", path, kind="purchase", key=f"order-{number}", body=b"{}")
+    key = make_key(time.time())
+    return caller.call("POST", path, kind="purchase", key=key, body=b"{}")
 
 
 def submit(site, job, *, run_seconds, entry=0):
@@ -165,7 +167,9 @@
         started = time.monotonic()
         answers = [
             submit(site, "late-job", run_seconds=1.0),
-            site.call(0, "POST", "/licences/late", kind="purchase", key="late"),
+            site.call(
+                0, "POST", "/licences/late", kind="purchase", key=make_key(time.time())
+            ),
         ]
         took = time.monotonic() - started
         await_condition("lookups go on", lambda: len(told) > 200)
@@ -264,3 +268,16 @@
         for number, code in codes.items()
     }
     assert told in ({True: 0, False: 3}, {True: 0})
+
+
+def test_a_task_of_a_frozen_worker_resumes_only_after_its_lease(site):
+    assert submit(site, "audit-w", run_seconds=8.0).status == 202
+    await_running(site, "audit-w")
+    worker = list_attempts(site, "audit-w")[0].worker
+    site.signal(worker, signal.SIGSTOP)
+    await_condition("it runs elsewhere", lambda: bool(list_attempts(site, "audit-w")))
+    site.signal(worker, signal.SIGCONT)
+    await_condition("it finishes", lambda: read_state(site, "audit-w") == "finished")
+    attempts = list_attempts(site, "audit-w")
+    assert len(attempts) == 2
+    assert list_overlaps(attempts) == []
--- a/tests/test_site_stop.py
+++ b/tests/test_site_stop.py
@@ -3,11 +3,13 @@
 import json
 import signal
 import threading
+import time
 
 import pytest
 
 from standins.callers import Caller, keep_calling
 from standins.demonstration import EXAMPLE
+from standins.keys import make_key
 from standins.site import await_condition, run_site
 
 pytestmark = pytest.mark.processes
@@ -49,7 +51,9 @@
         path = f"/licences/slow-1?service_ms={SLOW_MS}"
         caller = Caller(entries)
         slow.append(
-            caller.call("POST", path, kind="purchase", key="slow-1", body=b"{}")
+            caller.call(
+                "POST", path, kind="purchase", key=make_key(time.time()), body=b"{}"
+            )
         )
 
     with keep_calling(entries, look_up, callers=CALLERS) as told:
