--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .checks import Fault, convert_document, parse_json
+from .shapes import Fault, convert_document, parse_json
 from .errors import BadInputError
 from .ids import DomainId, InstanceId, RegionId
 
