--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -114,6 +114,8 @@
             self._confirm_due = Seconds(now + CONFIRM_PERIOD_SECONDS)
         for record in records:
             self.replica.propose(record)
+        if self.owns(now):
+            self.replica.take_snapshot(now)
 
     def _note_change(self, now: Seconds) -> None:
         is_owner = self.owns(now)
--- a/plantainhinge/ledgers/cell.py
+++ b/plantainhinge/ledgers/cell.py
@@ -143,11 +143,11 @@
         )
         return msgspec.msgpack.encode(dump)
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, state: bytes, now: Seconds) -> None:
         """Replace all tables by those of a snapshot."""
         dump = msgspec.msgpack.decode(state, type=_Dump)
         self.ownership = Ownership(
-            dump.epoch, dump.owner, dump.address, predecessors=dump.predecessors
+            dump.epoch, dump.owner, dump.address, now, dump.predecessors
         )
         self.workers = dump.workers
         self.attempts = dump.attempts
