--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -38,10 +38,14 @@
     FinishClaim,
     Heartbeat,
     JobAccount,
+    JobList,
+    ListJobs,
     OfferAttempts,
     OffersTaken,
+    ProcessStatus,
     QueryEvents,
     QueryJob,
+    QueryStatus,
     QueryTargets,
     ReportClosures,
     SubmitJob,
@@ -81,6 +85,8 @@
 REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
+QUERY_STATUS = Method("QueryStatus", QueryStatus, ProcessStatus)
+LIST_JOBS = Method("ListJobs", ListJobs, JobList)
 
 METHODS: list[Method[Any, Any]] = [
     HEARTBEAT,
@@ -93,6 +99,8 @@
     REPORT_CLOSURES,
     QUERY_TARGETS,
     QUERY_EVENTS,
+    QUERY_STATUS,
+    LIST_JOBS,
 ]
 
 
--- /dev/null
+++ b/plantainhinge/cli/jobs.py
@@ -0,0 +1,103 @@
+"""The jobs of a team, and the account of one job."""
+
+import argparse
+from typing import Any
+
+import msgspec
+
+from ..adapters.peers_grpc import LIST_JOBS, QUERY_JOB, Method
+from ..core.errors import BadInputError, UnavailableError
+from ..core.ids import TaskId, TeamId
+from ..core.messages import JobAccount, JobList, ListJobs, QueryJob
+from ..core.settings import Settings
+from ..core.states import DaemonRole
+from .arguments import add_settings, read_settings
+from .output import format_table
+from .processes import ask_processes
+from .registry import command
+
+HEADS = ("job", "kind", "state", "attempts", "domain", "reason")
+LIMIT = 50
+
+
+class TeamJobs(msgspec.Struct, frozen=True):
+    """The newest jobs of a team."""
+
+    team: TeamId
+    list: JobList
+
+    def format_text(self) -> str:
+        """Return a table."""
+        rows = [_format_row(job) for job in self.list.jobs]
+        shown = f"{len(rows)} of {self.list.total} jobs of team {self.team}"
+        return f"{shown}\n{format_table(HEADS, rows)}" if rows else shown
+
+
+class OneJob(msgspec.Struct, frozen=True):
+    """The account of one job."""
+
+    job: JobAccount
+
+    def format_text(self) -> str:
+        """Return one line for each thing known."""
+        fields = msgspec.to_builtins(self.job)
+        lines = (f"{name}: {value}" for name, value in fields.items() if value != "")
+        return "\n".join(lines)
+
+
+def list_jobs(settings: Settings, team: TeamId, limit: int) -> TeamJobs:
+    """Return the newest jobs of a team from the ledger that has them."""
+    return TeamJobs(
+        team, _ask_owner(settings, LIST_JOBS, ListJobs(team=team, limit=limit), team)
+    )
+
+
+def find_job(settings: Settings, team: TeamId, task: TaskId) -> OneJob:
+    """Return the account of one job."""
+    return OneJob(_ask_owner(settings, QUERY_JOB, QueryJob(task=task, team=team), team))
+
+
+def _ask_owner(
+    settings: Settings, method: Method[Any, Any], request: Any, team: TeamId
+) -> Any:
+    replies = ask_processes(settings, method, [request], role=DaemonRole.SCHEDULER)
+    for reply in replies:
+        if reply.answer is not None:
+            return reply.answer
+        if isinstance(reply.error, BadInputError):
+            raise reply.error
+    raise UnavailableError(
+        f"the ledger of team {team!r} has no owner now", step=f"peer.{method.name}"
+    )
+
+
+def _format_row(job: JobAccount) -> list[str]:
+    return [
+        job.task,
+        job.kind,
+        job.state.value,
+        str(job.attempts),
+        job.cell or "-",
+        job.reason or job.waits_for or "-",
+    ]
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("team", type=TeamId)
+    parser.add_argument("job", type=TaskId, nargs="?", help="only this one, in full")
+    parser.add_argument("--limit", type=int, default=LIMIT, help="most jobs to list")
+    add_settings(parser)
+
+
+@command(
+    "jobs",
+    summary="list a team's jobs, or show the account of one",
+    example="plantainhinge jobs audit --settings /etc/plantainhinge.jsonc",
+    arguments=_add_arguments,
+)
+def show_jobs(options: argparse.Namespace) -> TeamJobs | OneJob:
+    """Ask the owner of the team's ledger."""
+    settings = read_settings(options)
+    if options.job is not None:
+        return find_job(settings, options.team, options.job)
+    return list_jobs(settings, options.team, options.limit)
--- /dev/null
+++ b/plantainhinge/cli/status.py
@@ -0,0 +1,112 @@
+"""How every daemon of the site fares."""
+
+import argparse
+
+import msgspec
+
+from ..adapters.peers_grpc import QUERY_STATUS
+from ..core.ids import Revision
+from ..core.messages import ProcessStatus, QueryStatus
+from ..core.settings import Settings
+from ..core.states import DaemonRole
+from .arguments import add_settings, read_settings
+from .output import format_table
+from .processes import Reply, ask_processes
+from .registry import command
+
+HEADS = ("instance", "role", "ready", "revision", "age s", "owns", "troubles")
+
+
+class DaemonRow(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon as an operator sees it.
+
+    Parameters
+    ----------
+    age : float or None
+        Seconds since it last confirmed its view of the configuration.
+    troubles : list of str
+        Why it lags, is not ready, or did not answer.
+    """
+
+    instance: str
+    role: DaemonRole
+    address: str
+    ready: bool
+    revision: Revision
+    age: float | None
+    owned: list[str]
+    troubles: list[str]
+
+
+class SiteStatus(msgspec.Struct, frozen=True):
+    """All daemons, and the newest revision that any runs."""
+
+    revision: Revision
+    daemons: list[DaemonRow]
+
+    def format_text(self) -> str:
+        """Return a table."""
+        rows = [_format_row(row) for row in self.daemons]
+        ready = sum(row.ready for row in self.daemons)
+        return (
+            f"revision {self.revision}; {ready} of {len(rows)} daemons ready\n"
+            f"{format_table(HEADS, rows)}"
+        )
+
+
+def collect_status(settings: Settings) -> SiteStatus:
+    """Ask every daemon how it fares."""
+    replies = ask_processes(settings, QUERY_STATUS, [QueryStatus()])
+    revisions = [r.answer.heartbeat.revision for r in replies if r.answer]
+    newest = max(revisions, default=Revision(0))
+    return SiteStatus(newest, [_build_row(reply, newest) for reply in replies])
+
+
+def _build_row(reply: Reply[ProcessStatus], newest: Revision) -> DaemonRow:
+    place, status = reply.place, reply.answer
+    if status is None:
+        return DaemonRow(
+            instance=place.instance,
+            role=place.role,
+            address=place.address,
+            ready=False,
+            revision=Revision(0),
+            age=None,
+            owned=[],
+            troubles=[str(reply.error)],
+        )
+    revision = status.heartbeat.revision
+    behind = [f"runs revision {revision}, newest is {newest}"]
+    return DaemonRow(
+        instance=place.instance,
+        role=place.role,
+        address=place.address,
+        ready=status.heartbeat.ready,
+        revision=revision,
+        age=status.configuration_age,
+        owned=sorted(status.heartbeat.owned),
+        troubles=[*(behind if revision < newest else []), *status.troubles],
+    )
+
+
+def _format_row(row: DaemonRow) -> list[str]:
+    return [
+        row.instance,
+        row.role.value,
+        "yes" if row.ready else "no",
+        str(row.revision),
+        "-" if row.age is None else f"{row.age:.1f}",
+        ",".join(row.owned) or "-",
+        "; ".join(row.troubles) or "-",
+    ]
+
+
+@command(
+    "status",
+    summary="show every daemon: readiness, revision and its age, streams, troubles",
+    example="plantainhinge status --settings /etc/plantainhinge.jsonc",
+    arguments=add_settings,
+)
+def show_status(options: argparse.Namespace) -> SiteStatus:
+    """Ask every daemon how it fares."""
+    return collect_status(read_settings(options))
--- a/plantainhinge/cli/timeline.py
+++ b/plantainhinge/cli/timeline.py
@@ -1,54 +1,106 @@
 """The time line of events over all processes."""
 
-from ..adapters.instances_http import HttpInstanceList
-from ..adapters.peers_grpc import QUERY_EVENTS, Peers
-from ..core.errors import PlantainhingeError
+import argparse
+
+import msgspec
+
+from ..adapters.peers_grpc import QUERY_EVENTS
 from ..core.events import Event
 from ..core.messages import QueryEvents
 from ..core.settings import Settings
-from ..core.states import InstanceRole
-
-QUERY_TIMEOUT_SECONDS = 2.0
-
-
-def collect_events(settings: Settings, subject: str) -> list[Event]:
-    """Return the events about a subject from all processes, in order."""
-    addresses = _list_addresses(settings)
-    peers = Peers()
-    events: list[Event] = []
-    with peers.connect():
-        futures = [
-            peers.call(
-                address,
-                QUERY_EVENTS,
-                QueryEvents(subject=subject),
-                timeout=QUERY_TIMEOUT_SECONDS,
-            )
-            for address in addresses
-        ]
-        for future in futures:
-            try:
-                events.extend(future.result().events)
-            except PlantainhingeError:
-                continue
-    return sorted(events, key=lambda event: event.stamp)
+from .arguments import add_settings, read_settings
+from .output import format_time
+from .processes import ask_processes
+from .registry import command
+
+RELATED_MAX = 20
+NAME_WIDTH = 22
+PROCESS_WIDTH = 20
+
+
+class TimeLine(msgspec.Struct, frozen=True):
+    """Events of all processes in the order of their stamps.
+
+    Parameters
+    ----------
+    silent : list of str
+        Processes that did not answer, so that their events are missing.
+    """
+
+    subject: str
+    events: list[Event]
+    silent: list[str]
+
+    def format_text(self) -> str:
+        """Return one line an event."""
+        lines = [format_event(event) for event in self.events]
+        lines.extend(
+            f"no answer from {name}: its events are missing" for name in self.silent
+        )
+        return "\n".join(lines) or f"no event about {self.subject or 'anything'}"
+
+
+def collect_events(settings: Settings, subject: str) -> TimeLine:
+    """Return the events about a subject and about the requests made with it."""
+    first = _query(settings, [subject])
+    related = find_related(first.events, subject)
+    if not related:
+        return first
+    more = _query(settings, related)
+    return TimeLine(subject, merge_events([*first.events, *more.events]), first.silent)
+
+
+def find_related(events: list[Event], subject: str) -> list[str]:
+    """Return the requests that events about a key tell of, a bounded number."""
+    names = dict.fromkeys(
+        event.subject
+        for event in events
+        if subject and event.detail.get("key") == subject and event.subject != subject
+    )
+    return list(names)[:RELATED_MAX]
+
+
+def merge_events(events: list[Event]) -> list[Event]:
+    """Return events in order, each once."""
+    return sorted({e.stamp: e for e in events}.values(), key=lambda e: e.stamp)
 
 
 def format_event(event: Event) -> str:
     """Return one line for a person to read."""
     detail = " ".join(f"{key}={value}" for key, value in event.detail.items() if value)
+    process = event.stamp.process.rpartition("/")[0] or event.stamp.process
     return (
-        f"{event.stamp.wall:.3f}.{event.stamp.counter} "
-        f"{event.stamp.process:<40} {event.name:<24} {event.subject} {detail}"
+        f"{format_time(event.stamp.wall)} {process:<{PROCESS_WIDTH}} "
+        f"{event.name:<{NAME_WIDTH}} {event.subject} {detail}"
+    ).rstrip()
+
+
+def _query(settings: Settings, subjects: list[str]) -> TimeLine:
+    requests = [QueryEvents(subject=subject) for subject in subjects]
+    replies = ask_processes(settings, QUERY_EVENTS, requests)
+    events = [event for r in replies if r.answer for event in r.answer.events]
+    silent = sorted(
+        {f"{r.place.instance}/{r.place.role.value}" for r in replies if r.error}
+    )
+    return TimeLine(subjects[0], merge_events(events), silent)
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "subject",
+        nargs="?",
+        default="",
+        help="a request, idempotency key, task, worker, failure domain or stream",
     )
+    add_settings(parser)
 
 
-def _list_addresses(settings: Settings) -> list[str]:
-    rows = HttpInstanceList(settings.instance_list_address).fetch()
-    ports = (settings.ports.gateway_peers, settings.ports.scheduler_peers)
-    return [
-        f"{row.address}:{port}"
-        for row in rows
-        if row.role is InstanceRole.ENTRY
-        for port in ports
-    ]
+@command(
+    "timeline",
+    summary="show what happened, in order, over all processes",
+    example="plantainhinge timeline audit-1 --settings /etc/plantainhinge.jsonc",
+    arguments=_add_arguments,
+)
+def show_timeline(options: argparse.Namespace) -> TimeLine:
+    """Ask every process for its events and merge them."""
+    return collect_events(read_settings(options), options.subject)
--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -507,5 +507,49 @@
     subject: str = ""
 
 
+class QueryStatus(Message, frozen=True):
+    """Asks a process how it fares."""
+
+
+class ProcessStatus(Message, frozen=True):
+    """How a process fares.
+
+    Parameters
+    ----------
+    configuration_age : float or None
+        Seconds since it last confirmed its view of the configuration; None if
+        it never did.
+    peers : int
+        Live processes it hears of, with itself.
+    troubles : list of str
+        Why it lags or is not ready.
+    """
+
+    heartbeat: Heartbeat
+    configuration_age: float | None
+    peers: int
+    troubles: list[str]
+
+
+class ListJobs(Message, frozen=True):
+    """Asks a ledger's owner for the newest batch jobs of a team."""
+
+    team: TeamId
+    limit: int
+
+
+class JobList(Message, frozen=True):
+    """Batch jobs of a team, the newest first.
+
+    Parameters
+    ----------
+    total : int
+        How many the ledger has, listed or not.
+    """
+
+    jobs: list[JobAccount]
+    total: int
+
+
 class Empty(Message, frozen=True):
     """No content."""
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from .shapes import Fault, convert_document, parse_json
 from .errors import BadInputError
 from .ids import DomainId, InstanceId, RegionId
+from .shapes import Fault, convert_document, parse_json
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -108,7 +108,13 @@
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return what the caller is told about a request."""
         kind = self._find_kind(self._require_configuration(), request.kind)
-        self.node.events.add("request.received", request.request, kind=request.kind)
+        self.node.events.add(
+            "request.received",
+            request.request,
+            kind=request.kind,
+            key=request.key or "",
+            path=request.path,
+        )
         answer = self._hold_thread(
             request.kind, kind.task_class, lambda: self._handle(request, kind)
         )
@@ -117,6 +123,7 @@
             request.request,
             outcome=answer.outcome.value,
             status=str(answer.status),
+            code=answer.code,
             key=request.key or "",
         )
         return answer
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -22,6 +22,7 @@
     ClosuresTaken,
     Empty,
     FinishClaim,
+    ListJobs,
     QueryJob,
     ReportClosures,
     SubmitJob,
@@ -43,6 +44,7 @@
     describe_task,
     end_attempt,
     is_open,
+    list_jobs,
     prune_rows,
     reject_hopeless,
 )
@@ -108,8 +110,8 @@
                 self._submit(call, call.request)
             case CancelJob():
                 self._propose_for(TaskCancelled(call.request.task), call, self._tell)
-            case QueryJob():
-                self._tell_account(call)
+            case QueryJob() | ListJobs():
+                self._answer_query(call)
             case ClaimRequest():
                 self._claim(call, call.request)
             case FinishClaim():
@@ -138,11 +140,11 @@
         records.extend(self._assign(configuration, now, bool(changed)))
         wanted = [waiter for waiter in self._waiters if waiter.proposal is None]
         for record in self._keep_time(now, bool(records or wanted)):
-            self.replica.propose(record)
+            self.propose(record)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         for waiter in wanted:
-            waiter.proposal = self.replica.propose(waiter.record)
+            waiter.proposal = self.propose(waiter.record)
             waiter.epoch = self.epoch
         return []
 
@@ -228,6 +230,12 @@
         else:
             self._tell_account(call)
 
+    def _answer_query(self, call: Call) -> None:
+        if isinstance(call.request, ListJobs):
+            call.answer.set_result(list_jobs(self.state, call.request))
+        else:
+            self._tell_account(call)
+
     def _tell_account(self, call: Call) -> None:
         row = self.state.tasks.get(call.request.task)
         if row is None:
@@ -290,9 +298,6 @@
         for record in self._ended.values():
             if is_open(self.state, record.task, record.attempt):
                 records.append(record)
-                self.node.events.add(
-                    "attempt.ended", record.task, outcome=record.outcome.value
-                )
         self._ended.clear()
         return records
 
--- a/plantainhinge/daemons/log_driver.py
+++ b/plantainhinge/daemons/log_driver.py
@@ -41,6 +41,7 @@
         draw: Callable[[], float] = random.random,
     ) -> None:
         self.budget = LogBudget()
+        self.failure: BaseException | None = None
         self._log = log
         self._commander = commander
         self._draw = draw
@@ -80,6 +81,7 @@
         self, replica: Replica[Any], future: Future[Offset], now: Seconds
     ) -> None:
         self.budget.calls_out -= 1
+        self.failure = future.exception()
         try:
             replica.on_appended(future.result())
             self.budget.note_answered()
@@ -98,6 +100,7 @@
         self, replica: Replica[Any], future: Future[Page], now: Seconds
     ) -> None:
         self.budget.calls_out -= 1
+        self.failure = future.exception()
         try:
             page = future.result()
         except TrimmedError as error:
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from ..adapters.peers_grpc import HEARTBEAT, QUERY_EVENTS, Call, Peers
+from ..adapters.peers_grpc import HEARTBEAT, QUERY_EVENTS, QUERY_STATUS, Call, Peers
 from ..core.clock import read_wall
 from ..core.configuration import Configuration
 from ..core.errors import PlantainhingeError
@@ -18,7 +18,7 @@
     Seconds,
     WriterId,
 )
-from ..core.messages import CellDigest, Empty, Heartbeat, Instance
+from ..core.messages import CellDigest, Empty, Heartbeat, Instance, ProcessStatus
 from ..core.metrics import Metrics, NoMetrics
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
@@ -128,10 +128,22 @@
         elif call.method is QUERY_EVENTS:
             events = self.events.select(call.request.subject)
             call.answer.set_result(EventList(events=events))
+        elif call.method is QUERY_STATUS:
+            call.answer.set_result(self.describe_status(now))
         else:
             return False
         return True
 
+    def describe_status(self, now: Seconds) -> ProcessStatus:
+        """Return how this process fares, for operators."""
+        confirmed = self.configuration.caught_up_at
+        return ProcessStatus(
+            heartbeat=self.describe(),
+            configuration_age=None if confirmed is None else now - confirmed,
+            peers=len(self.table.list_live(now)),
+            troubles=self._list_troubles(now),
+        )
+
     def describe_alone(self) -> Heartbeat:
         """Return a heartbeat with nothing owned and no load."""
         return Heartbeat(
@@ -152,6 +164,20 @@
             for digest in heartbeat.cells
         }
 
+    def _list_troubles(self, now: Seconds) -> list[str]:
+        troubles = []
+        if self.leaving:
+            troubles.append("stops as planned")
+        if self.current is None:
+            troubles.append("has no configuration")
+        elif not self.is_fresh(now):
+            troubles.append("starts nothing: its view of the configuration is old")
+        if self.driver.failure is not None:
+            troubles.append(str(self.driver.failure))
+        if not self.instances:
+            troubles.append("has no list of instances")
+        return troubles
+
     def _note_revision(self) -> None:
         revision = self.configuration.reducer.revision
         if revision != self._revision_seen:
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -8,8 +8,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 
-from pythonjsonlogger.json import JsonFormatter
-
 from ..adapters.callers_http import CallersApplication
 from ..adapters.callers_server import serve_callers
 from ..adapters.instances_http import HttpInstanceList
@@ -41,15 +39,6 @@
 logger = logging.getLogger(__name__)
 
 
-def configure_logging(level: str) -> None:
-    """Write JSON log lines to standard error."""
-    handler = logging.StreamHandler()
-    handler.setFormatter(
-        JsonFormatter("{asctime}{levelname}{name}{message}", style="{")
-    )
-    logging.basicConfig(level=level, handlers=[handler], force=True)
-
-
 @contextmanager
 def run_loop(loop: TickLoop[Event], tick: Tick) -> Iterator[None]:
     """Tick in a thread of its own until the block ends."""
@@ -93,6 +82,7 @@
             stopped.wait()
             logger.info("planned stop: draining")
             gateway.stop()
+        _wait_until(gateway.has_stopped, HANDOVER_SECONDS)
         logger.info("planned stop: drained")
 
 
--- /dev/null
+++ b/plantainhinge/daemons/record_events.py
@@ -0,0 +1,115 @@
+"""What a decided record says on the time line and in the metrics."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core.metrics import Counter, Metrics
+from ..core.records import (
+    AnyRecord,
+    AttemptAssigned,
+    AttemptClosed,
+    AttemptEnded,
+    AttemptPlaced,
+    RequestReleased,
+    RequestSettled,
+    TaskAccepted,
+    TaskCancelled,
+    TaskRejected,
+    WorkerJoined,
+    WorkerLeft,
+)
+from ..core.states import AttemptOutcome
+
+CLOSURE_COUNTERS = {
+    AttemptOutcome.EVICTED: Counter.EVICTIONS,
+    AttemptOutcome.LOST: Counter.LOST_ATTEMPTS,
+}
+
+
+@dataclass(frozen=True)
+class Description:
+    """An event without its time: a name, whom it is about, and details."""
+
+    name: str
+    subject: str
+    detail: dict[str, str] = field(default_factory=dict)
+
+
+def describe_record(record: AnyRecord) -> Description | None:
+    """Return the event that a record stands for; None if it is of no interest."""
+    describe = _DESCRIPTIONS.get(type(record))
+    return describe(record) if describe else None
+
+
+def count_record(record: AnyRecord, metrics: Metrics) -> None:
+    """Count a record that was decided."""
+    if isinstance(record, AttemptPlaced):
+        metrics.count(Counter.STARTS, kind=record.kind)
+    if isinstance(record, AttemptClosed) and record.outcome in CLOSURE_COUNTERS:
+        metrics.count(CLOSURE_COUNTERS[record.outcome], reason=record.reason)
+
+
+def _describe_accepted(record: TaskAccepted) -> Description:
+    detail = {"team": record.team, "kind": record.kind}
+    return Description("task.accepted", record.task, detail)
+
+
+def _describe_cancelled(record: TaskCancelled) -> Description:
+    return Description("task.cancelled", record.task)
+
+
+def _describe_rejected(record: TaskRejected) -> Description:
+    return Description("task.rejected", record.task, {"reason": record.reason})
+
+
+def _describe_assigned(record: AttemptAssigned) -> Description:
+    detail = {"attempt": str(record.attempt), "domain": record.cell}
+    return Description("attempt.assigned", record.task, detail)
+
+
+def _describe_placed(record: AttemptPlaced) -> Description:
+    detail = {"attempt": str(record.attempt), "worker": record.worker}
+    return Description("attempt.placed", record.task, detail)
+
+
+def _describe_end(name: str) -> Callable[[Any], Description]:
+    def describe(record: AttemptClosed | AttemptEnded) -> Description:
+        detail = {
+            "attempt": str(record.attempt),
+            "outcome": record.outcome.value,
+            "checkpoint": record.checkpoint,
+            "reason": record.reason,
+        }
+        return Description(name, record.task, detail)
+
+    return describe
+
+
+def _describe_claim(name: str) -> Callable[[Any], Description]:
+    def describe(record: RequestSettled | RequestReleased) -> Description:
+        return Description(name, record.request, {"key": record.key})
+
+    return describe
+
+
+def _describe_worker(name: str) -> Callable[[Any], Description]:
+    def describe(record: WorkerJoined | WorkerLeft) -> Description:
+        return Description(name, record.worker)
+
+    return describe
+
+
+_DESCRIPTIONS: dict[type, Callable[[Any], Description]] = {
+    TaskAccepted: _describe_accepted,
+    TaskCancelled: _describe_cancelled,
+    TaskRejected: _describe_rejected,
+    AttemptAssigned: _describe_assigned,
+    AttemptPlaced: _describe_placed,
+    AttemptClosed: _describe_end("attempt.closed"),
+    AttemptEnded: _describe_end("attempt.ended"),
+    RequestSettled: _describe_claim("claim.settled"),
+    RequestReleased: _describe_claim("claim.released"),
+    WorkerJoined: _describe_worker("worker.joined"),
+    WorkerLeft: _describe_worker("worker.left"),
+}
--- a/plantainhinge/daemons/request_runner.py
+++ b/plantainhinge/daemons/request_runner.py
@@ -201,6 +201,12 @@
             self._give_up(row, error, abandoned=True)
             return Event.LOST
         self._attempts.append(_Attempt(row, exchange, sent_at))
+        self._around.note(
+            "request.sent",
+            self._request.request,
+            target=row.target.target,
+            worker=row.target.worker,
+        )
         return Event.SENT
 
     def _await_answer(self) -> Event:
@@ -225,6 +231,12 @@
         except PlantainhingeError as error:
             self._give_up(attempt.row, error, abandoned=True)
             return Event.LOST
+        self._around.note(
+            "target.answered",
+            self._request.request,
+            target=attempt.row.target.target,
+            status=str(answer.status),
+        )
         now = self._around.read_now()
         self._places.note_answer(attempt.row, answer, now - attempt.sent_at, now)
         self._give_back(attempt.row, abandoned=False)
--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -1,14 +1,21 @@
 """Owning a stream: claim, confirm, decide, release."""
 
+from collections import deque
 from typing import Any, Generic, TypeVar
 
 from ..core.ids import Epoch, Seconds
-from ..core.records import OwnershipClaimed, OwnershipConfirmed, OwnershipReleased
+from ..core.records import (
+    AnyRecord,
+    OwnershipClaimed,
+    OwnershipConfirmed,
+    OwnershipReleased,
+)
 from ..ledgers.cell import CellState
 from ..ledgers.ledger import LedgerState
 from ..streams.ownership import CONFIRM_PERIOD_SECONDS, may_act
-from ..streams.replica import Replica
+from ..streams.replica import Proposal, Replica
 from .node import NO_EPOCH, Node
+from .record_events import count_record, describe_record
 
 S = TypeVar("S", bound=LedgerState | CellState)
 
@@ -29,6 +36,7 @@
         self._epoch_kept = NO_EPOCH
         self._releasing = False
         self._released = False
+        self._proposals: deque[Proposal] = deque()
 
     @property
     def state(self) -> S:
@@ -54,12 +62,19 @@
             Place among the candidates for the stream; None for no candidate.
         """
         self._note_change(now)
+        self._note_decided()
         if self.owns(now) and not self._releasing:
             self.act(now)
         if self.replica.caught_up and not self.replica.has_undecided():
             self._propose(now, rank)
         self.node.driver.drive(self.replica, now, self.epoch)
 
+    def propose(self, record: AnyRecord) -> Proposal:
+        """Propose a record, and put it on the time line once it is decided."""
+        proposal = self.replica.propose(record)
+        self._proposals.append(proposal)
+        return proposal
+
     def release(self) -> None:
         """Begin to hand the stream over, as part of a planned stop."""
         self._releasing = True
@@ -113,10 +128,25 @@
         if records:
             self._confirm_due = Seconds(now + CONFIRM_PERIOD_SECONDS)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         if self.owns(now):
             self.replica.take_snapshot(now)
 
+    def _note_decided(self) -> None:
+        while self._proposals and self._proposals[0].decided:
+            proposal = self._proposals.popleft()
+            if proposal.rejection is None:
+                self._note_record(proposal.record)
+
+    def _note_record(self, record: AnyRecord) -> None:
+        count_record(record, self.node.metrics)
+        found = describe_record(record)
+        if found is not None:
+            stream = self.replica.stream
+            self.node.events.add(
+                found.name, found.subject, **found.detail, stream=stream
+            )
+
     def _note_change(self, now: Seconds) -> None:
         is_owner = self.owns(now)
         if not is_owner and self.state.ownership.owner != self.node.process:
@@ -141,4 +171,5 @@
     def _drop_epoch(self) -> None:
         if self._epoch_kept != NO_EPOCH:
             self._epoch_kept = NO_EPOCH
+            self._proposals.clear()
             self.forget()
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -8,6 +8,8 @@
     CellDigest,
     Closure,
     JobAccount,
+    JobList,
+    ListJobs,
     OfferAttempt,
     SubmitJob,
 )
@@ -31,6 +33,7 @@
 )
 
 LOOK_AGAIN_SECONDS = 1.0
+LISTED_JOBS_MAX = 200
 SERVICE_PRIORITY = 1_000_000
 PRUNE_SLACK_SECONDS = 60.0
 
@@ -190,6 +193,18 @@
     )
 
 
+def list_jobs(state: LedgerState, message: ListJobs) -> JobList:
+    """Return a team's newest batch jobs, at most as many as asked for."""
+    jobs = [
+        row
+        for row in state.tasks.values()
+        if row.accepted.team == message.team
+        and row.accepted.task_class is TaskClass.BATCH
+    ]
+    newest = jobs[::-1][: max(0, min(message.limit, LISTED_JOBS_MAX))]
+    return JobList(jobs=[describe_task(row) for row in newest], total=len(jobs))
+
+
 def _keeps(state: LedgerState, team: TeamId, configuration: Configuration) -> bool:
     partitions = configuration.limits.ledger_partitions
     return find_partition(team, partitions) == state.partition
--- a/standins/site.py
+++ b/standins/site.py
@@ -157,6 +157,15 @@
         settings = str(self.folder / "entry-1.jsonc")
         return self.run_command("apply", str(path), "--settings", settings)
 
+    def find_owner(self, stream: str) -> str:
+        """Return the name of the process that owns a stream; empty if none does."""
+        settings = str(self.folder / "entry-1.jsonc")
+        text = self.run_command("status", "--settings", settings, "--output", "json")
+        for row in json.loads(text)["daemons"]:
+            if stream in row["owned"]:
+                return f"{row['instance']}-{row['role']}"
+        return ""
+
     def show_timeline(self, subject: str) -> str:
         """Return the time line of one subject."""
         settings = str(self.folder / "entry-1.jsonc")
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -85,14 +85,6 @@
     return runs
 
 
-def find_owner(site, stream):
-    """Return the name of the scheduler process that owns a stream."""
-    for line in site.show_timeline(stream).splitlines()[::-1]:
-        if "ownership.taken" in line:
-            return line.split()[1].split("/")[0] + "-scheduler"
-    return ""
-
-
 def await_running(site, job):
     await_condition("the job runs", lambda: bool(list_attempts(site, job)))
 
@@ -117,7 +109,7 @@
     assert submit(site, "audit-k", run_seconds=6.0).status == 202
     await_running(site, "audit-k")
     domain = find_domain(site, list_attempts(site, "audit-k")[0].worker)
-    victim = find_owner(site, f"cell.{domain}")
+    victim = site.find_owner(f"cell.{domain}")
     site.signal(victim, signal.SIGKILL)
     site.await_exit(victim)
     await_condition("it finishes", lambda: read_state(site, "audit-k") == "finished")
@@ -133,12 +125,12 @@
     await_running(site, jobs[0])
     domain = find_domain(site, list_attempts(site, jobs[0])[0].worker)
     stream = f"cell.{domain}"
-    victim = find_owner(site, stream)
+    victim = site.find_owner(stream)
     site.signal(victim, signal.SIGSTOP)
     other = next(n for n in ("entry-1", "entry-2") if not victim.startswith(n))
     await_condition(
         "the stream is taken over",
-        lambda: find_owner(site, stream).startswith(other),
+        lambda: site.find_owner(stream).startswith(other),
     )
     site.signal(victim, signal.SIGCONT)
     await_condition(
