--- a/plantainhinge/core/events.py
+++ b/plantainhinge/core/events.py
@@ -45,20 +45,27 @@
 
 
 class EventRing:
-    """The most recent events of one process; safe to use from any thread."""
+    """The most recent events of one process; safe to use from any thread.
+
+    Routine events have a ring of their own, so that a flood of lookups pushes out
+    no event that an account of work needs.
+    """
 
     def __init__(self, process: ProcessId, *, size: int = RING_EVENTS) -> None:
         self.process = process
         self._events: deque[Event] = deque(maxlen=size)
+        self._routine: deque[Event] = deque(maxlen=size)
         self._last = Stamp(0.0, 0, process)
         self._lock = threading.Lock()
 
-    def add(self, name: str, subject: str, **detail: str) -> Event:
+    def add(
+        self, name: str, subject: str, *, routine: bool = False, **detail: str
+    ) -> Event:
         """Record an event now and return it."""
         with self._lock:
             stamp = self._advance(read_wall())
             event = Event(stamp=stamp, name=name, subject=subject, detail=detail)
-            self._events.append(event)
+            (self._routine if routine else self._events).append(event)
         return event
 
     def witness(self, stamp: Stamp) -> None:
@@ -70,7 +77,8 @@
     def select(self, subject: str = "") -> list[Event]:
         """Return the events about ``subject``, oldest first; all when empty."""
         with self._lock:
-            events = list(self._events)
+            events = [*self._events, *self._routine]
+        events.sort(key=lambda event: event.stamp)
         if not subject:
             return events
         return [e for e in events if _concerns(e, subject)]
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -111,6 +111,7 @@
         self.node.events.add(
             "request.received",
             request.request,
+            routine=kind.idempotent,
             kind=request.kind,
             key=request.key or "",
             path=request.path,
@@ -121,6 +122,7 @@
         self.node.events.add(
             "request.answered",
             request.request,
+            routine=kind.idempotent,
             outcome=answer.outcome.value,
             status=str(answer.status),
             code=answer.code,
--- a/plantainhinge/daemons/request_runner.py
+++ b/plantainhinge/daemons/request_runner.py
@@ -121,10 +121,15 @@
             spend=self._spend,
         )
 
+    def _note(self, name: str, **detail: str) -> None:
+        self._around.note(
+            name, self._request.request, routine=self._kind.idempotent, **detail
+        )
+
     def _spend(self) -> bool:
         allowed = self._places.spend(self._service)
         if allowed:
-            self._around.note("request.retried", self._request.request)
+            self._note("request.retried")
         return allowed
 
     def _admit(self) -> Event:
@@ -201,9 +206,8 @@
             self._give_up(row, error, abandoned=True)
             return Event.LOST
         self._attempts.append(_Attempt(row, exchange, sent_at))
-        self._around.note(
+        self._note(
             "request.sent",
-            self._request.request,
             target=row.target.target,
             worker=row.target.worker,
         )
@@ -231,9 +235,8 @@
         except PlantainhingeError as error:
             self._give_up(attempt.row, error, abandoned=True)
             return Event.LOST
-        self._around.note(
+        self._note(
             "target.answered",
-            self._request.request,
             target=attempt.row.target.target,
             status=str(answer.status),
         )
--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -142,9 +142,12 @@
         count_record(record, self.node.metrics)
         found = describe_record(record)
         if found is not None:
-            stream = self.replica.stream
             self.node.events.add(
-                found.name, found.subject, **found.detail, stream=stream
+                found.name,
+                found.subject,
+                routine=False,
+                stream=self.replica.stream,
+                **found.detail,
             )
 
     def _note_change(self, now: Seconds) -> None:
--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -4,13 +4,25 @@
 import time
 from pathlib import Path
 
+from .callers import Caller, Told, keep_calling
 from .keys import make_key
-from .site import CallerReply, Site, await_condition
-
-EXAMPLE = Path(__file__).parent.parent / "examples" / "lochbrae.jsonc"
+from .site import CALLERS_PORT, CallerReply, Site, await_condition
+from .verdicts import (
+    find_doubly_finished,
+    find_late_starts,
+    find_overlaps,
+    list_attempts,
+    list_runs,
+)
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "small.jsonc"
+DOMAIN = "scot-b"
 LOOKUPS = 20
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
+OUT_BOUND_SECONDS = 5.0
+OUT_SECONDS = 8.0
+BACK_SECONDS = 2.0
 
 
 def demonstrate(site: Site, *, keep: bool) -> int:
@@ -22,8 +34,10 @@
     key = _buy_twice(site, broken)
     job = _run_job(site, broken)
     _take_domain_out_and_back(site, broken)
+    _judge_whole(site, broken)
     print(f"\ntime line of job {job}:\n{site.show_timeline(job)}")
     print(f"\ntime line of purchase {key}:\n{site.show_timeline(key)}")
+    print(f"\nstatus:\n{site.show_status()}\n")
     for promise in broken:
         print("BROKEN:", promise)
     print("all promises held" if not broken else f"{len(broken)} promises broken")
@@ -51,30 +65,42 @@
 
 def _buy_twice(site: Site, broken: list[str]) -> str:
     key = make_key(time.time())
+    path = f"/licences/{key}"
     replies = [
-        site.call(n, "POST", "/licences", kind="purchase", key=key, body=b"{}")
+        site.call(n, "POST", path, kind="purchase", key=key, body=b"{}")
         for n in range(2)
     ]
     for reply in replies:
         print(f"purchase {key}: {reply.status} {reply.outcome}")
-    if [reply.outcome for reply in replies] != ["done", "unknown"]:
-        broken.append("a purchase did not run exactly once")
+    runs = len(list_runs(site.witness(), path))
+    print(f"purchase {key}: targets ran it {runs} time(s)")
+    if runs != 1 or replies[0].outcome != "done":
+        broken.append(f"a purchase ran {runs} times")
+    if replies[1].outcome == "not-run":
+        broken.append("a purchase that ran was called not run")
     return key
 
 
 def _run_job(site: Site, broken: list[str]) -> str:
     job = "audit-1"
-    body = json.dumps({"id": job, "kind": "audit", "run_seconds": 1.5}).encode()
-    reply = site.call(0, "POST", "/jobs", body=body)
-    print(f"job {job}: {reply.status} {reply.body.decode()}")
+    reply = _submit(site, job, run_seconds=1.5)
+    print(f"job {job}: {reply.status} {_read_state(site, job)}")
     if reply.status != STATUS_ACCEPTED:
         broken.append("a job was not accepted")
         return job
     await_condition("the job ends", lambda: _read_state(site, job) == "finished")
-    print(f"job {job}: {_read_state(site, job)}")
+    finished = [s for s in list_attempts(site.witness(), job) if s.outcome]
+    print(f"job {job}: finished on {', '.join(s.worker for s in finished)}")
+    if len(finished) != 1:
+        broken.append(f"job {job} ran {len(finished)} times")
     return job
 
 
+def _submit(site: Site, job: str, *, run_seconds: float) -> CallerReply:
+    body = json.dumps({"id": job, "kind": "audit", "run_seconds": run_seconds})
+    return site.call(0, "POST", "/jobs", body=body.encode())
+
+
 def _read_state(site: Site, job: str) -> str:
     reply = site.call(1, "GET", f"/jobs/{job}")
     return str(json.loads(reply.body).get("state", ""))
@@ -82,31 +108,62 @@
 
 def _take_domain_out_and_back(site: Site, broken: list[str]) -> None:
     text = EXAMPLE.read_text(encoding="utf-8")
-    marker = '"scot-b": { "region": "scotland", "state": "in" }'
+    marker = f'"{DOMAIN}": {{ "region": "scotland", "state": "in" }}'
     edited = site.folder / "edited.jsonc"
     edited.write_text(text.replace(marker, marker.replace('"in"', '"out"')))
-    print("scot-b out:", site.apply(edited))
-    _watch_lookups(site, broken, seconds=4.0)
-    edited.write_text(text)
-    print("scot-b back:", site.apply(edited))
-    _watch_lookups(site, broken, seconds=2.0)
+    jobs = [f"audit-{n}" for n in range(10, 18)]
+    for job in jobs:
+        _submit(site, job, run_seconds=4.0)
+    await_condition(
+        "jobs run", lambda: all(list_attempts(site.witness(), job) for job in jobs)
+    )
+    print(f"{DOMAIN} out:", site.apply(edited))
+    out_at = time.time()
+    _watch_lookups(site, broken, seconds=OUT_SECONDS)
+    back_at = time.time()
+    print(f"{DOMAIN} back:", site.apply(EXAMPLE))
+    _watch_lookups(site, broken, seconds=BACK_SECONDS)
+    await_condition(
+        "all jobs end", lambda: all(_read_state(site, j) == "finished" for j in jobs)
+    )
+    late = find_late_starts(
+        site.witness(),
+        site.list_workers(DOMAIN),
+        after=out_at + OUT_BOUND_SECONDS,
+        until=back_at,
+    )
+    print(f"jobs through the change: {len(jobs)} of {len(jobs)} finished")
+    print(f"starts in {DOMAIN} later than {OUT_BOUND_SECONDS:.0f} s: {len(late)}")
+    if late:
+        broken.append(f"{len(late)} tasks started in a domain that was out")
 
 
 def _watch_lookups(site: Site, broken: list[str], *, seconds: float) -> None:
-    deadline = time.monotonic() + seconds
-    told: dict[str, int] = {}
-    while time.monotonic() < deadline:
-        reply = _lookup(site, len(told) % len(site.entries))
-        told[reply.outcome] = told.get(reply.outcome, 0) + 1
-    print(f"lookups meanwhile: {told}")
-    if set(told) - {"done", "not-run"}:
-        broken.append(f"lookups during a change of domains: {told}")
+    entries = [f"{ip}:{CALLERS_PORT}" for ip in site.entries]
+    with keep_calling(entries, _look_up, callers=2) as told:
+        time.sleep(seconds)
+    outcomes = {t.outcome or t.failure for t in told}
+    counts = {o: sum((t.outcome or t.failure) == o for t in told) for o in outcomes}
+    print(f"lookups meanwhile: {counts}")
+    if outcomes - {"done", "not-run"}:
+        broken.append(f"lookups during a change of domains: {counts}")
+
+
+def _look_up(caller: Caller, number: int) -> Told:
+    return caller.call("GET", f"/formulas/{number}", kind="lookup")
+
+
+def _judge_whole(site: Site, broken: list[str]) -> None:
+    reports = site.witness()
+    overlaps, doubled = find_overlaps(reports), find_doubly_finished(reports)
+    print(f"tasks in two places at once: {len(overlaps)}; run twice: {len(doubled)}")
+    broken.extend(f"task {task} ran in two places at once" for task in overlaps)
+    broken.extend(f"task {task} ran twice" for task in doubled)
 
 
 def _keep_up(site: Site) -> None:
-    print(
-        f"callers: http://{site.entries[0]}:8080; settings: {site.folder}; Ctrl-C ends"
-    )
+    address = f"http://{site.entries[0]}:{CALLERS_PORT}"
+    print(f"callers: {address}; settings: {site.folder}; Ctrl-C ends")
     try:
         while True:
             time.sleep(1.0)
--- a/standins/site.py
+++ b/standins/site.py
@@ -166,6 +166,19 @@
                 return f"{row['instance']}-{row['role']}"
         return ""
 
+    def list_workers(self, domain: str) -> list[str]:
+        """Return the workers in a failure domain."""
+        return [
+            row.instance
+            for row in self.rows
+            if row.role is InstanceRole.WORKER and row.domain == domain
+        ]
+
+    def show_status(self) -> str:
+        """Return how every daemon fares."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command("status", "--settings", settings)
+
     def show_timeline(self, subject: str) -> str:
         """Return the time line of one subject."""
         settings = str(self.folder / "entry-1.jsonc")
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -1,6 +1,5 @@
 """Faults of real processes, judged by what workers and targets saw."""
 
-import itertools
 import json
 import signal
 import time
@@ -16,6 +15,7 @@
 from standins.demonstration import EXAMPLE
 from standins.keys import make_key
 from standins.site import await_condition, run_site
+from standins.verdicts import find_overlaps, list_attempts
 
 pytestmark = pytest.mark.processes
 
@@ -58,21 +58,9 @@
     return json.loads(site.call(entry, "GET", f"/jobs/{job}").body).get("state")
 
 
-def list_attempts(site, job):
+def see_attempts(site, job):
     """Return the attempts of a job as the workers saw them, oldest first."""
-    attempts = [
-        seen
-        for report in site.witness()
-        for seen in report.attempts
-        if seen.task == job
-    ]
-    return sorted(attempts, key=lambda seen: seen.started_at)
-
-
-def list_overlaps(attempts):
-    """Return neighbours of which the later started before the earlier ended."""
-    pairs = itertools.pairwise(attempts)
-    return [(a, b) for a, b in pairs if a.ended_at is None or b.started_at < a.ended_at]
+    return list_attempts(site.witness(), job)
 
 
 def count_runs(site):
@@ -86,7 +74,7 @@
 
 
 def await_running(site, job):
-    await_condition("the job runs", lambda: bool(list_attempts(site, job)))
+    await_condition("the job runs", lambda: bool(see_attempts(site, job)))
 
 
 def test_a_gateway_that_is_killed_leaves_every_purchase_accounted_for(site):
@@ -108,14 +96,14 @@
 def test_a_job_outlives_the_death_of_the_scheduler_that_runs_it(site):
     assert submit(site, "audit-k", run_seconds=6.0).status == 202
     await_running(site, "audit-k")
-    domain = find_domain(site, list_attempts(site, "audit-k")[0].worker)
+    domain = find_domain(site, see_attempts(site, "audit-k")[0].worker)
     victim = site.find_owner(f"cell.{domain}")
     site.signal(victim, signal.SIGKILL)
     site.await_exit(victim)
     await_condition("it finishes", lambda: read_state(site, "audit-k") == "finished")
-    attempts = list_attempts(site, "audit-k")
+    attempts = see_attempts(site, "audit-k")
     assert [seen.outcome.value for seen in attempts].count("finished") == 1
-    assert list_overlaps(attempts) == []
+    assert find_overlaps(site.witness()) == []
 
 
 def test_a_scheduler_that_slept_past_its_lease_starts_nothing_twice(site):
@@ -123,7 +111,7 @@
     for job in jobs:
         assert submit(site, job, run_seconds=4.0).status == 202
     await_running(site, jobs[0])
-    domain = find_domain(site, list_attempts(site, jobs[0])[0].worker)
+    domain = find_domain(site, see_attempts(site, jobs[0])[0].worker)
     stream = f"cell.{domain}"
     victim = site.find_owner(stream)
     site.signal(victim, signal.SIGSTOP)
@@ -138,10 +126,10 @@
         lambda: all(read_state(site, job) == "finished" for job in jobs),
     )
     for job in jobs:
-        attempts = list_attempts(site, job)
+        attempts = see_attempts(site, job)
         outcomes = [seen.outcome.value for seen in attempts]
         assert (job, outcomes.count("finished")) == (job, 1)
-        assert list_overlaps(attempts) == []
+    assert find_overlaps(site.witness()) == []
 
 
 def find_domain(site, worker):
@@ -177,7 +165,7 @@
         lambda: submit(site, "after", run_seconds=0.1).status == 202,
     )
     await_condition("it finishes", lambda: read_state(site, "after") == "finished")
-    assert list_attempts(site, "late-job") == []
+    assert see_attempts(site, "late-job") == []
     assert "/licences/late" not in count_runs(site)
 
 
@@ -265,11 +253,11 @@
 def test_a_task_of_a_frozen_worker_resumes_only_after_its_lease(site):
     assert submit(site, "audit-w", run_seconds=8.0).status == 202
     await_running(site, "audit-w")
-    worker = list_attempts(site, "audit-w")[0].worker
+    worker = see_attempts(site, "audit-w")[0].worker
     site.signal(worker, signal.SIGSTOP)
-    await_condition("it runs elsewhere", lambda: bool(list_attempts(site, "audit-w")))
+    await_condition("it runs elsewhere", lambda: bool(see_attempts(site, "audit-w")))
     site.signal(worker, signal.SIGCONT)
     await_condition("it finishes", lambda: read_state(site, "audit-w") == "finished")
-    attempts = list_attempts(site, "audit-w")
+    attempts = see_attempts(site, "audit-w")
     assert len(attempts) == 2
-    assert list_overlaps(attempts) == []
+    assert find_overlaps(site.witness()) == []
