--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -32,9 +32,9 @@
 
 TICK_PERIOD = Seconds(0.05)
 POOL_THREADS = 16
+LINGER_SECONDS = 2.0
 DRAIN_POLL_SECONDS = 0.05
 HANDOVER_SECONDS = 10.0
-HANDOVER_LINGER_SECONDS = 2.5
 
 logger = logging.getLogger(__name__)
 
@@ -99,8 +99,10 @@
         logger.info("planned stop: handing over")
         _run_in_tick(loop, scheduler.stop)
         _wait_until(scheduler.has_stopped, HANDOVER_SECONDS)
-        time.sleep(HANDOVER_LINGER_SECONDS)
         logger.info("planned stop: handed over")
+        # Peers may call until a heartbeat tells them that nothing is owned here;
+        # they are told so, which a closed connection would leave in doubt.
+        time.sleep(LINGER_SECONDS)
 
 
 def _serve_peers(
--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -71,8 +71,10 @@
             owner.release()
 
     def has_stopped(self) -> bool:
-        """Return whether all streams were let go of."""
-        return all(owner.has_released() for owner in self._list_owners())
+        """Return whether all streams were let go of and nobody waits for an answer."""
+        waiting = any(ledger.has_waiters() for ledger in self.ledgers.values())
+        released = all(owner.has_released() for owner in self._list_owners())
+        return released and not waiting
 
     def describe(self) -> Heartbeat:
         """Return this process's heartbeat with the streams it owns."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,5 +1,7 @@
 """A stand-in for a target: answers after a service time, with a fault table.
 
+A caller asks for a longer service time by ``?service_ms=`` in the path.
+
 It speaks HTTP over plain sockets, so that a fault can cut an answer anywhere,
 and it counts connections and runs as a witness of its own.
 """
@@ -76,12 +78,12 @@
     service_seconds: float = SERVICE_SECONDS
     fault: Fault = Fault.NONE
     plan: list[Fault] = field(default_factory=list)
+    witness: Witness = field(default_factory=lambda: Witness(""))
     executed: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
     most_connections: int = 0
     in_flight: int = 0
     most_in_flight: int = 0
-    witness: Witness | None = None
 
     def __post_init__(self) -> None:
         self.lock = threading.Lock()
@@ -125,15 +127,13 @@
             self.most_in_flight = max(self.most_in_flight, self.in_flight)
             return self.in_flight
 
-    def execute(self, request: str, method: str = "", path: str = "") -> None:
-        """Run a request in a slot; ``?service_ms=`` in its path sets the time."""
+    def execute(self, request: str, method: str, path: str) -> None:
+        """Run a request in a slot, for as long as its path asks."""
         with self._running:
             time.sleep(_read_service_time(path, self.service_seconds))
             with self.lock:
                 self.executed.append(request)
-            if self.witness is not None:
-                where = urlsplit(path).path
-                self.witness.note_request(request, method, where, self.name)
+            self.witness.note_request(request, method, urlsplit(path).path, self.name)
 
 
 @dataclass
@@ -327,14 +327,14 @@
         headers[name.lower()] = value.strip()
     lines.read(int(headers.get("content-length", "0")))
     request = headers.get(REQUEST_HEADER, "")
-    method, path = first[:2]
-    return _Exchange(connection, target, request, method, path, target.pick_fault())
+    fault = target.pick_fault()
+    return _Exchange(connection, target, request, first[0], first[1], fault)
 
 
-def _read_service_time(path: str, usual: float) -> float:
+def _read_service_time(path: str, default: float) -> float:
     values = parse_qs(urlsplit(path).query).get("service_ms")
     if not values:
-        return usual
+        return default
     return min(SERVICE_SECONDS_MAX, int(values[0]) / MILLISECONDS)
 
 
