--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -41,8 +41,10 @@
     ----------
     callers : int
         Where the gateway answers callers.
-    gateway_peers, scheduler_peers : int
-        Where each daemon answers its peers.
+    gateway_peers : int
+        Where the gateway answers its peers.
+    scheduler_peers : int
+        Where the scheduler answers its peers.
     """
 
     callers: Port = 8080
@@ -59,8 +61,10 @@
         Requests that are worked on at once.
     connections : int
         Connections that are open at once; more wait to be accepted.
-    body_bytes, header_bytes : int
-        Longest body and header of a request.
+    body_bytes : int
+        Longest body of a request.
+    header_bytes : int
+        Longest header of a request, with all its lines.
     idle_seconds : int
         Time after which an idle connection is closed.
     linger_seconds : float
@@ -89,10 +93,14 @@
         This instance's name on the platform's list.
     address : str
         This instance's IP number; daemons listen on it.
-    domain, region : str
-        The failure domain and the region this instance is in.
-    log_address, instance_list_address : str
-        ``ip:port`` of the platform's services.
+    domain : str
+        The failure domain this instance is in.
+    region : str
+        The region this instance is in.
+    log_address : str
+        ``ip:port`` of the platform's log.
+    instance_list_address : str
+        ``ip:port`` of the platform's list of instances.
     ports : object
         TCP ports, the same on every instance of the site.
     callers : object
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,34 @@
+"""Pages that are written from the code are current, and links lead somewhere."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from tools.settings_page import PAGE, build_page
+
+ROOT = Path(__file__).parent.parent
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+LINK = re.compile(r"\]\((?!https?:|#)([^)#]+)[^)]*\)")
+
+
+def test_the_reference_of_settings_is_current():
+    assert PAGE.read_text(encoding="utf-8") == build_page(), "run `make docs`"
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_links_between_pages_lead_somewhere(page):
+    links = LINK.findall(page.read_text(encoding="utf-8"))
+    missing = [link for link in links if not (page.parent / link).exists()]
+    assert missing == []
+
+
+def test_proofs_name_tests_that_exist():
+    text = (ROOT / "docs" / "proofs.md").read_text(encoding="utf-8")
+    named = set(
+        re.findall(r"`(tests/[a-z_/]+\.(?:py|feature))(?:::([a-z_0-9]+))?`", text)
+    )
+    assert named
+    for path, test in sorted(named):
+        source = (ROOT / path).read_text(encoding="utf-8")
+        assert not test or f"def {test}(" in source, (path, test)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for maintainers."""
--- /dev/null
+++ b/tools/settings_page.py
@@ -0,0 +1,84 @@
+"""Writes the reference of a daemon's settings from the checked structures."""
+
+import inspect
+import re
+import typing
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from plantainhinge.cli.arguments import name_variable
+from plantainhinge.core.settings import OVERRIDES, Settings
+from plantainhinge.core.shapes import describe_type
+
+PAGE = Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
+HEAD = """# Settings of a daemon
+
+A daemon reads one JSON file with comments, which both daemons of an instance
+share. It is checked whole before anything else happens: every fault is told at
+once, with its path, the value seen and the valid ones, and the exit code is 2.
+`plantainhinge gateway --check-settings --settings FILE` only checks.
+
+This page is written by `make docs` from the checked structures.
+
+| name | valid | default | what it is |
+| --- | --- | --- | --- |
+"""
+OVERRIDES_HEAD = """
+## What goes before the file
+
+A flag goes before the environment, and the environment before the file.
+
+| name | flag | environment |
+| --- | --- | --- |
+"""
+PARAMETER = re.compile(r"^(?P<names>[a-z_, ]+) : .+$")
+
+
+def build_page() -> str:
+    """Return the text of the page."""
+    rows = "".join(f"| {' | '.join(row)} |\n" for row in _list_rows(Settings, ""))
+    overrides = "".join(
+        f"| `{'.'.join(keys)}` | `--{name}` | `{name_variable(name)}` |\n"
+        for name, keys in OVERRIDES.items()
+    )
+    return HEAD + rows + OVERRIDES_HEAD + overrides
+
+
+def _list_rows(model: type[msgspec.Struct], path: str) -> Iterator[list[str]]:
+    hints = typing.get_type_hints(model, include_extras=True)
+    texts = _read_descriptions(model)
+    for field in msgspec.structs.fields(model):
+        name = f"{path}{field.encode_name}"
+        hint = hints[field.name]
+        if isinstance(hint, type) and issubclass(hint, msgspec.Struct):
+            yield from _list_rows(hint, f"{name}.")
+            continue
+        default = "required" if field.required else f"`{field.default!r}`"
+        default = default.replace("'", '"')
+        text = texts[field.name].replace("``", "`")
+        yield [f"`{name}`", describe_type(hint), default, text]
+
+
+def _read_descriptions(model: type[msgspec.Struct]) -> dict[str, str]:
+    """Return what the class's Parameters section says of each field."""
+    texts: dict[str, str] = {}
+    names: list[str] = []
+    for line in inspect.cleandoc(model.__doc__ or "").splitlines():
+        found = PARAMETER.match(line)
+        if found:
+            names = [name.strip() for name in found["names"].split(",")]
+        elif line.startswith("    "):
+            for name in names:
+                texts[name] = f"{texts.get(name, '')} {line.strip()}".strip()
+    return texts
+
+
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(build_page(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
