--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -1,9 +1,11 @@
 """The callers' door: WSGI in, typed requests and answers out."""
 
+import logging
 import math
+import re
 import uuid
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 
 import msgspec
 
@@ -20,11 +22,20 @@
     404: "404 Not Found",
     409: "409 Conflict",
     429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
     502: "502 Bad Gateway",
     503: "503 Service Unavailable",
     504: "504 Gateway Timeout",
 }
 
+NAME_CHARACTERS_MAX = 128
+RUN_SECONDS_MAX = 31_536_000
+DEADLINE_MS_MAX = 86_400_000
+DEADLINE = re.compile(r"[0-9]{1,9}")
+PATH = re.compile(r"/[!-~]*")
+
+logger = logging.getLogger(__name__)
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 
@@ -32,9 +43,9 @@
 class JobRequest(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The body of ``POST /jobs``."""
 
-    id: TaskId
+    id: Annotated[TaskId, msgspec.Meta(min_length=1, max_length=NAME_CHARACTERS_MAX)]
     kind: KindId
-    run_seconds: float = 0.0
+    run_seconds: Annotated[float, msgspec.Meta(ge=0, le=RUN_SECONDS_MAX)] = 0.0
 
 
 class Gateway(Protocol):
@@ -70,6 +81,9 @@
             answer = self._route(environ)
         except PlantainhingeError as error:
             answer = _answer_error(error)
+        except Exception:
+            logger.exception("a request failed by a fault of the gateway")
+            answer = _answer_fault()
         return _respond(answer, start_response)
 
     def _route(self, environ: Environ) -> CallerAnswer:
@@ -102,7 +116,6 @@
     kind = environ.get("HTTP_PLANTAINHINGE_KIND", "")
     if not kind:
         raise BadInputError("header Plantainhinge-Kind is missing", step="call.read")
-    key = environ.get("HTTP_IDEMPOTENCY_KEY")
     return CallerRequest(
         request=RequestId(uuid.uuid4().hex),
         kind=KindId(kind),
@@ -110,24 +123,42 @@
         path=_read_path(environ),
         body=environ["wsgi.input"].read(),
         content_type=environ.get("CONTENT_TYPE", ""),
-        key=RequestKey(key) if key else None,
+        key=_read_key(environ),
         deadline_ms=_read_deadline(environ),
     )
 
 
 def _read_path(environ: Environ) -> str:
-    query = environ.get("QUERY_STRING", "")
-    path = environ["PATH_INFO"]
-    return f"{path}?{query}" if query else str(path)
+    """Return path and query as the caller sent them, still percent-encoded."""
+    path = str(environ["REQUEST_URI"])
+    if not PATH.fullmatch(path):
+        raise BadInputError(
+            f"{path[:NAME_CHARACTERS_MAX]!r} is no path; valid: starts with / and "
+            "holds visible ASCII",
+            step="call.read",
+        )
+    return path
+
+
+def _read_key(environ: Environ) -> RequestKey | None:
+    key = environ.get("HTTP_IDEMPOTENCY_KEY")
+    if key is not None and not 0 < len(key) <= NAME_CHARACTERS_MAX:
+        raise BadInputError(
+            f"Idempotency-Key has {len(key)} characters; valid: 1 to "
+            f"{NAME_CHARACTERS_MAX}",
+            step="call.read",
+        )
+    return None if key is None else RequestKey(key)
 
 
 def _read_deadline(environ: Environ) -> int | None:
     text = environ.get("HTTP_PLANTAINHINGE_DEADLINE_MS")
     if text is None:
         return None
-    if not text.isdecimal() or int(text) == 0:
+    if not DEADLINE.fullmatch(text) or not 0 < int(text) <= DEADLINE_MS_MAX:
         raise BadInputError(
-            f"Plantainhinge-Deadline-Ms is {text!r}; valid: a whole number above 0",
+            f"Plantainhinge-Deadline-Ms is {text[:NAME_CHARACTERS_MAX]!r}; valid: a "
+            f"whole number from 1 up to {DEADLINE_MS_MAX}",
             step="call.read",
         )
     return int(text)
@@ -170,6 +201,16 @@
     )
 
 
+def _answer_fault() -> CallerAnswer:
+    return CallerAnswer(
+        status=500,
+        outcome=Outcome.UNKNOWN,
+        code=PlantainhingeError.code,
+        step="request.run",
+        detail="a fault of the gateway; the request may have run",
+    )
+
+
 def _respond(answer: CallerAnswer, start_response: StartResponse) -> list[bytes]:
     body = answer.body
     content_type = answer.content_type
--- /dev/null
+++ b/tests/test_callers_server.py
@@ -0,0 +1,114 @@
+"""The callers' server over real sockets: its bounds and its drain."""
+
+import http.client
+import socket
+import threading
+
+import pytest
+
+from plantainhinge.adapters.callers_server import CallersServer, serve_callers
+from plantainhinge.core.settings import Callers
+
+IP = "127.0.0.1"
+LIMIT = 10.0
+BOUNDS = Callers(
+    threads=4,
+    connections=50,
+    body_bytes=1000,
+    header_bytes=1000,
+    linger_seconds=0.1,
+    drain_seconds=5.0,
+)
+
+
+class Application:
+    """Answers ``/slow`` only once it is let go."""
+
+    def __init__(self):
+        self.entered = threading.Event()
+        self.let_go = threading.Event()
+
+    def __call__(self, environ, start_response):
+        environ["wsgi.input"].read()
+        if environ["PATH_INFO"] == "/slow":
+            self.entered.set()
+            self.let_go.wait(LIMIT)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+
+def find_port():
+    with socket.create_server((IP, 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def read_status(port, data):
+    """Return the status line that raw bytes are answered with."""
+    with socket.create_connection((IP, port), timeout=LIMIT) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        answer = b""
+        while part := connection.recv(4096):
+            answer += part
+    return answer.split(b"\r\n")[0].decode()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x00\xff\r\n\r\n", "400"),
+        (b"GET / HTTP/9.9\r\n\r\n", "200"),
+        (b"GET / HTTP/1.1\r\nX: " + b"y" * 5000 + b"\r\n\r\n", "431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"y" * 5000, "413"),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", "400"),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "200"),
+    ],
+)
+def test_bad_bytes_are_refused_and_the_server_goes_on(data, status):
+    port = find_port()
+    with serve_callers(Application(), IP, port, BOUNDS):
+        found = read_status(port, data)
+        good = read_status(port, b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+    assert found.split()[1] == status
+    assert good == "HTTP/1.1 200 OK"
+
+
+def test_a_drain_answers_what_is_in_flight_and_closes_what_is_idle():
+    application, port = Application(), find_port()
+    idle = http.client.HTTPConnection(IP, port, timeout=LIMIT)
+    busy = http.client.HTTPConnection(IP, port, timeout=LIMIT)
+    with serve_callers(application, IP, port, BOUNDS) as server:
+        idle.request("GET", "/")
+        idle.getresponse().read()
+        busy.request("GET", "/slow")
+        assert application.entered.wait(LIMIT)
+        closer = threading.Thread(target=server.drain)
+        closer.start()
+        assert idle.sock.recv(1) == b""
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((IP, port), timeout=LIMIT)
+        application.let_go.set()
+        response = busy.getresponse()
+        assert (response.read(), response.will_close) == (b"ok", True)
+        closer.join(LIMIT)
+    assert not closer.is_alive()
+
+
+def test_a_drain_ends_by_its_bound_though_a_request_never_does():
+    application, port = Application(), find_port()
+    bounds = Callers(threads=1, linger_seconds=0.0, drain_seconds=0.2)
+    server = CallersServer(application, IP, port, bounds)
+    thread = threading.Thread(target=server.run)
+    thread.start()
+    stuck = http.client.HTTPConnection(IP, port, timeout=LIMIT)
+    stuck.request("GET", "/slow")
+    assert application.entered.wait(LIMIT)
+    server.drain()
+    assert not application.let_go.is_set()
+    server.finish()
+    thread.join(LIMIT)
+    assert not thread.is_alive()
+    application.let_go.set()
+    server.task_dispatcher.shutdown()
