--- a/plantainhinge/daemons/request_runner.py
+++ b/plantainhinge/daemons/request_runner.py
@@ -120,10 +120,15 @@
         finally:
             self._clean_up()
 
+    def _note(self, name: str, **detail: str) -> None:
+        self._around.note(
+            name, self._request.request, routine=self._kind.idempotent, **detail
+        )
+
     def _spend(self) -> bool:
         allowed = self._places.spend(self._service)
         if allowed:
-            self._around.note("request.retried", self._request.request)
+            self._note("request.retried")
         return allowed
 
     def _admit(self) -> Event:
@@ -200,6 +205,11 @@
             self._give_up(row, error, abandoned=True)
             return Event.LOST
         self._attempts.append(_Attempt(row, exchange, sent_at))
+        self._note(
+            "request.sent",
+            target=row.target.target,
+            worker=row.target.worker,
+        )
         return Event.SENT
 
     def _await_answer(self) -> Event:
@@ -224,6 +234,11 @@
         except PlantainhingeError as error:
             self._give_up(attempt.row, error, abandoned=True)
             return Event.LOST
+        self._note(
+            "target.answered",
+            target=attempt.row.target.target,
+            status=str(answer.status),
+        )
         now = self._around.read_now()
         self._places.note_answer(attempt.row, answer, now - attempt.sent_at, now)
         self._give_back(attempt.row, abandoned=False)
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -11,6 +11,8 @@
     CellDigest,
     Closure,
     JobAccount,
+    JobList,
+    ListJobs,
     OfferAttempt,
     SubmitJob,
 )
@@ -46,6 +48,7 @@
 )
 
 LOOK_AGAIN_SECONDS = 1.0
+LISTED_JOBS_MAX = 200
 SERVICE_PRIORITY = 1_000_000
 PRUNE_SLACK_SECONDS = 60.0
 DEFAULT_POLICY = AssignmentPolicy()
@@ -244,6 +247,21 @@
     return replace(account, waits_for=wait.reason.value, look_again=wait.look_again)
 
 
+def list_jobs(
+    state: LedgerState, message: ListJobs, tables: AssignmentTables, now: Seconds
+) -> JobList:
+    """Return a team's newest batch jobs, at most as many as asked for."""
+    jobs = [
+        row
+        for row in state.tasks.values()
+        if row.accepted.team == message.team
+        and row.accepted.task_class is TaskClass.BATCH
+    ]
+    newest = jobs[::-1][: max(0, min(message.limit, LISTED_JOBS_MAX))]
+    accounts = [describe_task(state, row, tables, now) for row in newest]
+    return JobList(jobs=accounts, total=len(jobs))
+
+
 def _keeps(state: LedgerState, team: TeamId, configuration: Configuration) -> bool:
     partitions = configuration.limits.ledger_partitions
     return find_partition(team, partitions) == state.partition
