--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 from waitress import wasyncore
@@ -87,7 +87,10 @@
 
     def finish(self) -> None:
         """Close everything that is left; ``run`` returns."""
-        self.trigger.pull_trigger(lambda: wasyncore.close_all(self._map))
+        # An earlier pull may make the loop close the trigger's pipe before this
+        # one writes to it.
+        with suppress(OSError):
+            self.trigger.pull_trigger(lambda: wasyncore.close_all(self._map))
 
     def _stop_accepting(self) -> None:
         while _is_readable(self.socket):
