Route nothing after a pause until the configuration is confirmed again

A gateway frozen for longer than the bound woke with its old plan and, hearing of no peer yet, took the silence for an outage of the log: it would have sent work to a domain taken out meanwhile. Plans now expire after 2 s, and a gap between ticks asks for one more confirmation, or for the bound to pass without any.

--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -24,7 +24,14 @@
 from ..routing.admission import estimate_outage
 from ..routing.answers import explain_error, explain_key
 from ..routing.claims import KeyAge, judge_key, read_key_time
-from ..routing.plans import digest_loads, may_route, measure_age
+from ..routing.plans import (
+    PAUSE_SECONDS,
+    Wakefulness,
+    digest_loads,
+    may_route,
+    measure_age,
+    note_tick,
+)
 from ..routing.policy import Policy, build_policy
 from ..routing.targets import TargetTable
 from .executor import Event
@@ -53,11 +60,13 @@
             policy or build_policy(),
             threads=node.settings.callers.threads,
             seed=None,
+            plan_seconds=PAUSE_SECONDS,
         )
         self.ledgers = LedgerClient(node, self.places.random.random)
         self._view = TargetView(node, self.places)
         self._targets = targets
         self._routing = False
+        self._wakefulness = Wakefulness()
         self._unroutable_since: Seconds | None = None
         self._stopping = False
         self._idle_due = Seconds(0.0)
@@ -249,7 +258,9 @@
         age = measure_age(self.node.configuration.caught_up_at, now)
         revision = self.node.configuration.reducer.revision
         peers = self.node.table.list_live(now)
-        self._routing = configuration is not None and may_route(revision, age, peers)
+        awake = note_tick(self._wakefulness, now, self.node.configuration.caught_up_at)
+        known = configuration is not None and may_route(revision, age, peers)
+        self._routing = known and awake
         if configuration is not None and self._routing:
             self._unroutable_since = None
             self._view.step(configuration, now)
--- a/plantainhinge/daemons/places.py
+++ b/plantainhinge/daemons/places.py
@@ -3,6 +3,7 @@
 The only shared state of the threads that answer callers; one lock guards it.
 """
 
+import math
 import random
 import threading
 from collections import deque
@@ -63,10 +64,23 @@
 
 
 class Places:
-    """Places at the targets of all services; safe to use from any thread."""
+    """Places at the targets of all services; safe to use from any thread.
+
+    Parameters
+    ----------
+    plan_seconds : float
+        How long a plan holds: a process that was paused must not route by the
+        plan it had before.
+    """
 
     def __init__(
-        self, table: TargetTable, policy: Policy, *, threads: int, seed: int | None
+        self,
+        table: TargetTable,
+        policy: Policy,
+        *,
+        threads: int,
+        seed: int | None,
+        plan_seconds: float = math.inf,
     ) -> None:
         self.table = table
         self.policy = policy
@@ -74,6 +88,8 @@
         self.random = random.Random(seed)
         self._bulkheads = BulkheadTable(threads)
         self._plans: dict[ServiceId, ServicePlan] = {}
+        self._planned_at = Seconds(0.0)
+        self._plan_seconds = plan_seconds
         self._loads: dict[ServiceId, _ServiceLoad] = {}
         self._waiting: dict[TaskClass, deque[Waiter]] = {
             TaskClass.LATENCY_CRITICAL: deque(),
@@ -97,6 +113,7 @@
         """Use new plans from now on, and serve who waits for what they opened."""
         with self.lock:
             self._plans = plans
+            self._planned_at = now
             self._serve_waiting(now)
 
     def note_arrival(self, service: ServiceId, now: Seconds) -> None:
@@ -290,7 +307,7 @@
         now: Seconds,
     ) -> TargetRow | None:
         plan = self._plans.get(service)
-        if plan is None:
+        if plan is None or now > self._planned_at + self._plan_seconds:
             return None
         batch = task_class is TaskClass.BATCH
         rows = list_open(
--- a/plantainhinge/routing/plans.py
+++ b/plantainhinge/routing/plans.py
@@ -20,6 +20,7 @@
 from .targets import TargetRow, TargetTable
 
 LEAVING_BOUND_SECONDS = 3.0
+PAUSE_SECONDS = 2.0
 DIGESTS_MAX = 8
 SUBSET_TARGETS = 64
 
@@ -156,6 +157,44 @@
     return not any(peer.revision > revision for peer in peers)
 
 
+@dataclass
+class Wakefulness:
+    """Whether this process was paused, by the gaps between its ticks.
+
+    Parameters
+    ----------
+    ticked_at : Seconds or None
+        When the last tick was.
+    woken_at : Seconds or None
+        When a tick came after a pause; None once that no longer matters.
+    """
+
+    ticked_at: Seconds | None = None
+    woken_at: Seconds | None = None
+
+
+def note_tick(state: Wakefulness, now: Seconds, confirmed_at: Seconds | None) -> bool:
+    """Note a tick; return whether the process knows again what it slept through.
+
+    After a pause the configuration has to be confirmed once more. If that does
+    not come about within the bound, the log is down, which is another matter.
+
+    Parameters
+    ----------
+    confirmed_at : Seconds or None
+        When the configuration was last confirmed as the newest.
+    """
+    if state.ticked_at is not None and now > state.ticked_at + PAUSE_SECONDS:
+        state.woken_at = now
+    state.ticked_at = now
+    if state.woken_at is None:
+        return True
+    confirmed = confirmed_at is not None and confirmed_at >= state.woken_at
+    if confirmed or now > state.woken_at + LEAVING_BOUND_SECONDS:
+        state.woken_at = None
+    return state.woken_at is None
+
+
 def bound_cell_subset(configuration: Configuration, region: RegionId) -> int:
     """Return how many targets to ask of each cell of a region."""
     domains = len(list_domains(configuration, region))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,6 +15,7 @@
 from plantainhinge.daemons.log_driver import LogDriver
 from plantainhinge.daemons.node import Node
 from plantainhinge.routing.claims import CLAIM_WINDOW_SECONDS, CLOCK_SKEW_SECONDS
+from plantainhinge.routing.plans import LEAVING_BOUND_SECONDS
 from standins.keys import make_key
 
 from .fakes import Clock, FakeTargets
@@ -90,6 +91,12 @@
         events, self.inbox = self.inbox, []
         self.gateway.tick(events, time.monotonic() if now is None else now)
 
+    def tick_on(self, now, seconds):
+        """Tick twice a second; return the time after ``seconds``."""
+        for number in range(int(seconds * 2)):
+            self.tick(now + number / 2)
+        return now + seconds
+
     def handle(self, kind="lookup", key=None):
         return self.gateway.handle(
             CallerRequest(
@@ -156,16 +163,41 @@
         revision=entry.node.configuration.reducer.revision + 1,
         ready=True,
     )
-    later = time.monotonic() + 3600.0
     entry.node.driver.drive = lambda *_, **__: None
-    entry.tick(later)
+    now = entry.tick_on(time.monotonic(), 6.0)
     assert entry.handle().outcome is Outcome.DONE
-    entry.node.table.note(ahead, later)
-    entry.tick(later)
+    entry.node.table.note(ahead, now)
+    entry.tick(now)
     assert entry.handle().outcome is Outcome.NOT_RUN
     assert not entry.gateway.is_ready()
 
 
+def test_a_gateway_that_wakes_routes_nothing_until_it_has_confirmed(entry):
+    entry.node.driver.drive = lambda *_, **__: None
+    woken = time.monotonic() + 10.0
+    entry.tick(woken)
+    assert entry.handle().outcome is Outcome.NOT_RUN
+    entry.node.configuration.caught_up_at = woken + 0.1
+    entry.tick(woken + 0.2)
+    assert entry.handle().outcome is Outcome.DONE
+
+
+def test_a_gateway_that_wakes_while_the_log_is_down_goes_on(entry):
+    entry.node.driver.drive = lambda *_, **__: None
+    woken = time.monotonic() + 10.0
+    entry.tick(woken)
+    entry.tick_on(woken, LEAVING_BOUND_SECONDS + 1.0)
+    assert entry.handle().outcome is Outcome.DONE
+
+
+def test_a_plan_from_before_a_pause_gives_no_place(entry):
+    places, now = entry.gateway.places, time.monotonic()
+    row = places.take_at_once("s", TaskClass.LATENCY_CRITICAL, set(), now=now)
+    assert row is not None
+    late = now + 10.0
+    assert not places.take_at_once("s", TaskClass.LATENCY_CRITICAL, set(), now=late)
+
+
 def test_a_heartbeat_carries_the_load(entry):
     for _ in range(5):
         entry.handle()
