--- /dev/null
+++ b/tests/test_shared_target.py
@@ -0,0 +1,102 @@
+"""Several gateways at one target over real sockets, judged by the target itself."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from plantainhinge.adapters.targets_http import HttpTargets
+from plantainhinge.core.calls import CallerRequest
+from plantainhinge.core.clock import read_monotonic
+from plantainhinge.core.messages import Target as Replica
+from plantainhinge.core.states import Outcome
+from plantainhinge.daemons.places import Places
+from plantainhinge.daemons.request_runner import RequestRunner, Surroundings
+from plantainhinge.routing.limits import share_connections
+from plantainhinge.routing.plans import ServicePlan
+from plantainhinge.routing.policy import build_policy
+from plantainhinge.routing.targets import TargetTable
+from standins.target import Fault, Target, serve_target
+
+from .test_request_runner import LOOKUP
+
+CONNECTIONS, GATEWAYS_MAX, GATEWAYS = 12, 6, 4
+CALLERS, REQUESTS = 4, 5
+DEADLINE = 20.0
+DEADLINE_WITH_FAULTS = 0.3
+
+MIXES = {
+    "none": [],
+    "cut": [Fault.CUT_IN_BODY, Fault.NONE, Fault.NONE],
+    "crossed": [Fault.CROSSED, Fault.NONE],
+    "hang-up": [Fault.CUT_BEFORE_ANSWER, Fault.NONE],
+    "refuses": [Fault.REFUSES, Fault.NONE],
+    "all": [
+        Fault.CUT_AFTER_HEADERS,
+        Fault.NONE,
+        Fault.GARBAGE,
+        Fault.TWICE,
+        Fault.NONE,
+        Fault.FAILS,
+    ],
+}
+
+
+def build_gateway(address):
+    table = TargetTable("d")
+    replica = Replica(
+        target="t", service="s", address=address, domain="d", rack="r", worker="w"
+    )
+    table.replace("s", "d", [replica], now=0.0)
+    places = Places(table, build_policy(ejection="none"), threads=8, seed=3)
+    rows = list(table.services["s"].targets.values())
+    hard = share_connections(CONNECTIONS, GATEWAYS_MAX)
+    plan = ServicePlan(service="s", rows=rows, hard=hard, soft=hard)
+    places.set_plans({"s": plan}, read_monotonic())
+    return Surroundings(
+        process="g",
+        places=places,
+        targets=HttpTargets(),
+        claim=None,
+        finish=None,
+        note=lambda *_, **__: None,
+        count_retry=lambda kind: None,
+        read_now=read_monotonic,
+    )
+
+
+def call(around, name, deadline):
+    request = CallerRequest(request=name, kind="k", method="GET", path="/", body=b"")
+    runner = RequestRunner(
+        around,
+        request,
+        LOOKUP,
+        service="s",
+        deadline_at=read_monotonic() + deadline,
+        key_at=0.0,
+    )
+    return name, runner.run()
+
+
+@pytest.mark.parametrize("mix", list(MIXES))
+def test_the_target_sees_its_connections_kept_and_each_caller_its_own_answer(mix):
+    target = Target("t", service_seconds=0.005)
+    target.plan = MIXES[mix] * 60
+    deadline = DEADLINE_WITH_FAULTS if MIXES[mix] else DEADLINE
+    with serve_target(target, "127.0.0.1") as address:
+        gateways = [build_gateway(address) for _ in range(GATEWAYS)]
+        with ThreadPoolExecutor(GATEWAYS * CALLERS) as pool:
+            calls = [
+                pool.submit(call, gateways[number % GATEWAYS], f"r{number}", deadline)
+                for number in range(GATEWAYS * CALLERS * REQUESTS)
+            ]
+            told = [done.result() for done in calls]
+    assert target.most_connections <= CONNECTIONS
+    executed = set(target.executed)
+    for name, answer in told:
+        if answer.outcome is Outcome.NOT_RUN:
+            assert name not in executed
+        elif answer.outcome is Outcome.DONE and answer.status == 200:
+            assert json.loads(answer.body)["request"] == name
+    if mix == "none":
+        assert all(answer.outcome is Outcome.DONE for _, answer in told)
