--- a/standins/target.py
+++ b/standins/target.py
@@ -225,7 +225,8 @@
 
 
 def _answer_another(exchange: _Exchange) -> bool:
-    exchange.send(request="0" * 32)
+    other = Executed(request="0" * 32, path="/", target=exchange.target.name)
+    exchange.send(request=other.request, body=msgspec.json.encode(other))
     return True
 
 
