--- a/bench/request_policies.py
+++ b/bench/request_policies.py
@@ -132,9 +132,11 @@
                     SERVICE, DomainId(str(domain)), listed, now=self.now
                 )
             rows = list(places.table.services[SERVICE].targets.values())
+            lookups = places.read_lookups(SERVICE) * GATEWAYS / TARGETS
+            batch = self.policy.size_batch(SLOTS, lookups)
             for row in rows:
                 row.batch_share = self.policy.split_batch(
-                    SLOTS, row.target.target, f"g{number}", live
+                    batch, row.target.target, f"g{number}", live
                 )
             load = LoadShare(own=1.0, total=float(GATEWAYS), gateways=GATEWAYS)
             soft = self.policy.split(SLOTS, hard, load)
@@ -305,16 +307,22 @@
         Scenario((lookups(0.3 * CAPACITY), audits(2000.0))),
         {
             "policy": CURRENT,
+            "half reserved": {"batch_size": "half"},
             "fixed split": {"split": "fixed"},
-            "no reserve": {"batch_split": "shared"},
+            "no reserve": {"batch_size": "all", "batch_split": "shared"},
             "random, no reserve": {
                 "choice": "random",
                 "split": "fixed",
                 "admission": "none",
+                "batch_size": "all",
                 "batch_split": "shared",
             },
         },
     ),
+    "batch at night": (
+        Scenario((lookups(0.02 * CAPACITY), audits(2000.0))),
+        {"policy": CURRENT, "half reserved": {"batch_size": "half"}},
+    ),
     "domain out 4-8 s": (
         Scenario((lookups(0.45 * CAPACITY),), out=leave_and_return),
         {
--- a/plantainhinge/daemons/target_view.py
+++ b/plantainhinge/daemons/target_view.py
@@ -53,6 +53,10 @@
     def _replan(self, configuration: Configuration, now: Seconds) -> None:
         live = self._node.table.list_live(now)
         _, arrivals = self._places.read_loads(now)
+        lookups = {
+            service: self._places.read_lookups(service)
+            for service in configuration.services
+        }
         with self._places.lock:
             plans = {
                 service: plan_service(
@@ -63,6 +67,7 @@
                     me=self._node.process,
                     live=live,
                     own_arrivals=arrivals.get(service, 0.0),
+                    own_lookups=lookups[service],
                     policy=self._places.policy,
                 )
                 for service in configuration.services
--- a/plantainhinge/routing/plans.py
+++ b/plantainhinge/routing/plans.py
@@ -55,6 +55,7 @@
     me: ProcessId,
     live: Iterable[Heartbeat],
     own_arrivals: float,
+    own_lookups: float = 0.0,
     policy: Policy,
 ) -> ServicePlan:
     """Return what this gateway may use of a service.
@@ -63,16 +64,20 @@
     ----------
     own_arrivals : float
         Requests a second that come to this gateway.
+    own_lookups : float
+        Latency-critical requests that it has in flight on average.
     """
     declared = configuration.services[service]
     gateways = list_gateways(live, configuration, region)
     rows = table.list_serving(service, list_domains(configuration, region))
     ids = frozenset({heartbeat.process for heartbeat in gateways} | {me})
-    for row in rows:
-        row.slots = declared.slots
-        row.batch_share = policy.split_batch(declared.slots, row.target.target, me, ids)
     hard = share_connections(declared.connections, configuration.limits.gateways)
     load = measure_load(service, me, gateways, own_arrivals)
+    lookups = own_lookups / load.weight / max(1, len(rows))
+    places = policy.size_batch(declared.slots, lookups)
+    for row in rows:
+        row.slots = declared.slots
+        row.batch_share = policy.split_batch(places, row.target.target, me, ids)
     soft = policy.split(declared.slots, hard, load)
     return ServicePlan(service=service, rows=rows, hard=hard, soft=soft)
 
--- a/plantainhinge/routing/policy.py
+++ b/plantainhinge/routing/policy.py
@@ -6,7 +6,7 @@
 from .budgets import SPENDINGS, Spending
 from .choice import CHOICES, Choice
 from .ejection import EJECTIONS, Ejection
-from .limits import BATCH_SPLITS, SPLITS, BatchSplit, Split
+from .limits import BATCH_SIZES, BATCH_SPLITS, SPLITS, BatchSize, BatchSplit, Split
 
 
 @dataclass(frozen=True)
@@ -15,6 +15,7 @@
 
     choose: Choice
     split: Split
+    size_batch: BatchSize
     split_batch: BatchSplit
     admit: Admission
     has_thread: Bulkhead
@@ -26,6 +27,7 @@
     *,
     choice: str = "local-two-choices",
     split: str = "load-weighted",
+    batch_size: str = "follow-load",
     batch_split: str = "rendezvous",
     admission: str = "deadline",
     bulkhead: str = "per-kind",
@@ -42,6 +44,7 @@
     return Policy(
         choose=CHOICES.find(choice),
         split=SPLITS.find(split),
+        size_batch=BATCH_SIZES.find(batch_size),
         split_batch=BATCH_SPLITS.find(batch_split),
         admit=ADMISSIONS.find(admission),
         has_thread=BULKHEADS.find(bulkhead),
