--- a/bench/ledger_costs.py
+++ b/bench/ledger_costs.py
@@ -8,7 +8,9 @@
 import time
 import tracemalloc
 
+from plantainhinge.adapters.peers_grpc import CLAIM
 from plantainhinge.core.ids import DomainId, Epoch, Offset, Seconds
+from plantainhinge.core.messages import ClaimRequest
 from plantainhinge.core.records import (
     AttemptClosed,
     AttemptPlaced,
@@ -19,7 +21,7 @@
 from plantainhinge.core.resources import Resources
 from plantainhinge.core.states import AttemptOutcome, TaskClass
 from plantainhinge.ledgers.cell import CellState
-from tests.harness import run_site
+from tests.harness import WALL_OFFSET, run_site
 
 LARGE = Resources(10**9, 10**9, 0)
 SMALL = Resources(1000, 1024, 0)
@@ -205,12 +207,55 @@
         )
 
 
+def measure_claims(rate: int = 300, seconds: int = 5) -> None:
+    """Print the time from a claim to its answer, and the appends it took."""
+    with run_site(tick_seconds=0.05) as site:
+        site.advance(QUIET_SECONDS)
+        entries = site.log.inner._streams["ledger.0"].entries
+        before, pending, waits = len(entries), [], []
+        for n in range(rate * seconds):
+            message = ClaimRequest(
+                key=f"key-{n}",
+                request=f"request-{n}",
+                team="t",
+                gateway="g",
+                key_at=WALL_OFFSET + site.now,
+            )
+            pending.append((site.now, site.ask(CLAIM, message)))
+            if n % 15 == 14:
+                site.advance(15 / rate)
+                pending = collect_answers(pending, waits, site.now)
+        while pending:
+            site.advance(site.tick_seconds)
+            pending = collect_answers(pending, waits, site.now)
+        waits.sort()
+        print(
+            f"claims: {len(waits)} granted at {rate}/s:"
+            f" p50 {waits[len(waits) // 2]:.2f} s,"
+            f" p99 {waits[int(len(waits) * 0.99)]:.2f} s,"
+            f" {(len(entries) - before) / seconds:.1f} appends a second"
+        )
+
+
+def collect_answers(pending: list, waits: list, now: float) -> list:
+    """Note how long the answered claims waited; return the others."""
+    rest = []
+    for asked_at, answer in pending:
+        if not answer.done():
+            rest.append((asked_at, answer))
+            continue
+        assert answer.result().granted
+        waits.append(now - asked_at)
+    return rest
+
+
 PARTS = {
     "replay": measure_replay,
     "quiet": measure_quiet_ticks,
     "starts": measure_starts,
     "takeover": measure_takeover,
     "urgent": measure_urgent,
+    "claims": measure_claims,
 }
 
 
--- a/plantainhinge/core/due.py
+++ b/plantainhinge/core/due.py
@@ -24,7 +24,7 @@
     def __len__(self) -> int:
         return len(self._due)
 
-    def __contains__(self, key: K) -> bool:
+    def __contains__(self, key: object) -> bool:
         return key in self._due
 
     def set(self, key: K, at: float) -> None:
--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -409,6 +409,7 @@
     checkpoint: str = ""
     run_seconds: float = 0.0
     cancelled: bool = False
+    urgent: bool = False
 
 
 class OfferAttempts(Message, frozen=True):
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -18,7 +18,12 @@
     QueryTargets,
 )
 from ..core.protocols import WorkerClient
-from ..core.records import AnyRecord, ClosureAcknowledged, PredecessorsEnded
+from ..core.records import (
+    AnyRecord,
+    AttemptPlaced,
+    ClosureAcknowledged,
+    PredecessorsEnded,
+)
 from ..core.states import DomainState
 from ..ledgers.cell import CellState, Fence
 from ..ledgers.cell_systems import (
@@ -68,6 +73,7 @@
         super().__init__(node, replica)
         self.workers = CellWorkers(node, replica, client)
         self._offers: dict[TaskId, _Offered] = {}
+        self._urgent: set[TaskId] = set()
         self._waiters: list[_Waiter] = []
         self._acknowledged: dict[TaskId, ClosureAcknowledged] = {}
         self._reports_due: DueQueue[int] = DueQueue()
@@ -92,7 +98,12 @@
             case OfferAttempts():
                 self._take_offers(call, call.request, now)
             case QueryTargets(service=service):
-                targets = list_targets(self.state, service, self.workers.reports)
+                targets = list_targets(
+                    self.state,
+                    service,
+                    self.workers.reports,
+                    leaving=self.workers.list_stopping(),
+                )
                 call.answer.set_result(answer_query(targets, call.request))
 
     def step(self, now: Seconds, rank: int | None) -> None:
@@ -127,6 +138,10 @@
         for ledger in self._reports_due.take(now):
             self._report_closures(ledger, now)
 
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether the record places urgent work."""
+        return isinstance(record, AttemptPlaced) and record.task in self._urgent
+
     def begin(self, now: Seconds) -> None:
         """Take up all open attempts and all closures to report."""
         self._taken_at = now
@@ -193,6 +208,7 @@
             if offered.fence >= fences.get(offered.offer.ledger, Fence())
         ]
         self._offers.clear()
+        self._urgent = {offer.task for offer in offers if offer.urgent}
         if not self._is_in():
             return decline_offers(self.state, offers, "the failure domain is out")
         score = SCORES.find("least-loaded")
--- a/plantainhinge/daemons/cell_workers.py
+++ b/plantainhinge/daemons/cell_workers.py
@@ -1,6 +1,6 @@
 """A cell's calls to its workers: renewals, starts, stops and what they report."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from concurrent.futures import Future
 from typing import Any, TypeVar
 
@@ -13,6 +13,7 @@
     AttemptReport,
     StartTask,
     StopTask,
+    ThrottleTask,
     WorkerReport,
 )
 from ..core.protocols import WorkerClient
@@ -36,9 +37,12 @@
 from .node import Node
 
 RENEW_PERIOD_SECONDS = 1.0
+RENEW_PERIOD_SECONDS_MAX = 3.0
+RENEWALS_PER_SECOND = 20.0
 START_RETRY_SECONDS = 1.0
 STOP_RETRY_SECONDS = 1.0
 START_TRIES = 5
+SERVICE_LEAVE_SECONDS = 3.0
 CALLS_TO_SILENT_WORKERS = 2
 NOT_SEEN = -1
 
@@ -105,7 +109,7 @@
             self._follow_members(now)
         for worker in self._renewals.take(now):
             if worker in self.state.workers:
-                self._renewals.set(worker, now + RENEW_PERIOD_SECONDS)
+                self._renewals.set(worker, now + self._find_renew_period())
                 self._renew(worker, now)
 
     def start(self, now: Seconds, deadline: Seconds) -> None:
@@ -130,10 +134,38 @@
                 self._stop(placed)
 
     def order_stop(self, task: TaskId, now: Seconds) -> None:
-        """Stop an attempt, with its checkpoint, until it has ended."""
-        self._stops.add(task, now)
+        """Stop an attempt, with its checkpoint, until it has ended.
+
+        A service replica is listed as leaving for a while before, so that requests
+        go elsewhere and those in flight end.
+        """
+        placed = self.state.open.get(task)
+        is_serving = placed is not None and placed.service and task in self.reports
+        leave = SERVICE_LEAVE_SECONDS if is_serving else 0.0
+        self._stops.add(task, now + leave)
         self._starts.discard(task)
 
+    def throttle(self, task: TaskId, millicores: int) -> None:
+        """Limit the processors of a running attempt; a lost call is not repeated."""
+        placed = self.state.open.get(task)
+        reading = self.readings.get(placed.worker) if placed else None
+        if placed is None or reading is None:
+            return
+        message = ThrottleTask(
+            task=task,
+            attempt=placed.attempt,
+            cell_epoch=self.state.ownership.epoch,
+            millicores=millicores,
+            as_of=reading.clock,
+            incarnation=reading.incarnation,
+        )
+        address = self.state.workers[placed.worker].address
+        self._run(self._client.throttle, address, message, then=_ignore)
+
+    def list_stopping(self) -> Container[TaskId]:
+        """Return the tasks whose stop was ordered."""
+        return self._stops
+
     def is_stopping(self, task: TaskId) -> bool:
         """Return whether a stop was ordered."""
         return task in self._stops
@@ -182,6 +214,11 @@
             self._sure_ends.discard(worker)
             self._renewals.discard(worker)
 
+    def _find_renew_period(self) -> float:
+        """Return a period that bounds the renewals a second in a large cell."""
+        spread = len(self.state.workers) / RENEWALS_PER_SECOND
+        return min(RENEW_PERIOD_SECONDS_MAX, max(RENEW_PERIOD_SECONDS, spread))
+
     def _is_heard(self, worker: WorkerId, now: Seconds) -> bool:
         reading = self.readings.get(worker)
         heard = reading is not None and now < reading.received_at + START_WINDOW_SECONDS
@@ -395,4 +432,4 @@
 
 
 def _ignore(future: Future[AttemptReport], now: Seconds) -> None:
-    """Leave it to the next report to say whether the stop took effect."""
+    """Leave it to the next report to say whether the call took effect."""
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -28,10 +28,12 @@
 )
 from ..core.records import (
     AnyRecord,
+    AttemptAssigned,
     AttemptEnded,
     RequestClaimed,
     RequestReleased,
     RequestSettled,
+    TaskAccepted,
     TaskCancelled,
     TimeNoted,
 )
@@ -138,11 +140,11 @@
         records.extend(self._assign(configuration, now, bool(changed)))
         wanted = [waiter for waiter in self._waiters if waiter.proposal is None]
         for record in self._keep_time(now, bool(records or wanted)):
-            self.replica.propose(record)
+            self.propose(record)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         for waiter in wanted:
-            waiter.proposal = self.replica.propose(waiter.record)
+            waiter.proposal = self.propose(waiter.record)
             waiter.epoch = self.epoch
         return []
 
@@ -153,6 +155,15 @@
         self.offers.note_changed(changed, now)
         self.offers.send(now)
 
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether the record is on the way of urgent work to its start."""
+        if isinstance(record, TaskAccepted):
+            return record.urgent
+        if isinstance(record, AttemptAssigned):
+            row = self.state.tasks.get(record.task)
+            return row is not None and row.accepted.urgent
+        return False
+
     def begin(self, now: Seconds) -> None:
         """Offer all assigned attempts again, and look at all that wait."""
         self.offers.note_changed(list(self.state.assigned), now)
--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -3,11 +3,16 @@
 from typing import Any, Generic, TypeVar
 
 from ..core.ids import Epoch, Seconds
-from ..core.records import OwnershipClaimed, OwnershipConfirmed, OwnershipReleased
+from ..core.records import (
+    AnyRecord,
+    OwnershipClaimed,
+    OwnershipConfirmed,
+    OwnershipReleased,
+)
 from ..ledgers.cell import CellState
 from ..ledgers.ledger import LedgerState
 from ..streams.ownership import CONFIRM_PERIOD_SECONDS, may_act
-from ..streams.replica import Replica
+from ..streams.replica import Proposal, Replica
 from .node import NO_EPOCH, Node
 
 S = TypeVar("S", bound=LedgerState | CellState)
@@ -60,6 +65,14 @@
             self._propose(now, rank)
         self.node.driver.drive(self.replica, now, self.epoch)
 
+    def propose(self, record: AnyRecord) -> Proposal:
+        """Propose a record, to be flushed at once if it is urgent."""
+        return self.replica.propose(record, urgent=self.is_urgent(record))
+
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether a record must not wait for the commit timer."""
+        return False
+
     def release(self) -> None:
         """Begin to hand the stream over, as part of a planned stop."""
         self._releasing = True
@@ -113,7 +126,7 @@
         if records:
             self._confirm_due = Seconds(now + CONFIRM_PERIOD_SECONDS)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         if self.owns(now):
             self.replica.take_snapshot(now)
 
--- a/plantainhinge/ledgers/cell_systems.py
+++ b/plantainhinge/ledgers/cell_systems.py
@@ -210,9 +210,19 @@
 
 
 def list_targets(
-    state: CellState, service: ServiceId, reports: Mapping[TaskId, AttemptReport]
+    state: CellState,
+    service: ServiceId,
+    reports: Mapping[TaskId, AttemptReport],
+    *,
+    leaving: Container[TaskId] = (),
 ) -> list[Target]:
-    """Return the running replicas of one service in the cell."""
+    """Return the running replicas of one service in the cell.
+
+    Parameters
+    ----------
+    leaving : container of TaskId
+        Replicas that take no new requests.
+    """
     targets = []
     for task in state.replicas.get(service, ()):
         placed = state.open[task]
@@ -227,6 +237,7 @@
                 domain=state.domain,
                 rack=state.workers[placed.worker].rack,
                 worker=placed.worker,
+                leaving=task in leaving,
             )
         )
     return targets
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -114,6 +114,7 @@
         checkpoint=row.checkpoint,
         run_seconds=accepted.run_seconds,
         cancelled=row.cancelling,
+        urgent=accepted.urgent,
     )
 
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,9 +1,11 @@
 """The replayed state of a cell under two writers, drops and duplicates."""
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from plantainhinge.core.ids import DomainId, Epoch, Offset, Seconds
+from plantainhinge.core.messages import AttemptReport
 from plantainhinge.core.records import (
     AttemptClosed,
     AttemptPlaced,
@@ -16,6 +18,7 @@
 from plantainhinge.core.resources import Resources
 from plantainhinge.core.states import AttemptOutcome, TaskClass
 from plantainhinge.ledgers.cell import CellState, Fence
+from plantainhinge.ledgers.cell_systems import list_targets
 
 CAPACITY = Resources(8, 8, 1)
 TASKS = st.sampled_from(["t1", "t2", "t3"])
@@ -143,6 +146,22 @@
     assert not state.is_void(1, Fence(1, 1))
 
 
+def test_a_replica_about_to_stop_is_listed_as_leaving():
+    state = make_owned()
+    size = Resources(1, 1, 0)
+    for task in ("s/0", "s/1"):
+        record = place(task, 1, "w1", size)
+        apply(state, msgspec.structs.replace(record, service="s"), 1)
+    reports = {
+        task: AttemptReport(task=task, attempt=1, address="127.0.0.1:1")
+        for task in ("s/0", "s/1")
+    }
+    targets = list_targets(state, "s", reports, leaving={"s/1"})
+    assert [target.leaving for target in targets] == [False, True]
+    apply(state, close("s/0", 1), 1)
+    assert len(list_targets(state, "s", reports)) == 1
+
+
 def test_an_owner_that_never_let_go_stays_a_predecessor():
     state = make_owned()
     apply(state, OwnershipClaimed(2, "b", ""), 2)
