--- a/plantainhinge/daemons/cell_workers.py
+++ b/plantainhinge/daemons/cell_workers.py
@@ -47,17 +47,29 @@
 NOT_SEEN = -1
 
 T = TypeVar("T")
+Observe = Callable[[WorkerId, list[AttemptReport], Seconds], None]
 
 
 class CellWorkers:
     """What one owner of a cell knows of the workers, and its calls to them.
 
     Work waits in queues by due time, so a step costs what is due.
+
+    Parameters
+    ----------
+    observe : callable
+        Is told the attempts in each worker's report.
     """
 
     def __init__(
-        self, node: Node, replica: Replica[CellState], client: WorkerClient
+        self,
+        node: Node,
+        replica: Replica[CellState],
+        client: WorkerClient,
+        observe: Observe,
     ) -> None:
+        self.failed_starts: set[TaskId] = set()
+        self._observe = observe
         self.reports: dict[TaskId, AttemptReport] = {}
         self.readings: dict[WorkerId, Reading] = {}
         self._node = node
@@ -145,22 +157,29 @@
         self._stops.add(task, now + leave)
         self._starts.discard(task)
 
-    def throttle(self, task: TaskId, millicores: int) -> None:
-        """Limit the processors of a running attempt; a lost call is not repeated."""
-        placed = self.state.open.get(task)
-        reading = self.readings.get(placed.worker) if placed else None
-        if placed is None or reading is None:
-            return
+    def throttle(
+        self, placed: AttemptPlaced, millicores: int, undo: Callable[[], None]
+    ) -> None:
+        """Limit an attempt's processors; ``undo`` is called if that failed."""
+        reading = self.readings[placed.worker]
+        self._node.events.add(
+            "attempt.throttling", placed.task, millicores=str(millicores)
+        )
         message = ThrottleTask(
-            task=task,
+            task=placed.task,
             attempt=placed.attempt,
             cell_epoch=self.state.ownership.epoch,
             millicores=millicores,
             as_of=reading.clock,
             incarnation=reading.incarnation,
         )
+
+        def finish(future: Future[AttemptReport], now: Seconds) -> None:
+            if future.exception() is not None:
+                undo()
+
         address = self.state.workers[placed.worker].address
-        self._run(self._client.throttle, address, message, then=_ignore)
+        self._run(self._client.throttle, address, message, then=finish)
 
     def list_stopping(self) -> Container[TaskId]:
         """Return the tasks whose stop was ordered."""
@@ -190,6 +209,7 @@
 
     def forget(self) -> None:
         """Drop everything known under the epoch that ended."""
+        self.failed_starts.clear()
         self.reports.clear()
         self.readings.clear()
         self._flights.clear()
@@ -279,6 +299,7 @@
             self.readings[worker] = reading
             self._sure_ends.set(worker, find_sure_end(reading, self._takeover))
             self._reconcile(report, asked_at, now)
+            self._observe(worker, report.attempts, now)
 
     def _reconcile(self, report: WorkerReport, asked_at: Seconds, now: Seconds) -> None:
         reported = set()
@@ -338,6 +359,7 @@
             self.reports[placed.task] = report
             self._starts.discard(placed.task)
         elif flight.answered_at is None and flight.tries >= START_TRIES:
+            self.failed_starts.add(placed.task)
             self._lose(placed, f"worker {placed.worker} failed {flight.tries} starts")
         else:
             closed = close_attempt(placed, report)
