--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -303,7 +303,7 @@
 
     def _describe_takeover(self) -> Takeover:
         predecessors = self.state.ownership.predecessors
-        times = [self._gone.get(process) for process in predecessors]
+        times = [self._gone.get(row.process) for row in predecessors]
         known = [at for at in times if at is not None]
         gone_at = max(known) if len(known) == len(times) and known else None
         return Takeover(self._taken_at, released=not predecessors, gone_at=gone_at)
@@ -313,11 +313,13 @@
         if not predecessors or now < self._predecessors_due:
             return []
         self._predecessors_due = Seconds(now + PREDECESSORS_PERIOD_SECONDS)
-        for process in predecessors:
-            if process not in self._gone and self.node.has_ended(process):
-                self._gone[process] = now
+        for row in predecessors:
+            if row.process in self._gone:
+                continue
+            if self.node.table.is_replaced(row.process, row.address):
+                self._gone[row.process] = now
                 self.workers.note_takeover(self._describe_takeover())
-        ended = all(process in self._gone for process in predecessors)
+        ended = all(row.process in self._gone for row in predecessors)
         if ended or now >= find_handover_end(Takeover(self._taken_at)):
             return [PredecessorsEnded(self.epoch)]
         return []
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -22,6 +22,7 @@
     ClosuresTaken,
     Empty,
     FinishClaim,
+    ListJobs,
     QueryJob,
     ReportClosures,
     SubmitJob,
@@ -41,10 +42,12 @@
 from ..ledgers.ledger_systems import (
     accept_job,
     assign_waiting,
+    collect_shapes,
     declare_replicas,
     describe_task,
     end_attempt,
     is_open,
+    list_jobs,
     note_declines,
     prune_rows,
     reject_hopeless,
@@ -56,6 +59,7 @@
 from .stream_owner import StreamOwner
 
 ASSIGN_PERIOD_SECONDS = 0.5
+SETTLE_SECONDS = 3.0
 PRUNE_PERIOD_SECONDS = 10.0
 TIME_STEP_SECONDS = 1.0
 CLOSURE_WAIT_SECONDS = 2.0
@@ -98,6 +102,7 @@
         self._unjudged: dict[TaskId, None] = {}
         self._declared = Revision(0)
         self._assign_due = Seconds(0.0)
+        self._settled_at = Seconds(0.0)
         self._placing = AssignmentTables()
         self._now = Seconds(0.0)
         self._prune_due = Seconds(0.0)
@@ -114,8 +119,8 @@
                 self._submit(call, call.request)
             case CancelJob():
                 self._propose_for(TaskCancelled(call.request.task), call, self._tell)
-            case QueryJob():
-                self._tell_account(call)
+            case QueryJob() | ListJobs():
+                self._answer_query(call)
             case ClaimRequest():
                 self._claim(call, call.request)
             case FinishClaim():
@@ -171,10 +176,15 @@
         return False
 
     def begin(self, now: Seconds) -> None:
-        """Offer all assigned attempts again, and look at all that wait."""
+        """Offer all assigned attempts again, and look at all that wait.
+
+        Tasks are assigned once all cells have been heard of, or after a while, so
+        that the first to be heard of does not get them all.
+        """
         self.offers.note_changed(list(self.state.assigned), now)
         self._changed.update(self.state.waiting)
         self._declared = Revision(0)
+        self._settled_at = Seconds(now + SETTLE_SECONDS)
         self._placing = AssignmentTables()
 
     def lapse(self) -> None:
@@ -251,6 +261,13 @@
         else:
             self._tell_account(call)
 
+    def _answer_query(self, call: Call) -> None:
+        if isinstance(call.request, ListJobs):
+            jobs = list_jobs(self.state, call.request, self._placing, self._now)
+            call.answer.set_result(jobs)
+        else:
+            self._tell_account(call)
+
     def _tell_account(self, call: Call) -> None:
         row = self.state.tasks.get(call.request.task)
         if row is None:
@@ -314,9 +331,6 @@
         for record in self._ended.values():
             if is_open(self.state, record.task, record.attempt):
                 records.append(record)
-                self.node.events.add(
-                    "attempt.ended", record.task, outcome=record.outcome.value
-                )
         self._ended.clear()
         return records
 
@@ -338,14 +352,20 @@
     def _assign(
         self, configuration: Configuration, now: Seconds, changed: bool
     ) -> list[AnyRecord]:
-        if not self.state.waiting or not self.node.is_fresh(now):
+        if not self.state.waiting:
+            self._unjudged.clear()
+            return []
+        if not self.node.is_fresh(now):
             return []
         if not changed and now < self._assign_due:
             return []
         self._assign_due = Seconds(now + ASSIGN_PERIOD_SECONDS)
         cells = self.node.collect_cells(now)
+        shapes = collect_shapes(cells, configuration)
+        if shapes is None and now < self._settled_at:
+            return []
         hopeless = reject_hopeless(self.state, self._unjudged, cells, configuration)
-        if configuration.domains.keys() <= cells.keys():
+        if shapes is not None:
             self._unjudged.clear()
         rejected = {record.task for record in hopeless}
         assigned = assign_waiting(
--- a/plantainhinge/membership/peers.py
+++ b/plantainhinge/membership/peers.py
@@ -54,11 +54,15 @@
         owners = [h for h in self.list_live(now) if stream in h.owned]
         return max(owners, key=lambda h: h.owned[stream], default=None)
 
-    def is_replaced(self, process: ProcessId) -> bool:
-        """Return whether a later process has answered in its place."""
+    def is_replaced(self, process: ProcessId, address: str) -> bool:
+        """Return whether a later process of the same place answers at its address.
+
+        A process holds its port until it has ended, also while it is paused, so a
+        later one at the same address is proof of its end.
+        """
+        row = self.rows.get(address)
+        if row is None:
+            return False
         place, _, incarnation = process.rpartition("/")
-        for row in self.rows.values():
-            other, _, _ = row.heartbeat.process.rpartition("/")
-            if other == place and row.heartbeat.incarnation > int(incarnation):
-                return True
-        return False
+        other, _, _ = row.heartbeat.process.rpartition("/")
+        return other == place and row.heartbeat.incarnation > int(incarnation)
--- a/standins/wsgi.py
+++ b/standins/wsgi.py
@@ -61,7 +61,7 @@
     try:
         yield int(server.effective_port)
     finally:
-        # The loop may run this, and close the trigger, before the trigger is pulled.
+        # An earlier pull may make the loop close the pipe before this one writes.
         with suppress(OSError):
             server.trigger.pull_trigger(lambda: close_all(server._map, ignore_all=True))
         thread.join(timeout=2.0)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -19,6 +19,7 @@
 from plantainhinge.core.states import AttemptOutcome, TaskClass
 from plantainhinge.ledgers.cell import CellState, Fence
 from plantainhinge.ledgers.cell_systems import list_targets
+from plantainhinge.streams.ownership import Predecessor
 
 CAPACITY = Resources(8, 8, 1)
 TASKS = st.sampled_from(["t1", "t2", "t3"])
@@ -167,4 +168,4 @@
     apply(state, OwnershipClaimed(2, "b", ""), 2)
     apply(state, OwnershipReleased(2), 2)
     apply(state, OwnershipClaimed(3, "c", ""), 3)
-    assert state.ownership.predecessors == ("a",)
+    assert state.ownership.predecessors == (Predecessor("a", ""),)
