Exchange heartbeats with few peers, and take the configuration from them

Cause: heartbeats to every peer each second grow with the square of the site, a daemon restarted in an outage of the log had no configuration, and one whose log reads lagged did not notice. Change: one or two exchanges a second with relayed news, suspicion and refutation by incarnation; a daemon fetches the configuration from a peer that runs a newer one, never an older; it is neither fresh nor, after the bound, ready while a peer runs a newer one; a schema it doesn't understand leaves it on the last, unready. The harness hands its draws in.

--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -34,6 +34,7 @@
     ClaimAnswer,
     ClaimRequest,
     ClosuresTaken,
+    ConfigurationCopy,
     Empty,
     FinishClaim,
     Heartbeat,
@@ -80,6 +81,7 @@
 OFFER = Method("Offer", OfferAttempts, OffersTaken)
 REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
+FETCH_CONFIGURATION = Method("FetchConfiguration", Empty, ConfigurationCopy)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
 
 METHODS: list[Method[Any, Any]] = [
@@ -92,6 +94,7 @@
     OFFER,
     REPORT_CLOSURES,
     QUERY_TARGETS,
+    FETCH_CONFIGURATION,
     QUERY_EVENTS,
 ]
 
--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -29,6 +29,7 @@
     DaemonRole,
     InstanceRole,
     InstanceState,
+    PeerState,
     TaskClass,
     TaskState,
 )
@@ -260,7 +261,7 @@
 # Peers.
 
 
-class CellDigest(Message, frozen=True):
+class CellDigest(Message, frozen=True, array_like=True):
     """What a cell can still take, for the ledgers that assign work to it.
 
     Parameters
@@ -282,7 +283,7 @@
     critical: Resources = Resources()
 
 
-class LoadDigest(Message, frozen=True):
+class LoadDigest(Message, frozen=True, array_like=True):
     """What one gateway has in flight at one service."""
 
     service: ServiceId
@@ -290,15 +291,23 @@
     arrivals_per_second: float
 
 
-class Heartbeat(Message, frozen=True):
+class Heartbeat(Message, frozen=True, array_like=True):
     """What a process tells its peers about itself.
 
     Parameters
     ----------
     incarnation : int
         Rises with each start of a process at one address.
+    revision : Revision
+        The configuration it runs.
     owned : dict of StreamName to Epoch
         The streams it owns.
+    beat : int
+        Rises with each heartbeat of an incarnation.
+    age : float or None
+        Seconds since it knew its configuration to be the newest.
+    unready : str
+        Why it is not ready, when the reason is known.
     """
 
     process: ProcessId
@@ -311,6 +320,36 @@
     owned: dict[StreamName, Epoch] = {}
     cells: list[CellDigest] = []
     loads: list[LoadDigest] = []
+    beat: int = 0
+    age: float | None = None
+    unready: str = ""
+    relays: list["Relay"] = []
+
+
+class Relay(Message, frozen=True, array_like=True):
+    """What a process last heard of another.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the heartbeat was sent.
+    """
+
+    heartbeat: Heartbeat
+    state: PeerState
+    age: float
+
+
+class ConfigurationCopy(Message, frozen=True):
+    """A replica's state of the configuration stream, as in a snapshot.
+
+    Parameters
+    ----------
+    state : bytes
+        An encoded snapshot; empty if the process has none.
+    """
+
+    state: bytes
 
 
 class SubmitJob(Message, frozen=True):
--- a/plantainhinge/core/states.py
+++ b/plantainhinge/core/states.py
@@ -87,3 +87,16 @@
 
     GATEWAY = "gateway"
     SCHEDULER = "scheduler"
+
+
+class PeerState(Enum):
+    """What is believed of a peer; a later one outweighs an earlier one."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+    @property
+    def rank(self) -> int:
+        """Return the place in the order of outweighing."""
+        return list(PeerState).index(self)
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -94,7 +94,7 @@
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers here."""
         warm = self._view.is_warm(read_monotonic())
-        return self._routing and warm and not self._stopping
+        return self._routing and warm and self.node.is_ready()
 
     def stop(self) -> None:
         """Begin a planned stop: report unready."""
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -1,10 +1,19 @@
 """What both daemons share: configuration, instance list, peers and events."""
 
 import math
+import random
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from ..adapters.peers_grpc import HEARTBEAT, QUERY_EVENTS, Call, Peers
+import msgspec
+
+from ..adapters.peers_grpc import (
+    FETCH_CONFIGURATION,
+    HEARTBEAT,
+    QUERY_EVENTS,
+    Call,
+    Peers,
+)
 from ..core.clock import read_wall
 from ..core.configuration import Configuration
 from ..core.errors import PlantainhingeError
@@ -18,21 +27,25 @@
     Seconds,
     WriterId,
 )
-from ..core.messages import CellDigest, Empty, Heartbeat, Instance
+from ..core.messages import CellDigest, ConfigurationCopy, Empty, Heartbeat, Instance
 from ..core.metrics import Metrics, NoMetrics
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
 from ..core.states import DaemonRole, InstanceRole
-from ..membership.peers import PeerTable
+from ..membership.peers import JOINING_EXCHANGES, PeerTable
 from ..streams.configuration import ConfigurationState
-from ..streams.names import CONFIGURATION
+from ..streams.names import CONFIGURATION, rank_candidates
 from ..streams.replica import Replica
+from ..streams.snapshots import decode_snapshot, encode_snapshot
 from .executor import Commander
 from .log_driver import LogDriver
 
 HEARTBEAT_PERIOD_SECONDS = 1.0
 INSTANCES_PERIOD_SECONDS = 2.0
 CONFIGURATION_FRESH_SECONDS = 3.0
+CONFIGURATION_READ_SECONDS = 1.0
+CONFIGURATION_COPY_SECONDS = 2.0
+SNAPSHOT_WRITERS = 2
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 NO_EPOCH = Epoch(0)
 MILLISECONDS = 1000
@@ -43,6 +56,11 @@
 
     Parameters
     ----------
+    draws : random.Random
+        Chooses the peers to exchange heartbeats with.
+
+    Attributes
+    ----------
     describe : callable
         Returns this process's heartbeat.
     """
@@ -57,6 +75,7 @@
         driver: LogDriver,
         peers: Peers,
         metrics: Metrics | None = None,
+        draws: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.role = role
@@ -68,15 +87,23 @@
         self.peers = peers
         self.metrics: Metrics = metrics or NoMetrics()
         self.leaving = False
-        self.table = PeerTable()
+        self.table = PeerTable(self.address, self.incarnation)
         self.instances: list[Instance] = []
         self.configuration: Replica[ConfigurationState] = Replica(
-            CONFIGURATION, WriterId(self.process), ConfigurationState()
+            CONFIGURATION,
+            WriterId(self.process),
+            ConfigurationState(),
+            read_period=Seconds(CONFIGURATION_READ_SECONDS),
         )
+        self.unready = "no configuration yet"
         self.describe: Callable[[], Heartbeat] = self.describe_alone
         self._instance_list = instances
         self._instances_due = Seconds(0.0)
         self._heartbeat_due = Seconds(0.0)
+        self._beat = 0
+        self._copy_due = Seconds(0.0)
+        self._hurried_for = Revision(0)
+        self._random = draws or random.Random()
         self._revision_seen = Revision(0)
         self._gone_instances: set[InstanceId] = set()
 
@@ -100,7 +127,7 @@
     def fresh_until(self) -> Seconds:
         """Return when the view of the configuration becomes too old to start."""
         confirmed = self.configuration.caught_up_at
-        if confirmed is None:
+        if confirmed is None or self._is_outdated():
             return Seconds(-math.inf)
         return Seconds(confirmed + CONFIGURATION_FRESH_SECONDS)
 
@@ -111,8 +138,14 @@
 
     def step(self, now: Seconds) -> None:
         """Poll the log and the instance list, and exchange heartbeats."""
+        self._keep_snapshots(now)
         self.driver.drive(self.configuration, now, NO_EPOCH)
         self._note_revision()
+        self._note_readiness(now)
+        self._hurry()
+        if now >= self._copy_due:
+            self._copy_due = Seconds(now + CONFIGURATION_COPY_SECONDS)
+            self._fetch_copy(now)
         if now >= self._instances_due:
             self._instances_due = Seconds(now + INSTANCES_PERIOD_SECONDS)
             self.commander.run(self._instance_list.fetch, then=self._take_instances)
@@ -123,8 +156,12 @@
     def answer(self, call: Call, now: Seconds) -> bool:
         """Answer a call that any process answers; return whether it was one."""
         if call.method is HEARTBEAT:
-            self.table.note(call.request, now)
-            call.answer.set_result(self.describe())
+            request: Heartbeat = call.request
+            answer = self._build_heartbeat(request.address, request.incarnation, now)
+            self.table.note(request, now)
+            call.answer.set_result(answer)
+        elif call.method is FETCH_CONFIGURATION:
+            call.answer.set_result(self._copy_configuration())
         elif call.method is QUERY_EVENTS:
             events = self.events.select(call.request.subject)
             call.answer.set_result(EventList(events=events))
@@ -140,10 +177,14 @@
             role=self.role,
             address=self.address,
             domain=self.settings.domain,
-            revision=self.configuration.reducer.revision,
-            ready=self.current is not None and not self.leaving,
+            revision=self.configuration.reducer.running,
+            ready=self.is_ready(),
         )
 
+    def is_ready(self) -> bool:
+        """Return whether work may be sent here."""
+        return not self.unready and not self.leaving
+
     def collect_cells(self, now: Seconds) -> dict[DomainId, CellDigest]:
         """Return what live peers say of the cells they own."""
         return {
@@ -152,8 +193,79 @@
             for digest in heartbeat.cells
         }
 
+    def _is_outdated(self) -> bool:
+        """Return whether a newer revision than the running one is known of."""
+        state = self.configuration.reducer
+        newest = max(state.revision, self.table.find_newest_revision())
+        return state.running < newest
+
+    def _hurry(self) -> None:
+        """Read the log at once, but once only, for each revision heard of."""
+        newest = self.table.find_newest_revision()
+        if newest > max(self._hurried_for, self.configuration.reducer.revision):
+            self._hurried_for = newest
+            self.configuration.hurry()
+
+    def _note_readiness(self, now: Seconds) -> None:
+        unready = self._explain_unready(now)
+        if unready != self.unready:
+            self.unready = unready
+            self.events.add("readiness.changed", "config", unready=unready)
+
+    def _explain_unready(self, now: Seconds) -> str:
+        replica = self.configuration
+        read_at = replica.caught_up_at
+        has_read = read_at is not None and now < read_at + CONFIGURATION_FRESH_SECONDS
+        state = replica.reducer
+        if replica.halted is not None:
+            return replica.halted.message
+        if state.not_understood:
+            return f"revision {state.revision}: {state.not_understood}"
+        if replica.is_lost:
+            return "the configuration is no longer in the log"
+        if state.configuration is None:
+            return "no configuration yet"
+        if self._is_outdated() and not has_read:
+            newest = self.table.find_newest_revision()
+            return f"revision {state.running} runs here, {newest} at a peer"
+        return ""
+
+    def _keep_snapshots(self, now: Seconds) -> None:
+        """Write snapshots of the configuration; a racing duplicate is harmless."""
+        if self.role is not DaemonRole.SCHEDULER:
+            return
+        live = list({self.process, *self.table.list_schedulers(now)})
+        rank = rank_candidates(CONFIGURATION, live).index(self.process)
+        if rank < SNAPSHOT_WRITERS:
+            self.configuration.take_snapshot(now)
+
+    def _fetch_copy(self, now: Seconds) -> None:
+        """Ask a peer for the configuration if the log does not give it."""
+        replica = self.configuration
+        if self.is_fresh(now) or replica.halted is not None:
+            return
+        wanted = Revision(replica.reducer.revision + 1)
+        runners = self.table.list_runners(wanted)
+        if runners:
+            future = self.peers.call(
+                self._random.choice(runners), FETCH_CONFIGURATION, Empty()
+            )
+            self.commander.follow(future, then=self._take_copy)
+
+    def _copy_configuration(self) -> ConfigurationCopy:
+        if not self.configuration.reducer.revision:
+            return ConfigurationCopy(state=b"")
+        return ConfigurationCopy(state=encode_snapshot(self.configuration.capture()))
+
+    def _take_copy(self, future: Future[ConfigurationCopy], now: Seconds) -> None:
+        if future.exception() is not None or not future.result().state:
+            return
+        snapshot = decode_snapshot(future.result().state)
+        if snapshot is not None and self.configuration.adopt(snapshot, now):
+            self._note_revision()
+
     def _note_revision(self) -> None:
-        revision = self.configuration.reducer.revision
+        revision = self.configuration.reducer.running
         if revision != self._revision_seen:
             self._revision_seen = revision
             self.events.add("configuration.in-force", "config", revision=str(revision))
@@ -170,26 +282,52 @@
         self.instances = listed
 
     def _send_heartbeats(self, now: Seconds) -> None:
-        heartbeat = self.describe()
-        self.table.note(heartbeat, now)
+        self.table.sweep(now)
+        self._beat += 1
+        draws = [self._random.random() for _ in range(JOINING_EXCHANGES)]
+        for address in self.table.choose_partners(self._list_addresses(), draws):
+            row = self.table.rows.get(address)
+            known = row.heartbeat.incarnation if row else 0
+            self._send_heartbeat(address, self._build_heartbeat(address, known, now))
+        self.table.note(self._build_heartbeat(self.address, 0, now), now)
+
+    def _list_addresses(self) -> list[str]:
         ports = self.settings.ports
-        for row in self.instances:
-            if row.role is not InstanceRole.ENTRY:
-                continue
-            for port in (ports.gateway_peers, ports.scheduler_peers):
-                address = f"{row.address}:{port}"
-                if address != self.address:
-                    self._send_heartbeat(address, heartbeat)
+        return [
+            f"{row.address}:{port}"
+            for row in self.instances
+            if row.role is InstanceRole.ENTRY
+            for port in (ports.gateway_peers, ports.scheduler_peers)
+        ]
+
+    def _build_heartbeat(
+        self, partner: str, incarnation: int, now: Seconds
+    ) -> Heartbeat:
+        caught_up_at = self.configuration.caught_up_at
+        relays = []
+        if partner != self.address:
+            relays = self.table.pick_relays(partner, incarnation, now)
+        return msgspec.structs.replace(
+            self.describe(),
+            incarnation=self.table.incarnation,
+            beat=self._beat,
+            age=None if caught_up_at is None else round(now - caught_up_at, 3),
+            unready=self.unready,
+            relays=relays,
+        )
 
     def _send_heartbeat(self, address: str, heartbeat: Heartbeat) -> None:
         future = self.peers.call(
             address, HEARTBEAT, heartbeat, timeout=HEARTBEAT_TIMEOUT_SECONDS
         )
-        self.commander.follow(future, then=self._take_heartbeat)
 
-    def _take_heartbeat(self, future: Future[Heartbeat], now: Seconds) -> None:
-        if future.exception() is None:
-            self.table.note(future.result(), now)
+        def finish(done: Future[Heartbeat], now: Seconds) -> None:
+            if done.exception() is None:
+                self.table.note(done.result(), now)
+            else:
+                self.table.note_silent(address, now)
+
+        self.commander.follow(future, then=finish)
 
 
 def answer_empty(call: Call) -> None:
--- a/plantainhinge/membership/peers.py
+++ b/plantainhinge/membership/peers.py
@@ -1,52 +1,144 @@
-"""Which processes are believed alive, from the heartbeats they answered.
+"""Which processes are believed alive, from what they and others say of them.
 
-This is a hint for efficiency: no promise rests on it.
+Each process exchanges heartbeats with a few others in each round and relays what
+it heard, as SWIM does (Das, Gupta and Motivala, 2002): one that does not answer is
+suspected, the suspicion is relayed, and its subject refutes it by a higher
+incarnation. The cost of a process does not depend on how many there are.
+
+All of this is a hint for efficiency: no promise rests on it.
 """
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..core.ids import ProcessId, Seconds, StreamName
-from ..core.messages import Heartbeat
-from ..core.states import DaemonRole
+import msgspec
+
+from ..core.ids import ProcessId, Revision, Seconds, StreamName
+from ..core.messages import Heartbeat, Relay
+from ..core.states import DaemonRole, PeerState
 
-PEER_EXPIRY_SECONDS = 3.5
+SMALL_SITE_PEERS = 24
+EXCHANGES_PER_ROUND = 1
+EXCHANGES_PER_ROUND_WHEN_SMALL = 2
+JOINING_EXCHANGES = 8
+RELAYED_NEWS = 3
+NEWS_REPEATS = 3
+SUSPECT_SECONDS = 3.0
+SUSPECT_SECONDS_PER_DOUBLING = 1.0
+FORGET_SECONDS = 120.0
 
 
 @dataclass
 class PeerRow:
-    """The newest heartbeat of a peer and when it was heard."""
+    """What is known of a peer.
+
+    Parameters
+    ----------
+    heard_at : Seconds
+        When its newest heartbeat was sent, as far as relays tell.
+    changed_at : Seconds
+        When its state changed last.
+    relays_left : int
+        How often this row is still relayed as news.
+    """
 
     heartbeat: Heartbeat
     heard_at: Seconds
+    state: PeerState = PeerState.ALIVE
+    changed_at: Seconds = Seconds(0.0)
+    relays_left: int = NEWS_REPEATS
+    relayed_at: Seconds = Seconds(0.0)
 
 
 @dataclass
 class PeerTable:
-    """Peers by the address they answer at."""
+    """Peers by the address they answer at.
 
+    Parameters
+    ----------
+    own_address : str
+        This process; empty to have none.
+    incarnation : int
+        This process's, raised to refute what others say of it.
+    """
+
+    own_address: str = ""
+    incarnation: int = 0
     rows: dict[str, PeerRow] = field(default_factory=dict)
 
     def note(self, heartbeat: Heartbeat, now: Seconds) -> None:
-        """Take in a heartbeat, unless a newer incarnation was heard."""
-        known = self.rows.get(heartbeat.address)
-        if known and known.heartbeat.incarnation > heartbeat.incarnation:
-            return
-        self.rows[heartbeat.address] = PeerRow(heartbeat, now)
+        """Take in a heartbeat from its sender, with what it relays."""
+        self._take(heartbeat, PeerState.ALIVE, now, now)
+        for relay in heartbeat.relays:
+            self._take_relay(relay, now)
+
+    def note_silent(self, address: str, now: Seconds) -> None:
+        """Suspect a peer that did not answer."""
+        row = self.rows.get(address)
+        if row is not None and row.state is PeerState.ALIVE:
+            _change(row, PeerState.SUSPECT, now)
+
+    def sweep(self, now: Seconds) -> None:
+        """Give up peers suspected for too long; forget those given up long ago."""
+        patience = self._pick_patience()
+        for address, row in list(self.rows.items()):
+            if row.state is PeerState.SUSPECT and now >= row.changed_at + patience:
+                _change(row, PeerState.DEAD, now)
+            if row.state is PeerState.DEAD and now >= row.changed_at + FORGET_SECONDS:
+                del self.rows[address]
+
+    def choose_partners(
+        self, listed: Iterable[str], draws: Iterable[float]
+    ) -> list[str]:
+        """Return the addresses to exchange heartbeats with in this round.
+
+        Parameters
+        ----------
+        listed : iterable of str
+            Addresses from the platform's list, which may name the dead and miss
+            the living.
+        draws : iterable of float
+            Uniform in [0, 1), one for each partner at most.
+        """
+        known = {a for a, row in self.rows.items() if row.state is not PeerState.DEAD}
+        candidates = sorted({*listed, *known} - {self.own_address})
+        count = self._count_exchanges(len(known))
+        chosen = []
+        for draw, _ in zip(draws, range(count), strict=False):
+            if candidates:
+                chosen.append(candidates.pop(int(draw * len(candidates))))
+        return chosen
+
+    def pick_relays(self, partner: str, incarnation: int, now: Seconds) -> list[Relay]:
+        """Return what the next heartbeat to a partner relays.
+
+        What is wrongly believed of the partner itself goes first, so that it can
+        refute it; then news, then owners of streams and others in turn.
+        """
+        rows = [*self._doubt(partner, incarnation), *self._pick_news(partner)]
+        for row in rows:
+            row.relays_left -= 1
+        rows.extend(self._pick_in_turn(partner, rows))
+        for row in rows:
+            row.relayed_at = now
+        return [_relay(row, now) for row in rows]
 
     def list_live(self, now: Seconds) -> list[Heartbeat]:
-        """Return the newest heartbeat of each peer heard of lately."""
+        """Return the newest heartbeat of each peer not given up."""
         return [
             row.heartbeat
             for row in self.rows.values()
-            if now < row.heard_at + PEER_EXPIRY_SECONDS
+            if row.state is not PeerState.DEAD
         ]
 
     def list_schedulers(self, now: Seconds) -> list[ProcessId]:
-        """Return the live processes that may own streams."""
+        """Return the processes that may own streams and are not suspected."""
         return [
-            heartbeat.process
-            for heartbeat in self.list_live(now)
-            if heartbeat.role is DaemonRole.SCHEDULER
+            row.heartbeat.process
+            for row in self.rows.values()
+            if row.heartbeat.role is DaemonRole.SCHEDULER
+            and row.state is PeerState.ALIVE
         ]
 
     def find_owner(self, stream: StreamName, now: Seconds) -> Heartbeat | None:
@@ -54,11 +146,125 @@
         owners = [h for h in self.list_live(now) if stream in h.owned]
         return max(owners, key=lambda h: h.owned[stream], default=None)
 
+    def _count_exchanges(self, known: int) -> int:
+        if known <= 1:
+            return JOINING_EXCHANGES
+        if known <= SMALL_SITE_PEERS:
+            return EXCHANGES_PER_ROUND_WHEN_SMALL
+        return EXCHANGES_PER_ROUND
+
+    def _doubt(self, partner: str, incarnation: int) -> list[PeerRow]:
+        row = self.rows.get(partner)
+        if row is None or partner == self.own_address:
+            return []
+        is_trusted = row.state is PeerState.ALIVE
+        is_current = row.heartbeat.incarnation <= incarnation
+        return [] if is_trusted and is_current else [row]
+
+    def _pick_news(self, partner: str) -> list[PeerRow]:
+        news = [
+            row
+            for address, row in self.rows.items()
+            if row.relays_left > 0 and address not in (partner, self.own_address)
+        ]
+        news.sort(key=lambda row: (row.state is PeerState.ALIVE, row.relayed_at))
+        return news[:RELAYED_NEWS]
+
+    def _pick_in_turn(self, partner: str, taken: list[PeerRow]) -> list[PeerRow]:
+        """Return the owner of streams and the peer relayed longest ago."""
+        rows = [
+            row
+            for address, row in self.rows.items()
+            if row not in taken and address not in (partner, self.own_address)
+        ]
+        rows.sort(key=lambda row: row.relayed_at)
+        owners = [row for row in rows if row.heartbeat.owned]
+        turn = [owners[0]] if owners else []
+        turn.extend(row for row in rows[:1] if row not in turn)
+        return turn
+
     def is_replaced(self, process: ProcessId) -> bool:
         """Return whether a later process has answered in its place."""
-        place, _, incarnation = process.rpartition("/")
+        place, number = _split_process(process)
         for row in self.rows.values():
-            other, _, _ = row.heartbeat.process.rpartition("/")
-            if other == place and row.heartbeat.incarnation > int(incarnation):
+            other, later = _split_process(row.heartbeat.process)
+            if other == place and later > number:
                 return True
         return False
+
+    def find_newest_revision(self) -> Revision:
+        """Return the newest configuration that any process said it runs."""
+        revisions = [row.heartbeat.revision for row in self.rows.values()]
+        return max(revisions, default=Revision(0))
+
+    def list_runners(self, revision: Revision) -> list[str]:
+        """Return the addresses of peers that run a revision or a newer one."""
+        return [
+            heartbeat.address
+            for heartbeat in self.list_live(Seconds(0.0))
+            if heartbeat.revision >= revision and heartbeat.address != self.own_address
+        ]
+
+    def _take_relay(self, relay: Relay, now: Seconds) -> None:
+        heartbeat = relay.heartbeat
+        if heartbeat.address == self.own_address:
+            self._refute(relay)
+            return
+        sent_at = Seconds(now - max(0.0, relay.age))
+        self._take(heartbeat, relay.state, sent_at, now)
+
+    def _refute(self, relay: Relay) -> None:
+        told = relay.heartbeat.incarnation
+        is_wrong = relay.state is not PeerState.ALIVE and told >= self.incarnation
+        if told > self.incarnation or is_wrong:
+            self.incarnation = told + 1
+
+    def _take(
+        self, heartbeat: Heartbeat, state: PeerState, sent_at: Seconds, now: Seconds
+    ) -> None:
+        row = self.rows.get(heartbeat.address)
+        bare = msgspec.structs.replace(heartbeat, relays=[])
+        if row is None:
+            row = PeerRow(bare, sent_at, state, now)
+            self.rows[heartbeat.address] = row
+            return
+        known = row.heartbeat
+        if heartbeat.incarnation < known.incarnation:
+            return
+        if heartbeat.incarnation > known.incarnation:
+            self.rows[heartbeat.address] = PeerRow(bare, sent_at, state, now)
+            return
+        if heartbeat.beat > known.beat:
+            row.heartbeat = bare
+            row.heard_at = sent_at
+            if _tells_more(bare, known):
+                row.relays_left = NEWS_REPEATS
+        if state.rank > row.state.rank:
+            _change(row, state, now)
+
+    def _pick_patience(self) -> float:
+        doublings = math.log2(max(2, len(self.rows)))
+        return SUSPECT_SECONDS + SUSPECT_SECONDS_PER_DOUBLING * doublings
+
+
+def _split_process(process: ProcessId) -> tuple[str, int]:
+    place, _, number = process.rpartition("/")
+    return place, int(number)
+
+
+def _change(row: PeerRow, state: PeerState, now: Seconds) -> None:
+    row.state = state
+    row.changed_at = now
+    row.relays_left = NEWS_REPEATS
+
+
+def _tells_more(heartbeat: Heartbeat, known: Heartbeat) -> bool:
+    return (
+        heartbeat.owned != known.owned
+        or heartbeat.revision != known.revision
+        or heartbeat.ready != known.ready
+    )
+
+
+def _relay(row: PeerRow, now: Seconds) -> Relay:
+    return Relay(heartbeat=row.heartbeat, state=row.state, age=now - row.heard_at)
--- a/plantainhinge/streams/replica.py
+++ b/plantainhinge/streams/replica.py
@@ -146,6 +146,10 @@
         """Return whether a queued proposal asks not to wait for the timer."""
         return self._queue.is_urgent()
 
+    def hurry(self) -> None:
+        """Read as soon as possible: somebody knows of newer entries."""
+        self._read_due = Seconds(0.0)
+
     def capture(self) -> Snapshot:
         """Return the state replayed so far."""
         writers = list(self._writers.newest.items())
--- a/plantainhinge/streams/snapshots.py
+++ b/plantainhinge/streams/snapshots.py
@@ -55,9 +55,22 @@
     return now >= taken_at + period or next_offset - covers >= SNAPSHOT_ENTRIES
 
 
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the bytes of a snapshot."""
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> Snapshot | None:
+    """Return the snapshot in ``data``; None if it is none."""
+    try:
+        return msgspec.msgpack.decode(data, type=Snapshot)
+    except msgspec.MsgspecError:
+        return None
+
+
 def split_snapshot(snapshot: Snapshot) -> list[SnapshotTaken]:
     """Return the parts of a snapshot, each small enough for one entry."""
-    data = msgspec.msgpack.encode(snapshot)
+    data = encode_snapshot(snapshot)
     starts = range(0, len(data), PART_BYTES)
     return [
         SnapshotTaken(
@@ -83,10 +96,9 @@
         for key in sorted(complete, key=lambda key: key[1], reverse=True):
             parts = self.held[key]
             data = b"".join(parts[part] for part in sorted(parts))
-            try:
-                return msgspec.msgpack.decode(data, type=Snapshot)
-            except msgspec.MsgspecError:
-                continue
+            snapshot = decode_snapshot(data)
+            if snapshot is not None:
+                return snapshot
         return None
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
+from random import Random
 from unittest import mock
 
 from plantainhinge.adapters.log_memory import MemoryLog
@@ -192,6 +193,7 @@
         self.site, self.name, self.inbox = site, name, []
         self.paused, self.dead = False, False
         self.commander = FakeCommander(self)
+        draws = Random(incarnation)
         settings = Settings(
             instance=name,
             address=f"127.0.0.{1 + site.names.index(name)}",
@@ -205,8 +207,9 @@
             DaemonRole.SCHEDULER,
             instances=site,
             commander=self.commander,
-            driver=LogDriver(site.log, self.commander),
+            driver=LogDriver(site.log, self.commander, draw=draws.random),
             peers=FakePeers(self),
+            draws=draws,
         )
         self.scheduler = Scheduler(self.node, FakeWorkers(self))
 
