--- a/plantainhinge/core/messages.py
+++ b/plantainhinge/core/messages.py
@@ -161,6 +161,8 @@
         Service time or progress relative to running alone; 1.0 is no loss.
     usage_age : float
         Seconds since the reporting window ended.
+    limit : int
+        The processors that a throttle leaves it, in millicores; 0 for no throttle.
     """
 
     task: TaskId
@@ -172,6 +174,7 @@
     usage: Resources = Resources()
     slowdown: float = 1.0
     usage_age: float = 0.0
+    limit: int = 0
 
 
 class WorkerReport(Message, frozen=True):
@@ -448,6 +451,9 @@
     checkpoint: str = ""
     run_seconds: float = 0.0
     cancelled: bool = False
+    priority: int = 0
+    urgent: bool = False
+    avoid: list[WorkerId] = []
 
 
 class OfferAttempts(Message, frozen=True):
@@ -480,6 +486,7 @@
     outcome: AttemptOutcome
     checkpoint: str = ""
     reason: str = ""
+    worker: WorkerId = WorkerId("")
 
 
 class ReportClosures(Message, frozen=True):
@@ -546,5 +553,49 @@
     subject: str = ""
 
 
+class QueryStatus(Message, frozen=True):
+    """Asks a process how it fares."""
+
+
+class ProcessStatus(Message, frozen=True):
+    """How a process fares.
+
+    Parameters
+    ----------
+    configuration_age : float or None
+        Seconds since it last confirmed its view of the configuration; None if
+        it never did.
+    peers : int
+        Live processes it hears of, with itself.
+    troubles : list of str
+        Why it lags or is not ready.
+    """
+
+    heartbeat: Heartbeat
+    configuration_age: float | None
+    peers: int
+    troubles: list[str]
+
+
+class ListJobs(Message, frozen=True):
+    """Asks a ledger's owner for the newest batch jobs of a team."""
+
+    team: TeamId
+    limit: int
+
+
+class JobList(Message, frozen=True):
+    """Batch jobs of a team, the newest first.
+
+    Parameters
+    ----------
+    total : int
+        How many the ledger has, listed or not.
+    """
+
+    jobs: list[JobAccount]
+    total: int
+
+
 class Empty(Message, frozen=True):
     """No content."""
--- a/plantainhinge/daemons/ledger_client.py
+++ b/plantainhinge/daemons/ledger_client.py
@@ -19,7 +19,6 @@
     NotOwnerError,
     PlantainhingeError,
     UnavailableError,
-    UncertainError,
 )
 from ..core.ids import Seconds, TaskId, TeamId
 from ..core.messages import (
@@ -136,7 +135,7 @@
         for call in calls:
             try:
                 account = call.result()
-            except UncertainError:
+            except BadInputError:
                 continue
             except PlantainhingeError as error:
                 failure = error
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -22,6 +22,7 @@
     ClosuresTaken,
     Empty,
     FinishClaim,
+    ListJobs,
     QueryJob,
     ReportClosures,
     SubmitJob,
@@ -43,9 +44,12 @@
     describe_task,
     end_attempt,
     is_open,
+    list_jobs,
+    note_declines,
     prune_rows,
     reject_hopeless,
 )
+from ..placement.assignment import AssignmentTables
 from ..streams.replica import Proposal, Replica
 from .node import NO_EPOCH, Node
 from .offers import Offers
@@ -94,6 +98,8 @@
         self._unjudged: dict[TaskId, None] = {}
         self._declared = Revision(0)
         self._assign_due = Seconds(0.0)
+        self._placing = AssignmentTables()
+        self._now = Seconds(0.0)
         self._prune_due = Seconds(0.0)
 
     def answer(self, call: Call, now: Seconds) -> None:
@@ -108,8 +114,8 @@
                 self._submit(call, call.request)
             case CancelJob():
                 self._propose_for(TaskCancelled(call.request.task), call, self._tell)
-            case QueryJob():
-                self._tell_account(call)
+            case QueryJob() | ListJobs():
+                self._answer_query(call)
             case ClaimRequest():
                 self._claim(call, call.request)
             case FinishClaim():
@@ -119,6 +125,7 @@
 
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does, and answer what was decided."""
+        self._now = now
         self._settle_waiters()
         super().step(now, rank)
         self._answer_reporters(now)
@@ -132,17 +139,18 @@
         self._changed.clear()
         self._unjudged.update(dict.fromkeys(changed))
         records = self._take_ended()
+        note_declines(self.state, records, self._placing, now)
         records.extend(self._silent)
         self._silent.clear()
         records.extend(self._declare(configuration, changed))
         records.extend(self._assign(configuration, now, bool(changed)))
         wanted = [waiter for waiter in self._waiters if waiter.proposal is None]
         for record in self._keep_time(now, bool(records or wanted)):
-            self.replica.propose(record)
+            self.propose(record)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         for waiter in wanted:
-            waiter.proposal = self.replica.propose(waiter.record)
+            waiter.proposal = self.propose(waiter.record)
             waiter.epoch = self.epoch
         return []
 
@@ -158,6 +166,7 @@
         self.offers.note_changed(list(self.state.assigned), now)
         self._changed.update(self.state.waiting)
         self._declared = Revision(0)
+        self._placing = AssignmentTables()
 
     def lapse(self) -> None:
         """Answer what was decided; tell the rest that it may have been."""
@@ -233,6 +242,13 @@
         else:
             self._tell_account(call)
 
+    def _answer_query(self, call: Call) -> None:
+        if isinstance(call.request, ListJobs):
+            jobs = list_jobs(self.state, call.request, self._placing, self._now)
+            call.answer.set_result(jobs)
+        else:
+            self._tell_account(call)
+
     def _tell_account(self, call: Call) -> None:
         row = self.state.tasks.get(call.request.task)
         if row is None:
@@ -241,7 +257,8 @@
             )
             call.answer.set_exception(error)
         else:
-            call.answer.set_result(describe_task(row))
+            account = describe_task(self.state, row, self._placing, self._now)
+            call.answer.set_result(account)
 
     def _tell_claim(self, proposal: Proposal, call: Call, fenced: bool) -> None:
         granted = proposal.rejection is None
@@ -295,9 +312,6 @@
         for record in self._ended.values():
             if is_open(self.state, record.task, record.attempt):
                 records.append(record)
-                self.node.events.add(
-                    "attempt.ended", record.task, outcome=record.outcome.value
-                )
         self._ended.clear()
         return records
 
@@ -329,7 +343,14 @@
         if configuration.domains.keys() <= cells.keys():
             self._unjudged.clear()
         rejected = {record.task for record in hopeless}
-        assigned = assign_waiting(self.state, cells, configuration)
+        assigned = assign_waiting(
+            self.state,
+            cells,
+            configuration,
+            self._placing,
+            now=now,
+            wall=read_wall(),
+        )
         return [*hopeless, *(r for r in assigned if r.task not in rejected)]
 
     def _keep_time(self, now: Seconds, has_others: bool) -> list[AnyRecord]:
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -11,6 +11,7 @@
     FETCH_CONFIGURATION,
     HEARTBEAT,
     QUERY_EVENTS,
+    QUERY_STATUS,
     Call,
     Peers,
 )
@@ -27,7 +28,14 @@
     Seconds,
     WriterId,
 )
-from ..core.messages import CellDigest, ConfigurationCopy, Empty, Heartbeat, Instance
+from ..core.messages import (
+    CellDigest,
+    ConfigurationCopy,
+    Empty,
+    Heartbeat,
+    Instance,
+    ProcessStatus,
+)
 from ..core.metrics import Metrics, NoMetrics
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
@@ -165,10 +173,22 @@
         elif call.method is QUERY_EVENTS:
             events = self.events.select(call.request.subject)
             call.answer.set_result(EventList(events=events))
+        elif call.method is QUERY_STATUS:
+            call.answer.set_result(self.describe_status(now))
         else:
             return False
         return True
 
+    def describe_status(self, now: Seconds) -> ProcessStatus:
+        """Return how this process fares, for operators."""
+        confirmed = self.configuration.caught_up_at
+        return ProcessStatus(
+            heartbeat=self.describe(),
+            configuration_age=None if confirmed is None else now - confirmed,
+            peers=len(self.table.list_live(now)),
+            troubles=self._list_troubles(now),
+        )
+
     def describe_alone(self) -> Heartbeat:
         """Return a heartbeat with nothing owned and no load."""
         return Heartbeat(
@@ -264,6 +284,20 @@
         if snapshot is not None and self.configuration.adopt(snapshot, now):
             self._note_revision()
 
+    def _list_troubles(self, now: Seconds) -> list[str]:
+        troubles = []
+        if self.leaving:
+            troubles.append("stops as planned")
+        if self.unready:
+            troubles.append(f"is not ready: {self.unready}")
+        elif not self.is_fresh(now):
+            troubles.append("starts nothing: its view of the configuration is old")
+        if self.driver.failure is not None:
+            troubles.append(str(self.driver.failure))
+        if not self.instances:
+            troubles.append("has no list of instances")
+        return troubles
+
     def _note_revision(self) -> None:
         revision = self.configuration.reducer.running
         if revision != self._revision_seen:
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -8,8 +8,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 
-from pythonjsonlogger.json import JsonFormatter
-
 from ..adapters.callers_http import CallersApplication
 from ..adapters.callers_server import serve_callers
 from ..adapters.instances_http import HttpInstanceList
@@ -36,19 +34,11 @@
 POOL_THREADS = 16
 LINGER_SECONDS = 2.0
 DRAIN_POLL_SECONDS = 0.05
+HANDOVER_SECONDS = 10.0
 
 logger = logging.getLogger(__name__)
 
 
-def configure_logging(level: str) -> None:
-    """Write JSON log lines to standard error."""
-    handler = logging.StreamHandler()
-    handler.setFormatter(
-        JsonFormatter("{asctime}{levelname}{name}{message}", style="{")
-    )
-    logging.basicConfig(level=level, handlers=[handler], force=True)
-
-
 @contextmanager
 def run_loop(loop: TickLoop[Event], tick: Tick) -> Iterator[None]:
     """Tick in a thread of its own until the block ends."""
@@ -92,6 +82,7 @@
             stopped.wait()
             logger.info("planned stop: draining")
             gateway.stop()
+        _wait_until(gateway.has_stopped, HANDOVER_SECONDS)
         logger.info("planned stop: drained")
 
 
@@ -107,7 +98,7 @@
         stopped.wait()
         logger.info("planned stop: handing over")
         _run_in_tick(loop, scheduler.stop)
-        _wait_until(scheduler.has_stopped, settings.callers.drain_seconds)
+        _wait_until(scheduler.has_stopped, HANDOVER_SECONDS)
         logger.info("planned stop: handed over")
         # Peers may call until a heartbeat tells them that nothing is owned here;
         # they are told so, which a closed connection would leave in doubt.
--- a/plantainhinge/daemons/request_runner.py
+++ b/plantainhinge/daemons/request_runner.py
@@ -91,6 +91,11 @@
         self._service = service
         self._key_at = key_at
         self._state = RequestState(idempotent=kind.idempotent, deadline_at=deadline_at)
+        self._circumstances = Circumstances(
+            now=deadline_at,
+            typical=around.places.read_typical(service),
+            spend=self._spend,
+        )
         self._fault = Fault()
         self._row: TargetRow | None = None
         self._attempts: list[_Attempt] = []
@@ -109,22 +114,21 @@
         try:
             while self._state.action is not Action.TELL:
                 event = self._actions[self._state.action]()
-                advance(self._state, event, self._build_circumstances())
+                self._circumstances.now = self._around.read_now()
+                advance(self._state, event, self._circumstances)
             return self._answer or self._explain()
         finally:
             self._clean_up()
 
-    def _build_circumstances(self) -> Circumstances:
-        return Circumstances(
-            now=self._around.read_now(),
-            typical=self._places.read_typical(self._service),
-            spend=self._spend,
+    def _note(self, name: str, **detail: str) -> None:
+        self._around.note(
+            name, self._request.request, routine=self._kind.idempotent, **detail
         )
 
     def _spend(self) -> bool:
         allowed = self._places.spend(self._service)
         if allowed:
-            self._around.note("request.retried", self._request.request)
+            self._note("request.retried")
         return allowed
 
     def _admit(self) -> Event:
@@ -201,6 +205,11 @@
             self._give_up(row, error, abandoned=True)
             return Event.LOST
         self._attempts.append(_Attempt(row, exchange, sent_at))
+        self._note(
+            "request.sent",
+            target=row.target.target,
+            worker=row.target.worker,
+        )
         return Event.SENT
 
     def _await_answer(self) -> Event:
@@ -225,6 +234,11 @@
         except PlantainhingeError as error:
             self._give_up(attempt.row, error, abandoned=True)
             return Event.LOST
+        self._note(
+            "target.answered",
+            target=attempt.row.target.target,
+            status=str(answer.status),
+        )
         now = self._around.read_now()
         self._places.note_answer(attempt.row, answer, now - attempt.sent_at, now)
         self._give_back(attempt.row, abandoned=False)
@@ -243,7 +257,7 @@
         return Event.FAILED if answer.status >= SERVER_ERROR else Event.WHOLE
 
     def _time_hedge(self) -> Seconds:
-        wait = time_hedge(self._places.read_typical(self._service))
+        wait = time_hedge(self._circumstances.typical)
         return Seconds(self._attempts[0].sent_at + wait)
 
     def _build_target_request(self) -> TargetRequest:
