--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements.txt requirements.in
 	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements-dev.txt requirements-dev.in
 
+bench-capacity: $(VENV)/.ready
+	$(PYTHON) -m bench.capacity
+
 clean:
 	rm -rf $(VENV)
 
