Shrink the append share only when the log limits the rate

Cause: a log that took no connection was taken for one that refuses for its rate, so a daemon returned from an outage with a share of one append a second. Change: a status 429 has an error of its own, and only it halves the share.

--- a/plantainhinge/adapters/http_calls.py
+++ b/plantainhinge/adapters/http_calls.py
@@ -6,6 +6,7 @@
 
 from ..core.errors import (
     BadInputError,
+    RateLimitedError,
     TooLargeError,
     TrimmedError,
     UnavailableError,
@@ -79,8 +80,10 @@
         raise TrimmedError(detail, step=step, peer=peer, first=problem.first)
     if raw.status == STATUS_TOO_LARGE:
         raise TooLargeError(detail, step=step, peer=peer)
-    if raw.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
-        wait = _read_retry_after(raw)
+    wait = _read_retry_after(raw)
+    if raw.status == STATUS_TOO_MANY:
+        raise RateLimitedError(detail, step=step, peer=peer, retry_after=wait)
+    if raw.status == STATUS_UNAVAILABLE:
         raise UnavailableError(detail, step=step, peer=peer, retry_after=wait)
     if raw.status < 500:  # noqa: PLR2004
         raise BadInputError(detail, step=step, peer=peer)
--- a/plantainhinge/core/errors.py
+++ b/plantainhinge/core/errors.py
@@ -61,6 +61,12 @@
         self.retry_after = retry_after
 
 
+class RateLimitedError(UnavailableError):
+    """The other side refused because it is called too often."""
+
+    code = "rate-limited"
+
+
 class UncertainError(PlantainhingeError):
     """The answer was lost: the call may have taken effect."""
 
--- a/plantainhinge/daemons/log_driver.py
+++ b/plantainhinge/daemons/log_driver.py
@@ -7,6 +7,7 @@
 
 from ..core.errors import (
     PlantainhingeError,
+    RateLimitedError,
     TooLargeError,
     TrimmedError,
     UnavailableError,
@@ -90,9 +91,11 @@
             replica.on_append_too_large()
         except UncertainError:
             replica.on_append_uncertain(self._back_off(now))
-        except UnavailableError as error:
+        except RateLimitedError as error:
             self.budget.note_limited(now, error.retry_after)
             replica.on_append_refused(self._back_off(now, error.retry_after))
+        except UnavailableError as error:
+            replica.on_append_refused(self._back_off(now, error.retry_after))
         except PlantainhingeError:
             replica.on_append_refused(self._back_off(now))
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -18,6 +18,7 @@
 from plantainhinge.core.errors import (
     BadInputError,
     PlantainhingeError,
+    RateLimitedError,
     TrimmedError,
     UnavailableError,
     UncertainError,
@@ -87,7 +88,7 @@
         status = 410
     elif isinstance(error, UnavailableError):
         headers = [("Retry-After", f"{error.retry_after:.3f}")]
-        status = 503 if error.step == "log" else 429
+        status = 429 if isinstance(error, RateLimitedError) else 503
     elif error.code == "too-large":
         status = 413
     return respond(start_response, problem, status=status, headers=headers)
--- a/standins/log_faults.py
+++ b/standins/log_faults.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from plantainhinge.adapters.log_memory import MemoryLog
-from plantainhinge.core.errors import UnavailableError, UncertainError
+from plantainhinge.core.errors import RateLimitedError, UnavailableError, UncertainError
 from plantainhinge.core.ids import Offset, Seconds, StreamName
 from plantainhinge.core.messages import Page
 
@@ -154,7 +154,7 @@
             limit = self.limits.appends_per_second
             if limit and len(self._taken) >= limit:
                 wait = self._taken[0] + RATE_WINDOW_SECONDS - now
-                raise UnavailableError(
+                raise RateLimitedError(
                     "too many appends", step="log.append", retry_after=wait
                 )
             self._taken.append(now)
--- a/tests/contracts/test_log.py
+++ b/tests/contracts/test_log.py
@@ -9,6 +9,7 @@
 from plantainhinge.adapters.log_http import HttpLog
 from plantainhinge.adapters.log_memory import ENTRY_BYTES_MAX, MemoryLog
 from plantainhinge.core.errors import (
+    RateLimitedError,
     TooLargeError,
     TrimmedError,
     UnavailableError,
@@ -120,7 +121,7 @@
     log.append(STREAM, b"a")
     clock.sleep(0.25)
     log.append(STREAM, b"b")
-    with pytest.raises(UnavailableError) as caught:
+    with pytest.raises(RateLimitedError) as caught:
         log.append(STREAM, b"c")
     assert caught.value.retry_after == pytest.approx(0.75)
     clock.sleep(0.8)
