--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from ..core.calls import CallerAnswer, CallerRequest
-from ..core.errors import BadInputError, PlantainhingeError, UnavailableError
+from ..core.errors import BadInputError, PlantainhingeError
 from ..core.ids import KindId, RequestId, RequestKey, TaskId
 from ..core.messages import JobAccount
 from ..core.states import Outcome
+from ..routing.answers import explain_error
 
 STATUS_LINES = {
     200: "200 OK",
@@ -85,7 +86,7 @@
         try:
             answer = self._route(environ)
         except PlantainhingeError as error:
-            answer = _answer_error(error)
+            answer = explain_error(error)
         except Exception:
             logger.exception("a request failed by a fault of the gateway")
             answer = _answer_fault()
@@ -185,31 +186,6 @@
     return CallerAnswer(status=status, outcome=Outcome.DONE, body=body)
 
 
-def _answer_error(error: PlantainhingeError) -> CallerAnswer:
-    if isinstance(error, BadInputError):
-        status, retry_after = 400, None
-    elif isinstance(error, UnavailableError):
-        status, retry_after = 503, error.retry_after
-    else:
-        return CallerAnswer(
-            status=502,
-            outcome=Outcome.UNKNOWN,
-            code=error.code,
-            step=error.step,
-            peer=error.peer,
-            detail=error.message,
-        )
-    return CallerAnswer(
-        status=status,
-        outcome=Outcome.NOT_RUN,
-        retry_after=retry_after,
-        code=error.code,
-        step=error.step,
-        peer=error.peer,
-        detail=error.message,
-    )
-
-
 def _answer_fault() -> CallerAnswer:
     return CallerAnswer(
         status=500,
