--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,12 +6,18 @@
 
 import json
 from concurrent.futures import Future
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
 from unittest import mock
 
 from plantainhinge.adapters.log_memory import MemoryLog
-from plantainhinge.adapters.peers_grpc import QUERY_JOB, SUBMIT, Call
+from plantainhinge.adapters.peers_grpc import (
+    OFFER,
+    QUERY_JOB,
+    REPORT_CLOSURES,
+    SUBMIT,
+    Call,
+)
 from plantainhinge.core.errors import (
     BadInputError,
     PlantainhingeError,
@@ -78,6 +84,24 @@
             raise UnavailableError("log is down", step=step)
 
 
+class ProcessLog:
+    """The log as one process reaches it."""
+
+    def __init__(self, process):
+        self.process, self.site = process, process.site
+
+    def append(self, stream, data):
+        return self._find().append(stream, data)
+
+    def read(self, stream, start, max_bytes):
+        return self._find().read(stream, start, max_bytes)
+
+    def _find(self):
+        if self.process.name in self.site.log_cut:
+            raise UnavailableError("log is out of reach", step="log")
+        return self.site.log
+
+
 class WitnessWorker(Worker):
     """A worker that notes when and from which checkpoint it started attempts."""
 
@@ -208,7 +232,7 @@
             DaemonRole.SCHEDULER,
             instances=site,
             commander=self.commander,
-            driver=LogDriver(site.log, self.commander),
+            driver=LogDriver(ProcessLog(self), self.commander),
             peers=FakePeers(self),
         )
         self.scheduler = Scheduler(self.node, FakeWorkers(self))
@@ -233,6 +257,8 @@
     processes: dict = field(default_factory=dict)
     messages: list = field(default_factory=list)
     cut: set = field(default_factory=set)
+    log_cut: set = field(default_factory=set)
+    delivered: list = field(default_factory=list)
     failing: set = field(default_factory=set)
     hold_starts: bool = False
     held: list = field(default_factory=list)
@@ -244,6 +270,9 @@
     jobs: list = field(default_factory=list)
     attempts_limit: int = 5
     declared: dict = field(default_factory=dict)
+    tick_seconds: float = TICK_SECONDS
+    partitions: int = 1
+    jobs_urgent: bool = False
     kill_after: int = 0
     effects: int = 0
     _stepping: Process | None = None
@@ -315,13 +344,14 @@
             "domains": {
                 n: {"region": "r", "state": s} for n, s in self.domains.items()
             },
-            "teams": {"t": {"quota": {"processors": 1000, "memory_gib": 1000}}},
+            "teams": {"t": {"quota": {"processors": 100000, "memory_gib": 100000}}},
             "services": {},
             "kinds": {
                 "small": {
                     "team": "t",
                     "task_class": "batch",
                     "task": {"processors": 4, "memory_gib": 1},
+                    "urgent": self.jobs_urgent,
                 },
                 "huge": {
                     "team": "t",
@@ -330,7 +360,7 @@
                 },
             },
             "limits": {
-                "ledger_partitions": 1,
+                "ledger_partitions": self.partitions,
                 "attempts_per_task": self.attempts_limit,
             },
         }
@@ -351,7 +381,7 @@
     def advance(self, seconds):
         end = self.now + seconds
         while self.now < end - 1e-9:
-            self.now = round(self.now + TICK_SECONDS, 6)
+            self.now = round(self.now + self.tick_seconds, 6)
             self._carry_messages()
             for process in list(self.processes.values()):
                 self._stepping = process
@@ -365,6 +395,24 @@
             assert self.now < end, "the condition did not come about"
             self.advance(TICK_SECONDS)
 
+    def deliver_again(self, calls):
+        """Deliver old offers and closures once more, to whoever owns them now."""
+        for call in calls:
+            if call.method not in (OFFER, REPORT_CLOSURES):
+                continue
+            for process in self.processes.values():
+                again = Call(call.method, call.request, Future())
+                process.inbox.append(
+                    lambda now, p=process, c=again: p.scheduler.answer(c, now)
+                )
+
+    def deliver_held(self):
+        """Let the starts that were held up arrive now."""
+        held, self.held = self.held, []
+        for address, message in held:
+            with suppress(RefusalError):
+                self.workers[address].start(message)
+
     def find_owner(self, stream):
         for process in self.processes.values():
             if process.paused:
@@ -447,6 +495,7 @@
             return
         if not message.delivered and not target.paused:
             message.delivered = True
+            self.delivered.append(call)
             target.inbox.append(lambda now: target.scheduler.answer(call, now))
         if call.answer.done():
             _copy(call.answer, message.reply)
--- a/tests/test_feasibility.py
+++ b/tests/test_feasibility.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from plantainhinge.core.configuration import parse_configuration
+from plantainhinge.core.documents import parse_configuration
 from plantainhinge.core.resources import Resources
 from plantainhinge.placement.feasibility import explain_infeasible
 
