--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -38,10 +38,14 @@
     FinishClaim,
     Heartbeat,
     JobAccount,
+    JobList,
+    ListJobs,
     OfferAttempts,
     OffersTaken,
+    ProcessStatus,
     QueryEvents,
     QueryJob,
+    QueryStatus,
     QueryTargets,
     ReportClosures,
     SubmitJob,
@@ -81,6 +85,8 @@
 REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
+QUERY_STATUS = Method("QueryStatus", QueryStatus, ProcessStatus)
+LIST_JOBS = Method("ListJobs", ListJobs, JobList)
 
 METHODS: list[Method[Any, Any]] = [
     HEARTBEAT,
@@ -93,6 +99,8 @@
     REPORT_CLOSURES,
     QUERY_TARGETS,
     QUERY_EVENTS,
+    QUERY_STATUS,
+    LIST_JOBS,
 ]
 
 
@@ -278,13 +286,20 @@
     """Send what the future brings; a caller that hangs up does not cancel it."""
     waiting = asyncio.shield(asyncio.wrap_future(answer))
     try:
-        await stream.send_message(
-            await asyncio.wait_for(waiting, ANSWER_TIMEOUT_SECONDS)
-        )
+        message = await asyncio.wait_for(waiting, ANSWER_TIMEOUT_SECONDS)
     except PlantainhingeError as error:
-        raise _to_status(error) from error
-    except TimeoutError as error:
-        raise GRPCError(Status.UNKNOWN, "not answered in time") from error
+        await _send_status(stream, _to_status(error))
+    except TimeoutError:
+        await _send_status(stream, GRPCError(Status.UNKNOWN, "not answered in time"))
+    else:
+        await stream.send_message(message)
+        await stream.send_trailing_metadata()
+
+
+async def _send_status(stream: Stream[Any, Any], error: GRPCError) -> None:
+    await stream.send_trailing_metadata(
+        status=error.status, status_message=error.message
+    )
 
 
 async def _stop(server: Server, service: "_Service") -> None:
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -22,6 +22,7 @@
     ClosuresTaken,
     Empty,
     FinishClaim,
+    ListJobs,
     QueryJob,
     ReportClosures,
     SubmitJob,
@@ -43,6 +44,7 @@
     describe_task,
     end_attempt,
     is_open,
+    list_jobs,
     note_declines,
     prune_rows,
     reject_hopeless,
@@ -112,8 +114,8 @@
                 self._submit(call, call.request)
             case CancelJob():
                 self._propose_for(TaskCancelled(call.request.task), call, self._tell)
-            case QueryJob():
-                self._tell_account(call)
+            case QueryJob() | ListJobs():
+                self._answer_query(call)
             case ClaimRequest():
                 self._claim(call, call.request)
             case FinishClaim():
@@ -144,11 +146,11 @@
         records.extend(self._assign(configuration, now, bool(changed)))
         wanted = [waiter for waiter in self._waiters if waiter.proposal is None]
         for record in self._keep_time(now, bool(records or wanted)):
-            self.replica.propose(record)
+            self.propose(record)
         for record in records:
-            self.replica.propose(record)
+            self.propose(record)
         for waiter in wanted:
-            waiter.proposal = self.replica.propose(waiter.record)
+            waiter.proposal = self.propose(waiter.record)
             waiter.epoch = self.epoch
         return []
 
@@ -240,6 +242,13 @@
         else:
             self._tell_account(call)
 
+    def _answer_query(self, call: Call) -> None:
+        if isinstance(call.request, ListJobs):
+            jobs = list_jobs(self.state, call.request, self._placing, self._now)
+            call.answer.set_result(jobs)
+        else:
+            self._tell_account(call)
+
     def _tell_account(self, call: Call) -> None:
         row = self.state.tasks.get(call.request.task)
         if row is None:
@@ -303,9 +312,6 @@
         for record in self._ended.values():
             if is_open(self.state, record.task, record.attempt):
                 records.append(record)
-                self.node.events.add(
-                    "attempt.ended", record.task, outcome=record.outcome.value
-                )
         self._ended.clear()
         return records
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -39,6 +39,7 @@
 WAIT_SECONDS = 60.0
 POLL_SECONDS = 0.1
 STOP_SECONDS = 20.0
+DAEMONS = ("gateway", "scheduler")
 LINGER_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 20
 FETCH_TIMEOUT_SECONDS = 2
@@ -96,7 +97,7 @@
             domain = self.domains[number % len(self.domains)]
             self.rows.append(_list_entry(name, ip, domain))
             settings = self.write_settings(name, ip, domain)
-            for daemon in ("gateway", "scheduler"):
+            for daemon in DAEMONS:
                 self.start_daemon(daemon, name, settings)
 
     def start_daemon(self, daemon: str, instance: str, settings: Path) -> None:
@@ -156,6 +157,28 @@
         settings = str(self.folder / "entry-1.jsonc")
         return self.run_command("apply", str(path), "--settings", settings)
 
+    def find_owner(self, stream: str) -> str:
+        """Return the name of the process that owns a stream; empty if none does."""
+        settings = str(self.folder / "entry-1.jsonc")
+        text = self.run_command("status", "--settings", settings, "--output", "json")
+        for row in json.loads(text)["daemons"]:
+            if stream in row["owned"]:
+                return f"{row['instance']}-{row['role']}"
+        return ""
+
+    def list_workers(self, domain: str) -> list[str]:
+        """Return the workers in a failure domain."""
+        return [
+            row.instance
+            for row in self.rows
+            if row.role is InstanceRole.WORKER and row.domain == domain
+        ]
+
+    def show_status(self) -> str:
+        """Return how every daemon fares."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command("status", "--settings", settings)
+
     def show_timeline(self, subject: str) -> str:
         """Return the time line of one subject."""
         settings = str(self.folder / "entry-1.jsonc")
@@ -209,12 +232,16 @@
 
     def stop(self) -> None:
         """Stop all processes, daemons first."""
-        for process in reversed(self.processes.values()):
-            process.send_signal(signal.SIGCONT)
-            process.send_signal(signal.SIGTERM)
-        deadline = time.monotonic() + STOP_SECONDS
+        daemons = [n for n in self.processes if n.endswith(DAEMONS)]
+        standins = [n for n in self.processes if n not in daemons]
         for process in self.processes.values():
-            _reap(process, deadline)
+            process.send_signal(signal.SIGCONT)
+        for names in (daemons, standins):
+            deadline = time.monotonic() + STOP_SECONDS
+            for name in names:
+                self.processes[name].send_signal(signal.SIGTERM)
+            for name in names:
+                _reap(self.processes[name], deadline)
 
     def _start_standin(self, kind: str, name: str, ip: str, port: int) -> None:
         options = ("--name", name, "--ip", ip, "--port", str(port))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -269,10 +269,10 @@
     finals: dict = field(default_factory=dict)
     jobs: list = field(default_factory=list)
     attempts_limit: int = 5
-    declared: dict = field(default_factory=dict)
     tick_seconds: float = TICK_SECONDS
     partitions: int = 1
     jobs_urgent: bool = False
+    declared: dict = field(default_factory=dict)
     kill_after: int = 0
     effects: int = 0
     _stepping: Process | None = None
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -17,6 +17,7 @@
     LEASE_SECONDS,
     START_WINDOW_SECONDS,
 )
+from plantainhinge.placement.drain import DrainLimits
 from tests.harness import TICK_SECONDS, run_site
 
 JOBS = [f"j{n}" for n in range(6)]
@@ -330,7 +331,7 @@
         submit_all(site, run_seconds=60.0)
         await_running(site)
         site.set_domain("d1", "out")
-        site.advance(5.0)
+        site.advance(DrainLimits().grace_seconds + 5.0)
         for worker in site.workers.values():
             assert worker.domain == "d2" or not worker.list_running()
         await_finished(site, 600.0)
