Let operators name the placement policies and their limits

Cause: policies were chosen by defaults in the code only. Change: an optional section placement of the configuration names them, with headroom, grace time and slowdown limit; owners take it up with each revision. A test holds the valid names against the registries.

--- a/plantainhinge/core/configuration.py
+++ b/plantainhinge/core/configuration.py
@@ -1,6 +1,6 @@
 """The operators' configuration: one checked document, applied whole."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -105,6 +105,33 @@
     attempts_per_task: PositiveInt = 5
 
 
+class Placement(_Section, frozen=True):
+    """Which placement policies are in force, and their limits.
+
+    Parameters
+    ----------
+    headroom_share : float
+        The part of a leaving domain's services that the others of its region keep
+        room for.
+    grace_seconds : float
+        How long tasks may run on in a domain that is out.
+    slowdown_limit : float
+        How many times its time alone a service may take before batch is held back.
+    """
+
+    order: Literal["arrival", "strict-priority", "aged-priority"] = "aged-priority"
+    cell_choice: Literal["first-fit", "most-free", "spread"] = "spread"
+    score: Literal["first-fit", "least-loaded", "combined"] = "combined"
+    interference: Literal["none", "pairwise"] = "pairwise"
+    relief: Literal["none", "evict-on-harm", "throttle-then-evict"] = (
+        "throttle-then-evict"
+    )
+    drain: Literal["at-once", "by-priority"] = "by-priority"
+    headroom_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    grace_seconds: Annotated[float, msgspec.Meta(ge=0, le=3600)] = 20.0
+    slowdown_limit: Annotated[float, msgspec.Meta(gt=1)] = 2.0
+
+
 class Configuration(_Section, frozen=True):
     """Everything the operators declare."""
 
@@ -114,3 +141,4 @@
     services: dict[ServiceId, Service]
     kinds: dict[KindId, Kind]
     limits: Limits = Limits()
+    placement: Placement = Placement()
--- a/plantainhinge/daemons/cell_learning.py
+++ b/plantainhinge/daemons/cell_learning.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ..core.configuration import Configuration, Placement
 from ..core.ids import Seconds, TaskId, WorkerId
 from ..core.messages import AttemptReport
 from ..core.records import AttemptPlaced
@@ -11,7 +12,7 @@
 from ..placement.drain import DRAINS, DrainRow
 from ..placement.harm import Evict, Relief, Throttle
 from ..placement.observation import learn_report, note_end, plan_relief
-from ..placement.workers import CellPolicy, CellTables
+from ..placement.workers import CellPolicy, CellTables, select_policy
 from ..streams.replica import Replica
 from .cell_workers import CellWorkers
 from .node import Node
@@ -25,6 +26,7 @@
     def __init__(self, node: Node, replica: Replica[CellState]) -> None:
         self.tables = CellTables()
         self.policy = CellPolicy()
+        self._options: Placement | None = None
         self._node = node
         self._replica = replica
         self._drain_due = Seconds(0.0)
@@ -38,9 +40,17 @@
     def begin(self, now: Seconds) -> None:
         """Forget all, and let the budgets grow from nothing."""
         self.tables = CellTables()
+        self._options = None
         self.tables.harm.budget.fill(now)
         self.tables.holds.budget.fill(now)
 
+    def follow(self, configuration: Configuration) -> None:
+        """Take up the policies and limits in force."""
+        if configuration.placement is not self._options:
+            self._options = configuration.placement
+            self.policy = select_policy(configuration.placement)
+            self.tables.set_limits(configuration.placement)
+
     def take_report(
         self,
         worker: WorkerId,
--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -99,6 +99,8 @@
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does; keep leases alive while the log is down."""
         self._now = now
+        if self.node.current is not None:
+            self.learning.follow(self.node.current)
         super().step(now, rank)
         self._answer_offers(now)
         if self._may_renew(now):
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -28,10 +28,10 @@
 from ..core.resources import Resources
 from ..core.states import AttemptOutcome, DomainState, TaskClass, TaskState
 from ..placement.assignment import (
-    AssignmentPolicy,
     AssignmentTables,
     Site,
     plan_assignments,
+    select_assignment,
 )
 from ..placement.cells import list_rooms
 from ..placement.feasibility import explain_infeasible
@@ -51,7 +51,6 @@
 LISTED_JOBS_MAX = 200
 SERVICE_PRIORITY = 1_000_000
 PRUNE_SLACK_SECONDS = 60.0
-DEFAULT_POLICY = AssignmentPolicy()
 
 
 def name_replica(service: ServiceId, index: int) -> TaskId:
@@ -103,7 +102,6 @@
     *,
     now: Seconds,
     wall: float,
-    policy: AssignmentPolicy = DEFAULT_POLICY,
 ) -> list[AttemptAssigned]:
     """Return the assignments of waiting tasks to cells; ``tables`` keep the rest.
 
@@ -122,6 +120,7 @@
         some_in=bool(_list_in(configuration)),
         short_regions=_list_short_regions(configuration),
     )
+    policy = select_assignment(configuration.placement)
     planned = plan_assignments(state.queue, site, tables, policy)
     return [
         AttemptAssigned(
--- a/plantainhinge/placement/assignment.py
+++ b/plantainhinge/placement/assignment.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ..core.configuration import Placement
 from ..core.ids import DomainId, RegionId, Seconds, ServiceId, TaskId, TeamId
 from ..core.resources import Resources
 from .backoff import BackoffTable
@@ -61,6 +62,15 @@
     batch_size: int = 256
 
 
+def select_assignment(options: Placement) -> AssignmentPolicy:
+    """Return the policy that operators declared for ledgers."""
+    return AssignmentPolicy(
+        order=options.order,
+        choice=options.cell_choice,
+        headroom_share=options.headroom_share,
+    )
+
+
 @dataclass
 class AssignmentTables:
     """What the owner of a ledger remembers between plans; lost with the owner."""
--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -1,8 +1,9 @@
 """Choice of the worker in a cell, from all that its owner has learned."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from ..core.configuration import Placement
 from ..core.ids import KindId, RackId, Seconds, WorkerId
 from ..core.resources import Resources
 from ..core.states import TaskClass
@@ -23,6 +24,7 @@
 from .sizes import SizeTable
 
 LOOK_AT = 16
+LIFT_SHARE = 0.8
 
 
 @dataclass(frozen=True)
@@ -35,6 +37,16 @@
     drain: str = "by-priority"
 
 
+def select_policy(options: Placement) -> CellPolicy:
+    """Return the policy that operators declared for cells."""
+    return CellPolicy(
+        score=options.score,
+        model=options.interference,
+        relief=options.relief,
+        drain=options.drain,
+    )
+
+
 @dataclass
 class CellTables:
     """What the owner of a cell learns; lost with the owner and learned again."""
@@ -48,6 +60,14 @@
     progress: ProgressTable = field(default_factory=ProgressTable)
     holds: HoldTable = field(default_factory=HoldTable)
 
+    def set_limits(self, options: Placement) -> None:
+        """Take up the limits that operators declared."""
+        high = options.slowdown_limit
+        low = 1.0 + LIFT_SHARE * (high - 1.0)
+        self.harm.limits = replace(self.harm.limits, high=high, low=low)
+        grace = options.grace_seconds
+        self.drain.limits = replace(self.drain.limits, grace_seconds=grace)
+
 
 @dataclass(frozen=True)
 class WorkerRoom:
--- /dev/null
+++ b/tests/test_placement_options.py
@@ -0,0 +1,51 @@
+"""The policies that operators may name are those that are registered."""
+
+from typing import get_args, get_type_hints
+
+import pytest
+
+from plantainhinge.core.configuration import Placement
+from plantainhinge.placement.assignment import AssignmentPolicy, select_assignment
+from plantainhinge.placement.cells import CELL_CHOICES
+from plantainhinge.placement.drain import DRAINS, DrainLimits
+from plantainhinge.placement.harm import RELIEF_POLICIES, HarmLimits
+from plantainhinge.placement.interference import INTERFERENCE_MODELS
+from plantainhinge.placement.queue import ORDERS
+from plantainhinge.placement.scores import SCORES
+from plantainhinge.placement.workers import CellPolicy, CellTables, select_policy
+
+
+@pytest.mark.parametrize(
+    ("field", "registry"),
+    [
+        ("order", ORDERS),
+        ("cell_choice", CELL_CHOICES),
+        ("score", SCORES),
+        ("interference", INTERFERENCE_MODELS),
+        ("relief", RELIEF_POLICIES),
+        ("drain", DRAINS),
+    ],
+)
+def test_every_valid_name_is_registered(field, registry):
+    assert set(get_args(get_type_hints(Placement)[field])) == set(registry)
+
+
+def test_the_declared_defaults_are_the_policies_own():
+    tables = CellTables()
+    tables.set_limits(Placement())
+    assert select_assignment(Placement()) == AssignmentPolicy()
+    assert select_policy(Placement()) == CellPolicy()
+    assert tables.harm.limits == HarmLimits()
+    assert tables.drain.limits == DrainLimits()
+
+
+def test_declared_names_and_limits_are_taken_up():
+    options = Placement(
+        order="arrival", score="first-fit", grace_seconds=5.0, slowdown_limit=3.0
+    )
+    tables = CellTables()
+    tables.set_limits(options)
+    assert select_assignment(options).order == "arrival"
+    assert select_policy(options).score == "first-fit"
+    assert tables.drain.limits.grace_seconds == 5.0
+    assert (tables.harm.limits.high, tables.harm.limits.low) == (3.0, 2.6)
