--- a/plantainhinge/ledgers/cell.py
+++ b/plantainhinge/ledgers/cell.py
@@ -36,7 +36,7 @@
 )
 from ..core.resources import Resources
 from ..placement.residents import ResidentTable
-from ..streams.ownership import Ownership
+from ..streams.ownership import Ownership, Predecessor
 
 
 class WorkerRow(msgspec.Struct):
@@ -78,7 +78,7 @@
     workers: dict[WorkerId, WorkerRow]
     attempts: dict[TaskId, AttemptRow]
     fences: dict[int, Fence] = {}
-    predecessors: tuple[ProcessId, ...] = ()
+    predecessors: tuple[Predecessor, ...] = ()
 
 
 @dataclass
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -51,7 +51,7 @@
 )
 from ..placement.queue import Shape, WaitingQueue
 from ..placement.quotas import QuotaUse
-from ..streams.ownership import Ownership
+from ..streams.ownership import Ownership, Predecessor
 
 NO_ATTEMPT = Attempt(0)
 TASK_RETENTION_SECONDS = 86_400.0
@@ -108,7 +108,7 @@
     address: str
     tasks: dict[TaskId, TaskRow]
     claims: dict[RequestKey, ClaimRow]
-    predecessors: tuple[ProcessId, ...] = ()
+    predecessors: tuple[Predecessor, ...] = ()
     time: float = 0.0
     tasks_pruned_before: float = 0.0
     claims_pruned_before: float = 0.0
--- a/plantainhinge/streams/names.py
+++ b/plantainhinge/streams/names.py
@@ -1,6 +1,7 @@
 """Names of the streams in the platform's log."""
 
 import hashlib
+from collections.abc import Mapping
 
 from ..core.ids import DomainId, ProcessId, StreamName, TeamId
 
@@ -37,5 +38,18 @@
     return sorted(candidates, key=lambda name: _weigh(stream, name), reverse=True)
 
 
+def rank_for_cell(
+    stream: StreamName, candidates: Mapping[ProcessId, DomainId], domain: DomainId
+) -> list[ProcessId]:
+    """Return the candidates for a cell, those outside its failure domain first.
+
+    An owner outside outlives the domain, so it knows when it last heard its
+    workers and can close their attempts when the leases are over.
+    """
+    outside = [name for name, place in candidates.items() if place != domain]
+    inside = [name for name, place in candidates.items() if place == domain]
+    return [*rank_candidates(stream, outside), *rank_candidates(stream, inside)]
+
+
 def _weigh(stream: StreamName, candidate: str) -> bytes:
     return hashlib.blake2b(f"{stream}|{candidate}".encode(), digest_size=8).digest()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
+from random import Random
 from unittest import mock
 
 from plantainhinge.adapters.log_memory import MemoryLog
@@ -47,6 +48,7 @@
 from standins.worker import RefusalError, Worker
 
 TICK_SECONDS = 0.25
+SETTLE_SECONDS = 4.0
 PEER_TIMEOUT_SECONDS = 2.0
 CAPACITY = Resources(8000, 16384, 0)
 JOB_MILLICORES = 4000
@@ -219,10 +221,11 @@
         self.site, self.name, self.inbox = site, name, []
         self.paused, self.dead = False, False
         self.commander = FakeCommander(self)
+        draws = Random(incarnation)
         settings = Settings(
             instance=name,
             address=f"127.0.0.{1 + site.names.index(name)}",
-            domain="d1",
+            domain=site.places[name],
             region="r",
             log_address="",
             instance_list_address="",
@@ -232,8 +235,9 @@
             DaemonRole.SCHEDULER,
             instances=site,
             commander=self.commander,
-            driver=LogDriver(ProcessLog(self), self.commander),
+            driver=LogDriver(ProcessLog(self), self.commander, draw=draws.random),
             peers=FakePeers(self),
+            draws=draws,
         )
         self.scheduler = Scheduler(self.node, FakeWorkers(self))
 
@@ -251,6 +255,8 @@
 
     workers_per_domain: int = 2
     names: list = field(default_factory=lambda: ["a", "b", "c"])
+    places: dict = field(default_factory=lambda: {"a": "d1", "b": "d2", "c": "d3"})
+    unlisted: set = field(default_factory=set)
     now: float = 100.0
     log: FaultyLog = field(default_factory=FaultyLog)
     workers: dict = field(default_factory=dict)
@@ -296,7 +302,9 @@
         self.publish()
         for name in self.names:
             self.start_process(name)
-        self.await_state(lambda: self.find_owner("ledger.0") is not None)
+        streams = ["ledger.0", *(f"cell.{domain}" for domain in self.domains)]
+        self.await_state(lambda: all(map(self.find_owner, streams)))
+        self.advance(SETTLE_SECONDS)
 
     def add_worker(self, name, domain):
         self._incarnation += 1
@@ -319,10 +327,11 @@
                 role=InstanceRole.ENTRY,
                 state=InstanceState.LIVE,
                 address=f"127.0.0.{1 + self.names.index(name)}",
-                domain="d1",
+                domain=self.places[name],
                 region="r",
             )
             for name in self.names
+            if name not in self.unlisted
         ]
         workers = [
             Instance(
