--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -1,5 +1,6 @@
 """The callers' door: WSGI in, typed requests and answers out."""
 
+import itertools
 import logging
 import math
 import re
@@ -36,6 +37,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Ids need to be unique, not secret: a count spares a system call a request.
+_PROCESS_MARK = uuid.uuid4().hex[:24]
+_REQUESTS = itertools.count()
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 
@@ -112,12 +117,16 @@
         )
 
 
+def _make_request_id() -> RequestId:
+    return RequestId(f"{_PROCESS_MARK}{next(_REQUESTS):08x}")
+
+
 def _read_request(environ: Environ) -> CallerRequest:
     kind = environ.get("HTTP_PLANTAINHINGE_KIND", "")
     if not kind:
         raise BadInputError("header Plantainhinge-Kind is missing", step="call.read")
     return CallerRequest(
-        request=RequestId(uuid.uuid4().hex),
+        request=_make_request_id(),
         kind=KindId(kind),
         method=environ["REQUEST_METHOD"],
         path=_read_path(environ),
--- /dev/null
+++ b/plantainhinge/core/documents.py
@@ -0,0 +1,64 @@
+"""Reading the operators' documents: all faults in one report."""
+
+import msgspec
+
+from .configuration import SCHEMA, Configuration
+from .errors import BadInputError, UnknownVersionError
+from .faults import find_shape_faults, parse_json, report_faults
+from .rules import find_reference_faults
+
+STEP = "configuration.check"
+
+
+def parse_configuration(text: str, *, source: str = "configuration") -> Configuration:
+    """Return the checked configuration in a JSON document with comments.
+
+    Raises
+    ------
+    BadInputError
+        If the text is no JSON, or fails checks; the message has every fault.
+    UnknownVersionError
+        If the document is of a newer schema than this release knows.
+    """
+    document = parse_json(text, step=STEP, source=source)
+    _reject_newer(document, source)
+    faults = list(find_shape_faults(document, Configuration))
+    if faults:
+        raise report_faults(faults, step=STEP, source=source)
+    configuration = msgspec.convert(document, Configuration)
+    faults = list(find_reference_faults(configuration))
+    if faults:
+        raise report_faults(faults, step=STEP, source=source)
+    return configuration
+
+
+def encode_checked(configuration: Configuration) -> bytes:
+    """Return a checked configuration as plain JSON for the daemons."""
+    return msgspec.json.encode(configuration)
+
+
+def decode_checked(data: bytes, *, source: str = "configuration") -> Configuration:
+    """Return the configuration that ``encode_checked`` encoded.
+
+    Raises
+    ------
+    BadInputError, UnknownVersionError
+        As ``parse_configuration`` does.
+    """
+    try:
+        _reject_newer(msgspec.json.decode(data), source)
+        configuration = msgspec.json.decode(data, type=Configuration)
+    except msgspec.MsgspecError as error:
+        raise BadInputError(str(error), step=STEP, peer=source) from error
+    faults = list(find_reference_faults(configuration))
+    if faults:
+        raise report_faults(faults, step=STEP, source=source)
+    return configuration
+
+
+def _reject_newer(document: object, source: str) -> None:
+    schema = document.get("schema") if isinstance(document, dict) else None
+    if isinstance(schema, int) and schema > SCHEMA:
+        raise UnknownVersionError(
+            f"schema {schema} is newer than {SCHEMA}", step=STEP, peer=source
+        )
--- a/standins/site.py
+++ b/standins/site.py
@@ -32,6 +32,7 @@
 
 PLATFORM_LOG_PORT = 9100
 INSTANCES_PORT = 9101
+GUARD_PORT = 9199
 WORKER_PORT = 9200
 CALLERS_PORT = 8080
 FIRST_OCTET = 16
@@ -62,7 +63,7 @@
     def __init__(self, folder: Path, *, instances: int, domains: list[str]) -> None:
         self.folder = folder
         self.domains = domains
-        self.octet = _pick_octet()
+        self.octet, self._guard = _claim_octet()
         self.entries = [f"127.{self.octet}.1.{n + 1}" for n in range(instances)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.platform = f"127.{self.octet}.0.1"
@@ -242,6 +243,7 @@
                 self.processes[name].send_signal(signal.SIGTERM)
             for name in names:
                 _reap(self.processes[name], deadline)
+        self._guard.close()
 
     def _start_standin(self, kind: str, name: str, ip: str, port: int) -> None:
         options = ("--name", name, "--ip", ip, "--port", str(port))
@@ -305,11 +307,12 @@
         return False
 
 
-def _pick_octet() -> int:
+def _claim_octet() -> tuple[int, socket.socket]:
+    """Return a loopback network that no other site has, and what holds it."""
     for step in range(OCTETS):
         octet = FIRST_OCTET + (os.getpid() + step) % OCTETS
-        if not _is_listening(f"127.{octet}.0.1", PLATFORM_LOG_PORT):
-            return octet
+        with suppress(OSError):
+            return octet, socket.create_server((f"127.{octet}.0.254", GUARD_PORT))
     raise TimeoutError("every loopback network is taken")
 
 
