--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -17,25 +17,20 @@
     STARTS = "plantainhinge.attempts.started"
     EVICTIONS = "plantainhinge.attempts.evicted"
     LOST_ATTEMPTS = "plantainhinge.attempts.lost"
-    RENEWALS_FAILED = "plantainhinge.leases.renewals_failed"
-    APPENDS = "plantainhinge.log.appends"
 
 
 class Distribution(Enum):
     """Durations in seconds, of which the tail is of interest."""
 
     REQUEST = "plantainhinge.requests.duration"
-    JOB_START = "plantainhinge.jobs.time_to_start"
-    APPEND = "plantainhinge.log.append_duration"
 
 
 class Level(Enum):
     """Values that rise and fall; the newest one counts."""
 
     LEASES = "plantainhinge.leases.held"
-    LOG_LAG = "plantainhinge.log.lag"
-    CONFIGURATION_AGE = "plantainhinge.configuration.age"
     IN_FLIGHT = "plantainhinge.requests.in_flight"
+    CONFIGURATION_AGE = "plantainhinge.configuration.age"
 
 
 class Metrics(Protocol):
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -19,7 +19,7 @@
     WriterId,
 )
 from ..core.messages import CellDigest, Empty, Heartbeat, Instance, ProcessStatus
-from ..core.metrics import Metrics, NoMetrics
+from ..core.metrics import Level, Metrics, NoMetrics
 from ..core.protocols import InstanceList
 from ..core.settings import Settings
 from ..core.states import DaemonRole, InstanceRole
@@ -119,6 +119,7 @@
         if now >= self._heartbeat_due:
             self._heartbeat_due = Seconds(now + HEARTBEAT_PERIOD_SECONDS)
             self._send_heartbeats(now)
+            self._measure_age(now)
 
     def answer(self, call: Call, now: Seconds) -> bool:
         """Answer a call that any process answers; return whether it was one."""
@@ -178,6 +179,11 @@
             troubles.append("has no list of instances")
         return troubles
 
+    def _measure_age(self, now: Seconds) -> None:
+        confirmed = self.configuration.caught_up_at
+        if confirmed is not None:
+            self.metrics.set(Level.CONFIGURATION_AGE, now - confirmed)
+
     def _note_revision(self) -> None:
         revision = self.configuration.reducer.revision
         if revision != self._revision_seen:
--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -11,6 +11,7 @@
     QueryTargets,
     ReportClosures,
 )
+from ..core.metrics import Level
 from ..core.protocols import WorkerClient
 from ..ledgers.cell import CellState
 from ..ledgers.ledger import LedgerState
@@ -83,11 +84,10 @@
         for owner in self._list_owners():
             if owner.state.ownership.owner == self.node.process:
                 owned[owner.replica.stream] = owner.state.ownership.epoch
-        cells = [
-            cell.digest()
-            for cell in self.cells.values()
-            if cell.replica.stream in owned
-        ]
+        mine = [c for c in self.cells.values() if c.replica.stream in owned]
+        cells = [cell.digest() for cell in mine]
+        leases = sum(len(cell.state.open) for cell in mine)
+        self.node.metrics.set(Level.LEASES, leases)
         return Heartbeat(
             process=alone.process,
             incarnation=alone.incarnation,
--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -107,21 +107,17 @@
 
 
 def _take_domain_out_and_back(site: Site, broken: list[str]) -> None:
-    text = EXAMPLE.read_text(encoding="utf-8")
-    marker = f'"{DOMAIN}": {{ "region": "scotland", "state": "in" }}'
-    edited = site.folder / "edited.jsonc"
-    edited.write_text(text.replace(marker, marker.replace('"in"', '"out"')))
     jobs = [f"audit-{n}" for n in range(10, 18)]
     for job in jobs:
         _submit(site, job, run_seconds=4.0)
     await_condition(
         "jobs run", lambda: all(list_attempts(site.witness(), job) for job in jobs)
     )
-    print(f"{DOMAIN} out:", site.apply(edited))
+    print(f"{DOMAIN} out:", site.change_domain("take-out", DOMAIN))
     out_at = time.time()
     _watch_lookups(site, broken, seconds=OUT_SECONDS)
     back_at = time.time()
-    print(f"{DOMAIN} back:", site.apply(EXAMPLE))
+    print(f"{DOMAIN} back:", site.change_domain("bring-back", DOMAIN))
     _watch_lookups(site, broken, seconds=BACK_SECONDS)
     await_condition(
         "all jobs end", lambda: all(_read_state(site, j) == "finished" for j in jobs)
--- a/standins/site.py
+++ b/standins/site.py
@@ -167,6 +167,11 @@
                 return f"{row['instance']}-{row['role']}"
         return ""
 
+    def change_domain(self, command: str, domain: str) -> str:
+        """Take a failure domain out of service or bring it back."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command(command, domain, "--settings", settings)
+
     def list_workers(self, domain: str) -> list[str]:
         """Return the workers in a failure domain."""
         return [
--- a/tests/test_metrics_otel.py
+++ b/tests/test_metrics_otel.py
@@ -17,9 +17,9 @@
     with open_reader(reader, {"instance": "entry-1"}) as metrics:
         metrics.count(Counter.EVICTIONS, reason="interference")
         metrics.observe(Distribution.REQUEST, 0.01, kind="lookup")
-        metrics.set(Level.LOG_LAG, 2)
+        metrics.set(Level.LEASES, 2)
         names = collect_names(reader)
-    expected = {Counter.EVICTIONS, Distribution.REQUEST, Level.LOG_LAG}
+    expected = {Counter.EVICTIONS, Distribution.REQUEST, Level.LEASES}
     assert names == {member.value for member in expected}
 
 
