--- a/plantainhinge/cli/configuration.py
+++ b/plantainhinge/cli/configuration.py
@@ -23,6 +23,8 @@
 from .arguments import add_settings, read_settings
 from .registry import command
 
+LISTED_CHANGES_MAX = 20
+
 
 class CorrectFile(msgspec.Struct, frozen=True):
     """A configuration file that passed every check."""
@@ -55,8 +57,10 @@
     def format_text(self) -> str:
         """Return the revision and what it changed."""
         first = f"revision {self.applied.revision} is {self.applied.outcome.value}"
-        changes = (f"  {difference}" for difference in self.applied.differences)
-        return "\n".join([first, *changes])
+        differences = self.applied.differences
+        if len(differences) > LISTED_CHANGES_MAX:
+            return f"{first}; {len(differences)} values changed"
+        return "\n".join([first, *(f"  {difference}" for difference in differences)])
 
 
 def _read(path: Path) -> str:
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -125,6 +125,7 @@
     outcome: AttemptOutcome
     checkpoint: str
     reason: str = ""
+    worker: WorkerId = WorkerId("")
 
 
 class RequestClaimed(Record, frozen=True, tag="clm"):
@@ -185,6 +186,7 @@
     checkpoint: str = ""
     run_seconds: float = 0.0
     priority: int = 0
+    urgent: bool = False
 
 
 class AttemptClosed(Record, frozen=True, tag="cls"):
--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -45,9 +45,11 @@
     end_attempt,
     is_open,
     list_jobs,
+    note_declines,
     prune_rows,
     reject_hopeless,
 )
+from ..placement.assignment import AssignmentTables
 from ..streams.replica import Proposal, Replica
 from .node import NO_EPOCH, Node
 from .offers import Offers
@@ -96,6 +98,8 @@
         self._unjudged: dict[TaskId, None] = {}
         self._declared = Revision(0)
         self._assign_due = Seconds(0.0)
+        self._placing = AssignmentTables()
+        self._now = Seconds(0.0)
         self._prune_due = Seconds(0.0)
 
     def answer(self, call: Call, now: Seconds) -> None:
@@ -121,6 +125,7 @@
 
     def step(self, now: Seconds, rank: int | None) -> None:
         """Go on as any owner does, and answer what was decided."""
+        self._now = now
         self._settle_waiters()
         super().step(now, rank)
         self._answer_reporters(now)
@@ -134,6 +139,7 @@
         self._changed.clear()
         self._unjudged.update(dict.fromkeys(changed))
         records = self._take_ended()
+        note_declines(self.state, records, self._placing, now)
         records.extend(self._silent)
         self._silent.clear()
         records.extend(self._declare(configuration, changed))
@@ -160,6 +166,7 @@
         self.offers.note_changed(list(self.state.assigned), now)
         self._changed.update(self.state.waiting)
         self._declared = Revision(0)
+        self._placing = AssignmentTables()
 
     def lapse(self) -> None:
         """Answer what was decided; tell the rest that it may have been."""
@@ -237,7 +244,8 @@
 
     def _answer_query(self, call: Call) -> None:
         if isinstance(call.request, ListJobs):
-            call.answer.set_result(list_jobs(self.state, call.request))
+            jobs = list_jobs(self.state, call.request, self._placing, self._now)
+            call.answer.set_result(jobs)
         else:
             self._tell_account(call)
 
@@ -249,7 +257,8 @@
             )
             call.answer.set_exception(error)
         else:
-            call.answer.set_result(describe_task(row))
+            account = describe_task(self.state, row, self._placing, self._now)
+            call.answer.set_result(account)
 
     def _tell_claim(self, proposal: Proposal, call: Call, fenced: bool) -> None:
         granted = proposal.rejection is None
@@ -334,7 +343,14 @@
         if configuration.domains.keys() <= cells.keys():
             self._unjudged.clear()
         rejected = {record.task for record in hopeless}
-        assigned = assign_waiting(self.state, cells, configuration)
+        assigned = assign_waiting(
+            self.state,
+            cells,
+            configuration,
+            self._placing,
+            now=now,
+            wall=read_wall(),
+        )
         return [*hopeless, *(r for r in assigned if r.task not in rejected)]
 
     def _keep_time(self, now: Seconds, has_others: bool) -> list[AnyRecord]:
--- a/standins/wsgi.py
+++ b/standins/wsgi.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import msgspec
@@ -61,5 +61,7 @@
     try:
         yield int(server.effective_port)
     finally:
-        server.trigger.pull_trigger(lambda: close_all(server._map, ignore_all=True))
+        # An earlier pull may make the loop close the pipe before this one writes.
+        with suppress(OSError):
+            server.trigger.pull_trigger(lambda: close_all(server._map, ignore_all=True))
         thread.join(timeout=2.0)
