--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -19,7 +19,12 @@
     QueryTargets,
 )
 from ..core.protocols import WorkerClient
-from ..core.records import AnyRecord, ClosureAcknowledged, PredecessorsEnded
+from ..core.records import (
+    AnyRecord,
+    AttemptPlaced,
+    ClosureAcknowledged,
+    PredecessorsEnded,
+)
 from ..core.states import DomainState
 from ..ledgers.cell import CellState, Fence
 from ..ledgers.cell_placement import decline_offers, is_known, place_offers
@@ -68,6 +73,7 @@
         self.workers = CellWorkers(node, replica, client, self._observe)
         self.learning = CellLearning(node, replica)
         self._offers: dict[TaskId, _Offered] = {}
+        self._urgent: set[TaskId] = set()
         self._waiters: list[_Waiter] = []
         self._acknowledged: dict[TaskId, ClosureAcknowledged] = {}
         self._reports_due: DueQueue[int] = DueQueue()
@@ -93,7 +99,12 @@
             case OfferAttempts():
                 self._take_offers(call, call.request, now)
             case QueryTargets(service=service):
-                targets = list_targets(self.state, service, self.workers.reports)
+                targets = list_targets(
+                    self.state,
+                    service,
+                    self.workers.reports,
+                    leaving=self.workers.list_stopping(),
+                )
                 call.answer.set_result(answer_query(targets, call.request))
 
     def step(self, now: Seconds, rank: int | None) -> None:
@@ -131,6 +142,10 @@
         for ledger in self._reports_due.take(now):
             self._report_closures(ledger, now)
 
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether the record places urgent work."""
+        return isinstance(record, AttemptPlaced) and record.task in self._urgent
+
     def begin(self, now: Seconds) -> None:
         """Take up all open attempts and all closures to report."""
         self._taken_at = now
@@ -196,6 +211,7 @@
             if offered.fence >= fences.get(offered.offer.ledger, Fence())
         ]
         taken, self._offers = self._offers, {}
+        self._urgent = {offer.task for offer in offers if offer.urgent}
         if not self._is_in():
             return decline_offers(self.state, offers, "the failure domain is out")
         placing = place_offers(
@@ -287,7 +303,7 @@
 
     def _describe_takeover(self) -> Takeover:
         predecessors = self.state.ownership.predecessors
-        times = [self._gone.get(process) for process in predecessors]
+        times = [self._gone.get(row.process) for row in predecessors]
         known = [at for at in times if at is not None]
         gone_at = max(known) if len(known) == len(times) and known else None
         return Takeover(self._taken_at, released=not predecessors, gone_at=gone_at)
@@ -297,11 +313,13 @@
         if not predecessors or now < self._predecessors_due:
             return []
         self._predecessors_due = Seconds(now + PREDECESSORS_PERIOD_SECONDS)
-        for process in predecessors:
-            if process not in self._gone and self.node.has_ended(process):
-                self._gone[process] = now
+        for row in predecessors:
+            if row.process in self._gone:
+                continue
+            if self.node.table.is_replaced(row.process, row.address):
+                self._gone[row.process] = now
                 self.workers.note_takeover(self._describe_takeover())
-        ended = all(process in self._gone for process in predecessors)
+        ended = all(row.process in self._gone for row in predecessors)
         if ended or now >= find_handover_end(Takeover(self._taken_at)):
             return [PredecessorsEnded(self.epoch)]
         return []
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -12,7 +12,6 @@
 from ..core.ids import (
     DomainId,
     Epoch,
-    InstanceId,
     ProcessId,
     Revision,
     Seconds,
@@ -79,7 +78,6 @@
         self._instances_due = Seconds(0.0)
         self._heartbeat_due = Seconds(0.0)
         self._revision_seen = Revision(0)
-        self._gone_instances: set[InstanceId] = set()
 
     @property
     def address(self) -> str:
@@ -105,11 +103,6 @@
             return Seconds(-math.inf)
         return Seconds(confirmed + CONFIGURATION_FRESH_SECONDS)
 
-    def has_ended(self, process: ProcessId) -> bool:
-        """Return whether a process was replaced, or its instance left the list."""
-        instance = InstanceId(process.partition("/")[0])
-        return instance in self._gone_instances or self.table.is_replaced(process)
-
     def step(self, now: Seconds) -> None:
         """Poll the log and the instance list, and exchange heartbeats."""
         self.driver.drive(self.configuration, now, NO_EPOCH)
@@ -197,9 +190,6 @@
         except PlantainhingeError:
             self.events.add("instances.unavailable", "instances")
             return
-        names = {row.instance for row in listed}
-        self._gone_instances |= {row.instance for row in self.instances}
-        self._gone_instances -= names
         self.instances = listed
 
     def _send_heartbeats(self, now: Seconds) -> None:
--- a/plantainhinge/ledgers/ledger_systems.py
+++ b/plantainhinge/ledgers/ledger_systems.py
@@ -197,7 +197,7 @@
     configuration: Configuration,
 ) -> list[TaskRejected]:
     """Return a final answer for each of the waiting tasks that can never run."""
-    shapes = _collect_shapes(cells, configuration)
+    shapes = collect_shapes(cells, configuration)
     records = []
     for task in tasks:
         row = state.tasks.get(task)
@@ -316,7 +316,7 @@
     )
 
 
-def _collect_shapes(
+def collect_shapes(
     cells: Mapping[DomainId, CellDigest], configuration: Configuration
 ) -> frozenset[Resources] | None:
     """Return all capacities of workers, or None while any domain's are unknown.
--- a/plantainhinge/streams/ownership.py
+++ b/plantainhinge/streams/ownership.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from ..core.ids import Epoch, ProcessId, Seconds
 from ..core.records import (
     AnyRecord,
@@ -23,6 +25,13 @@
 CONFIRM_PERIOD_SECONDS = 1.0
 
 
+class Predecessor(msgspec.Struct, frozen=True, array_like=True):
+    """An owner that was replaced without letting go, and where it answered."""
+
+    process: ProcessId
+    address: str
+
+
 @dataclass
 class Ownership:
     """The replayed ownership of one stream.
@@ -31,7 +40,7 @@
     ----------
     read_at : Seconds
         When this reader last read a record of the owner, on its own clock.
-    predecessors : tuple of ProcessId
+    predecessors : tuple of Predecessor
         Owners that were replaced without letting go, and are not known to have
         ended; they may still renew leases.
     """
@@ -40,7 +49,7 @@
     owner: ProcessId | None = None
     address: str = ""
     read_at: Seconds = Seconds(0.0)
-    predecessors: tuple[ProcessId, ...] = ()
+    predecessors: tuple[Predecessor, ...] = ()
 
     def apply(self, record: AnyRecord) -> str | None:
         """Apply a record about ownership; return why it is rejected, or None."""
@@ -73,7 +82,8 @@
         if record.epoch != self.epoch + 1:
             return f"epoch {record.epoch} does not follow epoch {self.epoch}"
         if self.owner is not None:
-            self.predecessors = (*self.predecessors, self.owner)
+            replaced = Predecessor(self.owner, self.address)
+            self.predecessors = (*self.predecessors, replaced)
         self.epoch = record.epoch
         self.owner = record.owner
         self.address = record.address
