--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -30,10 +30,6 @@
     504: "504 Gateway Timeout",
 }
 
-# Ids need to be unique, not secret: a count spares a system call a request.
-_PROCESS_MARK = uuid.uuid4().hex[:24]
-_REQUESTS = itertools.count()
-
 NAME_CHARACTERS_MAX = 128
 RUN_SECONDS_MAX = 31_536_000
 DEADLINE_MS_MAX = 86_400_000
@@ -42,6 +38,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Ids need to be unique, not secret: a count spares a system call a request.
+_PROCESS_MARK = uuid.uuid4().hex[:24]
+_REQUESTS = itertools.count()
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 
--- a/plantainhinge/core/faults.py
+++ b/plantainhinge/core/faults.py
@@ -5,8 +5,12 @@
 from enum import Enum
 from typing import Any, get_args, get_origin
 
+import json5
 import msgspec
 
+from .errors import BadInputError
+
+DOCUMENT_CHARACTERS_MAX = 4 * 1024 * 1024
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 
 
@@ -36,6 +40,36 @@
         self.repeated = sorted({key for key in keys if keys.count(key) > 1})
 
 
+def parse_json(text: str, *, step: str, source: str) -> object:
+    """Return what JSON text with comments holds.
+
+    Raises
+    ------
+    BadInputError
+        If it is no JSON, with line and column; or if it is too long or too deep.
+    """
+    if len(text) > DOCUMENT_CHARACTERS_MAX:
+        raise BadInputError(
+            f"has {len(text)} characters; valid: up to {DOCUMENT_CHARACTERS_MAX}",
+            step=step,
+            peer=source,
+        )
+    try:
+        return json5.loads(text, object_pairs_hook=DocumentObject)
+    except ValueError as error:
+        where = str(error).removeprefix("<string>:")
+        raise BadInputError(f"line {where}", step=step, peer=source) from error
+    except RecursionError as error:
+        raise BadInputError("nested too deep", step=step, peer=source) from error
+
+
+def report_faults(faults: list[Fault], *, step: str, source: str) -> BadInputError:
+    """Return one error that tells all faults, one a line."""
+    lines = "\n".join(f"  {fault}" for fault in faults)
+    count = f"{len(faults)} fault{'s' if len(faults) > 1 else ''}"
+    return BadInputError(f"{count}:\n{lines}", step=step, peer=source)
+
+
 def find_shape_faults(value: object, shape: Any, path: str = "") -> Iterator[Fault]:
     """Yield every place where a document does not have the shape of a type.
 
