--- a/plantainhinge/core/documents.py
+++ b/plantainhinge/core/documents.py
@@ -1,11 +1,10 @@
 """Reading the operators' documents: all faults in one report."""
 
-import json5
 import msgspec
 
 from .configuration import SCHEMA, Configuration
 from .errors import BadInputError, UnknownVersionError
-from .faults import DocumentObject, Fault, find_shape_faults
+from .faults import find_shape_faults, parse_json, report_faults
 from .rules import find_reference_faults
 
 STEP = "configuration.check"
@@ -21,15 +20,15 @@
     UnknownVersionError
         If the document is of a newer schema than this release knows.
     """
-    document = _parse(text, source)
+    document = parse_json(text, step=STEP, source=source)
     _reject_newer(document, source)
     faults = list(find_shape_faults(document, Configuration))
     if faults:
-        raise _report(faults, source)
+        raise report_faults(faults, step=STEP, source=source)
     configuration = msgspec.convert(document, Configuration)
     faults = list(find_reference_faults(configuration))
     if faults:
-        raise _report(faults, source)
+        raise report_faults(faults, step=STEP, source=source)
     return configuration
 
 
@@ -53,29 +52,13 @@
         raise BadInputError(str(error), step=STEP, peer=source) from error
     faults = list(find_reference_faults(configuration))
     if faults:
-        raise _report(faults, source)
+        raise report_faults(faults, step=STEP, source=source)
     return configuration
 
 
-def _parse(text: str, source: str) -> object:
-    try:
-        return json5.loads(text, object_pairs_hook=DocumentObject)
-    except ValueError as error:
-        where = str(error).removeprefix("<string>:")
-        raise BadInputError(f"line {where}", step=STEP, peer=source) from error
-    except RecursionError as error:
-        raise BadInputError("nested too deep", step=STEP, peer=source) from error
-
-
 def _reject_newer(document: object, source: str) -> None:
     schema = document.get("schema") if isinstance(document, dict) else None
     if isinstance(schema, int) and schema > SCHEMA:
         raise UnknownVersionError(
             f"schema {schema} is newer than {SCHEMA}", step=STEP, peer=source
         )
-
-
-def _report(faults: list[Fault], source: str) -> BadInputError:
-    lines = "\n".join(f"  {fault}" for fault in faults)
-    count = f"{len(faults)} fault{'s' if len(faults) > 1 else ''}"
-    return BadInputError(f"{count}:\n{lines}", step=STEP, peer=source)
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from .errors import BadInputError
+from .faults import Fault, find_shape_faults, parse_json, report_faults
 from .ids import DomainId, InstanceId, RegionId
-from .shapes import Fault, convert_document, parse_json
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
@@ -143,9 +143,10 @@
         for name, value in (overrides or {}).items():
             _override(document, OVERRIDES[name], value)
         faults = find_value_faults(document)
-    return convert_document(
-        document, Settings, step=STEP, source=str(path), faults=faults
-    )
+    faults = [*find_shape_faults(document, Settings), *faults]
+    if faults:
+        raise report_faults(faults, step=STEP, source=str(path))
+    return msgspec.convert(document, Settings)
 
 
 def read_text(path: Path, *, step: str) -> str:
@@ -168,10 +169,10 @@
     for name, (is_valid, expected) in _TEXT_CHECKS.items():
         value = document.get(name)
         if isinstance(value, str) and not is_valid(value):
-            faults.append(Fault(name, repr(value), expected))
+            faults.append(Fault(name, f"{value!r} is wrong; valid: {expected}"))
     ports = document.get("ports")
     if isinstance(ports, dict) and len(set(map(repr, ports.values()))) < len(ports):
-        faults.append(Fault("ports", repr(ports), "all different"))
+        faults.append(Fault("ports", f"{ports!r} is wrong; valid: all different"))
     return faults
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -32,6 +32,7 @@
 
 PLATFORM_LOG_PORT = 9100
 INSTANCES_PORT = 9101
+GUARD_PORT = 9199
 WORKER_PORT = 9200
 CALLERS_PORT = 8080
 FIRST_OCTET = 16
@@ -43,6 +44,7 @@
 LINGER_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 20
 FETCH_TIMEOUT_SECONDS = 2
+LOG_LINES = 8
 WORKER_CAPACITY = Resources(30_000, 125 * 1024, 0)
 REGION = RegionId("scotland")
 
@@ -62,7 +64,7 @@
     def __init__(self, folder: Path, *, instances: int, domains: list[str]) -> None:
         self.folder = folder
         self.domains = domains
-        self.octet = _pick_octet()
+        self.octet, self._guard = _claim_octet()
         self.entries = [f"127.{self.octet}.1.{n + 1}" for n in range(instances)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.platform = f"127.{self.octet}.0.1"
@@ -166,6 +168,11 @@
                 return f"{row['instance']}-{row['role']}"
         return ""
 
+    def change_domain(self, command: str, domain: str) -> str:
+        """Take a failure domain out of service or bring it back."""
+        settings = str(self.folder / "entry-1.jsonc")
+        return self.run_command(command, domain, "--settings", settings)
+
     def list_workers(self, domain: str) -> list[str]:
         """Return the workers in a failure domain."""
         return [
@@ -242,6 +249,7 @@
                 self.processes[name].send_signal(signal.SIGTERM)
             for name in names:
                 _reap(self.processes[name], deadline)
+        self._guard.close()
 
     def _start_standin(self, kind: str, name: str, ip: str, port: int) -> None:
         options = ("--name", name, "--ip", ip, "--port", str(port))
@@ -263,7 +271,20 @@
         site.publish_instances()
         for ip in site.entries:
             await_port(ip, CALLERS_PORT)
-        yield site
+        with _show_logs(site):
+            yield site
+
+
+@contextmanager
+def _show_logs(site: Site) -> Iterator[None]:
+    """Print the newest log lines of all processes if the block fails."""
+    try:
+        yield
+    except BaseException:
+        for path in sorted(site.folder.glob("*.log")):
+            lines = path.read_text(encoding="utf-8").splitlines()[-LOG_LINES:]
+            print(f"{path.name}:", *lines, sep="\n  ")
+        raise
 
 
 def fetch(address: str, path: str, answer: type[T]) -> T:
@@ -305,11 +326,12 @@
         return False
 
 
-def _pick_octet() -> int:
+def _claim_octet() -> tuple[int, socket.socket]:
+    """Return a loopback network that no other site has, and what holds it."""
     for step in range(OCTETS):
         octet = FIRST_OCTET + (os.getpid() + step) % OCTETS
-        if not _is_listening(f"127.{octet}.0.1", PLATFORM_LOG_PORT):
-            return octet
+        with suppress(OSError):
+            return octet, socket.create_server((f"127.{octet}.0.254", GUARD_PORT))
     raise TimeoutError("every loopback network is taken")
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -136,7 +136,7 @@
     for member in group.members.values():
         assert member.table.rows[address].heartbeat.process.endswith("/9")
         assert member.table.is_replaced(old.process, address)
-        assert not member.table.is_replaced("entry-3/scheduler/9")
+        assert not member.table.is_replaced("entry-3/scheduler/9", address)
 
 
 def test_a_process_whose_clock_was_stepped_back_is_heard_all_the_same():
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -10,7 +10,8 @@
 
 from plantainhinge.cli.arguments import name_variable
 from plantainhinge.core.settings import OVERRIDES, Settings
-from plantainhinge.core.shapes import describe_type
+
+from .wording import describe_type
 
 PAGE = Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
 HEAD = """# Settings of a daemon
