--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -267,6 +267,38 @@
         await_finished(site, 1000.0)
 
 
+def test_a_job_is_judged_once_all_capacities_are_known():
+    with run_site() as site:
+        site.domains["d3"] = "in"
+        site.publish()
+        site.submit("big", kind="huge")
+        site.advance(12.0)
+        assert not site.is_final("big")
+        site.add_worker("d3-w0", "d3")
+        site.await_state(lambda: site.is_final("big"), 15.0)
+
+
+@pytest.mark.parametrize("late", [0.0, 0.25, 0.5, 0.75, 1.0])
+def test_an_attempt_whose_closure_is_undecided_is_not_started(late):
+    with run_site() as site:
+        site.hold_starts = True
+        submit_all(site, run_seconds=60.0)
+        site.await_state(lambda: site.held)
+        site.held.clear()
+        workers = {"d1-w0", "d1-w1"}
+        site.cut |= workers
+        cell = site.find_owner("cell.d1").scheduler.cells["d1"]
+        end = max(cell.workers.readings[w].received_at for w in workers)
+        site.advance(end + SILENCE_SECONDS - 1.5 + late - site.now)
+        site.log.down = True
+        site.advance(TICK_SECONDS)
+        site.cut -= workers
+        site.hold_starts = False
+        site.advance(3.0)
+        site.log.down = False
+        await_finished(site, 500.0)
+
+
 @pytest.mark.parametrize("order", ["abc", "bca", "cab"])
 def test_a_domain_that_goes_dark_with_its_entries_loses_no_time(order):
     places = dict(zip(order, ["d1", "d2", "d3"], strict=True))
