--- a/plantainhinge/placement/assignment.py
+++ b/plantainhinge/placement/assignment.py
@@ -5,10 +5,17 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ..core.configuration import Placement
 from ..core.ids import DomainId, RegionId, Seconds, ServiceId, TaskId, TeamId
 from ..core.resources import Resources
 from .backoff import BackoffTable
-from .cells import CELL_CHOICES, CellRoom, cannot_wait, keeps_headroom
+from .cells import (
+    CELL_CHOICES,
+    CellRoom,
+    Headroom,
+    cannot_wait,
+    measure_headroom,
+)
 from .pace import Pace
 from .queue import ORDERS, Shape, Waiting, WaitingQueue
 from .quotas import QuotaUse, fits_quota
@@ -55,6 +62,15 @@
     batch_size: int = 256
 
 
+def select_assignment(options: Placement) -> AssignmentPolicy:
+    """Return the policy that operators declared for ledgers."""
+    return AssignmentPolicy(
+        order=options.order,
+        choice=options.cell_choice,
+        headroom_share=options.headroom_share,
+    )
+
+
 @dataclass
 class AssignmentTables:
     """What the owner of a ledger remembers between plans; lost with the owner."""
@@ -95,6 +111,7 @@
     wall: float
     some_in: bool = True
     short_regions: frozenset[RegionId] = frozenset()
+    headroom: dict[RegionId, Headroom] = field(default_factory=dict)
     reserved: DomainId | None = None
     closed_teams: set[TeamId] = field(default_factory=set)
 
@@ -192,8 +209,11 @@
 ) -> bool:
     if room.region in site.short_regions:
         return True
-    everywhere = site.rooms.values()
-    return keeps_headroom(everywhere, room, shape.resources, policy.headroom_share)
+    headroom = site.headroom.get(room.region)
+    if headroom is None:
+        headroom = measure_headroom(site.rooms.values(), room.region)
+        site.headroom[room.region] = headroom
+    return headroom.keeps(room, shape.resources, policy.headroom_share)
 
 
 def _reserve(
@@ -218,6 +238,7 @@
 
 def _take(shape: Shape, cell: DomainId, site: Site, tables: AssignmentTables) -> None:
     site.rooms[cell] = site.rooms[cell].take(shape)
+    site.headroom.pop(site.rooms[cell].region, None)
     site.use.take(shape.team, shape.resources)
     tables.ramp.take(cell)
     if shape.service:
--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -1,10 +1,12 @@
 """Choice of the worker in a cell, from all that its owner has learned."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from ..core.configuration import Placement
 from ..core.ids import KindId, RackId, Seconds, WorkerId
 from ..core.resources import Resources
+from ..core.states import TaskClass
 from .attribution import ChangeTable
 from .drain import DrainTable
 from .harm import HarmTable
@@ -21,6 +23,9 @@
 from .scores import SCORES, Candidate, Demand, pick_worker
 from .sizes import SizeTable
 
+LOOK_AT = 16
+LIFT_SHARE = 0.8
+
 
 @dataclass(frozen=True)
 class CellPolicy:
@@ -32,6 +37,16 @@
     drain: str = "by-priority"
 
 
+def select_policy(options: Placement) -> CellPolicy:
+    """Return the policy that operators declared for cells."""
+    return CellPolicy(
+        score=options.score,
+        model=options.interference,
+        relief=options.relief,
+        drain=options.drain,
+    )
+
+
 @dataclass
 class CellTables:
     """What the owner of a cell learns; lost with the owner and learned again."""
@@ -45,6 +60,14 @@
     progress: ProgressTable = field(default_factory=ProgressTable)
     holds: HoldTable = field(default_factory=HoldTable)
 
+    def set_limits(self, options: Placement) -> None:
+        """Take up the limits that operators declared."""
+        high = options.slowdown_limit
+        low = 1.0 + LIFT_SHARE * (high - 1.0)
+        self.harm.limits = replace(self.harm.limits, high=high, low=low)
+        grace = options.grace_seconds
+        self.drain.limits = replace(self.drain.limits, grace_seconds=grace)
+
 
 @dataclass(frozen=True)
 class WorkerRoom:
@@ -65,15 +88,30 @@
     now: Seconds,
 ) -> WorkerId | None:
     """Return the best worker that has room and is not in quarantine."""
-    candidates = {
-        room.worker: _build_candidate(room, demand, residents, tables, policy, now)
+    fitting = [
+        room
         for room in rooms
         if demand.resources.fits_within(room.free)
         and tables.health.may_take(room.worker, now)
+    ]
+    candidates = {
+        room.worker: _build_candidate(room, demand, residents, tables, policy, now)
+        for room in _sample(fitting, demand)
     }
     return pick_worker(candidates, demand, SCORES.find(policy.score))
 
 
+def _sample(rooms: list[WorkerRoom], demand: Demand) -> list[WorkerRoom]:
+    """Return the workers to score: all for services, some for batch work.
+
+    The cost of a batch placement then does not grow with the cell.
+    """
+    if demand.task_class is not TaskClass.BATCH or len(rooms) <= LOOK_AT:
+        return rooms
+    first = int(demand.draw * len(rooms)) % len(rooms)
+    return [*rooms[first:], *rooms[:first]][:LOOK_AT]
+
+
 def find_loads(
     worker: WorkerId, capacity: Resources, residents: ResidentTable, sizes: SizeTable
 ) -> dict[KindId, KindLoad]:
