--- a/plantainhinge/placement/assignment.py
+++ b/plantainhinge/placement/assignment.py
@@ -185,7 +185,9 @@
         rooms = [room for room in usable if room.may_make_room(need)]
     if not rooms:
         return HoldReason.ROOM
-    rooms = [room for room in rooms if tables.ramp.may_take(room.domain, site.now)]
+    # The ramp spares a domain a stampede of work that can wait.
+    if not cannot_wait(shape):
+        rooms = [r for r in rooms if tables.ramp.may_take(r.domain, site.now)]
     if not rooms:
         return HoldReason.RAMP
     find_pause = tables.backoff.find_pause
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -370,6 +370,13 @@
         assert not any(worker.list_running() for worker in site.workers.values())
 
 
+def test_a_burst_of_urgent_jobs_is_not_held_by_the_ramp():
+    with run_site(jobs_urgent=True, workers_per_domain=60) as site:
+        for n in range(100):
+            site.submit(f"u{n}")
+        site.await_state(lambda: len(site.starts) == 100, 5.0)
+
+
 def test_a_job_submitted_twice_runs_once():
     with run_site() as site:
         answers = [site.submit("j"), site.submit("j")]
