Keep services to fewer workers, within a share of their replicas

Change: services are packed as batch is; a worker gets at most a quarter of the cell's replicas of a service, rounded up, before others have theirs.

--- a/plantainhinge/placement/residents.py
+++ b/plantainhinge/placement/residents.py
@@ -21,7 +21,7 @@
 
 @dataclass
 class ResidentTable:
-    """Open attempts by worker and kind, and replicas by service and rack.
+    """Open attempts by worker and kind, and replicas by service.
 
     Parameters
     ----------
@@ -34,6 +34,7 @@
     worker_replicas: Counter[tuple[ServiceId, WorkerId]] = field(
         default_factory=Counter
     )
+    replicas: Counter[ServiceId] = field(default_factory=Counter)
     critical: Resources = Resources()
 
     def add(self, placed: AttemptPlaced, rack: RackId) -> None:
@@ -62,5 +63,6 @@
             need = placed.resources
             self.critical = held + need if sign > 0 else held - need
         if placed.service:
+            self.replicas[placed.service] += sign
             self.rack_replicas[placed.service, rack] += sign
             self.worker_replicas[placed.service, placed.worker] += sign
--- a/plantainhinge/placement/workers.py
+++ b/plantainhinge/placement/workers.py
@@ -1,5 +1,6 @@
 """Choice of the worker in a cell, from all that its owner has learned."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -25,6 +26,7 @@
 
 LOOK_AT = 16
 LIFT_SHARE = 0.8
+WORKER_SHARE = 0.25
 
 
 @dataclass(frozen=True)
@@ -148,10 +150,20 @@
             model, tables.pairs, arriving, list(beside.values()), now
         ),
         rack_replicas=_count(residents.rack_replicas, demand, room.rack),
-        worker_replicas=_count(residents.worker_replicas, demand, room.worker),
+        crowding=_find_crowding(residents, demand, room.worker),
         suspicion=tables.health.find_suspicion(room.worker, now),
     )
 
 
+def _find_crowding(residents: ResidentTable, demand: Demand, worker: WorkerId) -> int:
+    """Return by how much a worker would pass its share of a service's replicas."""
+    if not demand.service:
+        return 0
+    replicas = residents.replicas[demand.service] + 1
+    share = max(1, math.ceil(replicas * WORKER_SHARE))
+    mine = residents.worker_replicas[demand.service, worker] + 1
+    return max(0, mine - share)
+
+
 def _count(counts: Mapping, demand: Demand, place: str) -> int:
     return counts.get((demand.service, place), 0) if demand.service else 0
--- a/tests/test_cell_placement.py
+++ b/tests/test_cell_placement.py
@@ -1,5 +1,7 @@
 """Offers placed on replayed cells: capacity, mix, room made and quarantine."""
 
+from collections import Counter
+
 from hypothesis import given, strategies as st
 
 from plantainhinge.core.messages import OfferAttempt
@@ -97,6 +99,13 @@
     assert len(set(find_places(place(state, rows, make_tables())).values())) == 4
 
 
+def test_no_worker_gets_more_than_its_share_of_a_services_replicas():
+    state = make_cell(8)
+    rows = [offer(f"s/{n}", 1, kind="s", critical=True) for n in range(12)]
+    counts = Counter(find_places(place(state, rows, make_tables())).values())
+    assert sorted(counts.values()) == [3, 3, 3, 3]
+
+
 def test_harmful_kinds_are_kept_from_services():
     state, tables = make_cell(2), make_tables()
     service = find_places(
