--- a/plantainhinge/daemons/stream_owner.py
+++ b/plantainhinge/daemons/stream_owner.py
@@ -71,10 +71,14 @@
 
     def propose(self, record: AnyRecord) -> Proposal:
         """Propose a record, and put it on the time line once it is decided."""
-        proposal = self.replica.propose(record)
+        proposal = self.replica.propose(record, urgent=self.is_urgent(record))
         self._proposals.append(proposal)
         return proposal
 
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether a record must not wait for the commit timer."""
+        return False
+
     def release(self) -> None:
         """Begin to hand the stream over, as part of a planned stop."""
         self._releasing = True
