--- a/plantainhinge/cli/configuration.py
+++ b/plantainhinge/cli/configuration.py
@@ -8,13 +8,23 @@
 import msgspec
 
 from ..adapters.log_http import HttpLog
+from ..core.differences import Difference
 from ..core.documents import parse_configuration
-from ..core.ids import WriterId
-from ..core.settings import read_text
-from .apply import Applied, ConfigurationSession, apply_configuration
+from ..core.ids import DomainId, Revision, WriterId
+from ..core.settings import Settings, read_text
+from ..core.states import DomainState
+from .apply import (
+    Applied,
+    ConfigurationSession,
+    apply_configuration,
+    change_domain,
+    diff_configuration,
+)
 from .arguments import add_settings, read_settings
 from .registry import command
 
+LISTED_CHANGES_MAX = 20
+
 
 class CorrectFile(msgspec.Struct, frozen=True):
     """A configuration file that passed every check."""
@@ -26,15 +36,31 @@
         return f"{self.file}: correct"
 
 
-class AppliedFile(msgspec.Struct, frozen=True):
-    """A configuration file and what became of it."""
+class Differences(msgspec.Struct, frozen=True):
+    """What applying a file would change."""
 
     file: str
+    differences: list[Difference]
+
+    def format_text(self) -> str:
+        """Return one line a difference."""
+        if not self.differences:
+            return f"{self.file}: changes nothing"
+        return "\n".join(str(difference) for difference in self.differences)
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """A configuration that is in force."""
+
     applied: Applied
 
     def format_text(self) -> str:
-        """Return one line."""
-        return f"revision {self.applied.revision} is {self.applied.outcome.value}"
+        """Return the revision and what it changed."""
+        first = f"revision {self.applied.revision} is {self.applied.outcome.value}"
+        differences = self.applied.differences
+        if len(differences) > LISTED_CHANGES_MAX:
+            return f"{first}; {len(differences)} values changed"
+        return "\n".join([first, *(f"  {difference}" for difference in differences)])
 
 
 def _read(path: Path) -> str:
@@ -43,6 +69,11 @@
     return text
 
 
+def _open_session(settings: Settings) -> ConfigurationSession:
+    writer = WriterId(f"operator/{uuid.uuid4().hex}")
+    return ConfigurationSession(HttpLog(settings.log_address), writer)
+
+
 def _add_file(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("file", type=Path, help="configuration: JSON with comments")
 
@@ -52,6 +83,21 @@
     add_settings(parser)
 
 
+def _add_apply(parser: argparse.ArgumentParser) -> None:
+    _add_file_and_settings(parser)
+    parser.add_argument(
+        "--based-on",
+        type=lambda text: Revision(int(text)),
+        help="revision the file was made from; without it, the newest",
+    )
+
+
+def _add_domain(parser: argparse.ArgumentParser) -> None:
+    # The settings have a domain of their own, under --domain.
+    parser.add_argument("name", metavar="DOMAIN", type=DomainId)
+    add_settings(parser)
+
+
 @command(
     "check",
     summary="check a configuration file and change nothing",
@@ -64,20 +110,60 @@
     return CorrectFile(str(options.file))
 
 
+@command(
+    "diff",
+    summary="show what applying a configuration file would change",
+    example="plantainhinge diff site.jsonc --settings /etc/plantainhinge.jsonc",
+    arguments=_add_file_and_settings,
+)
+def diff_file(options: argparse.Namespace) -> Differences:
+    """Compare a file with what is in force."""
+    session = _open_session(read_settings(options))
+    text = _read(options.file)
+    return Differences(str(options.file), diff_configuration(session, text))
+
+
 @command(
     "apply",
     summary="put a configuration file in force, whole or not at all",
     example="plantainhinge apply site.jsonc --settings /etc/plantainhinge.jsonc",
-    arguments=_add_file_and_settings,
+    arguments=_add_apply,
 )
-def apply_file(options: argparse.Namespace) -> AppliedFile:
+def apply_file(options: argparse.Namespace) -> Accepted:
     """Publish a file and tell what the log decided."""
-    settings = read_settings(options)
-    text = _read(options.file)
-    session = ConfigurationSession(HttpLog(settings.log_address), _name_writer())
-    applied = apply_configuration(session, text, operator=getpass.getuser())
-    return AppliedFile(str(options.file), applied)
+    session = _open_session(read_settings(options))
+    applied = apply_configuration(
+        session,
+        _read(options.file),
+        operator=getpass.getuser(),
+        based_on=options.based_on,
+    )
+    return Accepted(applied)
+
+
+@command(
+    "take-out",
+    summary="take a failure domain out of service and change nothing else",
+    example="plantainhinge take-out scot-b --settings /etc/plantainhinge.jsonc",
+    arguments=_add_domain,
+)
+def take_domain_out(options: argparse.Namespace) -> Accepted:
+    """Publish the newest configuration with one domain out."""
+    return _change_domain(options, DomainState.OUT)
+
+
+@command(
+    "bring-back",
+    summary="bring a failure domain back into service and change nothing else",
+    example="plantainhinge bring-back scot-b --settings /etc/plantainhinge.jsonc",
+    arguments=_add_domain,
+)
+def bring_domain_back(options: argparse.Namespace) -> Accepted:
+    """Publish the newest configuration with one domain back in."""
+    return _change_domain(options, DomainState.IN)
 
 
-def _name_writer() -> WriterId:
-    return WriterId(f"operator/{uuid.uuid4().hex}")
+def _change_domain(options: argparse.Namespace, state: DomainState) -> Accepted:
+    session = _open_session(read_settings(options))
+    operator = getpass.getuser()
+    return Accepted(change_domain(session, options.name, state, operator=operator))
--- /dev/null
+++ b/tools/wording.py
@@ -0,0 +1,55 @@
+"""Valid values of a declared type in words, for pages."""
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+
+def describe_type(model: Any) -> str:
+    """Return the valid values of a type in words."""
+    return _describe(msgspec.inspect.type_info(model))
+
+
+def _describe(info: msgspec.inspect.Type) -> str:
+    match info:
+        case msgspec.inspect.UnionType(types=types):
+            return " or ".join(_describe(part) for part in types)
+        case msgspec.inspect.EnumType(cls=enum):
+            return _list_members(enum)
+        case msgspec.inspect.IntType():
+            return "a whole number" + _describe_bounds(info)
+        case msgspec.inspect.FloatType():
+            return "a number" + _describe_bounds(info)
+        case msgspec.inspect.StrType(min_length=shortest) if shortest:
+            return "text that is not empty"
+    return _WORDS.get(type(info), "an object")
+
+
+def _list_members(enum: type[Enum]) -> str:
+    return "one of " + ", ".join(repr(member.value) for member in enum)
+
+
+def _describe_bounds(
+    info: msgspec.inspect.IntType | msgspec.inspect.FloatType,
+) -> str:
+    bounds = [
+        f" {words} {bound}"
+        for words, bound in (
+            ("above", info.gt),
+            ("from", info.ge),
+            ("below", info.lt),
+            ("up to", info.le),
+        )
+        if bound is not None
+    ]
+    return "".join(bounds)
+
+
+_WORDS: dict[type, str] = {
+    msgspec.inspect.StrType: "text",
+    msgspec.inspect.BoolType: "true or false",
+    msgspec.inspect.NoneType: "null",
+    msgspec.inspect.ListType: "a list",
+    msgspec.inspect.DictType: "an object",
+}
