Probe a failing log once for all streams, and let its first answer free them

Cause: each stream backed off by the failures of all, so 2 s after the log had returned the configuration was still 6 s old in both schedulers of a small site (one trial by hand: log stopped for 8 s, lookups and jobs meanwhile). Change: back-off belongs to the daemon's budget; a stream waits 0.25 s at most beyond what the log asked for.

--- a/plantainhinge/daemons/log_driver.py
+++ b/plantainhinge/daemons/log_driver.py
@@ -49,7 +49,7 @@
 
     def drive(self, replica: Replica[Any], now: Seconds, epoch: Epoch) -> None:
         """Start the replica's next command, if it has one and the budget allows."""
-        if not self.budget.may_call():
+        if not self.budget.may_call(now):
             return
         may_append = self.budget.may_append(now, urgent=replica.is_urgent())
         command = replica.next_command(now, epoch, may_append=may_append)
--- a/plantainhinge/streams/budgets.py
+++ b/plantainhinge/streams/budgets.py
@@ -16,7 +16,8 @@
 COMMIT_PERIOD_SECONDS = 0.2
 COMMIT_PERIOD_SECONDS_MAX = 1.0
 BACKOFF_SECONDS = 0.25
-BACKOFF_SECONDS_MAX = 8.0
+BACKOFF_SECONDS_MAX = 4.0
+FAILURES_COUNTED = 16
 CALLS_OUT = 4
 CALLS_OUT_WHEN_FAILING = 1
 
@@ -41,6 +42,7 @@
     _commit_at: Seconds | None = None
     _commit_due: Seconds = Seconds(0.0)
     _appends_from: Seconds = Seconds(0.0)
+    _probe_at: Seconds = Seconds(0.0)
 
     @property
     def commit_period(self) -> Seconds:
@@ -48,10 +50,15 @@
         stretched = COMMIT_PERIOD_SECONDS * APPENDS_PER_SECOND / self.rate
         return Seconds(min(COMMIT_PERIOD_SECONDS_MAX, stretched))
 
-    def may_call(self) -> bool:
-        """Return whether another call may go out beside those under way."""
-        limit = CALLS_OUT_WHEN_FAILING if self.failures else CALLS_OUT
-        return self.calls_out < limit
+    def may_call(self, now: Seconds) -> bool:
+        """Return whether another call may go out beside those under way.
+
+        A failing log is probed by one call at a time. Its first answer lets all
+        streams go on at once.
+        """
+        if self.failures:
+            return self.calls_out < CALLS_OUT_WHEN_FAILING and now >= self._probe_at
+        return self.calls_out < CALLS_OUT
 
     def may_append(self, now: Seconds, *, urgent: bool) -> bool:
         """Return whether an append may go out now.
@@ -91,9 +98,11 @@
         draw : float
             Uniform in [0, 1), so that daemons do not return together.
         """
+        jitter = 0.5 + draw / 2
         backoff = min(BACKOFF_SECONDS_MAX, BACKOFF_SECONDS * 2.0**self.failures)
-        self.failures = min(self.failures + 1, 16)
-        return Seconds(now + max(retry_after, backoff * (0.5 + draw / 2)))
+        self._probe_at = Seconds(now + backoff * jitter)
+        self.failures = min(self.failures + 1, FAILURES_COUNTED)
+        return Seconds(now + max(retry_after, BACKOFF_SECONDS * jitter))
 
     def _fill(self, now: Seconds) -> None:
         since = 0.0 if self._filled_at is None else now - self._filled_at
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -73,6 +73,22 @@
     retry_at = budget.note_failed(Seconds(100.0), wait, draw)
     assert 100.0 + wait <= retry_at <= 100.0 + max(wait, BACKOFF_SECONDS_MAX)
     assert retry_at > 100.0
+    assert not budget.may_call(Seconds(100.0))
+    assert budget.may_call(Seconds(100.0 + BACKOFF_SECONDS_MAX))
+
+
+def test_probes_of_a_failing_log_grow_apart_and_an_answer_frees_all_streams():
+    budget, now, waits = LogBudget(), 100.0, []
+    for _ in range(8):
+        budget.note_failed(Seconds(now), 0.0, 0.5)
+        start = now
+        while not budget.may_call(Seconds(now)):
+            now += 0.01
+        waits.append(now - start)
+    assert waits == sorted(waits)
+    assert waits[-1] > 10 * waits[0]
+    budget.note_answered()
+    assert budget.may_call(Seconds(now))
 
 
 @pytest.mark.parametrize(("failures", "calls"), [(0, 4), (1, 1), (9, 1)])
@@ -80,6 +96,6 @@
     failures, calls
 ):
     budget = LogBudget(failures=failures)
-    while budget.may_call():
+    while budget.may_call(Seconds(100.0)):
         budget.calls_out += 1
     assert budget.calls_out == calls
