--- a/plantainhinge/daemons/ledger_owner.py
+++ b/plantainhinge/daemons/ledger_owner.py
@@ -29,10 +29,12 @@
 )
 from ..core.records import (
     AnyRecord,
+    AttemptAssigned,
     AttemptEnded,
     RequestClaimed,
     RequestReleased,
     RequestSettled,
+    TaskAccepted,
     TaskCancelled,
     TimeNoted,
 )
@@ -40,6 +42,7 @@
 from ..ledgers.ledger_systems import (
     accept_job,
     assign_waiting,
+    collect_shapes,
     declare_replicas,
     describe_task,
     end_attempt,
@@ -56,6 +59,7 @@
 from .stream_owner import StreamOwner
 
 ASSIGN_PERIOD_SECONDS = 0.5
+SETTLE_SECONDS = 3.0
 PRUNE_PERIOD_SECONDS = 10.0
 TIME_STEP_SECONDS = 1.0
 CLOSURE_WAIT_SECONDS = 2.0
@@ -98,6 +102,7 @@
         self._unjudged: dict[TaskId, None] = {}
         self._declared = Revision(0)
         self._assign_due = Seconds(0.0)
+        self._settled_at = Seconds(0.0)
         self._placing = AssignmentTables()
         self._now = Seconds(0.0)
         self._prune_due = Seconds(0.0)
@@ -161,11 +166,25 @@
         self.offers.note_changed(changed, now)
         self.offers.send(now)
 
+    def is_urgent(self, record: AnyRecord) -> bool:
+        """Return whether the record is on the way of urgent work to its start."""
+        if isinstance(record, TaskAccepted):
+            return record.urgent
+        if isinstance(record, AttemptAssigned):
+            row = self.state.tasks.get(record.task)
+            return row is not None and row.accepted.urgent
+        return False
+
     def begin(self, now: Seconds) -> None:
-        """Offer all assigned attempts again, and look at all that wait."""
+        """Offer all assigned attempts again, and look at all that wait.
+
+        Tasks are assigned once all cells have been heard of, or after a while, so
+        that the first to be heard of does not get them all.
+        """
         self.offers.note_changed(list(self.state.assigned), now)
         self._changed.update(self.state.waiting)
         self._declared = Revision(0)
+        self._settled_at = Seconds(now + SETTLE_SECONDS)
         self._placing = AssignmentTables()
 
     def lapse(self) -> None:
@@ -333,14 +352,20 @@
     def _assign(
         self, configuration: Configuration, now: Seconds, changed: bool
     ) -> list[AnyRecord]:
-        if not self.state.waiting or not self.node.is_fresh(now):
+        if not self.state.waiting:
+            self._unjudged.clear()
+            return []
+        if not self.node.is_fresh(now):
             return []
         if not changed and now < self._assign_due:
             return []
         self._assign_due = Seconds(now + ASSIGN_PERIOD_SECONDS)
         cells = self.node.collect_cells(now)
+        shapes = collect_shapes(cells, configuration)
+        if shapes is None and now < self._settled_at:
+            return []
         hopeless = reject_hopeless(self.state, self._unjudged, cells, configuration)
-        if configuration.domains.keys() <= cells.keys():
+        if shapes is not None:
             self._unjudged.clear()
         rejected = {record.task for record in hopeless}
         assigned = assign_waiting(
--- a/plantainhinge/daemons/scheduler.py
+++ b/plantainhinge/daemons/scheduler.py
@@ -19,6 +19,7 @@
     name_cell,
     name_ledger,
     rank_candidates,
+    rank_for_cell,
 )
 from ..streams.replica import Replica
 from .cell_owner import CellOwner
@@ -27,6 +28,7 @@
 from .node import Node
 
 STANDBYS = 2
+LISTEN_SECONDS = 2.0
 
 
 class Scheduler:
@@ -38,6 +40,7 @@
         self.cells: dict[DomainId, CellOwner] = {}
         self._workers = workers
         self._stopping = False
+        self._claims_from: Seconds | None = None
         node.describe = self.describe
 
     def tick(self, events: Iterable[Event], now: Seconds) -> None:
@@ -48,9 +51,11 @@
         if self.node.current is None:
             return
         self._follow_streams()
-        live = list({self.node.process, *self.node.table.list_schedulers(now)})
+        if self._claims_from is None:
+            self._claims_from = Seconds(now + LISTEN_SECONDS)
+        live = self._list_live(now)
         for owner in self._list_owners():
-            owner.step(now, self._rank(owner.replica.stream, live))
+            owner.step(now, self._rank(owner, live, now))
 
     def answer(self, call: Call, now: Seconds) -> None:
         """Answer a peer's call, or pass it to the stream it is about."""
@@ -116,10 +121,27 @@
     def _list_owners(self) -> list[LedgerOwner | CellOwner]:
         return [*self.ledgers.values(), *self.cells.values()]
 
-    def _rank(self, stream: StreamName, live: list[ProcessId]) -> int | None:
-        if self._stopping:
+    def _list_live(self, now: Seconds) -> dict[ProcessId, DomainId]:
+        names = self.node.table.list_schedulers(now)
+        places = {h.process: h.domain for h in self.node.table.list_live(now)}
+        live = {name: places[name] for name in names}
+        live[self.node.process] = self.node.settings.domain
+        return live
+
+    def _rank(
+        self,
+        owner: LedgerOwner | CellOwner,
+        live: dict[ProcessId, DomainId],
+        now: Seconds,
+    ) -> int | None:
+        if self._stopping or self._claims_from is None or now < self._claims_from:
             return None
-        place = rank_candidates(stream, live).index(self.node.process)
+        stream = owner.replica.stream
+        if isinstance(owner, CellOwner):
+            ranked = rank_for_cell(stream, live, owner.state.domain)
+        else:
+            ranked = rank_candidates(stream, list(live))
+        place = ranked.index(self.node.process)
         return place if place < STANDBYS else None
 
     def _find_owner(self, call: Call) -> LedgerOwner | CellOwner | None:
--- a/plantainhinge/membership/peers.py
+++ b/plantainhinge/membership/peers.py
@@ -183,14 +183,19 @@
         turn.extend(row for row in rows[:1] if row not in turn)
         return turn
 
-    def is_replaced(self, process: ProcessId) -> bool:
-        """Return whether a later process has answered in its place."""
+    def is_replaced(self, process: ProcessId, address: str) -> bool:
+        """Return whether a later process of the same place answers at its address.
+
+        A process holds its port until it has ended, also while it is paused, so a
+        later one at the same address is proof of its end. The number in its name
+        counts, since an incarnation rises without an end.
+        """
+        row = self.rows.get(address)
+        if row is None:
+            return False
         place, number = _split_process(process)
-        for row in self.rows.values():
-            other, later = _split_process(row.heartbeat.process)
-            if other == place and later > number:
-                return True
-        return False
+        other, later = _split_process(row.heartbeat.process)
+        return other == place and later > number
 
     def find_newest_revision(self) -> Revision:
         """Return the newest configuration that any process said it runs."""
