--- a/plantainhinge/routing/plans.py
+++ b/plantainhinge/routing/plans.py
@@ -20,6 +20,7 @@
 from .targets import TargetRow, TargetTable
 
 LEAVING_BOUND_SECONDS = 3.0
+PAUSE_SECONDS = 2.0
 DIGESTS_MAX = 8
 SUBSET_TARGETS = 64
 
@@ -54,6 +55,7 @@
     me: ProcessId,
     live: Iterable[Heartbeat],
     own_arrivals: float,
+    own_lookups: float = 0.0,
     policy: Policy,
 ) -> ServicePlan:
     """Return what this gateway may use of a service.
@@ -62,16 +64,20 @@
     ----------
     own_arrivals : float
         Requests a second that come to this gateway.
+    own_lookups : float
+        Latency-critical requests that it has in flight on average.
     """
     declared = configuration.services[service]
     gateways = list_gateways(live, configuration, region)
     rows = table.list_serving(service, list_domains(configuration, region))
     ids = frozenset({heartbeat.process for heartbeat in gateways} | {me})
-    for row in rows:
-        row.slots = declared.slots
-        row.batch_share = policy.split_batch(declared.slots, row.target.target, me, ids)
     hard = share_connections(declared.connections, configuration.limits.gateways)
     load = measure_load(service, me, gateways, own_arrivals)
+    lookups = own_lookups / load.weight / max(1, len(rows))
+    places = policy.size_batch(declared.slots, lookups)
+    for row in rows:
+        row.slots = declared.slots
+        row.batch_share = policy.split_batch(places, row.target.target, me, ids)
     soft = policy.split(declared.slots, hard, load)
     return ServicePlan(service=service, rows=rows, hard=hard, soft=soft)
 
@@ -156,6 +162,44 @@
     return not any(peer.revision > revision for peer in peers)
 
 
+@dataclass
+class Wakefulness:
+    """Whether this process was paused, by the gaps between its ticks.
+
+    Parameters
+    ----------
+    ticked_at : Seconds or None
+        When the last tick was.
+    woken_at : Seconds or None
+        When a tick came after a pause; None once that no longer matters.
+    """
+
+    ticked_at: Seconds | None = None
+    woken_at: Seconds | None = None
+
+
+def note_tick(state: Wakefulness, now: Seconds, confirmed_at: Seconds | None) -> bool:
+    """Note a tick; return whether the process knows again what it slept through.
+
+    After a pause the configuration has to be confirmed once more. If that does
+    not come about within the bound, the log is down, which is another matter.
+
+    Parameters
+    ----------
+    confirmed_at : Seconds or None
+        When the configuration was last confirmed as the newest.
+    """
+    if state.ticked_at is not None and now > state.ticked_at + PAUSE_SECONDS:
+        state.woken_at = now
+    state.ticked_at = now
+    if state.woken_at is None:
+        return True
+    confirmed = confirmed_at is not None and confirmed_at >= state.woken_at
+    if confirmed or now > state.woken_at + LEAVING_BOUND_SECONDS:
+        state.woken_at = None
+    return state.woken_at is None
+
+
 def bound_cell_subset(configuration: Configuration, region: RegionId) -> int:
     """Return how many targets to ask of each cell of a region."""
     domains = len(list_domains(configuration, region))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -221,3 +221,14 @@
         table.note(stale, Seconds(1.0))
     assert table.rows[member.address].heartbeat.revision == 1
     assert table.find_newest_revision() == 1
+
+
+def test_a_refutation_is_no_replacement():
+    group = Group(4)
+    group.run(10)
+    address = group.listed[1]
+    table = group.members[group.listed[0]].table
+    row = table.rows[address]
+    raised = row.heartbeat.incarnation + 1
+    row.heartbeat = msgspec.structs.replace(row.heartbeat, incarnation=raised)
+    assert not table.is_replaced(row.heartbeat.process, address)
