--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -4,8 +4,10 @@
 the encoded messages, without the framing of HTTP/2 and TCP.
 """
 
+import importlib
 import json
 import random
+import resource
 import time
 import tracemalloc
 
@@ -209,9 +211,16 @@
     ]
 
 
+def measure_memory() -> Slope:
+    """Return the resident memory of a process that has imported the daemons."""
+    importlib.import_module("plantainhinge.daemons.process")
+    kilobytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return Slope("daemon.imports.memory", kilobytes / 1e3, "MB")
+
+
 def measure_all() -> list[Slope]:
     """Return every slope."""
-    slopes = []
+    slopes = [measure_memory()]
     for members in (16, 100, 300):
         slopes.extend(measure_membership(members))
     slopes.extend(measure_exchange())
--- a/plantainhinge/membership/peers.py
+++ b/plantainhinge/membership/peers.py
@@ -187,7 +187,8 @@
         """Return whether a later process of the same place answers at its address.
 
         A process holds its port until it has ended, also while it is paused, so a
-        later one at the same address is proof of its end.
+        later one at the same address is proof of its end. The number in its name
+        counts, since an incarnation rises without an end.
         """
         row = self.rows.get(address)
         if row is None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -124,6 +124,9 @@
     group.run(60)
     assert PeerState.DEAD not in group.states_of(target)
     assert group.members[target].table.incarnation > 1
+    process = group.members[target].process
+    tables = [member.table for member in group.members.values()]
+    assert not any(table.is_replaced(process, target) for table in tables)
 
 
 def test_a_process_at_a_reused_address_replaces_the_old_one():
