--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -35,6 +35,7 @@
     ClaimAnswer,
     ClaimRequest,
     ClosuresTaken,
+    ConfigurationCopy,
     Empty,
     FinishClaim,
     Heartbeat,
@@ -86,6 +87,7 @@
 OFFER = Method("Offer", OfferAttempts, OffersTaken)
 REPORT_CLOSURES = Method("ReportClosures", ReportClosures, ClosuresTaken)
 QUERY_TARGETS = Method("QueryTargets", QueryTargets, TargetList)
+FETCH_CONFIGURATION = Method("FetchConfiguration", Empty, ConfigurationCopy)
 QUERY_EVENTS = Method("QueryEvents", QueryEvents, EventList)
 QUERY_STATUS = Method("QueryStatus", QueryStatus, ProcessStatus)
 LIST_JOBS = Method("ListJobs", ListJobs, JobList)
@@ -100,6 +102,7 @@
     OFFER,
     REPORT_CLOSURES,
     QUERY_TARGETS,
+    FETCH_CONFIGURATION,
     QUERY_EVENTS,
     QUERY_STATUS,
     LIST_JOBS,
