Put the filter's instruction layout with the other constants

Cause: read as a newcomer, the layout stood between two functions of adapters/listeners.py, after its first use in the text.

Change: it stands with the constants; nothing else moves.

--- a/plantainhinge/adapters/listeners.py
+++ b/plantainhinge/adapters/listeners.py
@@ -18,6 +18,7 @@
 JUMP_IF_EQUAL = 0x15
 RETURN = 0x06
 WHOLE_SEGMENT = 0xFFFFFFFF
+INSTRUCTION = struct.Struct("HBBI")
 
 
 def drop_opening_segments(listener: socket.socket) -> bool:
@@ -30,7 +31,7 @@
     """
     program = _build_program()
     address, _ = program.buffer_info()
-    count = len(program) // _INSTRUCTION.size
+    count = len(program) // INSTRUCTION.size
     try:
         listener.setsockopt(
             socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HP", count, address)
@@ -40,9 +41,6 @@
     return True
 
 
-_INSTRUCTION = struct.Struct("HBBI")
-
-
 def _build_program() -> "array.array[int]":
     """Return the classic BPF program, over a segment from its TCP header on."""
     instructions = [
@@ -52,5 +50,5 @@
         (RETURN, 0, 0, 0),
         (RETURN, 0, 0, WHOLE_SEGMENT),
     ]
-    code = b"".join(_INSTRUCTION.pack(*instruction) for instruction in instructions)
+    code = b"".join(INSTRUCTION.pack(*instruction) for instruction in instructions)
     return array.array("B", code)
