--- /dev/null
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -0,0 +1,204 @@
+"""An HTTP/1.1 server on the event loop that drains before it stops."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import httptools
+
+from ..core.ids import Seconds
+
+logger = logging.getLogger(__name__)
+
+BACKLOG = 512
+BODY_BYTES_MAX = 1 << 20
+HEADER_BYTES_MAX = 16384
+PIPELINED_MAX = 16
+REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """What to answer."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def encode(self, *, keep: bool) -> bytes:
+        """Return the bytes to send."""
+        reason = REASONS.get(self.status, "Status")
+        lines = [f"HTTP/1.1 {self.status} {reason}"]
+        lines.extend(f"{name}: {value}" for name, value in self.headers)
+        lines.append(f"Content-Length: {len(self.body)}")
+        if not keep:
+            lines.append("Connection: close")
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+
+
+class _Exchange(asyncio.Protocol):
+    """One caller's connection; its requests are answered in order."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: list[tuple[HttpRequest, bool]] = []
+        self._task: asyncio.Task[None] | None = None
+        self._reset()
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, _TooLargeError) as error:
+            self._reject(error)
+
+    def on_message_begin(self) -> None:
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_header(len(name) + len(value))
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > BODY_BYTES_MAX:
+            raise _TooLargeError(413)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if len(self._queue) >= PIPELINED_MAX:
+            raise _TooLargeError(429)
+        request = HttpRequest(
+            self._parser.get_method().decode(),
+            self._url.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+        )
+        self._queue.append((request, self._parser.should_keep_alive()))
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being answered."""
+        return self._task is not None
+
+    def close(self) -> None:
+        """Close after what was written has left."""
+        if self._transport is not None:
+            self._transport.close()
+
+    async def _serve(self) -> None:
+        while self._queue:
+            request, keep = self._queue[0]
+            reply = await self._server.answer(request)
+            keep = keep and not self._server.draining
+            if self._transport is not None:
+                self._transport.write(reply.encode(keep=keep))
+            self._queue.pop(0)
+            if not keep:
+                self._queue.clear()
+                self.close()
+        self._task = None
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > HEADER_BYTES_MAX:
+            raise _TooLargeError(431)
+
+    def _reject(self, error: Exception) -> None:
+        cause = error.__context__ if error.__context__ else error
+        status = cause.status if isinstance(cause, _TooLargeError) else 400
+        logger.info("request rejected", extra={"status": status, "cause": str(cause)})
+        if self._transport is not None:
+            self._transport.write(HttpReply(status=status).encode(keep=False))
+            self._transport.close()
+
+
+class _TooLargeError(Exception):
+    def __init__(self, status: int) -> None:
+        super().__init__(f"over the limit for status {status}")
+        self.status = status
+
+
+@dataclass
+class HttpServer:
+    """Serves one address with one handler.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` to listen on.
+    handle : callable
+        Answers one request.
+    """
+
+    address: str
+    handle: Handler
+    draining: bool = False
+    connections: set[_Exchange] = field(default_factory=set)
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Exchange(self), host, int(port), backlog=BACKLOG
+        )
+
+    async def answer(self, request: HttpRequest) -> HttpReply:
+        """Return the handler's reply; an error in it is logged and becomes a 500."""
+        try:
+            return await self.handle(request)
+        except Exception:
+            logger.exception("handler failed", extra={"path": request.path})
+            return HttpReply(status=500)
+
+    async def drain(self, *, timeout: Seconds) -> None:
+        """Stop listening, finish what is under way and close the rest."""
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        deadline = asyncio.get_running_loop().time() + timeout
+        for connection in list(self.connections):
+            if not connection.busy:
+                connection.close()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                while any(connection.busy for connection in self.connections):
+                    await asyncio.sleep(0.01)
--- a/plantainhinge/core/ids.py
+++ b/plantainhinge/core/ids.py
@@ -25,3 +25,7 @@
 Sequence = NewType("Sequence", int)
 
 Seconds = NewType("Seconds", float)
+
+JobId = NewType("JobId", str)
+QueueName = NewType("QueueName", str)
+StepIndex = NewType("StepIndex", int)
--- /dev/null
+++ b/plantainhinge/daemons/cell_runner.py
@@ -0,0 +1,288 @@
+"""Acts for the cell that this instance owns: reads, orders, renewals, logging."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core.clock import read_monotonic, read_wall
+from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
+from ..core.ids import DomainId, Epoch, Seconds
+from ..dispatch.cell import Cell, Flush
+from ..dispatch.leases import LeaseTerms
+from ..dispatch.orders import Command, Pace, Start, Stop
+from ..dispatch.tables import Worker
+from ..fleet.model import OrderAnswer, OrderOutcome, WorkerReport
+from ..fleet.protocols import Entry, Fence, KeyedLog, WorkerCalls
+from ..jobs.model import JobRecord
+from ..jobs.records import Cancellation, encode_record, form_key
+from .job_view import PROGRESS_TOPIC, JobView
+from .worker_view import WorkerView
+
+logger = logging.getLogger(__name__)
+
+DECIDE_SECONDS = Seconds(0.1)
+DIRECTORY_SECONDS = Seconds(0.25)
+JOB_WAIT_SECONDS = Seconds(1.0)
+FAILURE_PAUSE_SECONDS = Seconds(0.2)
+FLUSH_GATHER_SECONDS = Seconds(0.004)
+RENEWAL_PAUSE_SECONDS = Seconds(0.3)
+FLUSH_WAIT_SECONDS = Seconds(0.25)
+START_TRIES_MAX = 20
+
+
+@dataclass
+class CellRunner:
+    """Runs one ownership of the cell from claim to loss.
+
+    Parameters
+    ----------
+    find_closed : callable
+        Returns the failure domains that take no new work.
+    report_fenced : callable
+        Called when a worker or the log has seen a higher epoch.
+    """
+
+    log: KeyedLog
+    calls: WorkerCalls
+    view: JobView
+    workers: WorkerView
+    terms: LeaseTerms
+    find_closed: Callable[[], frozenset[DomainId]]
+    report_fenced: Callable[[], Coroutine[Any, Any, None]]
+    cell: Cell | None = None
+    _sequence: int = 0
+    _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
+    _renewing: set[str] = field(default_factory=set)
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _dirty: asyncio.Event = field(default_factory=asyncio.Event)
+    _flushed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def own(self, epoch: Epoch) -> None:
+        """Begin to act under an epoch."""
+        started = read_monotonic()
+        cell = Cell(epoch, self.terms, started)
+        await self._prepare(epoch)
+        wall = read_wall()
+        for row in list(self.view.table.select_open()):
+            assert row.accepted is not None
+            cell.open_job(row.accepted, row.progress, wall=wall, inherited=True)
+        self.view.take_fresh()
+        inherited = epoch > 1
+        cell.see_workers(
+            self.workers.entries.values(), now=read_monotonic(), inherited=inherited
+        )
+        cell.closed_domains = self.find_closed()
+        self.cell = cell
+        logger.info(
+            "cell owned",
+            extra={
+                "epoch": epoch,
+                "jobs": len(cell.jobs),
+                "workers": len(cell.workers),
+                "took_s": read_monotonic() - started,
+            },
+        )
+        for loop in (self._tail_jobs, self._poll_directory, self._flush, self._decide):
+            self._spawn(loop(cell))
+
+    def disown(self, reason: str) -> None:
+        """Stop acting at once."""
+        self.cell = None
+        self._renewing.clear()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def finish(self) -> None:
+        """Log what is due before the cell is given up."""
+        if self.cell is not None:
+            await self._flush_once(self.cell)
+
+    async def _prepare(self, epoch: Epoch) -> None:
+        """Shut earlier owners out, then read everything to its end."""
+        self._sequence = 0
+        for attempt in range(START_TRIES_MAX):
+            try:
+                await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+                await self.view.job_tail.catch_up()
+                await self.view.progress_tail.catch_up()
+                await self.workers.tail.catch_up()
+                return
+            except NotOwnerError:
+                raise
+            except PlantainhingeError as error:
+                logger.warning(
+                    "takeover step failed",
+                    extra={"epoch": epoch, "try": attempt, "cause": str(error)},
+                )
+                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
+        await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+
+    # Loops
+
+    async def _tail_jobs(self, cell: Cell) -> None:
+        while self.cell is cell:
+            try:
+                await self.view.job_tail.advance(wait=JOB_WAIT_SECONDS)
+            except PlantainhingeError as error:
+                logger.warning("jobs unreadable", extra={"cause": str(error)})
+                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
+            self._take_fresh(cell)
+
+    def _take_fresh(self, cell: Cell) -> None:
+        fresh = self.view.take_fresh()
+        for record in fresh:
+            match record:
+                case JobRecord():
+                    row = self.view.table.rows[record.job]
+                    cell.open_job(
+                        record, row.progress, wall=read_wall(), inherited=False
+                    )
+                    if row.cancelled:
+                        cell.cancel_job(record.job, now=read_monotonic())
+                case Cancellation():
+                    cell.cancel_job(record.job, now=read_monotonic())
+        if fresh:
+            self.wake()
+
+    async def _poll_directory(self, cell: Cell) -> None:
+        while self.cell is cell:
+            try:
+                await self.workers.tail.advance()
+                cell.see_workers(self.workers.entries.values(), now=read_monotonic())
+            except PlantainhingeError as error:
+                logger.warning("directory unreadable", extra={"cause": str(error)})
+            self._renew_new_workers(cell)
+            await asyncio.sleep(DIRECTORY_SECONDS)
+
+    def _renew_new_workers(self, cell: Cell) -> None:
+        for name, worker in cell.workers.items():
+            if name not in self._renewing:
+                self._renewing.add(name)
+                self._spawn(self._renew(cell, worker))
+
+    async def _renew(self, cell: Cell, worker: Worker) -> None:
+        """Renew one worker's leases until it is forgotten."""
+        while self.cell is cell and cell.workers.get(worker.name) is worker:
+            sent = read_monotonic()
+            renewal = cell.prepare_renewal(worker, now=sent)
+            answer = await self.calls.renew(worker.entry, renewal)
+            if self.cell is not cell:
+                return
+            now = read_monotonic()
+            if isinstance(answer, WorkerReport):
+                cell.take_report(worker, answer, sent=sent, now=now)
+                self.wake()
+                if worker.seen_number > worker.acknowledged:
+                    await self._wait_for_flush()
+            else:
+                await self._take_refused_renewal(cell, worker, answer, now=now)
+        self._renewing.discard(worker.name)
+        self.calls.forget(worker.entry)
+
+    async def _take_refused_renewal(
+        self, cell: Cell, worker: Worker, answer: OrderAnswer, *, now: float
+    ) -> None:
+        if answer.outcome is OrderOutcome.FENCED:
+            await self.report_fenced()
+        cell.lose_touch(worker, now=now)
+        await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
+
+    async def _wait_for_flush(self) -> None:
+        try:
+            async with asyncio.timeout(FLUSH_WAIT_SECONDS):
+                await self._flushed.wait()
+        except TimeoutError:
+            return
+
+    async def _decide(self, cell: Cell) -> None:
+        while self.cell is cell:
+            try:
+                async with asyncio.timeout(DECIDE_SECONDS):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            cell.closed_domains = self.find_closed()
+            cell.decide(now=read_monotonic(), wall=read_wall())
+            for command in cell.take_commands():
+                self._spawn(self._send(cell, command))
+            self._dirty.set()
+            if cell.fenced:
+                cell.fenced = False
+                await self.report_fenced()
+
+    async def _flush(self, cell: Cell) -> None:
+        while self.cell is cell:
+            await self._dirty.wait()
+            await asyncio.sleep(FLUSH_GATHER_SECONDS)
+            self._dirty.clear()
+            await self._flush_once(cell)
+
+    async def _flush_once(self, cell: Cell) -> None:
+        flush = cell.take_flush()
+        if flush is None:
+            return
+        if flush.progress and not await self._write(cell, flush):
+            return
+        for progress in flush.progress:
+            self.view.table.apply(progress)
+        cell.confirm_flush(flush)
+        self._flushed.set()
+        self._flushed.clear()
+
+    async def _write(self, cell: Cell, flush: Flush) -> bool:
+        """Append a flush, repeating it under its number while answers are lost."""
+        entries = [
+            Entry(form_key(progress), encode_record(progress))
+            for progress in flush.progress
+        ]
+        fence = Fence(cell.epoch, self._sequence)
+        while self.cell is cell:
+            try:
+                await self.log.append(PROGRESS_TOPIC, entries, fence=fence)
+                self._sequence += 1
+                return True
+            except NotOwnerError:
+                await self.report_fenced()
+                return False
+            except RaceLostError as error:
+                logger.error("progress out of step", extra={"cause": str(error)})
+                cell.restore_flush(flush)
+                await self.report_fenced()
+                self._sequence += 1
+                return False
+            except PlantainhingeError as error:
+                logger.warning("progress not logged", extra={"cause": str(error)})
+                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
+        return False
+
+    async def _send(self, cell: Cell, command: Command) -> None:
+        match command:
+            case Start(run=run, order=order):
+                answer = await self.calls.start(run.worker.entry, order)
+                if self.cell is cell:
+                    cell.take_start_answer(run, answer, now=read_monotonic())
+                    if answer.outcome is not OrderOutcome.ACCEPTED:
+                        self.wake()
+            case Stop(worker=worker, order=order, run=stopped):
+                answer = await self.calls.stop(worker.entry, order)
+                if self.cell is cell:
+                    cell.take_stop_answer(stopped, answer, now=read_monotonic())
+            case Pace(run=run, order=order):
+                await self.calls.pace(run.worker.entry, order)
+
+    def wake(self) -> None:
+        """Have the next decisions made at once."""
+        self._wake.set()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("loop ended by an error", exc_info=task.exception())
--- /dev/null
+++ b/plantainhinge/daemons/instance.py
@@ -0,0 +1,150 @@
+"""One entry instance: takes jobs, and owns the cell when that falls to it."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from ..adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
+from ..core.clock import read_monotonic
+from ..core.errors import PlantainhingeError
+from ..core.ids import InstanceId, Seconds
+from ..dispatch.leases import LeaseTerms
+from ..fleet.protocols import KeyedLog, WorkerCalls
+from .cell_runner import CellRunner
+from .job_service import JobService
+from .job_view import JobView
+from .operator_view import OperatorView
+from .ownership import Ownership
+from .worker_view import WorkerView
+
+logger = logging.getLogger(__name__)
+
+OPERATOR_WAIT_SECONDS = Seconds(1.0)
+FAILURE_PAUSE_SECONDS = Seconds(0.2)
+READY_SILENCE_SECONDS = Seconds(2.0)
+DRAIN_SECONDS = Seconds(2.5)
+CLOSE_SECONDS = Seconds(1.5)
+
+
+@dataclass(frozen=True, kw_only=True)
+class InstanceSettings:
+    """How an instance runs.
+
+    Parameters
+    ----------
+    callers_address, ready_address : str
+        ``host:port`` for callers and for the probes of the balancer.
+    """
+
+    instance: InstanceId
+    callers_address: str
+    ready_address: str
+    terms: LeaseTerms
+
+
+@dataclass
+class Instance:
+    """The parts of one process and their life cycle."""
+
+    settings: InstanceSettings
+    log: KeyedLog
+    calls: WorkerCalls
+    operator: OperatorView
+    workers: WorkerView
+    draining: bool = False
+    _stopping: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.view = JobView(self.log)
+        self.runner = CellRunner(
+            log=self.log,
+            calls=self.calls,
+            view=self.view,
+            workers=self.workers,
+            terms=self.settings.terms,
+            find_closed=lambda: self.operator.closed_domains,
+            report_fenced=self._verify,
+        )
+        self.ownership = Ownership(
+            log=self.log,
+            instance=self.settings.instance,
+            own=self.runner.own,
+            disown=self.runner.disown,
+        )
+        self.service = JobService(
+            log=self.log,
+            view=self.view,
+            find_configuration=lambda: self.operator.configuration,
+            owns_cell=lambda: self.runner.cell is not None,
+        )
+
+    async def run(
+        self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]
+    ) -> None:
+        """Serve until SIGTERM, then hand over and drain."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        callers = HttpServer(self.settings.callers_address, handle)
+        probes = HttpServer(self.settings.ready_address, self._probe)
+        await callers.start()
+        await probes.start()
+        logger.info("started", extra={"address": self.settings.callers_address})
+        tasks = [
+            loop.create_task(self._tail_operator()),
+            loop.create_task(self.ownership.run()),
+        ]
+        await self._stopping.wait()
+        await self._stop(callers)
+        for task in tasks:
+            task.cancel()
+
+    async def _stop(self, callers: HttpServer) -> None:
+        self.draining = True
+        logger.info("stopping", extra={"owner": self.runner.cell is not None})
+        started = read_monotonic()
+        await self.runner.finish()
+        await self.ownership.leave()
+        elapsed = read_monotonic() - started
+        await asyncio.sleep(max(0.0, DRAIN_SECONDS - elapsed))
+        await callers.drain(timeout=CLOSE_SECONDS)
+        logger.info("stopped", extra={"took_s": read_monotonic() - started})
+
+    async def _tail_operator(self) -> None:
+        lost = False
+        while True:
+            try:
+                await self.operator.tail.advance(wait=OPERATOR_WAIT_SECONDS)
+                if lost:
+                    logger.info("log regained", extra={"topic": "operator"})
+                lost = False
+            except PlantainhingeError as error:
+                if not lost:
+                    logger.warning("log lost", extra={"cause": str(error)})
+                lost = True
+                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
+
+    async def _probe(self, request: HttpRequest) -> HttpReply:
+        return HttpReply(status=200 if self._is_ready() else 503)
+
+    def _is_ready(self) -> bool:
+        now = read_monotonic()
+        silence = now - max(self.ownership.contact_at, self.operator.tail.current_at)
+        return (
+            not self.draining
+            and self.operator.configuration is not None
+            and silence < READY_SILENCE_SECONDS
+        )
+
+    async def _verify(self) -> None:
+        try:
+            await self.ownership.verify()
+        except PlantainhingeError as error:
+            logger.warning("ownership not verified", extra={"cause": str(error)})
+
+
+def _note_reload() -> None:
+    logger.info("settings signalled; all of them take effect at the next start")
--- /dev/null
+++ b/plantainhinge/daemons/job_view.py
@@ -0,0 +1,51 @@
+"""An instance's copy of the jobs in the log."""
+
+import logging
+
+from ..core.errors import CorruptRecordError
+from ..core.ids import JobId
+from ..fleet.protocols import Entry, KeyedLog
+from ..jobs.records import Record, decode_record
+from ..jobs.table import JobTable
+from .tail import Tail
+
+logger = logging.getLogger(__name__)
+
+JOB_TOPIC = "keyed.jobs"
+PROGRESS_TOPIC = "keyed.progress"
+
+
+class JobView:
+    """The table of jobs, fed by the topics of jobs and of progress."""
+
+    def __init__(self, log: KeyedLog) -> None:
+        self.table = JobTable()
+        self.fresh: list[Record] = []
+        self.job_tail = Tail(log, JOB_TOPIC, self._apply_job, _keep)
+        self.progress_tail = Tail(log, PROGRESS_TOPIC, self._apply, _keep)
+
+    def take_fresh(self) -> list[Record]:
+        """Return the records about jobs that came since the last call."""
+        fresh, self.fresh = self.fresh, []
+        return fresh
+
+    def _apply_job(self, entry: Entry) -> None:
+        record = self._apply(entry)
+        if record is not None:
+            self.fresh.append(record)
+
+    def _apply(self, entry: Entry) -> Record | None:
+        if not entry.value:
+            self.table.forget(JobId(entry.key[1:]))
+            return None
+        try:
+            record = decode_record(entry.key, entry.value)
+        except CorruptRecordError as error:
+            logger.error("record ignored", extra={"cause": str(error)})
+            return None
+        self.table.apply(record)
+        return record
+
+
+def _keep() -> None:
+    """Records of jobs are only ever added to: nothing to forget."""
--- /dev/null
+++ b/plantainhinge/daemons/operator_view.py
@@ -0,0 +1,57 @@
+"""An instance's copy of what operators asked for."""
+
+import logging
+from collections.abc import Callable
+
+from ..core.ids import DomainId
+from ..fleet.operator import DomainClosure, OperatorRecord, SchedulingConfiguration
+from ..fleet.protocols import Entry, KeyedLog
+from .tail import Tail
+
+logger = logging.getLogger(__name__)
+
+Decode = Callable[[str, bytes], OperatorRecord | None]
+
+
+class OperatorView:
+    """The configuration in force and the failure domains taken out.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns what a record asks for.
+    """
+
+    def __init__(self, log: KeyedLog, topic: str, decode: Decode) -> None:
+        self.configuration: SchedulingConfiguration | None = None
+        self._closures: dict[str, DomainId] = {}
+        self._decode = decode
+        self.tail = Tail(log, topic, self._apply, self._closures.clear)
+
+    @property
+    def closed_domains(self) -> frozenset[DomainId]:
+        """Return the failure domains that take no new work."""
+        return frozenset(self._closures.values())
+
+    def _apply(self, entry: Entry) -> None:
+        if not entry.value:
+            if self._closures.pop(entry.key, None) is not None:
+                logger.info("failure domain opened", extra={"key": entry.key})
+            return
+        record = self._decode(entry.key, entry.value)
+        match record:
+            case DomainClosure():
+                self._closures[entry.key] = record.domain
+                logger.info("failure domain closed", extra={"domain": record.domain})
+            case SchedulingConfiguration():
+                self._take_configuration(record)
+
+    def _take_configuration(self, record: SchedulingConfiguration) -> None:
+        current = self.configuration
+        if current is not None and record.revision <= current.revision:
+            return
+        self.configuration = record
+        logger.info(
+            "configuration in force",
+            extra={"revision": record.revision, "queues": len(record.routes)},
+        )
--- /dev/null
+++ b/plantainhinge/daemons/ownership.py
@@ -0,0 +1,158 @@
+"""Keeps this instance in the group and claims the cell when that is due."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from ..core.clock import read_monotonic
+from ..core.errors import CorruptRecordError, PlantainhingeError, RaceLostError
+from ..core.ids import Epoch, InstanceId, Seconds
+from ..fleet.protocols import Entry, KeyedLog, Membership
+from ..jobs.ownership import (
+    OWNER_KEY,
+    OwnerRecord,
+    decode_owner,
+    encode_owner,
+    name_member,
+    should_take_over,
+)
+
+logger = logging.getLogger(__name__)
+
+OWNER_TOPIC = "keyed.cells"
+JOIN_SECONDS = Seconds(0.3)
+RECHECK_SECONDS = Seconds(2.0)
+
+
+@dataclass
+class Ownership:
+    """This process's part in who owns the cell.
+
+    Parameters
+    ----------
+    own : callable
+        Begins to act as the owner under an epoch.
+    disown : callable
+        Stops acting at once.
+    contact_at : float
+        Monotonic seconds of the last answer of the group.
+    """
+
+    log: KeyedLog
+    instance: InstanceId
+    own: Callable[[Epoch], Awaitable[None]]
+    disown: Callable[[str], None]
+    life: str = field(default_factory=lambda: uuid.uuid4().hex[:8])
+    epoch: Epoch | None = None
+    contact_at: float = float("-inf")
+    leaving: bool = False
+    _generation: int = 0
+    _checked_at: float = float("-inf")
+
+    @property
+    def member(self) -> InstanceId:
+        """Return this process's name in the group."""
+        return InstanceId(f"{self.instance}/{self.life}")
+
+    async def run(self) -> None:
+        """Stay in the group until cancelled."""
+        while not self.leaving:
+            started = read_monotonic()
+            try:
+                await self._step()
+            except PlantainhingeError as error:
+                self._note_loss(error)
+            pause = JOIN_SECONDS - (read_monotonic() - started)
+            await asyncio.sleep(max(0.02, pause))
+
+    async def verify(self) -> None:
+        """Read the owner's record; stop acting if it names another."""
+        owner, _ = await self._read_owner()
+        if self.epoch is not None and not self._is_mine(owner):
+            self._lose(f"epoch {owner.epoch if owner else 0} is newer")
+
+    async def leave(self) -> None:
+        """Give the cell up and leave the group."""
+        self.leaving = True
+        try:
+            if self.epoch is not None:
+                owner, end = await self._read_owner()
+                if self._is_mine(owner):
+                    released = OwnerRecord(self.epoch, InstanceId(""), "")
+                    await self._write_owner(released, end)
+                self._lose("leaving")
+            await self.log.leave(self.member)
+        except PlantainhingeError as error:
+            logger.warning("leaving failed", extra={"cause": str(error)})
+
+    async def _step(self) -> None:
+        membership = await self.log.join(self.member, generation=self._generation)
+        if self.contact_at == float("-inf"):
+            logger.info("joined the group", extra={"member": self.member})
+        self.contact_at = read_monotonic()
+        changed = membership.generation != self._generation
+        self._generation = membership.generation
+        due = self.contact_at - self._checked_at > RECHECK_SECONDS
+        if self.epoch is None and membership.first and (changed or due):
+            await self._consider(membership)
+
+    async def _consider(self, membership: Membership) -> None:
+        owner, end = await self._read_owner()
+        members = await self.log.list_members()
+        if not should_take_over(owner, candidate=membership.first, members=members):
+            self._checked_at = read_monotonic()
+            return
+        epoch = Epoch(owner.epoch + 1 if owner is not None else 1)
+        record = OwnerRecord(epoch, self.instance, self.life)
+        try:
+            await self._write_owner(record, end)
+        except RaceLostError as error:
+            logger.info("claim lost", extra={"epoch": epoch, "cause": str(error)})
+            return
+        logger.info(
+            "cell claimed",
+            extra={
+                "epoch": epoch,
+                "generation": membership.generation,
+                "previous": name_member(owner) if owner else "",
+            },
+        )
+        self.epoch = epoch
+        await self.own(epoch)
+
+    async def _read_owner(self) -> tuple[OwnerRecord | None, int]:
+        page = await self.log.read_newest(OWNER_TOPIC)
+        for entry in page.entries:
+            if entry.key == OWNER_KEY and entry.value:
+                try:
+                    return decode_owner(entry.value), page.end
+                except CorruptRecordError as error:
+                    logger.error("owner unreadable", extra={"cause": str(error)})
+        return None, page.end
+
+    async def _write_owner(self, record: OwnerRecord, end: int) -> None:
+        entry = Entry(OWNER_KEY, encode_owner(record))
+        await self.log.append(OWNER_TOPIC, [entry], expected_end=end)
+
+    def _is_mine(self, owner: OwnerRecord | None) -> bool:
+        return (
+            owner is not None
+            and owner.epoch == self.epoch
+            and name_member(owner) == self.member
+        )
+
+    def _lose(self, reason: str) -> None:
+        logger.info("cell given up", extra={"epoch": self.epoch, "cause": reason})
+        self.epoch = None
+        self.disown(reason)
+
+    def _note_loss(self, error: PlantainhingeError) -> None:
+        logger.warning(
+            "group call failed",
+            extra={
+                "cause": str(error),
+                "silent_s": read_monotonic() - self.contact_at,
+            },
+        )
--- /dev/null
+++ b/plantainhinge/dispatch/book.py
@@ -0,0 +1,123 @@
+"""Open jobs: made from their records, told back as progress."""
+
+from collections.abc import Iterator
+
+from ..core.ids import Seconds
+from ..jobs.model import (
+    JobRecord,
+    JobState,
+    Recurrence,
+    TaskKey,
+    find_critical_path,
+)
+from ..jobs.records import (
+    OccurrenceProgress,
+    Progress,
+    StepProgress,
+    TaskNote,
+    pack_bits,
+    unpack_bits,
+)
+from .tables import JobRun, StepRun, Task
+
+ONCE = Recurrence(1, 0.0, 0.0)
+
+
+def open_job(record: JobRecord, progress: Progress | None, *, wall: Seconds) -> JobRun:
+    """Return the owner's row of a job, with what the log says of its progress."""
+    policy = record.policy
+    chain = find_critical_path(record.spec.steps)
+    due = record.accepted_at + policy.slack_factor * chain + policy.target_latency
+    job = JobRun(record, due)
+    if progress is not None:
+        job.state = progress.state
+        job.finished_below = progress.finished_below
+        job.created_below = progress.finished_below
+    open_due_occurrences(job, wall=wall)
+    if progress is not None:
+        for number, occurrence in progress.occurrences.items():
+            _open_occurrence(job, number)
+            _restore(job.occurrences[number], occurrence)
+    return job
+
+
+def open_due_occurrences(job: JobRun, *, wall: Seconds) -> list[StepRun]:
+    """Make the steps of each occurrence that is due; returns the new ones."""
+    recurrence = job.record.spec.recurrence or ONCE
+    opened: list[StepRun] = []
+    while job.created_below < recurrence.times and (
+        recurrence.first + job.created_below * recurrence.interval <= wall
+    ):
+        opened.extend(_open_occurrence(job, job.created_below))
+        job.created_below += 1
+    return opened
+
+
+def close_occurrences(job: JobRun) -> bool:
+    """Drop the finished occurrences; returns whether the whole job is done."""
+    for number in sorted(job.occurrences):
+        if any(step.left for step in job.occurrences[number]):
+            continue
+        if number == job.finished_below:
+            del job.occurrences[number]
+            job.finished_below += 1
+    recurrence = job.record.spec.recurrence or ONCE
+    return job.finished_below >= recurrence.times
+
+
+def describe_progress(job: JobRun) -> Progress:
+    """Return what a later owner needs to go on."""
+    return Progress(
+        job=job.job,
+        queue=job.record.policy.queue,
+        state=job.state,
+        finished_below=job.finished_below,
+        occurrences={}
+        if job.state in (JobState.COMPLETED, JobState.CANCELLED, JobState.FAILED)
+        else {
+            number: OccurrenceProgress(tuple(_describe_step(step) for step in steps))
+            for number, steps in job.occurrences.items()
+        },
+    )
+
+
+def _open_occurrence(job: JobRun, number: int) -> list[StepRun]:
+    if number in job.occurrences:
+        return []
+    steps = []
+    for index, spec in enumerate(job.record.spec.steps):
+        step = StepRun(job, number, index, spec, left=spec.count)
+        step.tasks = [
+            Task(TaskKey(job.job, number, index, position), step)
+            for position in range(spec.count)
+        ]
+        step.waiting = list(step.tasks)
+        steps.append(step)
+    job.occurrences[number] = steps
+    return steps
+
+
+def _restore(steps: list[StepRun], occurrence: OccurrenceProgress) -> None:
+    for step, progress in zip(steps, occurrence.steps, strict=False):
+        for index in unpack_bits(progress.done):
+            if index < len(step.tasks):
+                step.tasks[index].done = True
+        step.left = sum(not task.done for task in step.tasks)
+        step.waiting = [task for task in step.tasks if not task.done]
+        for index, note in progress.notes.items():
+            task = step.tasks[index]
+            task.attempt = note.attempt
+            task.failures = note.failures
+            task.checkpoint = note.checkpoint
+
+
+def _describe_step(step: StepRun) -> StepProgress:
+    done = {task.key.index for task in step.tasks if task.done}
+    return StepProgress(pack_bits(done), dict(_note_tasks(step)))
+
+
+def _note_tasks(step: StepRun) -> Iterator[tuple[int, TaskNote]]:
+    for task in step.tasks:
+        if task.done or not (task.failures or task.checkpoint or task.attempt > 1):
+            continue
+        yield task.key.index, TaskNote(task.attempt, task.failures, task.checkpoint)
--- /dev/null
+++ b/plantainhinge/dispatch/tables.py
@@ -0,0 +1,225 @@
+"""The owner's tables: jobs, their steps and tasks, workers and attempts."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..core.ids import Attempt, JobId, WorkerId
+from ..core.resources import Resources
+from ..fleet.model import WorkerEntry, WorkerState
+from ..jobs.model import JobRecord, JobState, Step, TaskKey
+
+LABEL_RACK_PREFIX = "r"
+
+
+class RunPhase(Enum):
+    """Where an attempt stands at its worker."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One attempt of a task, bound to a worker.
+
+    Parameters
+    ----------
+    ordered_at, confirmed_at : float
+        Monotonic seconds of the first order and of its confirmation.
+    retry_at : float
+        When an unanswered order goes out again; infinite if none is due.
+    moved_at : float
+        When its progress last changed.
+    """
+
+    task: "Task"
+    attempt: Attempt
+    worker: "Worker"
+    phase: RunPhase
+    ordered_at: float
+    confirmed_at: float = 0.0
+    retry_at: float = float("inf")
+    tries: int = 0
+    percent: int = 0
+    moved_at: float = 0.0
+    gauge: float = 0.0
+    pace: int = 100
+    inherited: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of one occurrence."""
+
+    key: TaskKey
+    step: "StepRun"
+    done: bool = False
+    attempt: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    runs: list[Run] = field(default_factory=list)
+    not_before: float = 0.0
+    avoid: set[WorkerId] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """One step of one occurrence.
+
+    Parameters
+    ----------
+    waiting : list of Task
+        Tasks that are bound to no worker.
+    left : int
+        Tasks that aren't done.
+    """
+
+    job: "JobRun"
+    occurrence: int
+    index: int
+    spec: Step
+    tasks: list[Task] = field(default_factory=list)
+    waiting: list[Task] = field(default_factory=list)
+    left: int = 0
+    per_worker: dict[WorkerId, int] = field(default_factory=dict)
+    tickets: dict[tuple[WorkerId, int], tuple[str, float]] = field(
+        default_factory=dict
+    )
+
+    @property
+    def ready(self) -> bool:
+        """Whether all steps that it depends on are done."""
+        steps = self.job.occurrences[self.occurrence]
+        return all(steps[index].left == 0 for index in self.spec.depends_on)
+
+
+@dataclass(slots=True, eq=False)
+class JobRun:
+    """An open job.
+
+    Parameters
+    ----------
+    due : float
+        Seconds since the Unix epoch by which it should be completed.
+    inherited : bool
+        Whether an earlier owner may have started its tasks.
+    """
+
+    record: JobRecord
+    due: float
+    state: JobState = JobState.QUEUED
+    inherited: bool = False
+    finished_below: int = 0
+    created_below: int = 0
+    occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
+
+    @property
+    def job(self) -> JobId:
+        """Return its id."""
+        return self.record.job
+
+    def list_tasks(self) -> Iterator[Task]:
+        """Return the tasks of all occurrences at hand."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                yield from step.tasks
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker and what is committed to it.
+
+    Parameters
+    ----------
+    heard_at : float
+        Monotonic seconds of the newest answer; minus infinity before any.
+    clock : float
+        The worker's clock when it answered, in seconds.
+    lapse_at : float
+        Monotonic seconds after which no lease given so far can be alive.
+    seen_number : int
+        Highest number of an end that was taken in.
+    acknowledged : int
+        Highest number of an end that the log holds.
+    set_aside_until : float
+        No starts before this time, after refusals or failures.
+    """
+
+    entry: WorkerEntry
+    born: int
+    listed: bool = True
+    in_touch: bool = False
+    heard_at: float = float("-inf")
+    clock: float = 0.0
+    lapse_at: float = float("-inf")
+    seen_number: int = 0
+    acknowledged: int = 0
+    runs: dict[tuple[TaskKey, int], Run] = field(default_factory=dict)
+    committed: Resources = Resources()
+    filling: int = 0
+    set_aside_until: float = 0.0
+    faults_in_a_row: int = 0
+
+    @property
+    def name(self) -> WorkerId:
+        """Return its id."""
+        return self.entry.worker
+
+    @property
+    def rack(self) -> str:
+        """Return the label that names its rack; empty if none does."""
+        for label in self.entry.labels:
+            if label.startswith(LABEL_RACK_PREFIX) and "-" in label:
+                return label
+        return ""
+
+    @property
+    def room(self) -> Resources:
+        """Return what isn't committed; fills take no processors."""
+        return self.entry.capacity - self.committed
+
+    @property
+    def spare_millicores(self) -> int:
+        """Return the processors left over for tasks that fill, less their demand."""
+        return self.room.millicores - self.filling
+
+    def accepts(self, now: float) -> bool:
+        """Return whether it may be given new work at all."""
+        return (
+            self.listed
+            and self.in_touch
+            and self.entry.state is WorkerState.READY
+            and now >= self.set_aside_until
+        )
+
+
+def bind(run: Run) -> None:
+    """Enter an attempt at its worker and its task."""
+    step, worker = run.task.step, run.worker
+    worker.runs[(run.task.key, run.attempt)] = run
+    run.task.runs.append(run)
+    step.per_worker[worker.name] = step.per_worker.get(worker.name, 0) + 1
+    worker.committed += count_committed(step.spec)
+    if step.spec.fills:
+        worker.filling += step.spec.request.millicores
+
+
+def unbind(run: Run) -> None:
+    """Take an attempt from its worker and its task."""
+    step, worker = run.task.step, run.worker
+    if worker.runs.pop((run.task.key, run.attempt), None) is None:
+        return
+    run.task.runs.remove(run)
+    step.per_worker[worker.name] -= 1
+    worker.committed -= count_committed(step.spec)
+    if step.spec.fills:
+        worker.filling -= step.spec.request.millicores
+
+
+def count_committed(step: Step) -> Resources:
+    """Return what an attempt takes from its worker's capacity."""
+    if step.fills:
+        return Resources(0, step.request.memory_mib, step.request.accelerators)
+    return step.request
--- /dev/null
+++ b/plantainhinge/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The workers as the owner of their cell sees them."""
--- /dev/null
+++ b/plantainhinge/fleet/model.py
@@ -0,0 +1,189 @@
+"""What workers say of themselves and what they are told."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from ..core.ids import Attempt, DomainId, Epoch, Seconds, ServiceId, WorkerId
+from ..core.resources import Resources
+from ..jobs.model import TaskKey
+
+
+class WorkerState(Enum):
+    """Whether a worker takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's entry in the directory.
+
+    Parameters
+    ----------
+    born : int
+        Names this life of the worker; a restart brings another.
+    remaining : float
+        Seconds that a draining worker surely stays.
+    """
+
+    worker: WorkerId
+    born: int
+    service: ServiceId
+    address: str
+    domain: DomainId
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    state: WorkerState = WorkerState.READY
+    remaining: float = 0.0
+
+
+class EndCause(Enum):
+    """How an attempt ended on its worker."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@dataclass(frozen=True, slots=True)
+class RunningRow:
+    """An attempt that a worker runs.
+
+    Parameters
+    ----------
+    checkpoint : str
+        Newest saved progress.
+    percent : int
+        Progress of a task that ends; 100 for a lasting task at work.
+    gauge : float
+        Tail latency in seconds of a serving task; cores in use of any other.
+    """
+
+    task: TaskKey
+    attempt: Attempt
+    checkpoint: str
+    percent: int
+    gauge: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRow:
+    """An attempt that ended on a worker and isn't acknowledged yet.
+
+    Parameters
+    ----------
+    number : int
+        Counts the ends of this life of the worker.
+    """
+
+    number: int
+    task: TaskKey
+    attempt: Attempt
+    cause: EndCause
+    checkpoint: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerReport:
+    """A worker's answer to a renewal.
+
+    Parameters
+    ----------
+    clock : float
+        Seconds on the worker's clock.
+    born : int
+        Which life of the worker answered.
+    """
+
+    clock: Seconds
+    born: int
+    running: tuple[RunningRow, ...]
+    ended: tuple[EndedRow, ...]
+
+
+class OrderOutcome(Enum):
+    """What became of an order to a worker."""
+
+    ACCEPTED = "accepted"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    TOO_LATE = "too-late"
+    NO_ROOM = "no-room"
+    NO_TICKET = "no-ticket"
+    MALFORMED = "malformed"
+    REFUSED = "refused"
+    OTHER_LIFE = "other-life"
+    UNKNOWN = "unknown"
+    NOT_SENT = "not-sent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderAnswer:
+    """An answer to an order; the clock is None where no body came."""
+
+    outcome: OrderOutcome
+    clock: Seconds | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartOrder:
+    """Start an attempt.
+
+    Parameters
+    ----------
+    lease_end : float
+        When everything on the worker lapses, in seconds on its clock.
+    """
+
+    task: TaskKey
+    attempt: Attempt
+    payload: str
+    checkpoint: str
+    epoch: Epoch
+    lease_end: Seconds
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopOrder:
+    """Stop an attempt; it also keeps that attempt from starting later."""
+
+    task: TaskKey
+    attempt: Attempt
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PaceOrder:
+    """Let an attempt work at a share of its speed, in percent."""
+
+    task: TaskKey
+    attempt: Attempt
+    percent: int
+    epoch: Epoch
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Renewal:
+    """Renew all leases of a worker and ask what it runs.
+
+    Parameters
+    ----------
+    acknowledged : int
+        Ends up to this number are in the log and may be forgotten.
+    wait : float
+        Seconds that the worker may wait for an end before it answers.
+    lease_end : float or None
+        As for a start; None renews nothing.
+    """
+
+    epoch: Epoch
+    acknowledged: int
+    wait: Seconds
+    lease_end: Seconds | None
+
--- /dev/null
+++ b/plantainhinge/fleet/protocols.py
@@ -0,0 +1,140 @@
+"""What the daemons need of the platform that they run on."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..core.ids import Epoch, InstanceId, Seconds
+from .model import (
+    OrderAnswer,
+    PaceOrder,
+    Renewal,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A record of a keyed topic; without a value its key was deleted."""
+
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Records in order, and the offset after the last of them.
+
+    Parameters
+    ----------
+    whole : bool
+        Whether the topic held no further records.
+    """
+
+    entries: tuple[Entry, ...]
+    end: int
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Under which epoch and sequence number an owner appends."""
+
+    epoch: Epoch
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """A member's place in the group.
+
+    Parameters
+    ----------
+    first : bool
+        Whether this member is the candidate to own the cell.
+    """
+
+    generation: int
+    first: bool
+
+
+class KeyedLog(Protocol):
+    """An append-only log whose newest record of each key is kept."""
+
+    async def append(
+        self,
+        topic: str,
+        entries: Sequence[Entry],
+        *,
+        fence: Fence | None = None,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append all entries or none; return the end of the topic after them.
+
+        Raises
+        ------
+        RaceLostError
+            If the topic doesn't end at ``expected_end``.
+        NotOwnerError
+            If a higher epoch was seen.
+        UnavailableError
+            If nothing was done.
+        UncertainError
+            If the entries may have been appended, or may yet be.
+        """
+        ...
+
+    async def read(self, topic: str, *, start: int, wait: Seconds) -> Page:
+        """Return the records from ``start``, waiting for the first of them.
+
+        Raises
+        ------
+        TrimmedError
+            If the records at ``start`` are gone.
+        """
+        ...
+
+    async def read_newest(self, topic: str) -> Page:
+        """Return the newest record of each key and an offset to read on from."""
+        ...
+
+    async def join(self, member: InstanceId, *, generation: int) -> Membership:
+        """Join the group of instances or stay in it."""
+        ...
+
+    async def leave(self, member: InstanceId) -> None:
+        """Leave the group at once."""
+        ...
+
+    async def list_members(self) -> frozenset[InstanceId]:
+        """Return the members whose time hasn't run out."""
+        ...
+
+
+class WorkerCalls(Protocol):
+    """Calls to workers."""
+
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> OrderAnswer:
+        """Start an attempt."""
+        ...
+
+    async def stop(self, entry: WorkerEntry, order: StopOrder) -> OrderAnswer:
+        """Stop an attempt."""
+        ...
+
+    async def pace(self, entry: WorkerEntry, order: PaceOrder) -> OrderAnswer:
+        """Change the pace of an attempt."""
+        ...
+
+    async def renew(
+        self, entry: WorkerEntry, renewal: Renewal
+    ) -> WorkerReport | OrderAnswer:
+        """Renew the leases of a worker and return its lists."""
+        ...
+
+    def forget(self, entry: WorkerEntry) -> None:
+        """Drop the connections to a worker that left."""
+        ...
--- /dev/null
+++ b/plantainhinge/platform/ingress.py
@@ -0,0 +1,195 @@
+"""The clients' calls about jobs, translated to the project's job service."""
+
+import logging
+import re
+from dataclasses import dataclass
+
+import msgspec
+
+from ..adapters.stream_http_server import HttpReply, HttpRequest
+from ..core.errors import BadInputError
+from ..core.ids import JobId, Seconds
+from ..core.resources import Resources
+from ..daemons.job_service import JobService, Verdict
+from ..fleet.operator import QueueRoute
+from ..jobs.model import JobSpec, Recurrence, Step
+
+logger = logging.getLogger(__name__)
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+JSON_TYPE = ("Content-Type", "application/json")
+DEADLINE_HEADER = "x-deadline-ms"
+DEADLINE_SECONDS = Seconds(3.0)
+
+STATUSES = {
+    Verdict.DONE: 200,
+    Verdict.UNKNOWN_QUEUE: 404,
+    Verdict.UNKNOWN_JOB: 410,
+    Verdict.MALFORMED: 400,
+    Verdict.REFUSED: 503,
+    Verdict.UNCERTAIN: 504,
+}
+
+
+class _Step(msgspec.Struct, kw_only=True):
+    count: int = 1
+    cpu: int = 0  # thousandths of a core
+    memory: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+    estimate: float = msgspec.field(name="estRuntimeMs", default=0)
+    depends_on: tuple[int, ...] = msgspec.field(name="dependsOn", default=())
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = msgspec.field(name="sameRack", default=False)
+    constraints: str = ""  # one label
+    affinity: str = ""  # the rack that holds the data
+    anti_affinity: int = msgspec.field(name="antiAffinity", default=0)
+    speculative: bool = False
+    long_running: bool = msgspec.field(name="longRunning", default=False)
+    image: str = ""
+    target: float = msgspec.field(name="targetMs", default=0)
+    fills: bool = False
+    unavailable_max: int = msgspec.field(name="maxUnavailable", default=0)
+
+
+class _Job(msgspec.Struct, kw_only=True):
+    spec: str
+    steps: tuple[_Step, ...]
+    times: int = 0
+    start_at: float = msgspec.field(name="startAtMs", default=0)
+    interval: float = msgspec.field(name="intervalMs", default=0)
+
+
+@dataclass
+class Ingress:
+    """Answers clients.
+
+    Parameters
+    ----------
+    service : JobService
+        Takes jobs and tells of them.
+    """
+
+    service: JobService
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        configuration = self.service.configuration
+        if configuration is None:
+            return _refuse(Verdict.REFUSED, 1)
+        host = request.headers.get("host", "").partition(":")[0]
+        path = request.path.partition("?")[0]
+        route = configuration.find_route(host, path)
+        if route is None:
+            return HttpReply(status=STATUSES[Verdict.UNKNOWN_QUEUE])
+        name = path.removeprefix(route.prefix)
+        if request.method == "GET" and not name:
+            return await self._count(route)
+        if not JOB_ID.match(name):
+            return HttpReply(status=STATUSES[Verdict.MALFORMED])
+        job = JobId(name)
+        match request.method:
+            case "POST":
+                return await self._submit(route, job, request)
+            case "GET":
+                return await self._tell(job, request)
+            case "DELETE":
+                return await self._cancel(job, request)
+        return HttpReply(status=405)
+
+    async def _submit(
+        self, route: QueueRoute, job: JobId, request: HttpRequest
+    ) -> HttpReply:
+        try:
+            spec = decode_spec(request.body)
+        except BadInputError as error:
+            logger.info("job malformed", extra={"job": job, "cause": str(error)})
+            return HttpReply(status=STATUSES[Verdict.MALFORMED])
+        verdict = await self.service.submit(
+            job, route.policy, spec, timeout=_read_timeout(request)
+        )
+        return _refuse(verdict, self.service.retry_after)
+
+    async def _tell(self, job: JobId, request: HttpRequest) -> HttpReply:
+        answer = await self.service.find_state(job, timeout=_read_timeout(request))
+        if isinstance(answer, Verdict):
+            return _refuse(answer, self.service.retry_after)
+        return _reply_json({"state": answer.value})
+
+    async def _cancel(self, job: JobId, request: HttpRequest) -> HttpReply:
+        verdict = await self.service.cancel(job, timeout=_read_timeout(request))
+        return _refuse(verdict, self.service.retry_after)
+
+    async def _count(self, route: QueueRoute) -> HttpReply:
+        count = await self.service.count_queued(route.policy.queue)
+        if isinstance(count, Verdict):
+            return _refuse(count, self.service.retry_after)
+        return _reply_json({"pending": count})
+
+
+def decode_spec(body: bytes) -> JobSpec:
+    """Return the job in a body.
+
+    Raises
+    ------
+    BadInputError
+        If it isn't one; the message names the field.
+    """
+    try:
+        job = msgspec.json.decode(body, type=_Job)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadInputError(str(error), step="ingress.job") from error
+    steps = tuple(_decode_step(step) for step in job.steps)
+    for index, step in enumerate(steps):
+        if any(not 0 <= earlier < index for earlier in step.depends_on):
+            raise BadInputError(
+                f"step {index} depends on {step.depends_on}; valid: 0 to {index - 1}",
+                step="ingress.job",
+            )
+    recurrence = None
+    if job.times > 0:
+        recurrence = Recurrence(job.times, job.start_at / 1000, job.interval / 1000)
+    return JobSpec(payload=job.spec, steps=steps, recurrence=recurrence)
+
+
+def _decode_step(step: _Step) -> Step:
+    return Step(
+        count=step.count,
+        request=Resources(step.cpu, step.memory, step.gpu),
+        estimate=step.estimate / 1000,
+        depends_on=step.depends_on,
+        checkpoints=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.constraints,
+        rack=step.affinity,
+        per_worker_max=step.anti_affinity,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        target_seconds=step.target / 1000,
+        fills=step.fills,
+        unavailable_max=step.unavailable_max,
+    )
+
+
+def _read_timeout(request: HttpRequest) -> Seconds:
+    """Return how long the client waits for the answer, in seconds."""
+    try:
+        return Seconds(float(request.headers[DEADLINE_HEADER]) / 1000)
+    except (KeyError, ValueError):
+        return DEADLINE_SECONDS
+
+
+def _refuse(verdict: Verdict, retry_after: float) -> HttpReply:
+    status = STATUSES[verdict]
+    if verdict is Verdict.REFUSED:
+        seconds = str(max(1, round(retry_after)))
+        return HttpReply(status=status, headers=(("Retry-After", seconds),))
+    return HttpReply(status=status)
+
+
+def _reply_json(content: dict[str, str | int]) -> HttpReply:
+    return HttpReply(
+        status=200, body=msgspec.json.encode(content), headers=(JSON_TYPE,)
+    )
--- /dev/null
+++ b/plantainhinge/platform/operator.py
@@ -0,0 +1,74 @@
+"""The operator's records in the platform's store."""
+
+import logging
+from typing import Any
+
+import msgspec
+
+from ..core.ids import DomainId, QueueName, Revision, ServiceId
+from ..fleet.operator import (
+    DomainClosure,
+    OperatorRecord,
+    QueueRoute,
+    SchedulingConfiguration,
+)
+from ..jobs.model import QueuePolicy
+
+logger = logging.getLogger(__name__)
+
+CONFIG_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+
+
+class _Route(msgspec.Struct, kw_only=True):
+    name: str
+    host: str
+    prefix: str = msgspec.field(name="pathPrefix")
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    slack: float = msgspec.field(name="slackFactor", default=1.0)
+    target: float = msgspec.field(name="targetLatencyMs", default=0)
+    # limits of a service that says which workers may run a step
+    hint: Any = None
+
+
+class _Limits(msgspec.Struct):
+    body: int = msgspec.field(name="maxBodyBytes", default=262144)
+
+
+class _Config(msgspec.Struct, kw_only=True):
+    version: int
+    routes: list[_Route]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_operator_record(key: str, value: bytes) -> OperatorRecord | None:
+    """Return what an operator's record asks for; None if it is of no concern."""
+    if key.startswith(EVACUATE_PREFIX):
+        return DomainClosure(DomainId(key.removeprefix(EVACUATE_PREFIX)))
+    if key != CONFIG_KEY:
+        return None
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except msgspec.MsgspecError as error:
+        logger.error("configuration unreadable", extra={"cause": str(error)})
+        return None
+    return SchedulingConfiguration(
+        revision=Revision(config.version),
+        routes=tuple(_decode_route(route) for route in config.routes),
+        body_bytes_max=config.limits.body,
+    )
+
+
+def _decode_route(route: _Route) -> QueueRoute:
+    policy = QueuePolicy(
+        queue=QueueName(route.name),
+        service=ServiceId(route.service),
+        priority=route.priority,
+        attempts=route.attempts,
+        slack_factor=route.slack,
+        target_latency=route.target / 1000,
+        advised=bool(route.hint),
+    )
+    return QueueRoute(host=route.host, prefix=route.prefix, policy=policy)
--- /dev/null
+++ b/plantainhinge/platform/settings.py
@@ -0,0 +1,48 @@
+"""The settings that the platform fills in from the deploy folder's template."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from ..core.errors import BadInputError
+from ..core.ids import DomainId, InstanceId
+
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d+$")]
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process learns at its start.
+
+    Parameters
+    ----------
+    callers_address, ready_address, log_address : str
+        ``host:port`` for callers, for probes and of the platform's store.
+    lease_seconds_max : float
+        Longest lease that workers grant.
+    member_seconds : float
+        Shortest time after which a silent member leaves the group.
+    """
+
+    instance: InstanceId
+    domain: DomainId
+    callers_address: Address
+    ready_address: Address
+    log_address: Address
+    lease_seconds_max: PositiveSeconds
+    member_seconds: PositiveSeconds
+
+
+def read_platform_settings(path: Path) -> PlatformSettings:
+    """Return the checked settings in a file.
+
+    Raises
+    ------
+    BadInputError
+        If the file can't be read or a value is wrong; the message names it.
+    """
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise BadInputError(str(error), step="settings.read", peer=str(path)) from error
--- /dev/null
+++ b/plantainhinge/platform/store.py
@@ -0,0 +1,238 @@
+"""The platform's store behind the project's keyed log."""
+
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..adapters.stream_http_client import HttpAnswer, HttpCall, HttpClient
+from ..core.errors import (
+    CorruptRecordError,
+    NotOwnerError,
+    RaceLostError,
+    RateLimitedError,
+    TooLargeError,
+    TrimmedError,
+    UnavailableError,
+    UncertainError,
+)
+from ..core.ids import InstanceId, Seconds
+from ..fleet.protocols import Entry, Fence, Membership, Page
+
+T = TypeVar("T")
+
+OK = 200
+PRODUCER = "owner"
+GROUP = "instances"
+GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
+FIRST_PART = (GROUP_TOPICS[0], 0)
+JSON_HEADERS = (("Content-Type", "application/json"),)
+READ_KIB_MAX = 1024
+WRITE_SECONDS = Seconds(0.8)
+READ_SECONDS = Seconds(0.8)
+LENGTH = struct.Struct(">I")
+READ_HEAD = struct.Struct(">QQ")
+
+
+class _Appended(msgspec.Struct):
+    end: int = msgspec.field(name="endOffset")
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = ""
+    end: int = msgspec.field(name="endOffset", default=-1)
+    first: int = msgspec.field(name="startOffset", default=0)
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: bytes = b""  # base64 on the wire
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    more: bool
+    end: int = msgspec.field(name="endOffset")
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+    # rows of topic, partition and committed offset that belong to the member
+    parts: list[tuple[str, int, int]]
+
+
+class _Owners(msgspec.Struct):
+    # rows of topic, partition, member and offset
+    parts: list[tuple[str, int, str, int]]
+
+
+@dataclass
+class Store:
+    """Calls to the platform's store.
+
+    Parameters
+    ----------
+    client : HttpClient
+        For calls that are answered at once.
+    waiting_client : HttpClient
+        For reads that wait for a record.
+    member_seconds : float
+        How long a silent member stays in the group.
+    """
+
+    client: HttpClient
+    waiting_client: HttpClient
+    member_seconds: Seconds
+
+    async def append(
+        self,
+        topic: str,
+        entries: Sequence[Entry],
+        *,
+        fence: Fence | None = None,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append entries; see ``KeyedLog.append``."""
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        if expected_end is not None:
+            query["at"] = expected_end
+        if fence is not None:
+            query |= {"producer": PRODUCER, "epoch": fence.epoch}
+            query |= {"seq": fence.sequence}
+        body = b"".join(_frame(entry) for entry in entries)
+        answer = await self._post(f"/-/log-append?{urlencode(query)}", body, "append")
+        return _decode(answer, _Appended, "store.append", self.client.address).end
+
+    async def read(self, topic: str, *, start: int, wait: Seconds) -> Page:
+        """Read from an offset on; see ``KeyedLog.read``."""
+        query: dict[str, str | int] = {"topic": topic, "part": 0, "from": start}
+        query["maxKb"] = READ_KIB_MAX
+        client = self.client
+        if wait > 0:
+            query["waitMs"] = int(wait * 1000)
+            client = self.waiting_client
+        call = HttpCall(method="GET", path=f"/-/log-read?{urlencode(query)}")
+        answer = await client.call(call, timeout=Seconds(wait + READ_SECONDS))
+        _check(answer, "store.read", client.address)
+        return _parse_records(answer.body, start, client.address)
+
+    async def read_newest(self, topic: str) -> Page:
+        """Read the newest record of each key; see ``KeyedLog.read_newest``."""
+        entries: list[Entry] = []
+        end: int | None = None
+        last = ""
+        while True:
+            query: dict[str, str | int] = {"topic": topic, "part": 0}
+            if last:
+                query["dependsOn"] = last  # here: the key to continue after
+            call = HttpCall(method="GET", path=f"/-/log-newest?{urlencode(query)}")
+            answer = await self.client.call(call, timeout=READ_SECONDS)
+            _check(answer, "store.newest", self.client.address)
+            page = _decode(answer, _Newest, "store.newest", self.client.address)
+            entries.extend(Entry(item.key, item.value) for item in page.items)
+            end = page.end if end is None else end
+            if not page.more or not page.items:
+                return Page(tuple(entries), end, whole=False)
+            last = page.items[-1].key
+
+    async def join(self, member: InstanceId, *, generation: int) -> Membership:
+        """Join the group or stay in it; see ``KeyedLog.join``."""
+        body = msgspec.json.encode(
+            {
+                "group": GROUP,
+                "memberId": member,
+                "topics": GROUP_TOPICS,
+                "ttlMs": int(self.member_seconds * 1000),
+                "generation": generation,
+            }
+        )
+        answer = await self._post("/-/log-join", body, "join")
+        joined = _decode(answer, _Joined, "store.join", self.client.address)
+        held = {(topic, part) for topic, part, _ in joined.parts}
+        return Membership(joined.generation, FIRST_PART in held)
+
+    async def leave(self, member: InstanceId) -> None:
+        """Leave the group; see ``KeyedLog.leave``."""
+        body = msgspec.json.encode({"group": GROUP, "memberId": member})
+        await self._post("/-/log-leave", body, "leave")
+
+    async def list_members(self) -> frozenset[InstanceId]:
+        """List the group; see ``KeyedLog.list_members``."""
+        query = urlencode({"group": GROUP})
+        call = HttpCall(method="GET", path=f"/-/log-owners?{query}")
+        answer = await self.client.call(call, timeout=READ_SECONDS)
+        _check(answer, "store.members", self.client.address)
+        owners = _decode(answer, _Owners, "store.members", self.client.address)
+        return frozenset(InstanceId(row[2]) for row in owners.parts)
+
+    async def _post(self, path: str, body: bytes, step: str) -> HttpAnswer:
+        call = HttpCall(method="POST", path=path, body=body, headers=JSON_HEADERS)
+        answer = await self.client.call(call, timeout=WRITE_SECONDS)
+        _check(answer, f"store.{step}", self.client.address)
+        return answer
+
+
+def _frame(entry: Entry) -> bytes:
+    key = entry.key.encode()
+    content = bytes([len(key)]) + key + entry.value
+    return LENGTH.pack(len(content)) + content
+
+
+def _parse_records(body: bytes, start: int, peer: str) -> Page:
+    entries: list[Entry] = []
+    position = READ_HEAD.size
+    try:
+        topic_end, _ = READ_HEAD.unpack_from(body)
+        while position < len(body):
+            (length,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            entries.append(_parse_keyed(body[position : position + length]))
+            position += length
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise CorruptRecordError(
+            f"records from offset {start}: {error}", step="store.read", peer=peer
+        ) from error
+    end = start + len(entries)
+    return Page(tuple(entries), end, whole=end >= topic_end)
+
+
+def _parse_keyed(content: bytes) -> Entry:
+    key_end = 1 + content[0]
+    return Entry(content[1:key_end].decode("utf-8", "replace"), content[key_end:])
+
+
+def _decode(answer: HttpAnswer, type_: type[T], step: str, peer: str) -> T:
+    try:
+        return msgspec.json.decode(answer.body, type=type_)
+    except msgspec.MsgspecError as error:
+        raise UncertainError(f"answer: {error}", step=step, peer=peer) from error
+
+
+def _check(answer: HttpAnswer, step: str, peer: str) -> None:
+    """Raise what a refusal means."""
+    if answer.status == OK:
+        return
+    try:
+        refusal = msgspec.json.decode(answer.body, type=_Refusal)
+    except msgspec.MsgspecError:
+        refusal = _Refusal()
+    message = f"status {answer.status} {refusal.reason}".strip()
+    match answer.status:
+        case 429:
+            raise RateLimitedError(message, step=step, peer=peer)
+        case 503:
+            raise UnavailableError(message, step=step, peer=peer)
+        case 412:
+            raise RaceLostError(message, step=step, peer=peer)
+        case 409 if refusal.reason == "fenced":
+            raise NotOwnerError(message, step=step, peer=peer)
+        case 409:
+            raise RaceLostError(message, step=step, peer=peer)
+        case 410:
+            raise TrimmedError(message, step=step, peer=peer, first=refusal.first)
+        case 413 | 507:
+            raise TooLargeError(message, step=step, peer=peer)
+    raise UnavailableError(message, step=step, peer=peer)
--- /dev/null
+++ b/plantainhinge/platform/workers.py
@@ -0,0 +1,284 @@
+"""Calls to the platform's workers, and their entries in its store."""
+
+import logging
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from ..adapters.stream_http_client import HttpAnswer, HttpCall, HttpClient
+from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
+from ..core.ids import Attempt, DomainId, JobId, Seconds, ServiceId, WorkerId
+from ..core.resources import Resources
+from ..fleet.model import (
+    EndCause,
+    EndedRow,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    Renewal,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+    WorkerState,
+)
+from ..jobs.model import TaskKey
+
+logger = logging.getLogger(__name__)
+
+OK = 200
+CONFLICT = 409
+OTHER_LIFE = 421
+BAD_REQUEST = 400
+ORDER_SECONDS = Seconds(0.5)
+RENEWAL_SECONDS = Seconds(0.7)
+CONNECTIONS_MAX = 6
+
+REFUSALS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.SUPERSEDED,
+    "late": OrderOutcome.TOO_LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int  # thousandths of a core
+    memory: int = msgspec.field(name="memMb")
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct, kw_only=True):
+    service: str
+    addr: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+    born: int = 0
+    remaining: float = msgspec.field(name="remainingMs", default=0)
+
+
+class _Clock(msgspec.Struct):
+    clock: float | None = msgspec.field(name="clockMs", default=None)
+    reason: str = ""
+
+
+class _Report(msgspec.Struct, kw_only=True):
+    clock: float = msgspec.field(name="clockMs")
+    running: list[list[Any]]
+    ended: list[list[Any]]
+    born: int = 0
+
+
+def decode_entry(key: str, value: bytes) -> WorkerEntry | None:
+    """Return a worker's entry, or None if it can't be used.
+
+    Other writers share the topic, so an entry that doesn't parse is no error.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+        capacity = entry.capacity
+        return WorkerEntry(
+            worker=WorkerId(key),
+            born=entry.born,
+            service=ServiceId(entry.service),
+            address=entry.addr,
+            domain=DomainId(entry.zone),
+            capacity=Resources(capacity.cpu, capacity.memory, capacity.gpu),
+            labels=tuple(entry.labels),
+            state=STATES[entry.state],
+            remaining=entry.remaining / 1000,
+        )
+    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+        logger.info("worker entry ignored", extra={"key": key, "cause": str(error)})
+        return None
+
+
+def format_task(key: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def parse_task(name: str) -> TaskKey:
+    """Return the task with a name on the wire."""
+    job, occurrence, step, index = name.split(".")
+    return TaskKey(JobId(job), int(occurrence), int(step), int(index))
+
+
+@dataclass
+class Workers:
+    """Calls to workers over kept connections.
+
+    Parameters
+    ----------
+    lease_max : float
+        Longest lease in seconds that a worker grants.
+    """
+
+    lease_max: Seconds
+    _clients: dict[str, HttpClient] = field(default_factory=dict)
+
+    async def start(self, entry: WorkerEntry, order: StartOrder) -> OrderAnswer:
+        """Start an attempt."""
+        body = {
+            "task": format_task(order.task),
+            "attempt": order.attempt,
+            "spec": order.payload,
+            "deadlineMs": int(order.lease_end * 1000),
+            "fencingToken": order.epoch,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(entry, "/-/run-start", body)
+
+    async def stop(self, entry: WorkerEntry, order: StopOrder) -> OrderAnswer:
+        """Stop an attempt."""
+        body = {
+            "task": format_task(order.task),
+            "attempt": order.attempt,
+            "fencingToken": order.epoch,
+        }
+        return await self._order(entry, "/-/run-stop", body)
+
+    async def pace(self, entry: WorkerEntry, order: PaceOrder) -> OrderAnswer:
+        """Change the pace of an attempt."""
+        body = {
+            "task": format_task(order.task),
+            "attempt": order.attempt,
+            "percent": order.percent,
+            "fencingToken": order.epoch,
+        }
+        return await self._order(entry, "/-/pace", body)
+
+    async def renew(
+        self, entry: WorkerEntry, renewal: Renewal
+    ) -> WorkerReport | OrderAnswer:
+        """Renew leases and return the worker's lists."""
+        body: dict[str, Any] = {
+            "fencingToken": renewal.epoch,
+            "lastSeen": renewal.acknowledged,
+        }
+        if renewal.lease_end is not None:
+            body["deadlineMs"] = int(renewal.lease_end * 1000)
+        if renewal.wait > 0:
+            body["waitMs"] = int(renewal.wait * 1000)
+        timeout = Seconds(renewal.wait + RENEWAL_SECONDS)
+        answer = await self._call(entry, "/-/hold", body, timeout)
+        if isinstance(answer, OrderAnswer):
+            return answer
+        if answer.status != OK:
+            return _judge(answer)
+        try:
+            report = msgspec.json.decode(answer.body, type=_Report)
+            return _decode_report(report)
+        except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
+            logger.warning(
+                "worker report malformed",
+                extra={"worker": entry.worker, "cause": str(error)},
+            )
+            return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
+
+    def forget(self, entry: WorkerEntry) -> None:
+        """Drop the connections to a worker that left."""
+        client = self._clients.pop(entry.address, None)
+        if client is not None:
+            client.close()
+
+    async def _order(
+        self, entry: WorkerEntry, path: str, body: dict[str, Any]
+    ) -> OrderAnswer:
+        answer = await self._call(entry, path, body, ORDER_SECONDS)
+        return answer if isinstance(answer, OrderAnswer) else _judge(answer)
+
+    async def _call(
+        self, entry: WorkerEntry, path: str, body: dict[str, Any], timeout: Seconds
+    ) -> HttpAnswer | OrderAnswer:
+        client = self._clients.get(entry.address)
+        if client is None:
+            client = HttpClient(entry.address, CONNECTIONS_MAX)
+            self._clients[entry.address] = client
+        call = HttpCall(
+            method="POST",
+            path=path,
+            body=msgspec.json.encode(body),
+            headers=(
+                ("Content-Type", "application/json"),
+                ("X-Expect-Instance", entry.worker),
+            ),
+        )
+        try:
+            return await client.call(call, timeout=timeout)
+        except UnavailableError as error:
+            _log_failure(entry, path, error)
+            return OrderAnswer(outcome=OrderOutcome.NOT_SENT)
+        except UncertainError as error:
+            _log_failure(entry, path, error)
+            return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
+
+
+def _log_failure(entry: WorkerEntry, path: str, error: PlantainhingeError) -> None:
+    logger.info(
+        "worker call failed",
+        extra={"worker": entry.worker, "call": path, "cause": str(error)},
+    )
+
+
+def _judge(answer: HttpAnswer) -> OrderAnswer:
+    """Return what the answer to an order means."""
+    try:
+        body = msgspec.json.decode(answer.body, type=_Clock)
+    except msgspec.MsgspecError:
+        body = _Clock()
+    clock = None if body.clock is None else Seconds(body.clock / 1000)
+    match answer.status:
+        case 200:
+            outcome = OrderOutcome.ACCEPTED
+        case 409:
+            outcome = REFUSALS.get(body.reason, OrderOutcome.REFUSED)
+        case 421:
+            outcome = OrderOutcome.OTHER_LIFE
+        case 400:
+            outcome = OrderOutcome.MALFORMED
+        case 429 | 503:
+            outcome = OrderOutcome.REFUSED
+        case _:
+            outcome = OrderOutcome.UNKNOWN
+    return OrderAnswer(outcome=outcome, clock=clock)
+
+
+def _decode_report(report: _Report) -> WorkerReport:
+    return WorkerReport(
+        clock=Seconds(report.clock / 1000),
+        born=report.born,
+        running=tuple(_decode_running(row) for row in report.running),
+        ended=tuple(_decode_ended(row) for row in report.ended),
+    )
+
+
+def _decode_running(row: list[Any]) -> RunningRow:
+    # fifth: milliseconds of tail of a serving task, else processors in use
+    gauge = float(row[4]) / 1000 if len(row) > 4 else 0.0
+    return RunningRow(
+        task=parse_task(row[0]),
+        attempt=Attempt(row[1]),
+        checkpoint=row[2],
+        percent=int(row[3]),
+        gauge=gauge,
+    )
+
+
+def _decode_ended(row: list[Any]) -> EndedRow:
+    return EndedRow(
+        number=row[0],
+        task=parse_task(row[1]),
+        attempt=Attempt(row[2]),
+        cause=EndCause(row[3]),
+        checkpoint=row[4],
+    )
