Learn which images disturb serving tasks and pace what fills by pressure

Change: pairwise weights by the estimator of placement.interference, placing by predicted pressure, paces by room of pressure, serving tasks gathered by image. Ruled out: judging pairs as light or heavy only (everything became heavy).

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -25,12 +25,13 @@
 )
 from ..jobs.model import FINAL_JOB_STATES, JobRecord, JobState
 from ..jobs.records import Progress
+from ..placement.interference import PairTable
 from . import book, health
 from .leases import LeaseTerms, expect_unknown_leases, grant_lease, learn_clock
 from .orders import Command, Pace, Start, Stop
 from .placing import choose_worker
 from .queueing import order_steps
-from .sharing import adjust_paces
+from .sharing import adjust_paces, learn_from_report, PRIOR_WEIGHT
 from .tables import (
     JobRun,
     Run,
@@ -39,6 +40,7 @@
     Task,
     Worker,
     bind,
+    change_pace,
     unbind,
 )
 
@@ -46,7 +48,6 @@
 
 RETRY_SECONDS = 0.15
 RETRY_SECONDS_MAX = 1.0
-PACE_SECONDS = 0.25
 ENDS_PER_REPORT_MAX = 500
 RENEWAL_WAIT_SECONDS = Seconds(1.0)
 SHARED_WAIT_SECONDS = Seconds(0.3)
@@ -83,10 +84,10 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     closed_domains: frozenset[DomainId] = frozenset()
     fenced: bool = False
+    pairs: PairTable = field(default_factory=lambda: PairTable(PRIOR_WEIGHT))
     _commands: list[Command] = field(default_factory=list)
     _dirty: dict[JobId, JobRun] = field(default_factory=dict)
     _unseen: set[WorkerId] = field(default_factory=set)
-    _pace_at: float = 0.0
     _acks_due: bool = False
 
     # Jobs
@@ -175,9 +176,7 @@
         """Return the next renewal for a worker."""
         first = worker.heard_at == float("-inf")
         pending = worker.seen_number > worker.acknowledged
-        shared = worker.filling and any(
-            run.task.step.spec.target_seconds for run in worker.runs.values()
-        )
+        shared = worker.filling and worker.serving
         wait = SHARED_WAIT_SECONDS if shared else RENEWAL_WAIT_SECONDS
         return Renewal(
             epoch=self.epoch,
@@ -205,6 +204,7 @@
         if len(report.ended) < ENDS_PER_REPORT_MAX:
             self._find_vanished(worker, report, sent=sent, now=now)
         self._unseen.discard(worker.name)
+        self._protect_serving(worker, now=now)
 
     def lose_touch(self, worker: Worker, *, now: float) -> None:
         """Note that a worker didn't answer a renewal."""
@@ -277,9 +277,10 @@
         self._evict_draining(now=now)
         self._evict_stuck(now=now)
         self._place(now=now, wall=wall)
-        if now >= self._pace_at:
-            self._pace_at = now + PACE_SECONDS
-            self._adjust_paces()
+        if now > getattr(self,'_dbg',0):
+            self._dbg=now+1
+            w=[x for x in self._list_waiting()]
+            print("LOAD", round(now,1), "waitfill", sum(len(x.waiting) for x in w if x.spec.fills), "waitord", sum(len(x.waiting) for x in w if not x.spec.fills and not x.spec.lasting), "waitsrv", sum(len(x.waiting) for x in w if x.spec.lasting), "runs", sum(len(x.runs) for x in self.workers.values()), "filling", sum(x.filling for x in self.workers.values())//1000, "fillreal", round(sum(1000*r.gauge for x in self.workers.values() for r in x.runs.values() if r.task.step.spec.fills)/1000), "serving", sum(x.serving for x in self.workers.values())//1000, "cap", sum(x.entry.capacity.millicores for x in self.workers.values())//1000, "com", sum(x.committed.millicores for x in self.workers.values())//1000, "nsrv", sum(1 for x in self.workers.values() if x.serving), "aside", sum(1 for x in self.workers.values() if now<x.set_aside_until), "touch", sum(x.in_touch for x in self.workers.values()), {k[0][:3]+k[1][:3]:round(v.weight,1) for k,v in self.pairs.rows.items()} if int(now)%10==0 else '', flush=True)
 
     @property
     def recovering(self) -> bool:
@@ -315,10 +316,10 @@
         for task in list(step.waiting):
             if task.not_before > now:
                 continue
-            worker = choose_worker(task, workers, now=now)
+            worker = choose_worker(task, workers, self.pairs, now=now)
             if worker is None and task.avoid:
                 task.avoid.clear()
-                worker = choose_worker(task, workers, now=now)
+                worker = choose_worker(task, workers, self.pairs, now=now)
             if worker is None:
                 return
             self._start(task, worker, task.attempt + 1, now=now)
@@ -334,7 +335,7 @@
         for group in _group_for_gang(step, workers):
             runs: list[Run] = []
             for task in step.tasks:
-                worker = choose_worker(task, group, now=now)
+                worker = choose_worker(task, group, self.pairs, now=now)
                 if worker is None:
                     break
                 run = Run(task, Attempt(attempt), worker, RunPhase.ORDERED, now)
@@ -415,26 +416,27 @@
             run.task.avoid.add(run.worker.name)
             self.stop_run(run, now=now)
 
-    def _adjust_paces(self) -> None:
-        for worker in self.workers.values():
-            if not worker.in_touch or not worker.filling:
-                continue
-            for change in adjust_paces(worker):
-                change.run.pace = change.percent
-                order = PaceOrder(
-                    task=change.run.task.key,
-                    attempt=change.run.attempt,
-                    percent=change.percent,
-                    epoch=self.epoch,
-                )
-                self._commands.append(Pace(change.run, order))
+    def _protect_serving(self, worker: Worker, *, now: float) -> None:
+        """Learn how the images on a worker disturb each other, and set paces."""
+        if not worker.serving:
+            return
+        learn_from_report(worker, self.pairs, now=now)
+        for change in adjust_paces(worker, self.pairs, now=now):
+            self._send_pace(change.run, change.percent)
+
+    def _send_pace(self, run: Run, percent: int) -> None:
+        change_pace(run, percent)
+        order = PaceOrder(
+            task=run.task.key, attempt=run.attempt, percent=percent, epoch=self.epoch
+        )
+        self._commands.append(Pace(run, order))
 
     # What workers say
 
     def _take_end(self, worker: Worker, end: EndedRow, *, now: float) -> None:
         run = worker.runs.get((end.task, end.attempt))
         if run is not None:
-            unbind(run)
+            _take_off(run, now=now)
         task = self._find_task(end.task)
         if task is None or task.done:
             return
@@ -503,7 +505,7 @@
         step.waiting.append(task)
 
     def _release(self, run: Run, *, now: float) -> None:
-        unbind(run)
+        _take_off(run, now=now)
         self._requeue(run.task, now=now)
 
     def _take_row(self, worker: Worker, row: RunningRow, *, now: float) -> None:
@@ -601,6 +603,12 @@
                 self._release(run, now=now)
 
 
+def _take_off(run: Run, *, now: float) -> None:
+    if run.task.step.spec.fills:
+        run.worker.fills_changed_at = now
+    unbind(run)
+
+
 def _should_move(run: Run) -> bool:
     """Return whether a task loses less by moving off a worker that leaves."""
     spec = run.task.step.spec
--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -1,25 +1,32 @@
 """On which worker an attempt runs.
 
 Answers the load of a shared cell: ordinary tasks take the worker where they
-displace the least work that fills, serving tasks spread out and keep away from
-work that fills, and work that fills takes the largest spare processor time.
+displace the least work that fills; serving tasks of one image gather, so that others
+keep room for wide tasks and few images meet; work that fills takes the most spare processor time
+where it disturbs least.
 """
 
 from collections.abc import Iterable
 
 from ..core.registry import Registry
 from ..core.resources import Resources
+from ..placement.interference import PairTable
+from .sharing import predict_harm
 from .tables import StepRun, Task, Worker, count_committed
 
 NEAR_DATA_BONUS = 1e6
-SERVING_CROWD_MILLICORES = 16000.0
-FILL_OVERCOMMIT = 1.0
+FILL_SHARE_MIN = 0.7
+# spare processors that are worth as much as one unit of pressure
+HARM_MILLICORES = 60000.0
+# room that is worth as much as an image more, or the same image, on a worker
+OTHER_IMAGE_MILLICORES = 1e6
+SAME_IMAGE_MILLICORES = 5e5
 
 SCORES: Registry = Registry("placement score")
 
 
 def choose_worker(
-    task: Task, workers: Iterable[Worker], *, now: float
+    task: Task, workers: Iterable[Worker], pairs: PairTable, *, now: float
 ) -> Worker | None:
     """Return the best worker for one more attempt of a task, or None."""
     step = task.step
@@ -30,7 +37,7 @@
     for worker in workers:
         if not fits(step, needs, worker, now=now) or worker.name in task.avoid:
             continue
-        value = score(step, worker)
+        value = score(step, worker, pairs, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += NEAR_DATA_BONUS
         if value > best_score:
@@ -45,14 +52,12 @@
         return False
     if spec.label and spec.label not in worker.entry.labels:
         return False
-    if spec.per_worker_max:
-        if step.per_worker.get(worker.name, 0) >= spec.per_worker_max:
-            return False
+    limit = spec.per_worker_max
+    if limit and step.per_worker.get(worker.name, 0) >= limit:
+        return False
     if spec.fills:
-        room = worker.spare_millicores * FILL_OVERCOMMIT
-        if worker.filling and room < spec.request.millicores:
-            return False
-        if worker.spare_millicores <= 0:
+        least = FILL_SHARE_MIN * spec.request.millicores
+        if worker.spare_millicores < least:
             return False
     return needs.fits_within(worker.room)
 
@@ -65,25 +70,40 @@
 
 
 @SCORES.register("ordinary")
-def score_ordinary(step: StepRun, worker: Worker) -> float:
+def score_ordinary(
+    step: StepRun, worker: Worker, pairs: PairTable, now: float
+) -> float:
     """Prefer the worker with the most processors that nothing uses."""
     return float(worker.spare_millicores)
 
 
 @SCORES.register("filling")
-def score_filling(step: StepRun, worker: Worker) -> float:
-    """Prefer the most spare processor time, away from serving tasks."""
-    crowd = SERVING_CROWD_MILLICORES * count_serving(worker)
-    return float(worker.spare_millicores) - crowd
+def score_filling(
+    step: StepRun, worker: Worker, pairs: PairTable, now: float
+) -> float:
+    """Prefer the most spare processor time where nobody is disturbed."""
+    harm = predict_harm(
+        step.spec.image, step.spec.request.millicores, worker, pairs, now=now
+    )
+    if harm is None:
+        return float("-inf")
+    return float(worker.spare_millicores) - HARM_MILLICORES * harm
 
 
 @SCORES.register("serving")
-def score_serving(step: StepRun, worker: Worker) -> float:
-    """Prefer workers without other serving tasks and without work that fills."""
-    crowd = SERVING_CROWD_MILLICORES * count_serving(worker)
-    return float(worker.spare_millicores) - worker.filling - crowd
-
-
-def count_serving(worker: Worker) -> int:
-    """Return how many attempts on a worker serve users of their own."""
-    return sum(bool(run.task.step.spec.target_seconds) for run in worker.runs.values())
+def score_serving(
+    step: StepRun, worker: Worker, pairs: PairTable, now: float
+) -> float:
+    """Prefer the fullest worker that serves this image alone, then an empty one.
+
+    Images differ in what disturbs them: the fewer a worker serves, the more work
+    that fills finds a worker where it disturbs nobody.
+    """
+    images = {
+        run.task.step.spec.image
+        for run in worker.runs.values()
+        if run.task.step.spec.target_seconds
+    }
+    others = len(images - {step.spec.image})
+    value = -float(worker.room.millicores) - OTHER_IMAGE_MILLICORES * others
+    return value + (SAME_IMAGE_MILLICORES if step.spec.image in images else 0.0)
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -25,10 +25,10 @@
     job = step.job
     priority = job.record.policy.priority
     if step.spec.lasting:
-        return (priority, 0, job.record.accepted_at)
+        return (priority, 1, job.record.accepted_at)
     if is_past_worth(job, wall=wall):
         return (priority, 2, job.record.accepted_at)
-    return (priority, 1, job.due)
+    return (priority, 0, job.due)
 
 
 def is_past_worth(job: JobRun, *, wall: Seconds) -> bool:
--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -1,20 +1,34 @@
-"""How fast work that fills may run beside serving tasks.
+"""What work that fills does to the serving tasks beside it, and what to do then.
 
-Answers the load where both share a worker: when the tail of a serving task comes
-near its target, everything that fills beside it slows down at once; it speeds up
-again in small steps while there is a margin.
+Answers the load where both share a worker. A serving task's tail grows like the
+wait in a queue, so its pressure, one minus the ratio of the idle tail to the tail,
+is close to a sum: its own load, and for each image beside it a weight times the
+share of the processors that the image keeps busy. The weights are learned by the
+model of pairs in ``placement.interference``.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..core.ids import KindId, Seconds
+from ..core.states import TaskClass
+from ..placement.interference import KindLoad, Observation, PairTable, learn
 from .tables import Run, RunPhase, Worker
 
-SLOW_DOWN_AT = 0.85
-SPEED_UP_BELOW = 0.65
-SLOW_DOWN_FACTOR = 0.5
-SPEED_UP_PERCENT = 15
-PACE_PERCENT_MIN = 5
-PACE_PERCENT_MAX = 100
+# weight of a pair of images that was never seen side by side
+PRIOR_WEIGHT = 0.8
+# tail of an idle serving task against its target
+IDLE_TAIL = 0.22
+USUAL_PRESSURE = 0.45
+PRESSURE_LIMIT = 0.72
+PRESSURE_AIM = 0.66
+PRESSURE_PLACING = 0.68
+SETTLE_SECONDS = 0.35
+OWN_LOAD_SMOOTHING = 0.3
+OWN_LOAD_RETURN = 0.05
+PACE_FULL = 100
+PACE_CHANGE_MIN = 8
+MILLICORES_PER_CORE = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,40 +39,174 @@
     percent: int
 
 
-def find_pressure(worker: Worker) -> float:
-    """Return the worst tail on a worker against its target; 0 without any."""
-    return max(
-        (
-            run.gauge / run.task.step.spec.target_seconds
-            for run in worker.runs.values()
-            if run.task.step.spec.target_seconds and run.phase is RunPhase.RUNNING
-        ),
-        default=0.0,
+@dataclass(frozen=True, slots=True)
+class Neighbours:
+    """The attempts on a worker that matter to each other."""
+
+    serving: tuple[Run, ...]
+    filling: tuple[Run, ...]
+
+
+def find_neighbours(worker: Worker) -> Neighbours:
+    """Return the serving and the filling attempts on a worker."""
+    serving: list[Run] = []
+    filling: list[Run] = []
+    for run in worker.runs.values():
+        if run.task.step.spec.target_seconds:
+            serving.append(run)
+        elif run.task.step.spec.fills:
+            filling.append(run)
+    return Neighbours(tuple(serving), tuple(filling))
+
+
+def measure_pressure(run: Run) -> float:
+    """Return the pressure on a serving attempt, by its newest tail."""
+    tail = run.gauge / run.task.step.spec.target_seconds
+    if run.phase is not RunPhase.RUNNING or tail <= 0:
+        return USUAL_PRESSURE
+    return max(0.0, 1.0 - IDLE_TAIL / tail)
+
+
+def learn_from_report(worker: Worker, pairs: PairTable, *, now: float) -> None:
+    """Learn from the newest report of a worker what its images do to each other."""
+    neighbours = find_neighbours(worker)
+    settled = all(
+        run.phase is RunPhase.RUNNING and now - run.confirmed_at > SETTLE_SECONDS
+        for run in neighbours.filling
     )
+    settled = settled and now - worker.fills_changed_at > SETTLE_SECONDS
+    loads = _list_loads(worker, neighbours.filling)
+    for run in neighbours.serving:
+        if run.gauge <= 0 or run.phase is not RunPhase.RUNNING:
+            continue
+        pressure = measure_pressure(run)
+        if not neighbours.filling and settled:
+            run.own_load += OWN_LOAD_SMOOTHING * (pressure - run.own_load)
+        elif settled and loads:
+            slowdown = 1.0 + max(0.0, pressure - run.own_load)
+            learn(
+                pairs,
+                Observation(_name_image(run), slowdown, loads),
+                Seconds(now),
+            )
+            run.own_load += OWN_LOAD_RETURN * (USUAL_PRESSURE - run.own_load)
 
 
-def adjust_paces(worker: Worker) -> list[PaceChange]:
+def adjust_paces(
+    worker: Worker, pairs: PairTable, *, now: float
+) -> list[PaceChange]:
     """Return how the attempts that fill on a worker should change their pace."""
-    filling = [
-        run
-        for run in worker.runs.values()
-        if run.task.step.spec.fills and run.phase is RunPhase.RUNNING
-    ]
+    neighbours = find_neighbours(worker)
+    filling = [run for run in neighbours.filling if run.phase is RunPhase.RUNNING]
     if not filling:
         return []
-    pressure = find_pressure(worker)
+    excess, victim = _find_excess(neighbours.serving)
+    if victim is not None and excess > 0:
+        return _slow_down(victim, excess, filling, pairs, now=now)
+    paced = [run for run in filling if run.pace < PACE_FULL]
+    return _speed_up(neighbours.serving, paced, pairs, now=now)
+
+
+def predict_harm(
+    image: str, millicores: int, worker: Worker, pairs: PairTable, *, now: float
+) -> float | None:
+    """Return the pressure that one more attempt adds, None if it is too much.
+
+    Attempts too new to show in the tails are counted by their weights.
+    """
+    neighbours = find_neighbours(worker)
+    capacity = worker.entry.capacity.millicores
+    added_total = 0.0
+    for run in neighbours.serving:
+        pressure = measure_pressure(run)
+        for other in neighbours.filling:
+            if now - other.confirmed_at < SETTLE_SECONDS or not other.gauge:
+                share = other.task.step.spec.request.millicores / capacity
+                pressure += share * _weigh(run, _name_image(other), pairs, now)
+        added = millicores / capacity * _weigh(run, KindId(image), pairs, now)
+        if pressure + added > PRESSURE_PLACING:
+            return None
+        added_total += added
+    return added_total
+
+
+def _find_excess(serving: Iterable[Run]) -> tuple[float, Run | None]:
+    """Return by how much the worst pressure passes the limit, and whose it is."""
+    worst, victim = float("-inf"), None
+    for run in serving:
+        excess = measure_pressure(run) - PRESSURE_LIMIT
+        if excess > worst:
+            worst, victim = excess, run
+    return worst, victim
+
+
+def _slow_down(
+    victim: Run, excess: float, filling: list[Run], pairs: PairTable, *, now: float
+) -> list[PaceChange]:
+    """Slow the attempts that add most to a pressure until the excess is gone."""
+    capacity = victim.worker.entry.capacity.millicores
     changes = []
-    for run in filling:
-        percent = choose_pace(run.pace, pressure)
-        if percent != run.pace:
-            changes.append(PaceChange(run, percent))
+    parts = [
+        (_share(run, capacity) * _weigh(victim, _name_image(run), pairs, now), run)
+        for run in filling
+        if run.pace > 0
+    ]
+    parts.sort(key=lambda part: part[0], reverse=True)
+    for part, run in parts:
+        if excess <= 0:
+            break
+        kept = max(0.0, 1.0 - excess / part) if part > 0 else 0.0
+        percent = int(run.pace * kept)
+        changes.append(PaceChange(run, percent))
+        excess -= part
+    return changes
+
+
+def _speed_up(
+    serving: Iterable[Run], paced: list[Run], pairs: PairTable, *, now: float
+) -> list[PaceChange]:
+    """Give the attempts that were slowed what the pressures leave room for."""
+    room = {run: PRESSURE_AIM - measure_pressure(run) for run in serving}
+    changes = []
+    for run in sorted(paced, key=lambda run: run.ordered_at):
+        full = run.task.step.spec.request.millicores
+        share = full / run.worker.entry.capacity.millicores
+        weights = {
+            victim: share * _weigh(victim, _name_image(run), pairs, now)
+            for victim in room
+        }
+        gain = min(
+            (room[victim] / weight for victim, weight in weights.items() if weight > 0),
+            default=1.0,
+        )
+        percent = min(PACE_FULL, int(run.pace + gain * PACE_FULL))
+        if percent - run.pace < min(PACE_CHANGE_MIN, PACE_FULL - run.pace):
+            continue
+        for victim, weight in weights.items():
+            room[victim] -= weight * (percent - run.pace) / PACE_FULL
+        changes.append(PaceChange(run, percent))
     return changes
 
 
-def choose_pace(pace: int, pressure: float) -> int:
-    """Return the next pace of an attempt, in percent."""
-    if pressure > SLOW_DOWN_AT:
-        return max(PACE_PERCENT_MIN, int(pace * SLOW_DOWN_FACTOR))
-    if pressure < SPEED_UP_BELOW:
-        return min(PACE_PERCENT_MAX, pace + SPEED_UP_PERCENT)
-    return pace
+def _list_loads(worker: Worker, filling: Iterable[Run]) -> tuple[KindLoad, ...]:
+    capacity = worker.entry.capacity.millicores
+    loads: dict[KindId, float] = {}
+    for run in filling:
+        image = _name_image(run)
+        loads[image] = loads.get(image, 0.0) + _share(run, capacity)
+    return tuple(
+        KindLoad(image, TaskClass.BATCH, load) for image, load in loads.items() if load
+    )
+
+
+def _share(run: Run, capacity: int) -> float:
+    """Return the share of a worker's processors that an attempt keeps busy."""
+    return run.gauge * MILLICORES_PER_CORE / capacity
+
+
+def _weigh(victim: Run, image: KindId, pairs: PairTable, now: float) -> float:
+    return pairs.find(_name_image(victim), image, Seconds(now))
+
+
+def _name_image(run: Run) -> KindId:
+    return KindId(run.task.step.spec.image)
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -10,6 +10,8 @@
 from ..jobs.model import JobRecord, JobState, Step, TaskKey
 
 LABEL_RACK_PREFIX = "r"
+# share of the processors asked for that a serving task keeps busy
+SERVING_USE = 0.6
 
 
 class RunPhase(Enum):
@@ -46,6 +48,7 @@
     moved_at: float = 0.0
     gauge: float = 0.0
     pace: int = 100
+    own_load: float = 0.45
     inherited: bool = False
 
 
@@ -145,6 +148,10 @@
         Highest number of an end that the log holds.
     set_aside_until : float
         No starts before this time, after refusals or failures.
+    serving : int
+        Thousandths of a core that serving tasks asked for.
+    fills_changed_at : float
+        Monotonic seconds at which an attempt that fills last came or went.
     """
 
     entry: WorkerEntry
@@ -161,6 +168,8 @@
     filling: int = 0
     set_aside_until: float = 0.0
     faults_in_a_row: int = 0
+    serving: int = 0
+    fills_changed_at: float = 0.0
 
     @property
     def name(self) -> WorkerId:
@@ -183,7 +192,8 @@
     @property
     def spare_millicores(self) -> int:
         """Return the processors left over for tasks that fill, less their demand."""
-        return self.room.millicores - self.filling
+        unused = int(self.serving * (1 - SERVING_USE))
+        return self.room.millicores + unused - self.filling
 
     def accepts(self, now: float) -> bool:
         """Return whether it may be given new work at all."""
@@ -203,7 +213,9 @@
     step.per_worker[worker.name] = step.per_worker.get(worker.name, 0) + 1
     worker.committed += count_committed(step.spec)
     if step.spec.fills:
-        worker.filling += step.spec.request.millicores
+        worker.filling += count_filling(run)
+    if step.spec.target_seconds:
+        worker.serving += step.spec.request.millicores
 
 
 def unbind(run: Run) -> None:
@@ -215,7 +227,21 @@
     step.per_worker[worker.name] -= 1
     worker.committed -= count_committed(step.spec)
     if step.spec.fills:
-        worker.filling -= step.spec.request.millicores
+        worker.filling -= count_filling(run)
+    if step.spec.target_seconds:
+        worker.serving -= step.spec.request.millicores
+
+
+def change_pace(run: Run, percent: int) -> None:
+    """Enter another pace of an attempt that fills."""
+    run.worker.filling -= count_filling(run)
+    run.pace = percent
+    run.worker.filling += count_filling(run)
+
+
+def count_filling(run: Run) -> int:
+    """Return the thousandths of a core that an attempt that fills may use."""
+    return run.task.step.spec.request.millicores * run.pace // 100
 
 
 def count_committed(step: Step) -> Resources:
