--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -11,7 +11,7 @@
 
 LABEL_RACK_PREFIX = "r"
 # share of the processors asked for that a serving task keeps busy
-SERVING_USE = 0.6
+SERVING_USE = 0.45
 
 
 class RunPhase(Enum):
