Let the leases of silent workers lapse, and log one flush at a time

Change: a silent worker is only asked, not renewed; appends of progress take turns; a line on the cell's load every 2 s; an error in the decisions no longer ends them.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -93,9 +93,7 @@
             self.close()
         if not answer.done():
             body = b"".join(self._body)
-            answer.set_result(
-                HttpAnswer(parser.get_status_code(), self._headers, body)
-            )
+            answer.set_result(HttpAnswer(parser.get_status_code(), self._headers, body))
 
     def exchange(self, data: bytes) -> "asyncio.Future[HttpAnswer]":
         """Send a request and return the future of its answer."""
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from ..core.clock import read_monotonic, read_wall
@@ -11,6 +11,7 @@
 from ..core.ids import DomainId, Epoch, Seconds
 from ..dispatch.cell import Cell, Flush
 from ..dispatch.leases import LeaseTerms
+from ..dispatch.load import measure_load
 from ..dispatch.orders import Command, Pace, Start, Stop
 from ..dispatch.tables import Worker
 from ..fleet.model import OrderAnswer, OrderOutcome, WorkerReport
@@ -29,6 +30,7 @@
 FLUSH_GATHER_SECONDS = Seconds(0.004)
 RENEWAL_PAUSE_SECONDS = Seconds(0.3)
 FLUSH_WAIT_SECONDS = Seconds(0.25)
+LOAD_SECONDS = Seconds(2.0)
 START_TRIES_MAX = 20
 
 
@@ -53,8 +55,10 @@
     report_fenced: Callable[[], Coroutine[Any, Any, None]]
     cell: Cell | None = None
     _sequence: int = 0
+    _load_at: float = 0.0
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
     _renewing: set[str] = field(default_factory=set)
+    _appending: asyncio.Lock = field(default_factory=asyncio.Lock)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
     _flushed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -204,15 +208,25 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            cell.closed_domains = self.find_closed()
-            cell.decide(now=read_monotonic(), wall=read_wall())
-            for command in cell.take_commands():
-                self._spawn(self._send(cell, command))
-            self._dirty.set()
+            try:
+                self._decide_once(cell)
+            except Exception:
+                logger.exception("decisions failed")
             if cell.fenced:
                 cell.fenced = False
                 await self.report_fenced()
 
+    def _decide_once(self, cell: Cell) -> None:
+        now = read_monotonic()
+        cell.closed_domains = self.find_closed()
+        cell.decide(now=now, wall=read_wall())
+        if now >= self._load_at:
+            self._load_at = now + LOAD_SECONDS
+            logger.info("cell load", extra=asdict(measure_load(cell, now=now)))
+        for command in cell.take_commands():
+            self._spawn(self._send(cell, command))
+        self._dirty.set()
+
     async def _flush(self, cell: Cell) -> None:
         while self.cell is cell:
             await self._dirty.wait()
@@ -221,6 +235,11 @@
             await self._flush_once(cell)
 
     async def _flush_once(self, cell: Cell) -> None:
+        """Log what is due; one append at a time, since each has a number."""
+        async with self._appending:
+            await self._flush_due(cell)
+
+    async def _flush_due(self, cell: Cell) -> None:
         flush = cell.take_flush()
         if flush is None:
             return
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -80,9 +80,7 @@
             owns_cell=lambda: self.runner.cell is not None,
         )
 
-    async def run(
-        self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]
-    ) -> None:
+    async def run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
         """Serve until SIGTERM, then hand over and drain."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -66,9 +66,7 @@
         """Take a job; done once the log holds it."""
         if self.view.table.find(job) is not None:
             return self._log("submit", job, Verdict.DONE, cause="known")
-        record = JobRecord(
-            job=job, policy=policy, spec=spec, accepted_at=read_wall()
-        )
+        record = JobRecord(job=job, policy=policy, spec=spec, accepted_at=read_wall())
         verdict = await self._append(record, timeout=timeout)
         if verdict is Verdict.DONE:
             self.view.table.apply(record)
@@ -87,9 +85,7 @@
             self.view.table.apply(record)
         return self._log("cancel", job, verdict, cause="open")
 
-    async def find_state(
-        self, job: JobId, *, timeout: Seconds
-    ) -> JobState | Verdict:
+    async def find_state(self, job: JobId, *, timeout: Seconds) -> JobState | Verdict:
         """Return a job's state as the log has it."""
         row = await self._find(job, timeout=timeout)
         return row if isinstance(row, Verdict) else row.state
@@ -165,7 +161,5 @@
         )
 
     def _log(self, call: str, job: JobId, verdict: Verdict, *, cause: str) -> Verdict:
-        logger.info(
-            call, extra={"job": job, "outcome": verdict.value, "cause": cause}
-        )
+        logger.info(call, extra={"job": job, "outcome": verdict.value, "cause": cause})
         return verdict
--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -31,7 +31,7 @@
 
     log: KeyedLog
     topic: str
-    apply: Callable[[Entry], None]
+    apply: Callable[[Entry], object]
     reset: Callable[[], None]
     current_at: float = float("-inf")
     position: int | None = None
--- a/plantainhinge/dispatch/book.py
+++ b/plantainhinge/dispatch/book.py
@@ -112,7 +112,7 @@
 
 
 def _describe_step(step: StepRun) -> StepProgress:
-    done = {task.key.index for task in step.tasks if task.done}
+    done = {task.key.position for task in step.tasks if task.done}
     return StepProgress(pack_bits(done), dict(_note_tasks(step)))
 
 
@@ -120,4 +120,4 @@
     for task in step.tasks:
         if task.done or not (task.failures or task.checkpoint or task.attempt > 1):
             continue
-        yield task.key.index, TaskNote(task.attempt, task.failures, task.checkpoint)
+        yield task.key.position, TaskNote(task.attempt, task.failures, task.checkpoint)
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -31,7 +31,7 @@
 from .orders import Command, Pace, Start, Stop
 from .placing import choose_worker
 from .queueing import order_steps
-from .sharing import adjust_paces, learn_from_report, PRIOR_WEIGHT
+from .sharing import PRIOR_WEIGHT, adjust_paces, learn_from_report
 from .tables import (
     JobRun,
     Run,
@@ -182,7 +182,9 @@
             epoch=self.epoch,
             acknowledged=worker.acknowledged,
             wait=Seconds(0.0) if first or pending else wait,
-            lease_end=None if first else grant_lease(worker, self.terms, now=now),
+            lease_end=grant_lease(worker, self.terms, now=now)
+            if worker.in_touch
+            else None,
         )
 
     def take_report(
@@ -277,10 +279,6 @@
         self._evict_draining(now=now)
         self._evict_stuck(now=now)
         self._place(now=now, wall=wall)
-        if now > getattr(self,'_dbg',0):
-            self._dbg=now+1
-            w=[x for x in self._list_waiting()]
-            print("LOAD", round(now,1), "waitfill", sum(len(x.waiting) for x in w if x.spec.fills), "waitord", sum(len(x.waiting) for x in w if not x.spec.fills and not x.spec.lasting), "waitsrv", sum(len(x.waiting) for x in w if x.spec.lasting), "runs", sum(len(x.runs) for x in self.workers.values()), "filling", sum(x.filling for x in self.workers.values())//1000, "fillreal", round(sum(1000*r.gauge for x in self.workers.values() for r in x.runs.values() if r.task.step.spec.fills)/1000), "serving", sum(x.serving for x in self.workers.values())//1000, "cap", sum(x.entry.capacity.millicores for x in self.workers.values())//1000, "com", sum(x.committed.millicores for x in self.workers.values())//1000, "nsrv", sum(1 for x in self.workers.values() if x.serving), "aside", sum(1 for x in self.workers.values() if now<x.set_aside_until), "touch", sum(x.in_touch for x in self.workers.values()), {k[0][:3]+k[1][:3]:round(v.weight,1) for k,v in self.pairs.rows.items()} if int(now)%10==0 else '', flush=True)
 
     @property
     def recovering(self) -> bool:
@@ -295,14 +293,15 @@
         ]
         if not open_workers:
             return
-        for step in order_steps(self._list_waiting(), wall=wall):
+        for step in order_steps(self.list_waiting(), wall=wall):
             if step.spec.gang:
                 self._place_gang(step, open_workers, now=now)
             else:
                 self._place_step(step, open_workers, now=now)
 
-    def _list_waiting(self) -> list[StepRun]:
-        waiting = []
+    def list_waiting(self) -> list[StepRun]:
+        """Return the steps whose turn has come and that have tasks waiting."""
+        waiting: list[StepRun] = []
         for job in self.jobs.values():
             if job.state in FINAL_JOB_STATES or (job.inherited and self.recovering):
                 continue
@@ -310,9 +309,7 @@
                 waiting.extend(step for step in steps if step.waiting and step.ready)
         return waiting
 
-    def _place_step(
-        self, step: StepRun, workers: list[Worker], *, now: float
-    ) -> None:
+    def _place_step(self, step: StepRun, workers: list[Worker], *, now: float) -> None:
         for task in list(step.waiting):
             if task.not_before > now:
                 continue
@@ -324,9 +321,7 @@
                 return
             self._start(task, worker, task.attempt + 1, now=now)
 
-    def _place_gang(
-        self, step: StepRun, workers: list[Worker], *, now: float
-    ) -> None:
+    def _place_gang(self, step: StepRun, workers: list[Worker], *, now: float) -> None:
         if len(step.waiting) < len(step.tasks) or any(
             task.not_before > now for task in step.tasks
         ):
--- /dev/null
+++ b/plantainhinge/dispatch/load.py
@@ -0,0 +1,72 @@
+"""How much work a cell carries, for the log."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .cell import Cell
+from .tables import Run
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CellLoad:
+    """Tasks by kind, and cores by what they are used for.
+
+    Parameters
+    ----------
+    filling_cores : int
+        Cores that attempts that fill may use at their paces.
+    filling_use : int
+        Cores that they do use.
+    aside : int
+        Workers that get no starts after refusals or failures.
+    """
+
+    jobs: int
+    attempts: int
+    waiting_ordinary: int
+    waiting_filling: int
+    waiting_lasting: int
+    capacity_cores: int
+    committed_cores: int
+    filling_cores: int
+    filling_use: int
+    workers: int
+    in_touch: int
+    aside: int
+    recovering: bool
+
+
+def measure_load(cell: Cell, *, now: float) -> CellLoad:
+    """Return the load of a cell."""
+    workers = list(cell.workers.values())
+    waiting = cell.list_waiting()
+    filling = [run for worker in workers for run in worker.runs.values() if _fills(run)]
+    return CellLoad(
+        jobs=len(cell.jobs),
+        attempts=sum(len(worker.runs) for worker in workers),
+        waiting_ordinary=sum(
+            len(step.waiting)
+            for step in waiting
+            if not step.spec.fills and not step.spec.lasting
+        ),
+        waiting_filling=sum(len(step.waiting) for step in waiting if step.spec.fills),
+        waiting_lasting=sum(len(step.waiting) for step in waiting if step.spec.lasting),
+        capacity_cores=_count_cores(
+            worker.entry.capacity.millicores for worker in workers
+        ),
+        committed_cores=_count_cores(worker.committed.millicores for worker in workers),
+        filling_cores=_count_cores(worker.filling for worker in workers),
+        filling_use=round(sum(run.gauge for run in filling)),
+        workers=len(workers),
+        in_touch=sum(worker.in_touch for worker in workers),
+        aside=sum(now < worker.set_aside_until for worker in workers),
+        recovering=cell.recovering,
+    )
+
+
+def _fills(run: Run) -> bool:
+    return run.task.step.spec.fills
+
+
+def _count_cores(millicores: Iterable[int]) -> int:
+    return sum(millicores) // 1000
--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -1,9 +1,9 @@
 """On which worker an attempt runs.
 
 Answers the load of a shared cell: ordinary tasks take the worker where they
-displace the least work that fills; serving tasks of one image gather, so that others
-keep room for wide tasks and few images meet; work that fills takes the most spare processor time
-where it disturbs least.
+displace the least work that fills; serving tasks of one image gather, so that few
+images meet and wide tasks find room; work that fills takes the most spare processor
+time where it disturbs least.
 """
 
 from collections.abc import Iterable
@@ -48,7 +48,10 @@
 def fits(step: StepRun, needs: Resources, worker: Worker, *, now: float) -> bool:
     """Return whether a worker may and can run one more task of a step."""
     spec = step.spec
-    if not worker.accepts(now) or worker.entry.service != step.job.record.policy.service:
+    if (
+        not worker.accepts(now)
+        or worker.entry.service != step.job.record.policy.service
+    ):
         return False
     if spec.label and spec.label not in worker.entry.labels:
         return False
@@ -78,9 +81,7 @@
 
 
 @SCORES.register("filling")
-def score_filling(
-    step: StepRun, worker: Worker, pairs: PairTable, now: float
-) -> float:
+def score_filling(step: StepRun, worker: Worker, pairs: PairTable, now: float) -> float:
     """Prefer the most spare processor time where nobody is disturbed."""
     harm = predict_harm(
         step.spec.image, step.spec.request.millicores, worker, pairs, now=now
@@ -91,9 +92,7 @@
 
 
 @SCORES.register("serving")
-def score_serving(
-    step: StepRun, worker: Worker, pairs: PairTable, now: float
-) -> float:
+def score_serving(step: StepRun, worker: Worker, pairs: PairTable, now: float) -> float:
     """Prefer the fullest worker that serves this image alone, then an empty one.
 
     Images differ in what disturbs them: the fewer a worker serves, the more work
--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -92,9 +92,7 @@
             run.own_load += OWN_LOAD_RETURN * (USUAL_PRESSURE - run.own_load)
 
 
-def adjust_paces(
-    worker: Worker, pairs: PairTable, *, now: float
-) -> list[PaceChange]:
+def adjust_paces(worker: Worker, pairs: PairTable, *, now: float) -> list[PaceChange]:
     """Return how the attempts that fill on a worker should change their pace."""
     neighbours = find_neighbours(worker)
     filling = [run for run in neighbours.filling if run.phase is RunPhase.RUNNING]
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -87,9 +87,7 @@
     waiting: list[Task] = field(default_factory=list)
     left: int = 0
     per_worker: dict[WorkerId, int] = field(default_factory=dict)
-    tickets: dict[tuple[WorkerId, int], tuple[str, float]] = field(
-        default_factory=dict
-    )
+    tickets: dict[tuple[WorkerId, int], tuple[str, float]] = field(default_factory=dict)
 
     @property
     def ready(self) -> bool:
--- a/plantainhinge/fleet/model.py
+++ b/plantainhinge/fleet/model.py
@@ -186,4 +186,3 @@
     acknowledged: int
     wait: Seconds
     lease_end: Seconds | None
-
--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -160,7 +160,7 @@
     job: JobId
     occurrence: int
     step: int
-    index: int
+    position: int
 
 
 def find_critical_path(steps: tuple[Step, ...]) -> Seconds:
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -91,7 +91,9 @@
 }
 _TYPES = {kind: type_ for type_, kind in _KINDS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODERS = {kind: msgspec.msgpack.Decoder(type_) for kind, type_ in _TYPES.items()}
+_DECODERS: dict[RecordKind, msgspec.msgpack.Decoder] = {
+    kind: msgspec.msgpack.Decoder(type_) for kind, type_ in _TYPES.items()
+}
 
 
 def form_key(record: Record) -> str:
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -81,12 +81,16 @@
         path = request.path.partition("?")[0]
         route = configuration.find_route(host, path)
         if route is None:
-            return HttpReply(status=STATUSES[Verdict.UNKNOWN_QUEUE])
-        name = path.removeprefix(route.prefix)
+            return _refuse(Verdict.UNKNOWN_QUEUE, 1)
+        return await self._handle_queue(route, path.removeprefix(route.prefix), request)
+
+    async def _handle_queue(
+        self, route: QueueRoute, name: str, request: HttpRequest
+    ) -> HttpReply:
         if request.method == "GET" and not name:
             return await self._count(route)
         if not JOB_ID.match(name):
-            return HttpReply(status=STATUSES[Verdict.MALFORMED])
+            return _refuse(Verdict.MALFORMED, 1)
         job = JobId(name)
         match request.method:
             case "POST":
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -12,6 +12,7 @@
 from ..core.errors import (
     CorruptRecordError,
     NotOwnerError,
+    PlantainhingeError,
     RaceLostError,
     RateLimitedError,
     TooLargeError,
@@ -25,6 +26,16 @@
 T = TypeVar("T")
 
 OK = 200
+CONFLICT = 409
+GONE = 410
+REFUSALS: dict[int, type[PlantainhingeError]] = {
+    CONFLICT: RaceLostError,
+    412: RaceLostError,
+    413: TooLargeError,
+    429: RateLimitedError,
+    503: UnavailableError,
+    507: TooLargeError,
+}
 PRODUCER = "owner"
 GROUP = "instances"
 GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
@@ -220,19 +231,8 @@
     except msgspec.MsgspecError:
         refusal = _Refusal()
     message = f"status {answer.status} {refusal.reason}".strip()
-    match answer.status:
-        case 429:
-            raise RateLimitedError(message, step=step, peer=peer)
-        case 503:
-            raise UnavailableError(message, step=step, peer=peer)
-        case 412:
-            raise RaceLostError(message, step=step, peer=peer)
-        case 409 if refusal.reason == "fenced":
-            raise NotOwnerError(message, step=step, peer=peer)
-        case 409:
-            raise RaceLostError(message, step=step, peer=peer)
-        case 410:
-            raise TrimmedError(message, step=step, peer=peer, first=refusal.first)
-        case 413 | 507:
-            raise TooLargeError(message, step=step, peer=peer)
-    raise UnavailableError(message, step=step, peer=peer)
+    if answer.status == GONE:
+        raise TrimmedError(message, step=step, peer=peer, first=refusal.first)
+    if answer.status == CONFLICT and refusal.reason == "fenced":
+        raise NotOwnerError(message, step=step, peer=peer)
+    raise REFUSALS.get(answer.status, UnavailableError)(message, step=step, peer=peer)
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -35,6 +35,7 @@
 ORDER_SECONDS = Seconds(0.5)
 RENEWAL_SECONDS = Seconds(0.7)
 CONNECTIONS_MAX = 6
+GAUGE_COLUMN = 4
 
 REFUSALS = {
     "fence": OrderOutcome.FENCED,
@@ -101,7 +102,7 @@
 
 def format_task(key: TaskKey) -> str:
     """Return a task's name on the wire."""
-    return f"{key.job}.{key.occurrence}.{key.step}.{key.index}"
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.position}"
 
 
 def parse_task(name: str) -> TaskKey:
@@ -264,7 +265,7 @@
 
 def _decode_running(row: list[Any]) -> RunningRow:
     # fifth: milliseconds of tail of a serving task, else processors in use
-    gauge = float(row[4]) / 1000 if len(row) > 4 else 0.0
+    gauge = float(row[GAUGE_COLUMN]) / 1000 if len(row) > GAUGE_COLUMN else 0.0
     return RunningRow(
         task=parse_task(row[0]),
         attempt=Attempt(row[1]),
