--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -14,7 +14,7 @@
 from ..dispatch.load import measure_load
 from ..dispatch.orders import Command, Pace, Start, Stop
 from ..dispatch.tables import Worker
-from ..fleet.model import OrderAnswer, OrderOutcome, WorkerReport
+from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, Fence, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation, encode_record, form_key
@@ -181,18 +181,12 @@
                 if worker.seen_number > worker.acknowledged:
                     await self._wait_for_flush()
             else:
-                await self._take_refused_renewal(cell, worker, answer, now=now)
+                cell.take_refused_renewal(worker, answer, now=now)
+                self.wake()
+                await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
         self._renewing.discard(worker.name)
         self.calls.forget(worker.entry)
 
-    async def _take_refused_renewal(
-        self, cell: Cell, worker: Worker, answer: OrderAnswer, *, now: float
-    ) -> None:
-        if answer.outcome is OrderOutcome.FENCED:
-            await self.report_fenced()
-        cell.lose_touch(worker, now=now)
-        await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
-
     async def _wait_for_flush(self) -> None:
         try:
             async with asyncio.timeout(FLUSH_WAIT_SECONDS):
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -208,8 +208,16 @@
         self._unseen.discard(worker.name)
         self._protect_serving(worker, now=now)
 
+    def take_refused_renewal(
+        self, worker: Worker, answer: OrderAnswer, *, now: float
+    ) -> None:
+        """Take in that a renewal brought no lists."""
+        if answer.outcome is OrderOutcome.FENCED:
+            self.fenced = True
+        self.lose_touch(worker, now=now)
+
     def lose_touch(self, worker: Worker, *, now: float) -> None:
-        """Note that a worker didn't answer a renewal."""
+        """Note that a worker didn't answer."""
         if worker.in_touch:
             logger.warning(
                 "worker out of touch",
--- /dev/null
+++ b/tests/keyed_log.py
@@ -0,0 +1,104 @@
+"""An in-memory log that behaves like the platform's: fences, numbers, repeats."""
+
+import asyncio
+from collections import defaultdict, deque
+
+from plantainhinge.core.errors import (
+    NotOwnerError,
+    RaceLostError,
+    TrimmedError,
+    UnavailableError,
+    UncertainError,
+)
+from plantainhinge.fleet.protocols import Membership, Page
+
+REPEATS_KNOWN = 5
+
+
+class MemoryKeyedLog:
+    """Records by topic; ``fail`` names what goes wrong with the next appends.
+
+    ``"refuse"`` does nothing and says so, ``"lose"`` appends and answers nothing.
+    """
+
+    def __init__(self):
+        self.topics = defaultdict(list)
+        self.first = defaultdict(int)
+        self.epochs = {}
+        self.sequences = {}
+        self.repeats = defaultdict(lambda: deque(maxlen=REPEATS_KNOWN))
+        self.fail = []
+        self.pause = 0.0
+        self.reads = 0
+        self.members = {}
+        self.generation = 0
+
+    async def append(self, topic, entries, *, fence=None, expected_end=None):
+        if self.pause:
+            await asyncio.sleep(self.pause)
+        fault = self.fail.pop(0) if self.fail else None
+        if fault == "refuse":
+            raise UnavailableError("refused", step="log.append")
+        end = self._append(topic, list(entries), fence, expected_end)
+        if fault == "lose":
+            raise UncertainError("answer lost", step="log.append")
+        return end
+
+    def _append(self, topic, entries, fence, expected_end):
+        records = self.topics[topic]
+        if expected_end is not None and expected_end != len(records):
+            raise RaceLostError(f"ends at {len(records)}", step="log.append")
+        if fence is not None:
+            known = self.epochs.get(topic, 0)
+            if fence.epoch < known:
+                raise NotOwnerError(f"epoch {known}", step="log.append")
+            if fence.epoch > known:
+                self.epochs[topic] = fence.epoch
+                self.sequences[topic] = fence.sequence - 1
+                self.repeats[topic].clear()
+            if entries:
+                for sequence, end in self.repeats[topic]:
+                    if sequence == fence.sequence:
+                        return end
+                if fence.sequence != self.sequences[topic] + 1:
+                    raise RaceLostError("sequence", step="log.append")
+                self.sequences[topic] = fence.sequence
+                self.repeats[topic].append(
+                    (fence.sequence, len(records) + len(entries))
+                )
+        records.extend(entries)
+        return len(records)
+
+    async def read(self, topic, *, start, wait):
+        self.reads += 1
+        if start < self.first[topic]:
+            raise TrimmedError("gone", step="log.read", first=self.first[topic])
+        records = self.topics[topic]
+        if len(records) <= start and wait:
+            await asyncio.sleep(wait)
+        return Page(tuple(records[start:]), len(records))
+
+    async def read_newest(self, topic):
+        self.reads += 1
+        newest = {}
+        for entry in self.topics[topic]:
+            newest[entry.key] = entry
+        held = tuple(entry for entry in newest.values() if entry.value)
+        return Page(held, len(self.topics[topic]), whole=False)
+
+    def trim(self, topic):
+        self.first[topic] = len(self.topics[topic])
+
+    async def join(self, member, *, generation):
+        if member not in self.members:
+            self.generation += 1
+        self.members[member] = True
+        first = next(iter(self.members)) == member
+        return Membership(self.generation, first)
+
+    async def leave(self, member):
+        self.members.pop(member, None)
+        self.generation += 1
+
+    async def list_members(self):
+        return frozenset(self.members)
--- /dev/null
+++ b/tests/test_cell_runner.py
@@ -0,0 +1,115 @@
+"""What the owner writes to the log, and when it stops acting."""
+
+import asyncio
+
+from plantainhinge.core.ids import Epoch
+from plantainhinge.daemons.cell_runner import CellRunner
+from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
+from plantainhinge.daemons.worker_view import WorkerView
+from plantainhinge.fleet.protocols import Entry, Fence
+from plantainhinge.jobs.records import decode_record, encode_record, form_key
+
+from .cell_site import TERMS, make_job
+from .keyed_log import MemoryKeyedLog
+
+
+class NoWorkers:
+    """No worker is listed, so none is called."""
+
+
+def make_runner(log, lost=None):
+    async def report():
+        if lost is not None:
+            lost.append(True)
+
+    return CellRunner(
+        log=log,
+        calls=NoWorkers(),
+        view=JobView(log),
+        workers=WorkerView(log, "workers", lambda key, value: None),
+        terms=TERMS,
+        find_closed=frozenset,
+        report_fenced=report,
+    )
+
+
+async def accept(log, *records):
+    entries = [Entry(form_key(record), encode_record(record)) for record in records]
+    await log.append(JOB_TOPIC, entries)
+
+
+def read_states(log):
+    states = {}
+    for entry in log.topics[PROGRESS_TOPIC]:
+        record = decode_record(entry.key, entry.value)
+        states[record.job] = record.state.value
+    return states
+
+
+def cancel(runner, *jobs):
+    for job in jobs:
+        runner.cell.cancel_job(job, now=0.0)
+
+
+def test_flushes_that_meet_are_both_logged():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        await accept(log, make_job("a"), make_job("b"))
+        await runner.own(Epoch(1))
+        log.pause = 0.02
+        cancel(runner, "a")
+        first = asyncio.create_task(runner.finish())
+        await asyncio.sleep(0.005)
+        cancel(runner, "b")
+        await runner.finish()
+        await first
+        runner.disown("test")
+        return read_states(log)
+
+    assert asyncio.run(scenario()) == {"a": "cancelled", "b": "cancelled"}
+
+
+def test_a_flush_whose_answer_was_lost_is_logged_once():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        await accept(log, make_job("a"))
+        await runner.own(Epoch(1))
+        log.fail = ["lose", "refuse"]
+        cancel(runner, "a")
+        await runner.finish()
+        runner.disown("test")
+        return log.topics[PROGRESS_TOPIC]
+
+    assert len(asyncio.run(scenario())) == 1
+
+
+def test_an_owner_that_was_replaced_writes_nothing_and_says_so():
+    async def scenario():
+        log, lost = MemoryKeyedLog(), []
+        runner = make_runner(log, lost)
+        await accept(log, make_job("a"))
+        await runner.own(Epoch(1))
+        await log.append(PROGRESS_TOPIC, [], fence=Fence(Epoch(2), 0))
+        cancel(runner, "a")
+        await runner.finish()
+        runner.disown("test")
+        return log.topics[PROGRESS_TOPIC], lost
+
+    records, lost = asyncio.run(scenario())
+    assert records == []
+    assert lost
+
+
+def test_an_owner_knows_all_jobs_before_it_acts():
+    async def scenario():
+        log = MemoryKeyedLog()
+        await accept(log, make_job("a"), make_job("b"))
+        runner = make_runner(log)
+        await runner.own(Epoch(3))
+        jobs = set(runner.cell.jobs)
+        runner.disown("test")
+        return jobs
+
+    assert asyncio.run(scenario()) == {"a", "b"}
--- /dev/null
+++ b/tests/test_dispatch_cell.py
@@ -0,0 +1,223 @@
+"""What the owner of a cell does when workers, answers and the log fail."""
+
+import msgspec
+import pytest
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import WorkerState
+from plantainhinge.jobs.model import Step
+
+from .cell_site import LEASE_BOUND, ModelSite, make_entry, make_job, make_policy
+
+SMALL = Resources(1000, 100)
+
+
+def make_step(**changes):
+    return Step(**({"request": SMALL, "estimate": 1.0} | changes))
+
+
+def test_steps_run_after_those_that_they_depend_on():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(count=3), make_step(count=2, depends_on=(0,)))
+    site.submit(job)
+    site.run(0.9)
+    assert {task.step for _, task, _ in site.list_running()} == {0}
+    site.run_until(lambda: site.state_of("j") == "completed", limit=4)
+    assert site.count_starts() == 5
+
+
+def test_a_silent_worker_keeps_its_tasks_until_their_lease_is_over():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("j", make_step(lasting=True, count=1)))
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    site.workers[first].silent = True
+    silent_at = site.now
+    site.run_until(lambda: site.count_starts() == 2, limit=30)
+    waited = site.now - silent_at
+    assert 6.0 <= waited <= LEASE_BOUND + 0.5
+    assert len(site.list_running()) == 1
+
+
+def test_an_end_is_acknowledged_only_once_the_log_holds_it():
+    site = ModelSite(make_entry("w1"), log_up=False)
+    site.submit(make_job("j"))
+    site.run(3)
+    worker = site.workers["w1"]
+    assert [row.number for row in worker.ended] == [1]
+    site.log_up = True
+    site.run(0.5)
+    assert worker.ended == []
+    assert site.state_of("j") == "completed"
+
+
+def test_steps_go_on_while_the_log_is_down():
+    site = ModelSite(make_entry("w1"), log_up=False)
+    site.submit(make_job("j", make_step(), make_step(depends_on=(0,))))
+    site.run(3)
+    assert site.count_starts() == 2
+    assert site.state_of("j") == "queued"
+
+
+def test_a_start_whose_answer_was_lost_runs_once():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    for worker in site.workers.values():
+        worker.lose_answers = 2
+    site.submit(make_job("j"))
+    site.run_until(lambda: site.state_of("j") == "completed")
+    assert site.count_starts() == 1
+
+
+def test_tasks_of_a_worker_born_again_start_elsewhere_at_once():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("j", make_step(lasting=True)))
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    worker = site.workers[first]
+    worker.runs.clear()
+    worker.entry = msgspec.structs.replace(worker.entry, born=2)
+    worker.fence, worker.now = 0, 0.0
+    site.run(0.5)
+    assert len(site.list_running()) == 1
+    ((_, _, attempt),) = site.list_running()
+    assert attempt == 2
+
+
+def test_a_new_owner_adopts_what_runs_and_starts_nothing_twice():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    jobs = [make_job(f"j{index}", make_step(estimate=3.0)) for index in range(6)]
+    for job in jobs:
+        site.submit(job)
+    site.run(1)
+    site.take_over(jobs)
+    site.run_until(lambda: all(site.state_of(j.job) == "completed" for j in jobs))
+    assert site.count_starts() == 6
+
+
+def test_a_new_owner_waits_for_a_worker_that_it_cannot_see():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(lasting=True))
+    site.submit(job)
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    site.workers[first].silent = True
+    site.take_over([job])
+    site.run(5.5)
+    assert site.count_starts() == 1
+    site.run(1.5)
+    assert site.count_starts() == 2
+    assert len(site.list_running()) == 1
+
+
+def test_a_new_owner_starts_new_jobs_while_it_waits_for_a_worker():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.workers["w1"].silent = True
+    site.take_over([])
+    site.submit(make_job("j"))
+    site.run(0.2)
+    assert site.count_starts() == 1
+
+
+def test_an_older_owner_is_fenced():
+    site = ModelSite(make_entry("w1"))
+    site.run(0.2)
+    site.workers["w1"].fence = 5
+    site.submit(make_job("j"))
+    site.run(0.2)
+    assert site.cell.fenced
+    assert site.count_starts() == 0
+
+
+def test_a_cancelled_job_is_stopped_and_starts_nothing():
+    site = ModelSite(make_entry("w1", cores=2))
+    site.submit(make_job("j", make_step(count=5, estimate=9.0)))
+    site.run(0.5)
+    site.cell.cancel_job("j", now=site.now)
+    site.run(0.5)
+    assert site.list_running() == []
+    assert site.state_of("j") == "cancelled"
+    site.run(2)
+    assert site.count_starts() == 2
+
+
+def test_a_job_fails_after_its_attempts_on_different_workers():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    for worker in site.workers.values():
+        worker.fails = True
+    site.submit(make_job("j", policy=make_policy(attempts=2)))
+    site.run_until(lambda: site.state_of("j") == "failed")
+    starts = [len(worker.started) for worker in site.workers.values()]
+    assert starts == [1, 1]
+
+
+def test_a_lasting_task_is_restarted_however_often_it_fails():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("j", make_step(lasting=True)))
+    for _ in range(4):
+        site.run(2)
+        for worker in site.workers.values():
+            for key in list(worker.runs):
+                worker.runs[key].lasting = False
+                worker.runs[key].left = 0.0
+                worker.fails = True
+    site.run(10)
+    assert len(site.list_running()) == 1
+
+
+def test_a_draining_worker_gets_nothing_and_loses_lasting_tasks():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("j", make_step(lasting=True)))
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    worker = site.workers[first]
+    worker.entry = msgspec.structs.replace(
+        worker.entry, state=WorkerState.DRAINING, remaining=2.0
+    )
+    site.see()
+    site.run(0.5)
+    ((second, _, _),) = site.list_running()
+    assert second != first
+
+
+def test_a_closed_domain_gets_no_starts():
+    site = ModelSite(make_entry("w1", domain="a"), make_entry("w2", domain="b"))
+    site.cell.closed_domains = frozenset({"a"})
+    site.submit(make_job("j", make_step(count=4)))
+    site.run(0.5)
+    assert {worker for worker, _, _ in site.list_running()} == {"w2"}
+
+
+def test_no_worker_is_given_more_than_it_has():
+    site = ModelSite(make_entry("w1", cores=3), make_entry("w2", cores=2))
+    site.submit(make_job("j", make_step(count=9)))
+    site.run(0.2)
+    per_worker = [len(worker.runs) for worker in site.workers.values()]
+    assert per_worker == [3, 2]
+
+
+@pytest.mark.parametrize("limit", [1, 2])
+def test_at_most_so_many_tasks_of_a_step_share_a_worker(limit):
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("j", make_step(count=6, per_worker_max=limit)))
+    site.run(0.2)
+    assert [len(worker.runs) for worker in site.workers.values()] == [limit, limit]
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    site = ModelSite(make_entry("w1", cores=2), make_entry("w2", cores=2))
+    site.submit(make_job("j1", make_step(count=5, gang=True)))
+    site.submit(make_job("j2", make_step(count=4, gang=True)))
+    site.run(0.2)
+    running = site.list_running()
+    assert {task.job for _, task, _ in running} == {"j2"}
+    assert len(running) == 4
+
+
+def test_progress_of_a_flush_that_failed_is_logged_later():
+    site = ModelSite(make_entry("w1"), log_up=False)
+    site.submit(make_job("j"))
+    site.run(2)
+    assert site.cell.jobs == {}
+    site.log_up = True
+    site.run(0.2)
+    assert site.state_of("j") == "completed"
