--- /dev/null
+++ b/plantainhinge/dispatch/answers.py
@@ -0,0 +1,61 @@
+"""What the answers to orders mean."""
+
+import logging
+
+from ..fleet.model import OrderAnswer, OrderOutcome
+from . import health
+from .cell_tables import CellTables
+from .descriptions import describe_run
+from .lives import lose_touch
+from .ordering import RETRY_SECONDS_MAX, retry_later
+from .tables import Run, RunPhase
+from .tasks import release_run
+
+logger = logging.getLogger(__name__)
+
+
+def take_start_answer(
+    cell: CellTables, run: Run, answer: OrderAnswer, *, now: float
+) -> None:
+    """Take in what became of a start."""
+    if run.worker.runs.get((run.task.key, run.attempt)) is not run:
+        return
+    if run.phase is not RunPhase.ORDERED:
+        return
+    match answer.outcome:
+        case OrderOutcome.ACCEPTED:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = run.moved_at = now
+            run.retry_at = float("inf")
+        case OrderOutcome.UNKNOWN:
+            retry_later(run, now=now)
+        case OrderOutcome.NOT_SENT if run.tries > 1:
+            retry_later(run, now=now)
+        case OrderOutcome.FENCED:
+            cell.fenced = True
+            retry_later(run, now=now)
+        case OrderOutcome.OTHER_LIFE:
+            lose_touch(cell, run.worker, now=now)
+            release_run(cell, run, now=now)
+        case _:
+            logger.info(
+                "start refused",
+                extra=describe_run(run) | {"cause": answer.outcome.value},
+            )
+            health.note_refusal(run.worker, answer.outcome, now=now)
+            release_run(cell, run, now=now)
+
+
+def take_stop_answer(
+    cell: CellTables, run: Run | None, answer: OrderAnswer, *, now: float
+) -> None:
+    """Take in what became of a stop."""
+    if answer.outcome is OrderOutcome.FENCED:
+        cell.fenced = True
+    if run is None or run.worker.runs.get((run.task.key, run.attempt)) is not run:
+        return
+    if answer.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
+        retry_later(run, now=now)
+    else:
+        run.confirmed_at = now
+        run.retry_at = now + RETRY_SECONDS_MAX
--- /dev/null
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -0,0 +1,57 @@
+"""What the decisions of a cell work on."""
+
+from dataclasses import dataclass, field
+
+from ..core.ids import DomainId, Epoch, JobId, WorkerId
+from ..placement.interference import PairTable
+from .leases import LeaseTerms
+from .orders import Command
+from .sharing import PRIOR_WEIGHT
+from .tables import JobRun, Worker
+
+
+@dataclass
+class CellTables:
+    """All open jobs and all workers of one cell, under one epoch.
+
+    Parameters
+    ----------
+    epoch : Epoch
+        The fencing token of this ownership.
+    terms : LeaseTerms
+        How leases are given.
+    started : float
+        Monotonic seconds at which this ownership began.
+    closed_domains : frozenset of DomainId
+        Failure domains that take no new work.
+    fenced : bool
+        Whether a worker has seen a higher epoch.
+    pairs : PairTable
+        How much images disturb each other.
+    commands : list of Command
+        Orders that are to go out.
+    dirty : dict of JobId to JobRun
+        Jobs whose progress the log doesn't hold yet.
+    unseen : set of WorkerId
+        Workers that may run what an earlier owner started there.
+    acks_due : bool
+        Whether ends were taken in that workers may soon forget.
+    """
+
+    epoch: Epoch
+    terms: LeaseTerms
+    started: float
+    jobs: dict[JobId, JobRun] = field(default_factory=dict)
+    workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    closed_domains: frozenset[DomainId] = frozenset()
+    fenced: bool = False
+    pairs: PairTable = field(default_factory=lambda: PairTable(PRIOR_WEIGHT))
+    commands: list[Command] = field(default_factory=list)
+    dirty: dict[JobId, JobRun] = field(default_factory=dict)
+    unseen: set[WorkerId] = field(default_factory=set)
+    acks_due: bool = False
+
+    @property
+    def recovering(self) -> bool:
+        """Whether a worker may still run what an earlier owner started."""
+        return bool(self.unseen)
--- /dev/null
+++ b/plantainhinge/dispatch/lives.py
@@ -0,0 +1,98 @@
+"""Workers that come, fall silent, begin another life and go."""
+
+import logging
+from collections.abc import Iterable
+
+from ..fleet.model import WorkerEntry
+from .cell_tables import CellTables
+from .descriptions import describe_run, describe_worker
+from .leases import expect_unknown_leases
+from .ordering import send_stop
+from .tables import RunPhase, Worker
+from .tasks import release_run
+
+logger = logging.getLogger(__name__)
+
+GONE_FORGET_SECONDS = 15.0
+
+
+def see_workers(
+    cell: CellTables,
+    entries: Iterable[WorkerEntry],
+    *,
+    now: float,
+    inherited: bool = False,
+) -> None:
+    """Take in the directory of workers."""
+    listed = set()
+    for entry in entries:
+        listed.add(entry.worker)
+        worker = cell.workers.get(entry.worker)
+        if worker is None:
+            worker = Worker(entry, entry.born)
+            cell.workers[entry.worker] = worker
+            if inherited:
+                expect_unknown_leases(worker, cell.terms, now=now)
+                cell.unseen.add(entry.worker)
+            logger.info("worker listed", extra=describe_worker(worker))
+        elif entry.born > worker.born:
+            begin_life(cell, worker, entry.born, now=now)
+        if entry.state is not worker.entry.state:
+            logger.info(
+                "worker changed state",
+                extra=describe_worker(worker) | {"state": entry.state.value},
+            )
+        worker.entry = entry
+        worker.listed = True
+    for name, worker in list(cell.workers.items()):
+        if name not in listed:
+            _unlist(cell, worker, now=now)
+
+
+def lose_touch(cell: CellTables, worker: Worker, *, now: float) -> None:
+    """Note that a worker didn't answer."""
+    if worker.in_touch:
+        logger.warning(
+            "worker out of touch",
+            extra=describe_worker(worker) | {"silent_s": now - worker.heard_at},
+        )
+    worker.in_touch = False
+
+
+def begin_life(cell: CellTables, worker: Worker, born: int, *, now: float) -> None:
+    """Note that a worker restarted: all that it ran is gone."""
+    logger.info(
+        "worker began another life",
+        extra=describe_worker(worker) | {"attempts_lost": len(worker.runs)},
+    )
+    lost = list(worker.runs.values())
+    worker.born = born
+    worker.seen_number = worker.acknowledged = 0
+    worker.heard_at = worker.lapse_at = float("-inf")
+    worker.in_touch = False
+    worker.set_aside_until = 0.0
+    for run in lost:
+        if run.phase is RunPhase.ORDERED:
+            send_stop(cell, worker, run.task, run.attempt, None)
+        release_run(cell, run, now=now)
+
+
+def _unlist(cell: CellTables, worker: Worker, *, now: float) -> None:
+    if worker.listed:
+        logger.info("worker left the list", extra=describe_worker(worker))
+    worker.listed = False
+    silent = now - max(worker.heard_at, cell.started)
+    if not worker.runs and silent > GONE_FORGET_SECONDS:
+        cell.unseen.discard(worker.name)
+        del cell.workers[worker.name]
+
+
+def end_lapsed(cell: CellTables, *, now: float) -> None:
+    """Give up attempts whose lease surely ended on a silent worker."""
+    for worker in cell.workers.values():
+        if worker.in_touch or now < worker.lapse_at:
+            continue
+        cell.unseen.discard(worker.name)
+        for run in list(worker.runs.values()):
+            logger.info("lease lapsed", extra=describe_run(run))
+            release_run(cell, run, now=now)
