Estimate the own load of serving tasks by the middle task of their job

Cause: fills waited for pressure, not for room; the weights of pairs drifted up, since the swing of a serving task's own load was put down to its neighbours.

--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from statistics import median
 
 from ..core.ids import KindId, Seconds
 from ..core.states import TaskClass
@@ -20,12 +21,13 @@
 # tail of an idle serving task against its target
 IDLE_TAIL = 0.22
 USUAL_PRESSURE = 0.45
-PRESSURE_LIMIT = 0.72
-PRESSURE_AIM = 0.66
-PRESSURE_PLACING = 0.68
+PRESSURE_LIMIT = 0.76
+PRESSURE_AIM = 0.71
+PRESSURE_PLACING = 0.73
 SETTLE_SECONDS = 0.35
-OWN_LOAD_SMOOTHING = 0.3
-OWN_LOAD_RETURN = 0.05
+OWN_LOAD_SECONDS = 1.5
+OWN_LOAD_MIN = 0.22
+OWN_LOAD_MAX = 0.62
 PACE_FULL = 100
 PACE_CHANGE_MIN = 8
 MILLICORES_PER_CORE = 1000
@@ -68,7 +70,11 @@
 
 
 def learn_from_report(worker: Worker, pairs: PairTable, *, now: float) -> None:
-    """Learn from the newest report of a worker what its images do to each other."""
+    """Learn from the newest report of a worker what its images do to each other.
+
+    The own load of a serving task isn't reported. The tasks of one job have about
+    the same, so it is taken from the middle one of them, within what is usual.
+    """
     neighbours = find_neighbours(worker)
     settled = all(
         run.phase is RunPhase.RUNNING and now - run.confirmed_at > SETTLE_SECONDS
@@ -76,20 +82,35 @@
     )
     settled = settled and now - worker.fills_changed_at > SETTLE_SECONDS
     loads = _list_loads(worker, neighbours.filling)
-    for run in neighbours.serving:
-        if run.gauge <= 0 or run.phase is not RunPhase.RUNNING:
-            continue
-        pressure = measure_pressure(run)
-        if not neighbours.filling and settled:
-            run.own_load += OWN_LOAD_SMOOTHING * (pressure - run.own_load)
-        elif settled and loads:
-            slowdown = 1.0 + max(0.0, pressure - run.own_load)
-            learn(
-                pairs,
-                Observation(_name_image(run), slowdown, loads),
-                Seconds(now),
-            )
-            run.own_load += OWN_LOAD_RETURN * (USUAL_PRESSURE - run.own_load)
+    serving = [
+        run
+        for run in neighbours.serving
+        if run.gauge > 0 and run.phase is RunPhase.RUNNING
+    ]
+    for run in serving:
+        run.own_load = measure_pressure(run) - sum(
+            load.load * _weigh(run, load.kind, pairs, now) for load in loads
+        )
+        run.measured_at = now
+    if not settled or not loads:
+        return
+    for run in serving:
+        own = _estimate_own_load(run, now=now)
+        observation = Observation(
+            _name_image(run), 1.0 + measure_pressure(run) - own, loads
+        )
+        learn(pairs, observation, Seconds(now))
+
+
+def _estimate_own_load(run: Run, *, now: float) -> float:
+    """Return the pressure that a serving attempt would have alone."""
+    known = [
+        other.own_load
+        for task in run.task.step.tasks
+        for other in task.runs
+        if now - other.measured_at < OWN_LOAD_SECONDS
+    ]
+    return min(OWN_LOAD_MAX, max(OWN_LOAD_MIN, median(known)))
 
 
 def adjust_paces(worker: Worker, pairs: PairTable, *, now: float) -> list[PaceChange]:
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -34,6 +34,9 @@
         When an unanswered order goes out again; infinite if none is due.
     moved_at : float
         When its progress last changed.
+    own_load, measured_at : float
+        Pressure of a serving task without what is expected of its neighbours, and
+        when it was measured.
     """
 
     task: "Task"
@@ -49,6 +52,7 @@
     gauge: float = 0.0
     pace: int = 100
     own_load: float = 0.45
+    measured_at: float = float("-inf")
     inherited: bool = False
 
 
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -3,7 +3,14 @@
 import itertools
 from dataclasses import dataclass, field
 
-from plantainhinge.core.ids import DomainId, Epoch, JobId, QueueName, ServiceId, WorkerId
+from plantainhinge.core.ids import (
+    DomainId,
+    Epoch,
+    JobId,
+    QueueName,
+    ServiceId,
+    WorkerId,
+)
 from plantainhinge.core.resources import Resources
 from plantainhinge.dispatch.cell import Cell
 from plantainhinge.dispatch.leases import LeaseTerms
