--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -1,18 +1,32 @@
 """In which order steps get the free room.
 
-Answers the load where more is wanted than fits: by priority, then by the time
-at which the job is due, so that a job nearly late goes before one with slack. A
-job that is too late already goes after those that can still make it, shortest
-remaining work first, and no job waits for ever behind newer ones.
+Answers the load where more is wanted than fits. Within a priority, jobs that can
+still be done by the time they are due go first: those that have begun before the
+others, since half a job is worth nothing, then the earliest due. Then come those that will be late in any case, shortest remaining path first; last those
+so late that their callers hardly gain. Lasting tasks, which lose little by a short
+wait, go after the first of these.
 """
 
 from collections.abc import Iterable
+from enum import IntEnum
 
 from ..core.ids import Seconds
+from ..jobs.model import JobState, find_critical_path
 from .tables import JobRun, StepRun
 
 OVERDUE_FACTOR = 3.0
-STARVATION_SECONDS = 20.0
+# a job that hasn't begun is in time only with this factor on its estimates
+FIRST_START_MARGIN = 1.25
+
+
+class Urgency(IntEnum):
+    """Classes of steps within a priority; the lowest goes first."""
+
+    BEGUN = 0
+    IN_TIME = 1
+    LASTING = 2
+    LATE = 3
+    OVERDUE = 4
 
 
 def order_steps(steps: Iterable[StepRun], *, wall: Seconds) -> list[StepRun]:
@@ -20,19 +34,34 @@
     return sorted(steps, key=lambda step: rank_step(step, wall=wall))
 
 
-def rank_step(step: StepRun, *, wall: Seconds) -> tuple[int, int, float]:
+def rank_step(step: StepRun, *, wall: Seconds) -> tuple[int, Urgency, float]:
     """Return a step's rank; lower goes first."""
     job = step.job
     priority = job.record.policy.priority
     if step.spec.lasting:
-        return (priority, 1, job.record.accepted_at)
-    if is_past_worth(job, wall=wall):
-        return (priority, 2, job.record.accepted_at)
-    return (priority, 0, job.due)
+        return (priority, Urgency.LASTING, job.record.accepted_at)
+    remaining = estimate_remaining(job, step.occurrence)
+    if job.state is JobState.RUNNING and wall + remaining <= job.due:
+        return (priority, Urgency.BEGUN, job.due)
+    if wall + FIRST_START_MARGIN * remaining <= job.due:
+        return (priority, Urgency.IN_TIME, job.due)
+    if is_overdue(job, wall=wall):
+        return (priority, Urgency.OVERDUE, job.record.accepted_at)
+    return (priority, Urgency.LATE, remaining)
 
 
-def is_past_worth(job: JobRun, *, wall: Seconds) -> bool:
+def is_overdue(job: JobRun, *, wall: Seconds) -> bool:
     """Return whether the job is so late that others gain more from the room."""
     allowed = job.due - job.record.accepted_at
-    late = wall - job.record.accepted_at > OVERDUE_FACTOR * allowed
-    return late and wall - job.due < STARVATION_SECONDS
+    return wall - job.record.accepted_at > OVERDUE_FACTOR * allowed
+
+
+def estimate_remaining(job: JobRun, occurrence: int) -> Seconds:
+    """Return the longest chain of estimates of an occurrence's open steps."""
+    steps = job.occurrences[occurrence]
+    key = (occurrence, sum(step.left == 0 for step in steps))
+    if job.remaining is None or job.remaining[0] != key:
+        specs = job.record.spec.steps
+        open_ = {index for index, step in enumerate(steps) if step.left}
+        job.remaining = (key, find_critical_path(specs, only=open_))
+    return job.remaining[1]
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..core.ids import Attempt, JobId, WorkerId
+from ..core.ids import Attempt, JobId, Seconds, WorkerId
 from ..core.resources import Resources
 from ..fleet.model import WorkerEntry, WorkerState
 from ..jobs.model import JobRecord, JobState, Step, TaskKey
@@ -110,6 +110,9 @@
         Seconds since the Unix epoch by which it should be completed.
     inherited : bool
         Whether an earlier owner may have started its tasks.
+    remaining : tuple, optional
+        Longest chain of estimates that is left, for an occurrence and its number of
+        finished steps.
     """
 
     record: JobRecord
@@ -118,6 +121,7 @@
     inherited: bool = False
     finished_below: int = 0
     created_below: int = 0
+    remaining: tuple[tuple[int, int], Seconds] | None = None
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
 
     @property
--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -1,5 +1,6 @@
 """Jobs, their steps and the queues that they come through."""
 
+from collections.abc import Collection
 from enum import Enum
 from typing import NamedTuple
 
@@ -163,12 +164,21 @@
     position: int
 
 
-def find_critical_path(steps: tuple[Step, ...]) -> Seconds:
-    """Return the longest chain of estimated running times, in seconds."""
+def find_critical_path(
+    steps: tuple[Step, ...], *, only: Collection[int] | None = None
+) -> Seconds:
+    """Return the longest chain of estimated running times, in seconds.
+
+    Parameters
+    ----------
+    only : collection of int, optional
+        Steps that count; by default all.
+    """
     finish: list[float] = []
-    for step in steps:
-        start = max((finish[index] for index in step.depends_on), default=0.0)
-        finish.append(start + step.estimate)
+    for index, step in enumerate(steps):
+        start = max((finish[earlier] for earlier in step.depends_on), default=0.0)
+        counts = only is None or index in only
+        finish.append(start + (step.estimate if counts else 0.0))
     return Seconds(max(finish, default=0.0))
 
 
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -49,26 +49,33 @@
         if expected_end is not None and expected_end != len(records):
             raise RaceLostError(f"ends at {len(records)}", step="log.append")
         if fence is not None:
-            known = self.epochs.get(topic, 0)
-            if fence.epoch < known:
-                raise NotOwnerError(f"epoch {known}", step="log.append")
-            if fence.epoch > known:
-                self.epochs[topic] = fence.epoch
-                self.sequences[topic] = fence.sequence - 1
-                self.repeats[topic].clear()
-            if entries:
-                for sequence, end in self.repeats[topic]:
-                    if sequence == fence.sequence:
-                        return end
-                if fence.sequence != self.sequences[topic] + 1:
-                    raise RaceLostError("sequence", step="log.append")
-                self.sequences[topic] = fence.sequence
-                self.repeats[topic].append(
-                    (fence.sequence, len(records) + len(entries))
-                )
+            known_end = self._check_fence(topic, entries, fence)
+            if known_end is not None:
+                return known_end
         records.extend(entries)
         return len(records)
 
+    def _check_fence(self, topic, entries, fence):
+        """Return the end of an append that is repeated, None for a new one."""
+        known = self.epochs.get(topic, 0)
+        if fence.epoch < known:
+            raise NotOwnerError(f"epoch {known}", step="log.append")
+        if fence.epoch > known:
+            self.epochs[topic] = fence.epoch
+            self.sequences[topic] = fence.sequence - 1
+            self.repeats[topic].clear()
+        if not entries:
+            return None
+        for sequence, end in self.repeats[topic]:
+            if sequence == fence.sequence:
+                return end
+        if fence.sequence != self.sequences[topic] + 1:
+            raise RaceLostError("sequence", step="log.append")
+        self.sequences[topic] = fence.sequence
+        end = len(self.topics[topic]) + len(entries)
+        self.repeats[topic].append((fence.sequence, end))
+        return None
+
     async def read(self, topic, *, start, wait):
         self.reads += 1
         if start < self.first[topic]:
