Hand knowledge over to the next owner; rest what fills beside a task over target

Cause (owner killed, 320 s over target): a new owner knew no weights and no worker that had left the directory. Change: limits below the target, and full rest after 1.2 s over it; a handover record with workers and weights rides on the flushes; no start on a worker that the log doesn't name; a process that stood still checks its ownership first.

--- a/plantainhinge/core/clock.py
+++ b/plantainhinge/core/clock.py
@@ -13,3 +13,8 @@
 def read_wall() -> Seconds:
     """Return seconds since the Unix epoch, for people and for time lines."""
     return Seconds(time.time())
+
+
+def read_uptime() -> Seconds:
+    """Return seconds on a clock that counts the time of a suspended system."""
+    return Seconds(time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..core.clock import read_monotonic, read_wall
+from ..core.clock import read_monotonic, read_uptime, read_wall
 from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
 from ..core.ids import DomainId, Epoch, Seconds
 from ..dispatch.cell import Cell, Flush
@@ -14,6 +14,7 @@
 from ..dispatch.load import measure_load
 from ..dispatch.orders import Command, Pace, Start, Stop
 from ..dispatch.tables import Worker
+from ..fleet.handover import HANDOVER_KEY, encode_handover
 from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, Fence, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
@@ -30,6 +31,7 @@
 FLUSH_GATHER_SECONDS = Seconds(0.004)
 RENEWAL_PAUSE_SECONDS = Seconds(0.3)
 FLUSH_WAIT_SECONDS = Seconds(0.25)
+FROZEN_SECONDS = Seconds(0.7)
 LOAD_SECONDS = Seconds(2.0)
 START_TRIES_MAX = 20
 
@@ -74,6 +76,7 @@
             cell.open_job(row.accepted, row.progress, wall=wall, inherited=True)
         self.view.take_fresh()
         inherited = epoch > 1
+        cell.take_over(self.view.handover, now=read_monotonic())
         cell.see_workers(
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
@@ -109,9 +112,11 @@
         for attempt in range(START_TRIES_MAX):
             try:
                 await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
-                await self.view.job_tail.catch_up()
-                await self.view.progress_tail.catch_up()
-                await self.workers.tail.catch_up()
+                await asyncio.gather(
+                    self.view.job_tail.catch_up(),
+                    self.view.progress_tail.catch_up(),
+                    self.workers.tail.catch_up(),
+                )
                 return
             except NotOwnerError:
                 raise
@@ -195,6 +200,7 @@
             return
 
     async def _decide(self, cell: Cell) -> None:
+        awake_at = read_uptime()
         while self.cell is cell:
             try:
                 async with asyncio.timeout(DECIDE_SECONDS):
@@ -202,6 +208,11 @@
             except TimeoutError:
                 pass
             self._wake.clear()
+            slept, awake_at = read_uptime() - awake_at, read_uptime()
+            if slept > FROZEN_SECONDS:
+                logger.warning("process stood still", extra={"slept_s": slept})
+                await self.report_fenced()
+                continue
             try:
                 self._decide_once(cell)
             except Exception:
@@ -234,10 +245,11 @@
             await self._flush_due(cell)
 
     async def _flush_due(self, cell: Cell) -> None:
-        flush = cell.take_flush()
+        flush = cell.take_flush(now=read_monotonic())
         if flush is None:
             return
-        if flush.progress and not await self._write(cell, flush):
+        entries = _encode_flush(flush)
+        if entries and not await self._write(cell, flush, entries):
             return
         for progress in flush.progress:
             self.view.table.apply(progress)
@@ -245,12 +257,8 @@
         self._flushed.set()
         self._flushed.clear()
 
-    async def _write(self, cell: Cell, flush: Flush) -> bool:
+    async def _write(self, cell: Cell, flush: Flush, entries: list[Entry]) -> bool:
         """Append a flush, repeating it under its number while answers are lost."""
-        entries = [
-            Entry(form_key(progress), encode_record(progress))
-            for progress in flush.progress
-        ]
         fence = Fence(cell.epoch, self._sequence)
         while self.cell is cell:
             try:
@@ -299,3 +307,13 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error("loop ended by an error", exc_info=task.exception())
+
+
+def _encode_flush(flush: Flush) -> list[Entry]:
+    entries = [
+        Entry(form_key(progress), encode_record(progress))
+        for progress in flush.progress
+    ]
+    if flush.handover is not None:
+        entries.append(Entry(HANDOVER_KEY, encode_handover(flush.handover)))
+    return entries
--- a/plantainhinge/daemons/job_view.py
+++ b/plantainhinge/daemons/job_view.py
@@ -4,6 +4,7 @@
 
 from ..core.errors import CorruptRecordError
 from ..core.ids import JobId
+from ..fleet.handover import HANDOVER_KEY, Handover, decode_handover
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.records import Record, decode_record
 from ..jobs.table import JobTable
@@ -21,8 +22,9 @@
     def __init__(self, log: KeyedLog) -> None:
         self.table = JobTable()
         self.fresh: list[Record] = []
+        self.handover = Handover()
         self.job_tail = Tail(log, JOB_TOPIC, self._apply_job, _keep)
-        self.progress_tail = Tail(log, PROGRESS_TOPIC, self._apply, _keep)
+        self.progress_tail = Tail(log, PROGRESS_TOPIC, self._apply_progress, _keep)
 
     def take_fresh(self) -> list[Record]:
         """Return the records about jobs that came since the last call."""
@@ -34,6 +36,15 @@
         if record is not None:
             self.fresh.append(record)
 
+    def _apply_progress(self, entry: Entry) -> None:
+        if entry.key != HANDOVER_KEY:
+            self._apply(entry)
+            return
+        try:
+            self.handover = decode_handover(entry.value)
+        except CorruptRecordError as error:
+            logger.error("handover ignored", extra={"cause": str(error)})
+
     def _apply(self, entry: Entry) -> Record | None:
         if not entry.value:
             self.table.forget(JobId(entry.key[1:]))
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..core.ids import JobId, Seconds, WorkerId
+from ..fleet.handover import Handover
 from ..fleet.model import (
     OrderAnswer,
     OrderOutcome,
@@ -17,7 +18,17 @@
 )
 from ..jobs.model import FINAL_JOB_STATES, JobRecord, JobState
 from ..jobs.records import Progress
-from . import answers, assignment, book, eviction, lives, ordering, reports, tasks
+from . import (
+    answers,
+    assignment,
+    book,
+    eviction,
+    handovers,
+    lives,
+    ordering,
+    reports,
+    tasks,
+)
 from .cell_tables import CellTables
 from .leases import grant_lease
 from .orders import Command
@@ -29,11 +40,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Flush:
-    """Progress to be logged, and the ends that may be forgotten afterwards."""
+    """Progress to be logged, and the ends that may be forgotten afterwards.
+
+    Parameters
+    ----------
+    ends : tuple
+        Worker, its life and the highest number of an end that was taken in.
+    handover : Handover, optional
+        What the next owner should know, if it is due.
+    """
 
     jobs: tuple[JobRun, ...]
     progress: tuple[Progress, ...]
     ends: tuple[tuple[WorkerId, int, int], ...]
+    handover: Handover | None = None
 
 
 @dataclass
@@ -63,9 +83,10 @@
         if job is not None:
             tasks.end_job(self, job, JobState.CANCELLED, now=now)
 
-    def take_flush(self) -> Flush | None:
+    def take_flush(self, *, now: float) -> Flush | None:
         """Return what should be logged now, or None."""
-        if not self.dirty and not self.acks_due:
+        handover = handovers.take_handover(self, now=now)
+        if not self.dirty and not self.acks_due and handover is None:
             return None
         jobs = tuple(self.dirty.values())
         progress = tuple(book.describe_progress(job) for job in jobs)
@@ -76,10 +97,12 @@
             for worker in self.workers.values()
             if worker.seen_number > worker.acknowledged
         )
-        return Flush(jobs, progress, ends)
+        return Flush(jobs, progress, ends, handover)
 
     def confirm_flush(self, flush: Flush) -> None:
         """Note that the log holds a flush."""
+        if flush.handover is not None:
+            handovers.confirm_handover(self, flush.handover)
         for name, born, number in flush.ends:
             worker = self.workers.get(name)
             if worker is not None and worker.born == born:
@@ -88,6 +111,7 @@
     def restore_flush(self, flush: Flush) -> None:
         """Make the jobs of a flush that failed due again."""
         self.acks_due = True
+        self.handover_at = float("-inf")
         self.dirty = {job.job: job for job in flush.jobs} | self.dirty
 
     def prepare_renewal(self, worker: Worker, *, now: float) -> Renewal:
@@ -154,3 +178,7 @@
     ) -> None:
         """Take in what became of a stop."""
         answers.take_stop_answer(self, run, answer, now=now)
+
+    def take_over(self, handover: Handover, *, now: float) -> None:
+        """Take in what the last owner left."""
+        handovers.take_over(self, handover, now=now)
--- a/plantainhinge/dispatch/cell_tables.py
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -36,6 +36,8 @@
         Workers that may run what an earlier owner started there.
     acks_due : bool
         Whether ends were taken in that workers may soon forget.
+    handover_at : float
+        Monotonic seconds at which the record for the next owner was last written.
     """
 
     epoch: Epoch
@@ -50,6 +52,7 @@
     dirty: dict[JobId, JobRun] = field(default_factory=dict)
     unseen: set[WorkerId] = field(default_factory=set)
     acks_due: bool = False
+    handover_at: float = float("-inf")
 
     @property
     def recovering(self) -> bool:
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -2,9 +2,10 @@
 
 Answers the load where more is wanted than fits. Within a priority, jobs that can
 still be done by the time they are due go first: those that have begun before the
-others, since half a job is worth nothing, then the earliest due. Then come those that will be late in any case, shortest remaining path first; last those
-so late that their callers hardly gain. Lasting tasks, which lose little by a short
-wait, go after the first of these.
+others, since half a job is worth nothing, then the earliest due. Lasting tasks,
+which lose little by a short wait, follow. Then come jobs that will be late in any
+case, shortest remaining path first, and last those so late that their callers
+hardly gain.
 """
 
 from collections.abc import Iterable
--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -21,10 +21,12 @@
 # tail of an idle serving task against its target
 IDLE_TAIL = 0.22
 USUAL_PRESSURE = 0.45
-PRESSURE_LIMIT = 0.79
-PRESSURE_AIM = 0.75
-PRESSURE_PLACING = 0.76
+PRESSURE_LIMIT = 0.765
+PRESSURE_AIM = 0.74
+PRESSURE_PLACING = 0.75
 SETTLE_SECONDS = 0.35
+# time over the target after which everything that fills beside a task rests
+OVER_TARGET_SECONDS = 1.2
 OWN_LOAD_SECONDS = 1.5
 OWN_LOAD_MIN = 0.22
 OWN_LOAD_MAX = 0.62
@@ -92,6 +94,7 @@
             load.load * _weigh(run, load.kind, pairs, now) for load in loads
         )
         run.measured_at = now
+        run.over_since = _note_over(run, now=now)
     if not settled or not loads:
         return
     for run in serving:
@@ -102,6 +105,13 @@
         learn(pairs, observation, Seconds(now))
 
 
+def _note_over(run: Run, *, now: float) -> float:
+    """Return since when a tail has been over its target, infinite if it isn't."""
+    if run.gauge <= run.task.step.spec.target_seconds:
+        return float("inf")
+    return min(run.over_since, now)
+
+
 def _estimate_own_load(run: Run, *, now: float) -> float:
     """Return the pressure that a serving attempt would have alone."""
     known = [
@@ -119,6 +129,8 @@
     filling = [run for run in neighbours.filling if run.phase is RunPhase.RUNNING]
     if not filling:
         return []
+    if any(now - run.over_since > OVER_TARGET_SECONDS for run in neighbours.serving):
+        return [PaceChange(run, 0) for run in filling if run.pace > 0]
     excess, victim = _find_excess(neighbours.serving)
     if victim is not None and excess > 0:
         return _slow_down(victim, excess, filling, pairs, now=now)
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -37,6 +37,8 @@
     own_load, measured_at : float
         Pressure of a serving task without what is expected of its neighbours, and
         when it was measured.
+    over_since : float
+        Since when its tail has been over its target; infinite if it isn't.
     """
 
     task: "Task"
@@ -53,6 +55,7 @@
     pace: int = 100
     own_load: float = 0.45
     measured_at: float = float("-inf")
+    over_since: float = float("inf")
     inherited: bool = False
 
 
@@ -156,6 +159,8 @@
         No starts before this time, after refusals or failures.
     serving : int
         Thousandths of a core that serving tasks asked for.
+    on_record : bool
+        Whether the log names it to the next owner; there are no starts before.
     fills_changed_at : float
         Monotonic seconds at which an attempt that fills last came or went.
     pressures : dict of str to float, optional
@@ -177,6 +182,7 @@
     set_aside_until: float = 0.0
     faults_in_a_row: int = 0
     serving: int = 0
+    on_record: bool = False
     fills_changed_at: float = 0.0
     pressures: dict[str, float] | None = None
 
@@ -210,6 +216,7 @@
         return (
             self.listed
             and self.in_touch
+            and self.on_record
             and self.entry.state is WorkerState.READY
             and now >= self.set_aside_until
         )
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -15,6 +15,7 @@
 from plantainhinge.dispatch.cell import Cell
 from plantainhinge.dispatch.leases import LeaseTerms
 from plantainhinge.dispatch.orders import Pace, Start, Stop
+from plantainhinge.fleet.handover import Handover
 from plantainhinge.fleet.model import (
     EndCause,
     EndedRow,
@@ -182,6 +183,7 @@
     def __init__(self, *entries, epoch=1, log_up=True):
         self.now = 0.0
         self.log_up = log_up
+        self.handover = Handover()
         self.workers = {entry.worker: ModelWorker(entry) for entry in entries}
         self.states = {}
         self.log = {}
@@ -200,6 +202,7 @@
     def take_over(self, records):
         """Replace the owner by another one that knows only the log."""
         self.cell = Cell(Epoch(self.cell.epoch + 1), TERMS, self.now)
+        self.cell.take_over(self.handover, now=self.now)
         for record in records:
             self.submit(record, inherited=True)
         self.see(inherited=True)
@@ -262,7 +265,7 @@
                 self.workers[run.worker.name].pace(order)
 
     def _flush(self):
-        flush = self.cell.take_flush()
+        flush = self.cell.take_flush(now=self.now)
         if flush is None:
             return
         if not self.log_up:
@@ -270,4 +273,5 @@
             return
         for progress in flush.progress:
             self.log[progress.job] = progress
+        self.handover = flush.handover or self.handover
         self.cell.confirm_flush(flush)
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -40,7 +40,9 @@
 
 
 def test_an_end_is_acknowledged_only_once_the_log_holds_it():
-    site = ModelSite(make_entry("w1"), log_up=False)
+    site = ModelSite(make_entry("w1"))
+    site.run(0.1)
+    site.log_up = False
     site.submit(make_job("j"))
     site.run(3)
     worker = site.workers["w1"]
@@ -52,7 +54,9 @@
 
 
 def test_steps_go_on_while_the_log_is_down():
-    site = ModelSite(make_entry("w1"), log_up=False)
+    site = ModelSite(make_entry("w1"))
+    site.run(0.1)
+    site.log_up = False
     site.submit(make_job("j", make_step(), make_step(depends_on=(0,))))
     site.run(3)
     assert site.count_starts() == 2
@@ -214,10 +218,60 @@
 
 
 def test_progress_of_a_flush_that_failed_is_logged_later():
-    site = ModelSite(make_entry("w1"), log_up=False)
+    site = ModelSite(make_entry("w1"))
+    site.run(0.1)
+    site.log_up = False
     site.submit(make_job("j"))
     site.run(2)
     assert site.cell.jobs == {}
     site.log_up = True
     site.run(0.2)
     assert site.state_of("j") == "completed"
+
+
+def test_a_worker_gets_no_start_before_the_log_names_it():
+    site = ModelSite(make_entry("w1"), log_up=False)
+    site.submit(make_job("j"))
+    site.run(2)
+    assert site.count_starts() == 0
+    site.log_up = True
+    site.run(0.2)
+    assert site.count_starts() == 1
+
+
+def test_a_new_owner_waits_for_a_worker_that_left_the_directory():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(lasting=True))
+    site.submit(job)
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    hidden = site.workers.pop(first)
+    hidden.silent = True
+    site.take_over([job])
+    site.workers[first] = hidden
+    site.run(5.5)
+    assert site.count_starts() == 1
+    site.run(1.5)
+    assert site.count_starts() == 2
+
+
+def test_a_new_owner_reaches_a_worker_that_left_the_directory():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(lasting=True))
+    site.submit(job)
+    site.run(0.5)
+    ((first, _, _),) = site.list_running()
+    unlisted = site.workers.pop(first)
+    site.take_over([job])
+    site.workers[first] = unlisted
+    site.run(10)
+    assert site.count_starts() == 1
+    assert len(site.list_running()) == 1
+
+
+def test_a_new_owner_knows_what_images_do_to_each_other():
+    site = ModelSite(make_entry("w1"))
+    site.cell.pairs.set("front", "index", 2.5, 0.0)
+    site.run(0.2)
+    site.take_over([])
+    assert site.cell.pairs.find("front", "index", site.now) == 2.5
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -114,3 +114,16 @@
     site.run(3)
     paces = [run.pace for run in site.workers["w0"].runs.values()]
     assert min(paces) >= 50
+
+
+def test_all_work_rests_beside_a_task_that_stays_over_its_target():
+    """Just over the target, where no single neighbour seems to blame."""
+    site = make_site(workers=1)
+    site.submit(make_job("s", make_serving(1)))
+    site.run(0.5)
+    site.submit(make_job("l", make_filling("light", 3, estimate=60.0)))
+    site.run(1)
+    worker = site.workers["w0"]
+    worker.tail = lambda worker, run: 1.001 * TARGET if run.serving else 1.0
+    site.run(2)
+    assert {run.pace for run in worker.runs.values() if not run.serving} == {0}
