Don't open a job again between its end and the record of it

Found by the lines 'job ended', 'append failed' and 'start refused: superseded' of one job id. Change: an owner remembers the jobs that ended under it. The test fails without it.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -69,7 +69,7 @@
         inherited: bool,
     ) -> None:
         """Take on a job that the log holds."""
-        if record.job in self.jobs:
+        if record.job in self.jobs or record.job in self.ended:
             return
         if progress is not None and progress.state in FINAL_JOB_STATES:
             return
--- a/plantainhinge/dispatch/cell_tables.py
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -36,6 +36,8 @@
         Workers that may run what an earlier owner started there.
     acks_due : bool
         Whether ends were taken in that workers may soon forget.
+    ended : set of JobId
+        Jobs that ended under this ownership, whether the log holds that or not.
     handover_at : float
         Monotonic seconds at which the record for the next owner was last written.
     """
@@ -52,6 +54,7 @@
     dirty: dict[JobId, JobRun] = field(default_factory=dict)
     unseen: set[WorkerId] = field(default_factory=set)
     acks_due: bool = False
+    ended: set[JobId] = field(default_factory=set)
     handover_at: float = float("-inf")
 
     @property
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -65,6 +65,7 @@
     job.state = state
     cell.dirty[job.job] = job
     cell.jobs.pop(job.job, None)
+    cell.ended.add(job.job)
     for task in job.list_tasks():
         task.step.waiting.clear()
         for run in list(task.runs):
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -275,3 +275,16 @@
     site.run(0.2)
     site.take_over([])
     assert site.cell.pairs.find("front", "index", site.now) == 2.5
+
+
+def test_a_job_handed_in_again_before_its_end_is_logged_runs_once():
+    site = ModelSite(make_entry("w1"))
+    job = make_job("j")
+    site.submit(job)
+    site.run(0.5)
+    site.log_up = False
+    site.run(1)
+    assert site.cell.jobs == {}
+    site.submit(job)
+    site.run(2)
+    assert site.count_starts() == 1
