Give the cell up at the first sign of a higher epoch; repeat a claim of one's own

Cause: found by reading for what a lost answer does to a claim: the record named this process, the process didn't know, and nobody took the cell. A fenced owner asked the store first, which may be cut off, and went on calling workers that had refused it. Change: a record that names this process is claimed again under the next epoch; a fence is final; an owner that leaves during its takeover never acts.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -45,7 +45,9 @@
     find_closed : callable
         Returns the failure domains that take no new work.
     report_fenced : callable
-        Called when a worker or the log has seen a higher epoch.
+        Called with the reason when a worker or the log has seen a higher epoch.
+    check_ownership : callable
+        Called when another owner may have come unnoticed.
     """
 
     log: KeyedLog
@@ -54,8 +56,10 @@
     workers: WorkerView
     terms: LeaseTerms
     find_closed: Callable[[], frozenset[DomainId]]
-    report_fenced: Callable[[], Coroutine[Any, Any, None]]
+    report_fenced: Callable[[str], None]
+    check_ownership: Callable[[], Coroutine[Any, Any, None]]
     cell: Cell | None = None
+    _epoch: Epoch | None = None
     _sequence: int = 0
     _load_at: float = 0.0
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
@@ -68,8 +72,11 @@
     async def own(self, epoch: Epoch) -> None:
         """Begin to act under an epoch."""
         started = read_monotonic()
+        self._epoch = epoch
         cell = Cell(epoch, self.terms, started)
         await self._prepare(epoch)
+        if self._epoch != epoch:
+            return
         wall = read_wall()
         for row in list(self.view.table.select_open()):
             assert row.accepted is not None
@@ -97,6 +104,7 @@
     def disown(self, reason: str) -> None:
         """Stop acting at once."""
         self.cell = None
+        self._epoch = None
         self._renewing.clear()
         for task in list(self._tasks):
             task.cancel()
@@ -211,15 +219,14 @@
             slept, awake_at = read_uptime() - awake_at, read_uptime()
             if slept > FROZEN_SECONDS:
                 logger.warning("process stood still", extra={"slept_s": slept})
-                await self.report_fenced()
+                await self.check_ownership()
                 continue
             try:
                 self._decide_once(cell)
             except Exception:
                 logger.exception("decisions failed")
             if cell.fenced:
-                cell.fenced = False
-                await self.report_fenced()
+                self.report_fenced("a worker has seen a higher epoch")
 
     def _decide_once(self, cell: Cell) -> None:
         now = read_monotonic()
@@ -265,14 +272,12 @@
                 await self.log.append(PROGRESS_TOPIC, entries, fence=fence)
                 self._sequence += 1
                 return True
-            except NotOwnerError:
-                await self.report_fenced()
+            except NotOwnerError as error:
+                self.report_fenced(str(error))
                 return False
             except RaceLostError as error:
                 logger.error("progress out of step", extra={"cause": str(error)})
-                cell.restore_flush(flush)
-                await self.report_fenced()
-                self._sequence += 1
+                self.report_fenced(str(error))
                 return False
             except PlantainhingeError as error:
                 logger.warning("progress not logged", extra={"cause": str(error)})
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -65,7 +65,8 @@
             workers=self.workers,
             terms=self.settings.terms,
             find_closed=lambda: self.operator.closed_domains,
-            report_fenced=self._verify,
+            report_fenced=self._drop,
+            check_ownership=self._verify,
         )
         self.ownership = Ownership(
             log=self.log,
@@ -138,6 +139,9 @@
             and silence < READY_SILENCE_SECONDS
         )
 
+    def _drop(self, reason: str) -> None:
+        self.ownership.drop(reason)
+
     async def _verify(self) -> None:
         try:
             await self.ownership.verify()
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -89,7 +89,7 @@
         """Read the owner's record; stop acting if it names another."""
         owner, _ = await self._read_owner()
         if self.epoch is not None and not self._is_mine(owner):
-            self._lose(f"epoch {owner.epoch if owner else 0} is newer")
+            self.drop(f"epoch {owner.epoch if owner else 0} is newer")
 
     async def leave(self) -> None:
         """Give the cell up and leave the group."""
@@ -101,10 +101,18 @@
                 if self._is_mine(owner):
                     released = OwnerRecord(self.epoch, InstanceId(""), "")
                     await self._write_owner(released, end)
-                self._lose("leaving")
+                self.drop("leaving")
         except PlantainhingeError as error:
             logger.warning("leaving failed", extra={"cause": str(error)})
 
+    def drop(self, reason: str) -> None:
+        """Stop acting for the cell at once."""
+        if self.epoch is None:
+            return
+        logger.info("cell given up", extra={"epoch": self.epoch, "cause": reason})
+        self.epoch = None
+        self.disown(reason)
+
     async def _step(self) -> None:
         membership = await self.log.join(self.member, generation=self._generation)
         if self.contact_at == float("-inf"):
@@ -115,7 +123,7 @@
         due = self.contact_at - self._checked_at > RECHECK_SECONDS
         nudged = self._nudged.is_set()
         self._nudged.clear()
-        if self.epoch is None and membership.first and (changed or due or nudged):
+        if self.epoch is None and (changed or due or nudged):
             await self._consider(membership)
 
     async def _wait(self, seconds: float) -> None:
@@ -136,13 +144,15 @@
             self._position = None
             return
         self._position = page.end
-        if page.entries and self.epoch is None:
+        if page.entries:
             self._nudged.set()
 
     async def _consider(self, membership: Membership) -> None:
         owner, end = await self._read_owner()
         members = await self.log.list_members()
-        if not should_take_over(owner, candidate=membership.first, members=members):
+        if not should_take_over(
+            owner, me=self.member, candidate=membership.first, members=members
+        ):
             self._checked_at = read_monotonic()
             return
         epoch = Epoch(owner.epoch + 1 if owner is not None else 1)
@@ -161,7 +171,10 @@
             },
         )
         self.epoch = epoch
-        await self.own(epoch)
+        try:
+            await self.own(epoch)
+        except PlantainhingeError as error:
+            self.drop(f"takeover failed: {error}")
 
     async def _read_owner(self) -> tuple[OwnerRecord | None, int]:
         page = await self.log.read_newest(OWNER_TOPIC)
@@ -184,11 +197,6 @@
             and name_member(owner) == self.member
         )
 
-    def _lose(self, reason: str) -> None:
-        logger.info("cell given up", extra={"epoch": self.epoch, "cause": reason})
-        self.epoch = None
-        self.disown(reason)
-
     def _note_loss(self, error: PlantainhingeError) -> None:
         logger.warning(
             "group call failed",
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -50,17 +50,26 @@
 
 
 def should_take_over(
-    owner: OwnerRecord | None, *, candidate: bool, members: Collection[InstanceId]
+    owner: OwnerRecord | None,
+    *,
+    me: InstanceId,
+    candidate: bool,
+    members: Collection[InstanceId],
 ) -> bool:
-    """Return whether this instance should claim the cell now.
+    """Return whether this process, which owns nothing now, should claim the cell.
 
     Parameters
     ----------
+    me : InstanceId
+        This process's name in the group. A record that names it comes from a claim
+        whose answer was lost.
     candidate : bool
-        Whether the group names this instance as the next owner.
+        Whether the group names this process as the next owner.
     members : collection of InstanceId
-        Instances that the group holds for alive, by process.
+        Processes that the group holds for alive.
     """
+    if owner is not None and name_member(owner) == me:
+        return True
     if not candidate:
         return False
     return owner is None or not owner.instance or name_member(owner) not in members
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -18,9 +18,8 @@
 
 
 def make_runner(log, lost=None):
-    async def report():
-        if lost is not None:
-            lost.append(True)
+    async def check():
+        return None
 
     return CellRunner(
         log=log,
@@ -29,7 +28,8 @@
         workers=WorkerView(log, "workers", lambda key, value: None),
         terms=TERMS,
         find_closed=frozenset,
-        report_fenced=report,
+        report_fenced=lambda reason: lost is not None and lost.append(reason),
+        check_ownership=check,
     )
 
 
@@ -113,3 +113,17 @@
         return jobs
 
     assert asyncio.run(scenario()) == {"a", "b"}
+
+
+def test_an_owner_that_leaves_while_it_takes_over_never_acts():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        log.pause = 0.02
+        taking = asyncio.create_task(runner.own(Epoch(1)))
+        await asyncio.sleep(0.005)
+        runner.disown("leaving")
+        await taking
+        return runner.cell
+
+    assert asyncio.run(scenario()) is None
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -145,13 +145,28 @@
         (OwnerRecord(Epoch(1), InstanceId(""), ""), True, ("a/1",), True),
         (OwnerRecord(Epoch(1), InstanceId("a"), "1"), True, ("a/1",), False),
         (OwnerRecord(Epoch(1), InstanceId("a"), "1"), True, ("a/2",), True),
+        (OwnerRecord(Epoch(1), InstanceId("me"), "1"), False, ("me/1",), True),
     ],
 )
 def test_when_an_instance_takes_over(owner, candidate, members, expected):
-    decided = should_take_over(owner, candidate=candidate, members=members)
+    me = InstanceId("me/1")
+    decided = should_take_over(owner, me=me, candidate=candidate, members=members)
     assert decided is expected
 
 
 def test_an_owner_record_that_is_none_is_named():
     with pytest.raises(CorruptRecordError):
         decode_owner(b"\xff\x00")
+
+
+def test_a_claim_whose_answer_was_lost_is_made_again():
+    async def scenario():
+        log = MemoryKeyedLog()
+        log.fail = ["lose"]
+        member = Member(log, "one")
+        member.start()
+        await wait_for(lambda: member.events)
+        member.kill()
+        return member.events
+
+    assert asyncio.run(scenario()) == [("own", 2)]
