--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -17,12 +17,19 @@
     STARTS = "plantainhinge.attempts.started"
     EVICTIONS = "plantainhinge.attempts.evicted"
     LOST_ATTEMPTS = "plantainhinge.attempts.lost"
+    JOB_CALLS = "plantainhinge.jobs.calls"
+    LOG_CALLS = "plantainhinge.log.calls"
+    WORKER_CALLS = "plantainhinge.workers.calls"
+    OWNERSHIPS = "plantainhinge.cell.ownerships"
 
 
 class Distribution(Enum):
     """Durations in seconds, of which the tail is of interest."""
 
     REQUEST = "plantainhinge.requests.duration"
+    JOB_CALL = "plantainhinge.jobs.call.duration"
+    LOG_CALL = "plantainhinge.log.call.duration"
+    FIRST_START = "plantainhinge.jobs.first_start"
 
 
 class Level(Enum):
@@ -31,6 +38,14 @@
     LEASES = "plantainhinge.leases.held"
     IN_FLIGHT = "plantainhinge.requests.in_flight"
     CONFIGURATION_AGE = "plantainhinge.configuration.age"
+    CONFIGURATION_REVISION = "plantainhinge.configuration.revision"
+    LOG_AGE = "plantainhinge.log.age"
+    EPOCH = "plantainhinge.cell.epoch"
+    OPEN_JOBS = "plantainhinge.cell.jobs"
+    WAITING_TASKS = "plantainhinge.cell.waiting"
+    RUNNING_ATTEMPTS = "plantainhinge.cell.attempts"
+    CELL_CORES = "plantainhinge.cell.cores"
+    CELL_WORKERS = "plantainhinge.cell.workers"
 
 
 class Metrics(Protocol):
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -9,9 +9,10 @@
 from ..core.clock import read_monotonic, read_uptime, read_wall
 from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
 from ..core.ids import DomainId, Epoch, Seconds
+from ..core.metrics import Counter, Level, Metrics, NoMetrics
 from ..dispatch.cell import Cell, Flush
 from ..dispatch.leases import LeaseTerms
-from ..dispatch.load import measure_load
+from ..dispatch.load import CellLoad, measure_load
 from ..dispatch.orders import Command, Pace, Start, Stop
 from ..dispatch.tables import Worker
 from ..fleet.handover import HANDOVER_KEY, encode_handover
@@ -58,6 +59,7 @@
     find_closed: Callable[[], frozenset[DomainId]]
     report_fenced: Callable[[str], None]
     check_ownership: Callable[[], Coroutine[Any, Any, None]]
+    metrics: Metrics = field(default_factory=NoMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
     _sequence: int = 0
@@ -89,6 +91,7 @@
         )
         cell.closed_domains = self.find_closed()
         self.cell = cell
+        self.metrics.count(Counter.OWNERSHIPS)
         logger.info(
             "cell owned",
             extra={
@@ -234,11 +237,27 @@
         cell.decide(now=now, wall=read_wall())
         if now >= self._load_at:
             self._load_at = now + LOAD_SECONDS
-            logger.info("cell load", extra=asdict(measure_load(cell, now=now)))
+            self._report_load(cell, measure_load(cell, now=now))
         for command in cell.take_commands():
             self._spawn(self._send(cell, command))
         self._dirty.set()
 
+    def _report_load(self, cell: Cell, load: CellLoad) -> None:
+        logger.info("cell load", extra=asdict(load))
+        levels = self.metrics
+        levels.set(Level.EPOCH, cell.epoch)
+        levels.set(Level.OPEN_JOBS, load.jobs)
+        levels.set(Level.RUNNING_ATTEMPTS, load.attempts)
+        levels.set(Level.WAITING_TASKS, load.waiting_ordinary, kind="ordinary")
+        levels.set(Level.WAITING_TASKS, load.waiting_filling, kind="filling")
+        levels.set(Level.WAITING_TASKS, load.waiting_lasting, kind="lasting")
+        levels.set(Level.CELL_CORES, load.capacity_cores, use="capacity")
+        levels.set(Level.CELL_CORES, load.committed_cores, use="committed")
+        levels.set(Level.CELL_CORES, load.filling_use, use="filling")
+        levels.set(Level.CELL_WORKERS, load.workers, state="known")
+        levels.set(Level.CELL_WORKERS, load.in_touch, state="in-touch")
+        levels.set(Level.CELL_WORKERS, load.aside, state="set-aside")
+
     async def _flush(self, cell: Cell) -> None:
         while self.cell is cell:
             await self._dirty.wait()
@@ -288,12 +307,18 @@
         match command:
             case Start(run=run, order=order):
                 answer = await self.calls.start(run.worker.entry, order)
+                self.metrics.count(
+                    Counter.WORKER_CALLS, call="start", outcome=answer.outcome.value
+                )
                 if self.cell is cell:
                     cell.take_start_answer(run, answer, now=read_monotonic())
                     if answer.outcome is not OrderOutcome.ACCEPTED:
                         self.wake()
             case Stop(worker=worker, order=order, run=stopped):
                 answer = await self.calls.stop(worker.entry, order)
+                self.metrics.count(
+                    Counter.WORKER_CALLS, call="stop", outcome=answer.outcome.value
+                )
                 if self.cell is cell:
                     cell.take_stop_answer(stopped, answer, now=read_monotonic())
             case Pace(run=run, order=order):
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -6,10 +6,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from ..adapters.metrics_text import TextMetrics
 from ..adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
 from ..core.clock import read_monotonic
 from ..core.errors import PlantainhingeError
 from ..core.ids import InstanceId, Seconds
+from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.protocols import KeyedLog, WorkerCalls
 from .cell_runner import CellRunner
@@ -25,6 +27,8 @@
 FAILURE_PAUSE_SECONDS = Seconds(0.2)
 READY_SILENCE_SECONDS = Seconds(2.0)
 DRAIN_SECONDS = Seconds(2.5)
+METRICS_PATH = "/metrics"
+TEXT_TYPE = ("Content-Type", "text/plain; version=0.0.4")
 CLOSE_SECONDS = Seconds(1.5)
 
 
@@ -34,13 +38,14 @@
 
     Parameters
     ----------
-    callers_address, ready_address : str
-        ``host:port`` for callers and for the probes of the balancer.
+    callers_address, ready_address, metrics_address : str
+        ``host:port`` for callers, for the probes of the balancer and for metrics.
     """
 
     instance: InstanceId
     callers_address: str
     ready_address: str
+    metrics_address: str
     terms: LeaseTerms
 
 
@@ -53,6 +58,7 @@
     calls: WorkerCalls
     operator: OperatorView
     workers: WorkerView
+    metrics: TextMetrics = field(default_factory=TextMetrics)
     draining: bool = False
     _stopping: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -67,6 +73,7 @@
             find_closed=lambda: self.operator.closed_domains,
             report_fenced=self._drop,
             check_ownership=self._verify,
+            metrics=self.metrics,
         )
         self.ownership = Ownership(
             log=self.log,
@@ -79,6 +86,7 @@
             view=self.view,
             find_configuration=lambda: self.operator.configuration,
             owns_cell=lambda: self.runner.cell is not None,
+            metrics=self.metrics,
         )
 
     async def run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
@@ -91,6 +99,7 @@
         probes = HttpServer(self.settings.ready_address, self._probe)
         await callers.start()
         await probes.start()
+        await HttpServer(self.settings.metrics_address, self._serve_metrics).start()
         logger.info("started", extra={"address": self.settings.callers_address})
         tasks = [
             loop.create_task(self._tail_operator()),
@@ -130,6 +139,19 @@
     async def _probe(self, request: HttpRequest) -> HttpReply:
         return HttpReply(status=200 if self._is_ready() else 503)
 
+    async def _serve_metrics(self, request: HttpRequest) -> HttpReply:
+        if request.path != METRICS_PATH:
+            return HttpReply(status=404)
+        now = read_monotonic()
+        configuration = self.operator.configuration
+        if configuration is not None:
+            self.metrics.set(Level.CONFIGURATION_REVISION, configuration.revision)
+        self.metrics.set(Level.CONFIGURATION_AGE, now - self.operator.tail.current_at)
+        self.metrics.set(Level.LOG_AGE, now - self.view.progress_tail.current_at)
+        return HttpReply(
+            status=200, body=self.metrics.write_text(), headers=(TEXT_TYPE,)
+        )
+
     def _is_ready(self) -> bool:
         now = read_monotonic()
         silence = now - max(self.ownership.contact_at, self.operator.tail.current_at)
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ..core.clock import read_monotonic, read_wall
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import JobId, QueueName, Seconds
+from ..core.metrics import Counter, Distribution, Metrics, NoMetrics
 from ..fleet.operator import SchedulingConfiguration
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.model import JobRecord, JobSpec, JobState, QueuePolicy
@@ -53,6 +54,7 @@
     view: JobView
     find_configuration: Callable[[], SchedulingConfiguration | None]
     owns_cell: Callable[[], bool]
+    metrics: Metrics = field(default_factory=NoMetrics)
     retry_after: float = RETRY_AFTER_SECONDS
 
     @property
@@ -64,31 +66,39 @@
         self, job: JobId, policy: QueuePolicy, spec: JobSpec, *, timeout: Seconds
     ) -> Verdict:
         """Take a job; done once the log holds it."""
+        started = read_monotonic()
         if self.view.table.find(job) is not None:
-            return self._log("submit", job, Verdict.DONE, cause="known")
+            return self._tell("submit", job, Verdict.DONE, started, cause="known")
         record = JobRecord(job=job, policy=policy, spec=spec, accepted_at=read_wall())
         verdict = await self._append(record, timeout=timeout)
         if verdict is Verdict.DONE:
             self.view.table.apply(record)
-        return self._log("submit", job, verdict, cause=policy.queue)
+        return self._tell("submit", job, verdict, started, cause=policy.queue)
 
     async def cancel(self, job: JobId, *, timeout: Seconds) -> Verdict:
         """Take a job back; done once the log holds that."""
+        started = read_monotonic()
         row = await self._find(job, timeout=timeout)
         if isinstance(row, Verdict):
-            return self._log("cancel", job, row, cause="not found")
+            return self._tell("cancel", job, row, started, cause="not found")
         if row.final:
-            return self._log("cancel", job, Verdict.DONE, cause=row.state.value)
+            return self._tell(
+                "cancel", job, Verdict.DONE, started, cause=row.state.value
+            )
         record = Cancellation(job=job)
         verdict = await self._append(record, timeout=timeout)
         if verdict is Verdict.DONE:
             self.view.table.apply(record)
-        return self._log("cancel", job, verdict, cause="open")
+        return self._tell("cancel", job, verdict, started, cause="open")
 
     async def find_state(self, job: JobId, *, timeout: Seconds) -> JobState | Verdict:
         """Return a job's state as the log has it."""
+        started = read_monotonic()
         row = await self._find(job, timeout=timeout)
-        return row if isinstance(row, Verdict) else row.state
+        if isinstance(row, Verdict):
+            return self._tell("state", job, row, started, cause="not found")
+        self._measure("state", Verdict.DONE, started)
+        return row.state
 
     async def count_queued(self, queue: QueueName) -> int | Verdict:
         """Return how many jobs of a queue have started nothing."""
@@ -160,6 +170,23 @@
             extra={"job": record.job, "cause": str(error) or "timeout"},
         )
 
-    def _log(self, call: str, job: JobId, verdict: Verdict, *, cause: str) -> Verdict:
-        logger.info(call, extra={"job": job, "outcome": verdict.value, "cause": cause})
+    def _tell(
+        self, call: str, job: JobId, verdict: Verdict, started: float, *, cause: str
+    ) -> Verdict:
+        self._measure(call, verdict, started)
+        logger.info(
+            call,
+            extra={
+                "job": job,
+                "outcome": verdict.value,
+                "cause": cause,
+                "took_s": round(read_monotonic() - started, 4),
+            },
+        )
         return verdict
+
+    def _measure(self, call: str, verdict: Verdict, started: float) -> None:
+        self.metrics.count(Counter.JOB_CALLS, call=call, outcome=verdict.value)
+        self.metrics.observe(
+            Distribution.JOB_CALL, read_monotonic() - started, call=call
+        )
--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -62,6 +62,7 @@
             instance=settings.instance,
             callers_address=settings.callers_address,
             ready_address=settings.ready_address,
+            metrics_address=settings.metrics_address,
             terms=LeaseTerms(
                 length=Seconds(min(LEASE_SECONDS, lease_max)), length_max=lease_max
             ),
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -17,8 +17,8 @@
 
     Parameters
     ----------
-    callers_address, ready_address, log_address : str
-        ``host:port`` for callers, for probes and of the platform's store.
+    callers_address, ready_address, metrics_address, log_address : str
+        ``host:port`` for callers, for probes, for metrics and of the store.
     lease_seconds_max : float
         Longest lease that workers grant.
     member_seconds : float
@@ -29,6 +29,7 @@
     domain: DomainId
     callers_address: Address
     ready_address: Address
+    metrics_address: Address
     log_address: Address
     lease_seconds_max: PositiveSeconds
     member_seconds: PositiveSeconds
