--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 lock: $(VENV)/.ready
 	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements.txt requirements.in
+	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements-instance.txt requirements-instance.in
 	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements-dev.txt requirements-dev.in
 
 bench-capacity: $(VENV)/.ready
