Test what is decoded at the platform's doors, and bound what a body can ask for

Cause: a body of a few bytes could ask for a billion tasks, and a record that was cut short was taken as whole; both found by the new tests, which failed first.

--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -3,6 +3,7 @@
 import logging
 import re
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -20,6 +21,8 @@
 JSON_TYPE = ("Content-Type", "application/json")
 DEADLINE_HEADER = "x-deadline-ms"
 DEADLINE_SECONDS = Seconds(3.0)
+# tasks of one job, so that a small body can't take much memory
+TASKS_MAX = 20_000
 
 STATUSES = {
     Verdict.DONE: 200,
@@ -31,12 +34,17 @@
 }
 
 
+Amount = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=TASKS_MAX)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Step(msgspec.Struct, kw_only=True):
-    count: int = 1
-    cpu: int = 0  # thousandths of a core
-    memory: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
-    estimate: float = msgspec.field(name="estRuntimeMs", default=0)
+    count: Count = 1
+    cpu: Amount = 0  # thousandths of a core
+    memory: Amount = msgspec.field(name="memMb", default=0)
+    gpu: Amount = 0
+    estimate: Milliseconds = msgspec.field(name="estRuntimeMs", default=0)
     depends_on: tuple[int, ...] = msgspec.field(name="dependsOn", default=())
     checkpointing: bool = False
     gang: bool = False
@@ -54,10 +62,10 @@
 
 class _Job(msgspec.Struct, kw_only=True):
     spec: str
-    steps: tuple[_Step, ...]
-    times: int = 0
-    start_at: float = msgspec.field(name="startAtMs", default=0)
-    interval: float = msgspec.field(name="intervalMs", default=0)
+    steps: Annotated[tuple[_Step, ...], msgspec.Meta(min_length=1)]
+    times: Amount = 0
+    start_at: Milliseconds = msgspec.field(name="startAtMs", default=0)
+    interval: Milliseconds = msgspec.field(name="intervalMs", default=0)
 
 
 @dataclass
@@ -150,6 +158,9 @@
                 f"step {index} depends on {step.depends_on}; valid: 0 to {index - 1}",
                 step="ingress.job",
             )
+    tasks = sum(step.count for step in steps)
+    if tasks > TASKS_MAX:
+        raise BadInputError(f"{tasks} tasks; at most {TASKS_MAX}", step="ingress.job")
     recurrence = None
     if job.times > 0:
         recurrence = Recurrence(job.times, job.start_at / 1000, job.interval / 1000)
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -200,7 +200,7 @@
         while position < len(body):
             (length,) = LENGTH.unpack_from(body, position)
             position += LENGTH.size
-            entries.append(_parse_keyed(body[position : position + length]))
+            entries.append(_parse_keyed(body, position, length))
             position += length
     except (struct.error, IndexError, UnicodeDecodeError) as error:
         raise CorruptRecordError(
@@ -210,9 +210,12 @@
     return Page(tuple(entries), end, whole=end >= topic_end)
 
 
-def _parse_keyed(content: bytes) -> Entry:
-    key_end = 1 + content[0]
-    return Entry(content[1:key_end].decode("utf-8", "replace"), content[key_end:])
+def _parse_keyed(body: bytes, start: int, length: int) -> Entry:
+    key_start, end = start + 1, start + length
+    key_end = key_start + body[start]
+    if not key_end <= end <= len(body):
+        raise IndexError(f"a record of {length} bytes at {start} is cut short")
+    return Entry(body[key_start:key_end].decode("utf-8", "replace"), body[key_end:end])
 
 
 def _decode(answer: HttpAnswer, type_: type[T], step: str, peer: str) -> T:
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -2,7 +2,7 @@
 
 import logging
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -37,6 +37,9 @@
 CONNECTIONS_MAX = 6
 GAUGE_COLUMN = 4
 
+Amount = Annotated[int, msgspec.Meta(ge=0)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
+
 REFUSALS = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.SUPERSEDED,
@@ -48,14 +51,14 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int  # thousandths of a core
-    memory: int = msgspec.field(name="memMb")
-    gpu: int = 0
+    cpu: Amount  # thousandths of a core
+    memory: Amount = msgspec.field(name="memMb")
+    gpu: Amount = 0
 
 
 class _Entry(msgspec.Struct, kw_only=True):
     service: str
-    addr: str
+    addr: Address
     zone: str
     state: str
     capacity: _Capacity
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,224 @@
+"""What comes from the platform: decoded once, and never trusted."""
+
+import json
+import struct
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from plantainhinge.adapters.stream_http_client import HttpAnswer
+from plantainhinge.core.errors import (
+    BadInputError,
+    CorruptRecordError,
+    NotOwnerError,
+    PlantainhingeError,
+    RaceLostError,
+    TrimmedError,
+    UnavailableError,
+)
+from plantainhinge.fleet.model import OrderOutcome
+from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
+from plantainhinge.fleet.protocols import Entry
+from plantainhinge.platform import ingress, operator, store, workers
+from plantainhinge.platform.settings import read_platform_settings
+
+ENTRY = {
+    "service": "s1",
+    "addr": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 8000, "memMb": 100, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 7,
+    "seq": 4,
+}
+JOB = {
+    "spec": "text",
+    "steps": [
+        {"count": 4, "cpu": 500, "memMb": 256, "estRuntimeMs": 900},
+        {"count": 2, "dependsOn": [0], "longRunning": True, "targetMs": 45},
+    ],
+}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def damage(original):
+    """Return copies of a message with one field removed or replaced."""
+    fields = st.sampled_from(sorted(original))
+    return st.tuples(fields, JSON_VALUES | st.just(...)).map(
+        lambda change: {
+            name: (change[1] if name == change[0] else value)
+            for name, value in original.items()
+            if not (name == change[0] and change[1] is ...)
+        }
+    )
+
+
+def test_a_worker_entry_is_decoded():
+    entry = workers.decode_entry("i-1", encode(ENTRY))
+    assert (entry.worker, entry.born, entry.domain) == ("i-1", 7, "a")
+    assert entry.capacity.millicores == 8000
+
+
+@given(st.binary() | damage(ENTRY).map(encode))
+def test_a_foreign_worker_entry_names_no_worker(value):
+    entry = workers.decode_entry("i-1", value)
+    assert entry is None or entry.worker == "i-1"
+
+
+def test_a_job_is_decoded():
+    spec = ingress.decode_spec(encode(JOB))
+    assert [step.count for step in spec.steps] == [4, 2]
+    assert spec.steps[0].estimate == 0.9
+    assert spec.steps[1].depends_on == (0,)
+    assert spec.steps[1].target_seconds == 0.045
+
+
+@given(st.binary() | damage(JOB).map(encode))
+def test_a_malformed_job_is_refused_with_a_code(body):
+    try:
+        spec = ingress.decode_spec(body)
+    except BadInputError as error:
+        assert error.code == "bad-input"
+    else:
+        assert spec.steps
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [],
+        [{"count": 0}],
+        [{"count": 10**9}],
+        [{"count": 20_000}, {"count": 1}],
+        [{"dependsOn": [0]}],
+        [{}, {"dependsOn": [2]}],
+        [{"dependsOn": [-1]}],
+        [{"cpu": -5}],
+    ],
+)
+def test_steps_that_make_no_sense_are_refused(steps):
+    with pytest.raises(BadInputError):
+        ingress.decode_spec(encode({"spec": "", "steps": steps}))
+
+
+@given(st.text(), st.binary())
+def test_any_operator_record_is_none_or_a_request(key, value):
+    record = operator.decode_operator_record(key, value)
+    assert record is None or isinstance(record, DomainClosure | SchedulingConfiguration)
+
+
+def test_a_configuration_is_decoded():
+    value = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h.example",
+                "pathPrefix": "/p/",
+                "service": "s",
+                "priority": 2,
+                "attempts": 3,
+                "slackFactor": 2.0,
+                "targetLatencyMs": 250,
+            }
+        ],
+        "services": [],
+        "limits": {"maxBodyBytes": 100},
+    }
+    config = operator.decode_operator_record("config", encode(value))
+    assert config.revision == 7
+    assert config.find_route("h.example", "/p/1").policy.target_latency == 0.25
+    assert config.find_route("h.example", "/q/1") is None
+
+
+def frame(*entries):
+    return struct.pack(">QQ", 9, 0) + b"".join(store._frame(entry) for entry in entries)
+
+
+@given(st.lists(st.tuples(st.text(max_size=20), st.binary())))
+def test_records_survive_the_way_to_the_store_and_back(pairs):
+    entries = tuple(Entry(key, value) for key, value in pairs)
+    page = store._parse_records(frame(*entries), 3, "peer")
+    assert page.entries == entries
+    assert page.end == 3 + len(entries)
+
+
+@given(st.binary())
+def test_bytes_that_are_no_records_are_an_error_with_a_code(body):
+    try:
+        store._parse_records(body, 0, "peer")
+    except CorruptRecordError as error:
+        assert error.peer == "peer"
+
+
+def test_a_record_that_is_cut_short_is_an_error():
+    whole = frame(Entry("key", b"value"))
+    with pytest.raises(CorruptRecordError):
+        store._parse_records(whole[:-1], 0, "peer")
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "error"),
+    [
+        (503, b"", UnavailableError),
+        (429, b"{}", UnavailableError),
+        (412, b'{"endOffset":4}', RaceLostError),
+        (409, b'{"reason":"fenced"}', NotOwnerError),
+        (409, b'{"reason":"seq"}', RaceLostError),
+        (410, b'{"startOffset":9}', TrimmedError),
+        (500, b"\xff", PlantainhingeError),
+    ],
+)
+def test_what_refusals_of_the_store_mean(status, body, error):
+    with pytest.raises(error) as caught:
+        store._check(HttpAnswer(status, {}, body), "store.append", "peer")
+    assert caught.value.step == "store.append"
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "outcome"),
+    [
+        (200, "", OrderOutcome.ACCEPTED),
+        (409, "fence", OrderOutcome.FENCED),
+        (409, "old", OrderOutcome.SUPERSEDED),
+        (409, "late", OrderOutcome.TOO_LATE),
+        (409, "room", OrderOutcome.NO_ROOM),
+        (409, "other", OrderOutcome.REFUSED),
+        (421, "", OrderOutcome.OTHER_LIFE),
+        (429, "", OrderOutcome.REFUSED),
+        (500, "", OrderOutcome.UNKNOWN),
+    ],
+)
+def test_what_answers_of_workers_mean(status, reason, outcome):
+    body = encode({"clockMs": 1500, "reason": reason})
+    answer = workers._judge(HttpAnswer(status, {}, body))
+    assert answer.outcome is outcome
+    assert answer.clock == 1.5
+
+
+@given(JSON_VALUES)
+def test_a_report_that_is_none_raises_only_what_the_caller_expects(value):
+    try:
+        report = msgspec.json.decode(encode(value), type=workers._Report)
+        workers._decode_report(report)
+    except (msgspec.MsgspecError, ValueError, TypeError, IndexError):
+        pass
+
+
+def test_settings_name_the_file_and_the_field(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text('{"instance": "i"}')
+    with pytest.raises(BadInputError, match="domain"):
+        read_platform_settings(path)
+    with pytest.raises(BadInputError, match="missing"):
+        read_platform_settings(tmp_path / "missing")
