Delete the records of jobs that finished five minutes ago; test service and sockets

Cause: nothing ever left the log or an instance's memory. Change: the owner deletes accepted, cancelled and progress records in batches, under its fence and sequence. Tests for the job service, the event loop's HTTP and retention.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -8,7 +8,7 @@
 
 from ..core.clock import read_monotonic, read_uptime, read_wall
 from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
-from ..core.ids import DomainId, Epoch, Seconds
+from ..core.ids import DomainId, Epoch, JobId, Seconds
 from ..core.metrics import Counter, Level, Metrics, NoMetrics
 from ..dispatch.cell import Cell, Flush
 from ..dispatch.leases import LeaseTerms
@@ -19,8 +19,15 @@
 from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, Fence, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
-from ..jobs.records import Cancellation, encode_record, form_key
-from .job_view import PROGRESS_TOPIC, JobView
+from ..jobs.records import (
+    Cancellation,
+    RecordKind,
+    encode_record,
+    form_key,
+    list_keys,
+)
+from ..jobs.retention import Retention
+from .job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -33,6 +40,8 @@
 RENEWAL_PAUSE_SECONDS = Seconds(0.3)
 FLUSH_WAIT_SECONDS = Seconds(0.25)
 FROZEN_SECONDS = Seconds(0.7)
+FORGET_SECONDS = Seconds(5.0)
+KEEP_SECONDS = Seconds(300.0)
 LOAD_SECONDS = Seconds(2.0)
 START_TRIES_MAX = 20
 
@@ -101,7 +110,13 @@
                 "took_s": read_monotonic() - started,
             },
         )
-        for loop in (self._tail_jobs, self._poll_directory, self._flush, self._decide):
+        for loop in (
+            self._tail_jobs,
+            self._poll_directory,
+            self._flush,
+            self._decide,
+            self._forget_jobs,
+        ):
             self._spawn(loop(cell))
 
     def disown(self, reason: str) -> None:
@@ -275,7 +290,7 @@
         if flush is None:
             return
         entries = _encode_flush(flush)
-        if entries and not await self._write(cell, flush, entries):
+        if entries and not await self._write(cell, entries):
             return
         for progress in flush.progress:
             self.view.table.apply(progress)
@@ -283,8 +298,11 @@
         self._flushed.set()
         self._flushed.clear()
 
-    async def _write(self, cell: Cell, flush: Flush, entries: list[Entry]) -> bool:
-        """Append a flush, repeating it under its number while answers are lost."""
+    async def _write(self, cell: Cell, entries: list[Entry]) -> bool:
+        """Append progress, repeating it under its number while answers are lost.
+
+        The next number may carry other records only after this one was answered.
+        """
         fence = Fence(cell.epoch, self._sequence)
         while self.cell is cell:
             try:
@@ -303,6 +321,36 @@
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
         return False
 
+    async def _forget_jobs(self, cell: Cell) -> None:
+        """Delete the records of jobs that finished long ago."""
+        retention = Retention(KEEP_SECONDS)
+        while self.cell is cell:
+            await asyncio.sleep(FORGET_SECONDS)
+            expired = retention.select_expired(self.view.table, now=read_monotonic())
+            if not expired:
+                continue
+            try:
+                await self._delete(cell, expired)
+            except PlantainhingeError as error:
+                logger.warning("records not deleted", extra={"cause": str(error)})
+
+    async def _delete(self, cell: Cell, jobs: list[JobId]) -> None:
+        keys = [list_keys(job) for job in jobs]
+        accepted = [
+            Entry(of_job[kind], b"")
+            for of_job in keys
+            for kind in (RecordKind.ACCEPTED, RecordKind.CANCELLED)
+        ]
+        progress = [Entry(of_job[RecordKind.PROGRESS], b"") for of_job in keys]
+        await self.log.append(JOB_TOPIC, accepted)
+        async with self._appending:
+            if not await self._write(cell, progress):
+                return
+        for job in jobs:
+            self.view.table.forget(job)
+            cell.ended.discard(job)
+        logger.info("records deleted", extra={"jobs": len(jobs)})
+
     async def _send(self, cell: Cell, command: Command) -> None:
         match command:
             case Start(run=run, order=order):
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -101,6 +101,11 @@
     return _KINDS[type(record)].value + record.job
 
 
+def list_keys(job: JobId) -> dict[RecordKind, str]:
+    """Return all keys under which the log may hold something of a job."""
+    return {kind: kind.value + job for kind in RecordKind}
+
+
 def encode_record(record: Record) -> bytes:
     """Return a record's value."""
     return _ENCODER.encode(record)
--- /dev/null
+++ b/plantainhinge/jobs/retention.py
@@ -0,0 +1,30 @@
+"""Which finished jobs the log may forget."""
+
+from dataclasses import dataclass, field
+
+from ..core.ids import JobId, Seconds
+from .table import JobTable
+
+BATCH_MAX = 200
+
+
+@dataclass
+class Retention:
+    """Finished jobs by the time at which they were first seen finished.
+
+    Parameters
+    ----------
+    keep : float
+        Seconds for which a finished job's state can be asked for.
+    """
+
+    keep: Seconds
+    _seen: dict[JobId, float] = field(default_factory=dict)
+
+    def select_expired(self, table: JobTable, *, now: float) -> list[JobId]:
+        """Return finished jobs whose time is over, oldest first."""
+        final = {job for job, row in table.rows.items() if row.final}
+        self._seen = {job: self._seen.get(job, now) for job in final}
+        expired = [job for job, at in self._seen.items() if now - at > self.keep]
+        expired.sort(key=lambda job: self._seen[job])
+        return expired[:BATCH_MAX]
--- /dev/null
+++ b/tests/test_job_service.py
@@ -0,0 +1,164 @@
+"""What callers are told about jobs while the log answers, refuses or is silent."""
+
+import asyncio
+
+import pytest
+
+from plantainhinge.core.ids import Epoch, JobId
+from plantainhinge.daemons.job_service import JobService, Verdict
+from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
+from plantainhinge.fleet.protocols import Entry, Fence
+from plantainhinge.jobs.model import JobState
+from plantainhinge.jobs.records import Progress, encode_record, form_key
+
+from .cell_site import make_job, make_policy
+from .keyed_log import MemoryKeyedLog
+
+SPEC = make_job("x").spec
+POLICY = make_policy()
+
+
+def make_service(log):
+    return JobService(
+        log=log,
+        view=JobView(log),
+        find_configuration=lambda: None,
+        owns_cell=lambda: False,
+    )
+
+
+def run_service(scenario, log=None):
+    log = log or MemoryKeyedLog()
+
+    async def run():
+        return await scenario(log, make_service(log))
+
+    return asyncio.run(run())
+
+
+def submit(service, job="a", timeout=3.0):
+    return service.submit(JobId(job), POLICY, SPEC, timeout=timeout)
+
+
+def test_a_job_is_taken_once_the_log_holds_it():
+    async def scenario(log, service):
+        return await submit(service), log.topics[JOB_TOPIC]
+
+    verdict, records = run_service(scenario)
+    assert verdict is Verdict.DONE
+    assert [entry.key for entry in records] == ["ja"]
+
+
+def test_a_job_that_the_log_refused_was_not_taken():
+    async def scenario(log, service):
+        log.fail = ["refuse"]
+        return await submit(service), log.topics[JOB_TOPIC]
+
+    verdict, records = run_service(scenario)
+    assert verdict is Verdict.REFUSED
+    assert records == []
+
+
+@pytest.mark.parametrize("faults", [["lose"], ["lose", "lose"], ["lose", "refuse"]])
+def test_an_append_without_an_answer_is_repeated(faults):
+    async def scenario(log, service):
+        log.fail = list(faults)
+        return await submit(service)
+
+    assert run_service(scenario) is Verdict.DONE
+
+
+def test_a_job_whose_fate_is_unknown_is_never_said_to_be_refused():
+    async def scenario(log, service):
+        log.fail = ["lose", "refuse", "refuse"]
+        return await submit(service)
+
+    assert run_service(scenario) is Verdict.UNCERTAIN
+
+
+def test_a_job_handed_in_again_anywhere_is_one_job():
+    async def scenario(log, service):
+        await submit(service)
+        other = make_service(log)
+        await submit(other)
+        await other.view.job_tail.catch_up()
+        return len(other.view.table.rows)
+
+    assert run_service(scenario) == 1
+
+
+def test_a_job_is_known_at_once_on_every_instance():
+    async def scenario(log, service):
+        await submit(service)
+        return await make_service(log).find_state(JobId("a"), timeout=1.0)
+
+    assert run_service(scenario) is JobState.QUEUED
+
+
+def test_a_job_that_nobody_handed_in_is_unknown():
+    async def scenario(log, service):
+        state = await service.find_state(JobId("a"), timeout=1.0)
+        return state, await service.cancel(JobId("a"), timeout=1.0)
+
+    assert run_service(scenario) == (Verdict.UNKNOWN_JOB, Verdict.UNKNOWN_JOB)
+
+
+def test_an_unknown_job_is_not_denied_while_the_log_is_silent():
+    async def scenario(log, service):
+        async def fail(*args, **kwargs):
+            await asyncio.sleep(60)
+
+        log.read = log.read_newest = fail
+        return await service.find_state(JobId("a"), timeout=0.3)
+
+    assert run_service(scenario) is Verdict.REFUSED
+
+
+def test_the_state_told_is_the_one_that_the_log_holds():
+    async def scenario(log, service):
+        await submit(service)
+        progress = Progress(
+            job=JobId("a"), queue=POLICY.queue, state=JobState.COMPLETED
+        )
+        entry = Entry(form_key(progress), encode_record(progress))
+        await log.append(PROGRESS_TOPIC, [entry], fence=Fence(Epoch(1), 0))
+        await asyncio.sleep(0.06)
+        return await service.find_state(JobId("a"), timeout=1.0)
+
+    assert run_service(scenario) is JobState.COMPLETED
+
+
+def test_a_cancelled_job_is_cancelled_everywhere():
+    async def scenario(log, service):
+        await submit(service)
+        other = make_service(log)
+        verdict = await other.cancel(JobId("a"), timeout=1.0)
+        await service.view.job_tail.catch_up()
+        return verdict, service.view.table.rows["a"].state
+
+    assert run_service(scenario) == (Verdict.DONE, JobState.CANCELLED)
+
+
+def test_jobs_that_started_nothing_are_counted():
+    async def scenario(log, service):
+        await submit(service, "a")
+        await submit(service, "b")
+        progress = Progress(job=JobId("a"), queue=POLICY.queue, state=JobState.RUNNING)
+        entry = Entry(form_key(progress), encode_record(progress))
+        await log.append(PROGRESS_TOPIC, [entry], fence=Fence(Epoch(1), 0))
+        return await service.count_queued(POLICY.queue)
+
+    assert run_service(scenario) == 1
+
+
+def test_views_read_anew_what_the_log_has_trimmed():
+    async def scenario(log, service):
+        await submit(service, "a")
+        view = make_service(log).view
+        await view.job_tail.catch_up()
+        await submit(service, "b")
+        log.trim(JOB_TOPIC)
+        await view.job_tail.catch_up()
+        return set(view.table.rows)
+
+    assert run_service(scenario) == {"a", "b"}
--- /dev/null
+++ b/tests/test_retention.py
@@ -0,0 +1,60 @@
+"""Finished jobs leave the log after their time, open ones never."""
+
+import asyncio
+
+from plantainhinge.core.ids import Epoch, JobId
+from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC
+from plantainhinge.jobs.records import Cancellation
+from plantainhinge.jobs.retention import BATCH_MAX, Retention
+from plantainhinge.jobs.table import JobTable
+
+from .cell_site import make_job
+from .keyed_log import MemoryKeyedLog
+from .test_cell_runner import accept, cancel, make_runner
+
+
+def make_table(count):
+    table = JobTable()
+    for index in range(count):
+        table.apply(make_job(f"j{index}"))
+        table.apply(Cancellation(job=JobId(f"j{index}")))
+    table.apply(make_job("open"))
+    return table
+
+
+def test_a_finished_job_is_kept_for_its_time():
+    table, retention = make_table(1), Retention(keep=300.0)
+    assert retention.select_expired(table, now=0.0) == []
+    assert retention.select_expired(table, now=299.0) == []
+    assert retention.select_expired(table, now=301.0) == ["j0"]
+
+
+def test_deletions_come_in_batches():
+    table, retention = make_table(BATCH_MAX + 5), Retention(keep=1.0)
+    retention.select_expired(table, now=0.0)
+    assert len(retention.select_expired(table, now=2.0)) == BATCH_MAX
+
+
+def test_deleted_jobs_are_gone_for_a_new_reader():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        await accept(log, make_job("a"), make_job("b"))
+        await runner.own(Epoch(1))
+        cancel(runner, "a")
+        await runner.finish()
+        log.fail = ["", "lose"]
+        await runner._delete(runner.cell, [JobId("a")])
+        cancel(runner, "b")
+        await runner.finish()
+        runner.disown("test")
+        keys = [
+            entry.key
+            for topic in (JOB_TOPIC, PROGRESS_TOPIC)
+            for entry in (await log.read_newest(topic)).entries
+        ]
+        return keys, set(runner.view.table.rows)
+
+    keys, rows = asyncio.run(scenario())
+    assert keys == ["jb", "pb"]
+    assert rows == {"b"}
--- /dev/null
+++ b/tests/test_stream_http.py
@@ -0,0 +1,134 @@
+"""The event loop's HTTP client and server, against each other and bad peers."""
+
+import asyncio
+import socket
+
+import pytest
+
+from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
+from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.core.errors import UnavailableError, UncertainError
+
+LARGE = b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n"
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def echo(request):
+    if request.path == "/slow":
+        await asyncio.sleep(0.3)
+    if request.path == "/broken":
+        raise RuntimeError("a fault of the handler")
+    return HttpReply(status=200, body=request.body + request.path.encode())
+
+
+def serve(scenario):
+    async def run():
+        server = HttpServer(find_address(), echo)
+        await server.start()
+        client = HttpClient(server.address, connections_max=2)
+        try:
+            return await scenario(server, client)
+        finally:
+            client.close()
+            await server.drain(timeout=0.1)
+
+    return asyncio.run(run())
+
+
+def post(path, body=b""):
+    return HttpCall(method="POST", path=path, body=body)
+
+
+def test_calls_share_connections_and_keep_their_answers_apart():
+    async def scenario(server, client):
+        calls = [client.call(post(f"/{i}", b"x" * i), timeout=2) for i in range(20)]
+        answers = await asyncio.gather(*calls)
+        return [answer.body for answer in answers], len(server.connections)
+
+    bodies, connections = serve(scenario)
+    assert bodies == [b"x" * i + f"/{i}".encode() for i in range(20)]
+    assert connections <= 2
+
+
+def test_a_late_answer_leaves_the_fate_open_and_the_client_usable():
+    async def scenario(server, client):
+        with pytest.raises(UncertainError):
+            await client.call(post("/slow"), timeout=0.05)
+        return (await client.call(post("/after"), timeout=2)).body
+
+    assert serve(scenario) == b"/after"
+
+
+def test_a_call_that_found_no_listener_was_not_sent():
+    async def run():
+        with pytest.raises(UnavailableError):
+            await HttpClient(find_address()).call(post("/"), timeout=1)
+
+    asyncio.run(run())
+
+
+def test_an_error_in_the_handler_is_answered():
+    async def scenario(server, client):
+        return (await client.call(post("/broken"), timeout=2)).status
+
+    assert serve(scenario) == 500
+
+
+def test_a_server_that_drains_finishes_what_is_under_way():
+    async def scenario(server, client):
+        slow = asyncio.create_task(client.call(post("/slow"), timeout=2))
+        await asyncio.sleep(0.1)
+        await server.drain(timeout=2)
+        return (await slow).body
+
+    assert serve(scenario) == b"/slow"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nX: " + b"a" * 20_000 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n" + b"b" * 1_100_000,
+            b"413",
+        ),
+    ],
+)
+def test_a_malformed_request_is_refused_and_the_server_goes_on(data, status):
+    async def scenario(server, client):
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        line = await asyncio.wait_for(reader.readline(), 2)
+        writer.close()
+        answer = await client.call(post("/still"), timeout=2)
+        return line, answer.body
+
+    line, body = serve(scenario)
+    assert status in line
+    assert body == b"/still"
+
+
+@pytest.mark.parametrize("answer", [b"nonsense\r\n", b"HTTP/1.1 200 OK\r\n", b""])
+def test_an_answer_that_is_no_answer_leaves_the_fate_open(answer):
+    async def run():
+        async def reply(reader, writer):
+            await reader.read(100)
+            writer.write(answer)
+            writer.close()
+
+        address = find_address()
+        host, _, port = address.rpartition(":")
+        server = await asyncio.start_server(reply, host, int(port))
+        with pytest.raises(UncertainError):
+            await HttpClient(address).call(post("/"), timeout=1)
+        server.close()
+
+    asyncio.run(run())
