Count failed attempts by their numbers, also beside a running attempt

Ruled out: progress lost in the log (the end was never acknowledged). Change: failures are a set of attempts, in the log too, so an end that is listed again counts once. The test fails with the old order.

--- a/plantainhinge/dispatch/book.py
+++ b/plantainhinge/dispatch/book.py
@@ -107,7 +107,7 @@
         for index, note in progress.notes.items():
             task = step.tasks[index]
             task.attempt = note.attempt
-            task.failures = note.failures
+            task.failed = set(note.failed)
             task.checkpoint = note.checkpoint
 
 
@@ -118,6 +118,7 @@
 
 def _note_tasks(step: StepRun) -> Iterator[tuple[int, TaskNote]]:
     for task in step.tasks:
-        if task.done or not (task.failures or task.checkpoint or task.attempt > 1):
+        if task.done or not (task.failed or task.checkpoint or task.attempt > 1):
             continue
-        yield task.key.position, TaskNote(task.attempt, task.failures, task.checkpoint)
+        failed = tuple(sorted(task.failed))
+        yield task.key.position, TaskNote(task.attempt, failed, task.checkpoint)
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -57,6 +57,9 @@
     if task is None or task.done:
         return
     task.attempt = max(task.attempt, end.attempt)
+    if end.cause is EndCause.FAILED:
+        health.note_failure(worker, now=now)
+        fail_task(cell, task, worker, end.attempt, now=now)
     if run is None and (task.runs or not task.step.job.inherited):
         return
     if end.cause is EndCause.DONE and not task.step.spec.lasting:
@@ -65,9 +68,6 @@
         return
     if end.checkpoint:
         task.checkpoint = end.checkpoint
-    if end.cause is EndCause.FAILED:
-        health.note_failure(worker, now=now)
-        fail_task(cell, task, worker, now=now)
     requeue_task(cell, task, now=now)
 
 
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -67,7 +67,7 @@
     step: "StepRun"
     done: bool = False
     attempt: int = 0
-    failures: int = 0
+    failed: set[int] = field(default_factory=set)
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     not_before: float = 0.0
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -48,15 +48,19 @@
         end_job(cell, job, JobState.COMPLETED, now=now)
 
 
-def fail_task(cell: CellTables, task: Task, worker: Worker, *, now: float) -> None:
-    """Count a failure; the last one that is allowed fails the job."""
+def fail_task(
+    cell: CellTables, task: Task, worker: Worker, attempt: Attempt, *, now: float
+) -> None:
+    """Count an attempt that failed; the last one that is allowed fails the job."""
     job = task.step.job
-    task.failures += 1
     task.avoid.add(worker.name)
+    if attempt in task.failed:
+        return
     cell.dirty[job.job] = job
     if task.step.spec.lasting:
         return
-    if task.failures >= job.record.policy.attempts:
+    task.failed.add(attempt)
+    if len(task.failed) >= job.record.policy.attempts:
         end_job(cell, job, JobState.FAILED, now=now)
 
 
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -30,14 +30,15 @@
     ----------
     attempt : int
         Highest attempt that was ever ordered.
-    failures : int
-        Attempts that ended by a fault.
+    failed : tuple of int
+        Attempts that ended by a fault. By number, since a worker may list the end
+        of one to an owner that knows of it from the log already.
     checkpoint : str
         Newest saved progress; empty for none.
     """
 
     attempt: int
-    failures: int = 0
+    failed: tuple[int, ...] = ()
     checkpoint: str = ""
 
 
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -4,7 +4,7 @@
 import pytest
 
 from plantainhinge.core.resources import Resources
-from plantainhinge.fleet.model import WorkerState
+from plantainhinge.fleet.model import EndCause, EndedRow, WorkerState
 from plantainhinge.jobs.model import Step
 
 from .cell_site import LEASE_BOUND, ModelSite, make_entry, make_job, make_policy
@@ -288,3 +288,34 @@
     site.submit(job)
     site.run(2)
     assert site.count_starts() == 1
+
+
+def test_a_failure_counts_once_whoever_hears_of_it():
+    """The new owner adopts the second attempt before it hears of the first."""
+    site = ModelSite(make_entry("w1"), make_entry("w2", cores=16))
+    for worker in site.workers.values():
+        worker.fails = True
+    job = make_job("j", policy=make_policy(attempts=2))
+    site.run(0.1)
+    site.log_up = False
+    site.submit(job)
+    site.run(1.5)
+    assert [len(worker.started) for worker in site.workers.values()] == [1, 1]
+    site.log_up = True
+    site.take_over([job])
+    site.run(10)
+    assert site.state_of("j") == "failed"
+    assert site.count_starts() == 2
+
+
+def test_a_failure_that_the_log_holds_is_not_counted_again():
+    site = ModelSite(make_entry("w1"))
+    site.workers["w1"].fails = True
+    job = make_job("j", policy=make_policy(attempts=3))
+    site.submit(job)
+    site.run_until(lambda: "j" in site.log and site.count_starts() == 2)
+    worker = site.workers["w1"]
+    worker.ended = [EndedRow(1, *worker.started[0], EndCause.FAILED, "")]
+    site.take_over([job])
+    site.run(20)
+    assert site.count_starts() == 3
