--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -37,6 +37,7 @@
 JOB_WAIT_SECONDS = Seconds(1.0)
 FAILURE_PAUSE_SECONDS = Seconds(0.2)
 FLUSH_GATHER_SECONDS = Seconds(0.004)
+FIRST_PAUSE_SECONDS = Seconds(0.02)
 RENEWAL_PAUSE_SECONDS = Seconds(0.3)
 FLUSH_WAIT_SECONDS = Seconds(0.25)
 FROZEN_SECONDS = Seconds(0.7)
@@ -212,9 +213,12 @@
                 if worker.seen_number > worker.acknowledged:
                     await self._wait_for_flush()
             else:
+                first = worker.in_touch
                 cell.take_refused_renewal(worker, answer, now=now)
                 self.wake()
-                await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
+                await asyncio.sleep(
+                    FIRST_PAUSE_SECONDS if first else RENEWAL_PAUSE_SECONDS
+                )
         self._renewing.discard(worker.name)
         self.calls.forget(worker.entry)
 
--- a/plantainhinge/daemons/operator_view.py
+++ b/plantainhinge/daemons/operator_view.py
@@ -42,7 +42,9 @@
         match record:
             case DomainClosure():
                 self._closures[entry.key] = record.domain
-                logger.info("failure domain closed", extra={"domain": record.domain})
+                logger.info(
+                    "failure domain closed", extra={"closed_domain": record.domain}
+                )
             case SchedulingConfiguration():
                 self._take_configuration(record)
 
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -116,14 +116,13 @@
 
     def prepare_renewal(self, worker: Worker, *, now: float) -> Renewal:
         """Return the next renewal for a worker."""
-        first = worker.heard_at == float("-inf")
-        pending = worker.seen_number > worker.acknowledged
+        at_once = not worker.in_touch or worker.seen_number > worker.acknowledged
         shared = worker.filling and worker.serving
         wait = SHARED_WAIT_SECONDS if shared else RENEWAL_WAIT_SECONDS
         return Renewal(
             epoch=self.epoch,
             acknowledged=worker.acknowledged,
-            wait=Seconds(0.0) if first or pending else wait,
+            wait=Seconds(0.0) if at_once else wait,
             lease_end=grant_lease(worker, self.terms, now=now)
             if worker.in_touch
             else None,
--- a/plantainhinge/dispatch/descriptions.py
+++ b/plantainhinge/dispatch/descriptions.py
@@ -7,7 +7,7 @@
     """Return a worker's fields for a log line."""
     return {
         "worker": worker.name,
-        "domain": worker.entry.domain,
+        "worker_domain": worker.entry.domain,
         "born": worker.born,
     }
 
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -6,10 +6,11 @@
 from plantainhinge.daemons.cell_runner import CellRunner
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.daemons.worker_view import WorkerView
+from plantainhinge.fleet.model import OrderAnswer, OrderOutcome, WorkerReport
 from plantainhinge.fleet.protocols import Entry, Fence
 from plantainhinge.jobs.records import decode_record, encode_record, form_key
 
-from .cell_site import TERMS, make_job
+from .cell_site import TERMS, make_entry, make_job
 from .keyed_log import MemoryKeyedLog
 
 
@@ -127,3 +128,40 @@
         return runner.cell
 
     assert asyncio.run(scenario()) is None
+
+
+class LossyWorkers:
+    """Answers every renewal but the first."""
+
+    def __init__(self):
+        self.asked_at = []
+        self.waits = []
+
+    async def renew(self, entry, renewal):
+        self.asked_at.append(asyncio.get_running_loop().time())
+        self.waits.append(renewal.wait)
+        if len(self.asked_at) == 2:
+            return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
+        await asyncio.sleep(min(0.02, renewal.wait))
+        return WorkerReport(clock=1.0, born=1, running=(), ended=())
+
+    def forget(self, entry):
+        pass
+
+
+def test_a_worker_is_asked_again_at_once_after_one_lost_renewal():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        runner.calls = calls = LossyWorkers()
+        runner.workers = WorkerView(log, "workers", lambda key, value: make_entry(key))
+        await log.append("workers", [Entry("w1", b"here")])
+        await runner.own(Epoch(1))
+        while len(calls.asked_at) < 4:
+            await asyncio.sleep(0.01)
+        runner.disown("test")
+        return calls
+
+    calls = asyncio.run(scenario())
+    assert calls.asked_at[2] - calls.asked_at[1] < 0.1
+    assert calls.waits[2] == 0
