Move work that fills and is slowed for long to where it disturbs nobody

Cause: beside heavy partners attempts went on for seconds at a small pace and kept the tail at its limit. Change: one attempt a worker each 0.3 s, if its checkpoint makes the move cheaper than the pace.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -35,6 +35,7 @@
 from .tables import JobRun, Run, StepRun, Worker
 
 RENEWAL_WAIT_SECONDS = Seconds(1.0)
+MOVES_SECONDS = Seconds(0.3)
 SHARED_WAIT_SECONDS = Seconds(0.3)
 
 
@@ -150,6 +151,9 @@
         ordering.repeat_orders(self, now=now)
         eviction.evict_draining(self, now=now)
         eviction.evict_stuck(self, now=now)
+        if now >= self.moved_at + MOVES_SECONDS:
+            self.moved_at = now
+            eviction.move_slowed(self, now=now)
         assignment.place_waiting(self, now=now, wall=wall)
 
     def list_waiting(self) -> list[StepRun]:
--- a/plantainhinge/dispatch/cell_tables.py
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -40,6 +40,8 @@
         Jobs that ended under this ownership, whether the log holds that or not.
     handover_at : float
         Monotonic seconds at which the record for the next owner was last written.
+    moved_at : float
+        Monotonic seconds at which moves of slowed attempts were last looked for.
     """
 
     epoch: Epoch
@@ -56,6 +58,7 @@
     acks_due: bool = False
     ended: set[JobId] = field(default_factory=set)
     handover_at: float = float("-inf")
+    moved_at: float = float("-inf")
 
     @property
     def recovering(self) -> bool:
--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -7,11 +7,17 @@
 from .cell_tables import CellTables
 from .descriptions import describe_run
 from .ordering import send_pace, stop_run
+from .placing import choose_worker
 from .sharing import adjust_paces, learn_from_report
 from .tables import Run, RunPhase, Worker
 
 logger = logging.getLogger(__name__)
 
+# what a stop, a start and the way back to a checkpoint take together
+MOVE_SECONDS = 2.5
+MOVE_AFTER_SECONDS = 0.8
+PACE_FLOOR = 5
+
 
 def evict_draining(cell: CellTables, *, now: float) -> None:
     """Move attempts off workers that leave soon."""
@@ -30,6 +36,51 @@
         stop_run(cell, run, now=now)
 
 
+def move_slowed(cell: CellTables, *, now: float) -> None:
+    """Move attempts that fill to where they disturb nobody, if that is quicker.
+
+    One a worker at a time, and only those that resume from a checkpoint.
+    """
+    for worker in cell.workers.values():
+        slowed = [run for run in worker.runs.values() if is_slowed(run, now=now)]
+        if not slowed or not worker.in_touch:
+            continue
+        run = max(slowed, key=measure_delay)
+        others = [
+            other
+            for other in cell.workers.values()
+            if other is not worker
+            and other.accepts(now)
+            and other.entry.domain not in cell.closed_domains
+            and other.entry.service == worker.entry.service
+        ]
+        target = choose_worker(run.task, others, cell.pairs, now=now)
+        if target is not None:
+            logger.info(
+                "attempt moves",
+                extra=describe_run(run) | {"pace": run.pace, "target": target.name},
+            )
+            stop_run(cell, run, now=now)
+
+
+def is_slowed(run: Run, *, now: float) -> bool:
+    """Return whether an attempt loses more by its pace than by a move."""
+    spec = run.task.step.spec
+    return (
+        spec.fills
+        and spec.checkpoints
+        and run.phase is RunPhase.RUNNING
+        and now - run.confirmed_at > MOVE_AFTER_SECONDS
+        and measure_delay(run) > MOVE_SECONDS
+    )
+
+
+def measure_delay(run: Run) -> float:
+    """Return the seconds that an attempt's pace will cost it at its estimate."""
+    left = run.task.step.spec.estimate * (100 - run.percent) / 100
+    return left * 100 / max(run.pace, PACE_FLOOR) - left
+
+
 def protect_serving(cell: CellTables, worker: Worker, *, now: float) -> None:
     """Learn how the images on a worker disturb each other, and set paces."""
     if not worker.serving:
--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -21,6 +21,7 @@
 # tail of an idle serving task against its target
 IDLE_TAIL = 0.22
 USUAL_PRESSURE = 0.45
+LEARNING_STEP = 0.25
 PRESSURE_LIMIT = 0.765
 PRESSURE_AIM = 0.74
 PRESSURE_PLACING = 0.75
@@ -102,7 +103,7 @@
         observation = Observation(
             _name_image(run), 1.0 + measure_pressure(run) - own, loads
         )
-        learn(pairs, observation, Seconds(now))
+        learn(pairs, observation, Seconds(now), step=LEARNING_STEP)
 
 
 def _note_over(run: Run, *, now: float) -> float:
--- a/plantainhinge/placement/interference.py
+++ b/plantainhinge/placement/interference.py
@@ -95,8 +95,16 @@
     )
 
 
-def learn(table: PairTable, observation: Observation, now: Seconds) -> None:
-    """Move the weights of the kinds beside towards the measured slowdown."""
+def learn(
+    table: PairTable, observation: Observation, now: Seconds, *, step: float = STEP
+) -> None:
+    """Move the weights of the kinds beside towards the measured slowdown.
+
+    Parameters
+    ----------
+    step : float
+        Share of the error that one observation corrects, at large loads.
+    """
     beside = [other for other in observation.beside if other.load > 0.0]
     power = sum(other.load**2 for other in beside)
     if not beside:
@@ -107,8 +115,8 @@
     )
     error = observation.slowdown - expected
     for weight, other in zip(weights, beside, strict=True):
-        step = STEP * error * other.load / (power + SMOOTHING)
-        table.set(observation.kind, other.kind, weight + step, now)
+        change = step * error * other.load / (power + SMOOTHING)
+        table.set(observation.kind, other.kind, weight + change, now)
 
 
 PairWeight = Callable[[PairTable, KindId, KindId, Seconds], float]
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,9 +1,11 @@
 """Work that fills beside serving tasks: what is learned, and what is slowed."""
 
+import msgspec
 import pytest
 
 from plantainhinge.core.ids import KindId, Seconds
 from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import WorkerState
 from plantainhinge.jobs.model import Step
 
 from .cell_site import ModelSite, make_entry, make_job
@@ -127,3 +129,21 @@
     worker.tail = lambda worker, run: 1.001 * TARGET if run.serving else 1.0
     site.run(2)
     assert {run.pace for run in worker.runs.values() if not run.serving} == {0}
+
+
+def test_slowed_work_moves_to_where_it_disturbs_nobody():
+    site = make_site(workers=2)
+    site.submit(make_job("s", make_serving(2)))
+    site.run(0.5)
+    crowded = next(w for w in site.workers.values() if w.runs)
+    other = next(w for w in site.workers.values() if w is not crowded)
+    other.entry = msgspec.structs.replace(other.entry, state=WorkerState.DRAINING)
+    site.see()
+    step = make_filling("heavy", 2, estimate=20.0)
+    site.submit(make_job("h", msgspec.structs.replace(step, checkpoints=True)))
+    site.run(1)
+    crowded.tail = lambda worker, run: 0.1 if run.serving else 2.0 * run.pace / 100
+    site.run(1)
+    other.entry = msgspec.structs.replace(other.entry, state=WorkerState.READY)
+    site.see()
+    site.run_until(lambda: len(other.runs) == 2, limit=5)
