--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,208 @@
+"""A stand-in for the platform's store: topics, fences, keyed records, a group."""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from plantainhinge.adapters.stream_http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+)
+
+LENGTH = struct.Struct(">I")
+HEAD = struct.Struct(">QQ")
+REPEATS_KNOWN = 5
+PAGE_ITEMS = 500
+READ_POLL_SECONDS = 0.002
+
+
+@dataclass
+class Topic:
+    """One partition.
+
+    Parameters
+    ----------
+    first : int
+        Records before this offset are gone.
+    """
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    epochs: dict[str, int] = field(default_factory=dict)
+    sequences: dict[str, int] = field(default_factory=dict)
+    repeats: dict[str, deque[tuple[int, int]]] = field(default_factory=dict)
+
+
+@dataclass
+class StandInStore:
+    """Serves the store's calls from memory.
+
+    Parameters
+    ----------
+    down : bool
+        Whether every call is refused.
+    lose : int
+        So many appends take effect and get no answer.
+    """
+
+    address: str
+    down: bool = False
+    lose: int = 0
+    topics: dict[str, Topic] = field(default_factory=dict)
+    members: dict[str, float] = field(default_factory=dict)
+    generation: int = 0
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        await HttpServer(self.address, self.handle).start()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a keyed record, as operators and workers do."""
+        self._find(topic).records.append(frame(key, value))
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        if self.down:
+            return HttpReply(status=503)
+        parts = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        match parts.path:
+            case "/-/log-append":
+                return await self._append(query, request.body)
+            case "/-/log-read":
+                return await self._read(query)
+            case "/-/log-newest":
+                return self._newest(query)
+        return self._handle_group(parts.path, request.body)
+
+    def _handle_group(self, path: str, body: bytes) -> HttpReply:
+        self._expire()
+        match path:
+            case "/-/log-join":
+                return self._join(json.loads(body))
+            case "/-/log-leave":
+                self.members.pop(json.loads(body)["memberId"], None)
+                self.generation += 1
+                return reply({})
+            case "/-/log-owners":
+                rows = [["members-0", 0, name, 0] for name in self.members]
+                return reply({"parts": rows})
+        return HttpReply(status=404)
+
+    async def _append(self, query: dict[str, str], body: bytes) -> HttpReply:
+        topic = self._find(query["topic"])
+        records = split(body)
+        end = len(topic.records)
+        if "at" in query and int(query["at"]) != end:
+            return reply({"endOffset": end}, 412)
+        if "epoch" in query:
+            known = self._check_fence(topic, query, len(records))
+            if known is not None:
+                return known
+        topic.records.extend(records)
+        if self.lose > 0:
+            self.lose -= 1
+            await asyncio.sleep(60)
+        return reply({"offset": end, "endOffset": len(topic.records)})
+
+    def _check_fence(
+        self, topic: Topic, query: dict[str, str], count: int
+    ) -> HttpReply | None:
+        producer, epoch = query["producer"], int(query["epoch"])
+        sequence = int(query.get("seq", 0))
+        seen = topic.epochs.get(producer, 0)
+        if epoch < seen:
+            return reply({"reason": "fenced"}, 409)
+        if epoch > seen:
+            topic.epochs[producer] = epoch
+            topic.sequences[producer] = sequence - 1
+            topic.repeats[producer] = deque(maxlen=REPEATS_KNOWN)
+        if count == 0:
+            return None
+        for known, end in topic.repeats[producer]:
+            if known == sequence:
+                return reply({"offset": end - count, "endOffset": end})
+        if sequence != topic.sequences[producer] + 1:
+            return reply({"reason": "seq"}, 409)
+        topic.sequences[producer] = sequence
+        topic.repeats[producer].append((sequence, len(topic.records) + count))
+        return None
+
+    async def _read(self, query: dict[str, str]) -> HttpReply:
+        topic, start = self._find(query["topic"]), int(query["from"])
+        if start < topic.first:
+            return reply({"startOffset": topic.first}, 410)
+        end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        while len(topic.records) <= start and time.monotonic() < end:
+            await asyncio.sleep(READ_POLL_SECONDS)
+        head = HEAD.pack(len(topic.records), topic.first)
+        body = b"".join(
+            LENGTH.pack(len(record)) + record for record in topic.records[start:]
+        )
+        return HttpReply(status=200, body=head + body)
+
+    def _newest(self, query: dict[str, str]) -> HttpReply:
+        topic = self._find(query["topic"])
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(topic.records):
+            key = record[1 : 1 + record[0]].decode()
+            newest[key] = (offset, record[1 + record[0] :])
+        after = query.get("dependsOn", "")
+        keys = sorted(
+            key for key, (_, value) in newest.items() if value and key > after
+        )
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][1]).decode(),
+                "offset": newest[key][0],
+            }
+            for key in keys[:PAGE_ITEMS]
+        ]
+        more = len(keys) > PAGE_ITEMS
+        return reply({"items": items, "more": more, "endOffset": len(topic.records)})
+
+    def _join(self, body: dict[str, object]) -> HttpReply:
+        name, ttl = str(body["memberId"]), int(str(body["ttlMs"])) / 1000
+        if name not in self.members:
+            self.generation += 1
+        self.members[name] = time.monotonic() + ttl
+        first = next(iter(self.members)) == name
+        rows = [["members-0", 0, 0]] if first else []
+        return reply({"generation": self.generation, "ttlMs": ttl, "parts": rows})
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for name in [name for name, end in self.members.items() if end < now]:
+            del self.members[name]
+            self.generation += 1
+
+    def _find(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+
+def frame(key: str, value: bytes) -> bytes:
+    """Return a keyed record without its length."""
+    return bytes([len(key)]) + key.encode() + value
+
+
+def split(body: bytes) -> list[bytes]:
+    """Return the records in the body of an append."""
+    records, position = [], 0
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        records.append(body[position : position + length])
+        position += length
+    return records
+
+
+def reply(content: object, status: int = 200) -> HttpReply:
+    """Return a reply with a JSON body."""
+    return HttpReply(status=status, body=json.dumps(content).encode())
--- /dev/null
+++ b/standins/platform_worker.py
@@ -0,0 +1,149 @@
+"""A stand-in for one of the platform's workers: runs, leases, fences, ends."""
+
+import asyncio
+import itertools
+import json
+import time
+from dataclasses import dataclass, field
+
+from plantainhinge.adapters.stream_http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+)
+
+from .platform_store import StandInStore, reply
+
+HEARTBEAT_SECONDS = 0.5
+TICK_SECONDS = 0.01
+
+
+@dataclass
+class WorkerRun:
+    """One attempt that runs; without an end it lasts."""
+
+    task: str
+    attempt: int
+    started: float
+    seconds: float
+
+
+@dataclass
+class StandInWorker:
+    """Runs tasks whose payload is a number of seconds; 0 lasts.
+
+    Parameters
+    ----------
+    started : list of tuple of str and int
+        Every start in order: what the tests judge by.
+    """
+
+    name: str
+    address: str
+    store: StandInStore
+    millicores: int = 8000
+    silent: bool = False
+    fence: int = 0
+    lease_end: float = 0.0
+    runs: dict[tuple[str, int], WorkerRun] = field(default_factory=dict)
+    started: list[tuple[str, int]] = field(default_factory=list)
+    ended: list[list[object]] = field(default_factory=list)
+    barred: dict[str, int] = field(default_factory=dict)
+    born: int = field(default_factory=lambda: int(time.time() * 1000))
+    numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+
+    async def start(self) -> None:
+        """Begin to listen, to run and to report to the store."""
+        await HttpServer(self.address, self.handle).start()
+        self._tasks = [
+            asyncio.create_task(self._beat()),
+            asyncio.create_task(self._work()),
+        ]
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        if self.silent:
+            await asyncio.sleep(60)
+        if request.headers.get("x-expect-instance") != self.name:
+            return self._reply({}, 421)
+        body = json.loads(request.body)
+        if body.get("fencingToken", 0) < self.fence:
+            return self._reply({"reason": "fence"}, 409)
+        self.fence = body.get("fencingToken", 0)
+        self.lease_end = max(self.lease_end, body.get("deadlineMs", 0) / 1000)
+        match request.path:
+            case "/-/run-start":
+                return self._start(body)
+            case "/-/run-stop":
+                return self._stop(body)
+            case "/-/hold":
+                return await self._hold(body)
+        return self._reply({})
+
+    def _start(self, body: dict[str, object]) -> HttpReply:
+        task, attempt = str(body["task"]), int(str(body["attempt"]))
+        if (task, attempt) in self.runs:
+            return self._reply({})
+        if attempt <= self.barred.get(task, 0):
+            return self._reply({"reason": "old"}, 409)
+        if self.lease_end <= time.monotonic():
+            return self._reply({"reason": "late"}, 409)
+        self.started.append((task, attempt))
+        self.runs[(task, attempt)] = WorkerRun(
+            task, attempt, time.monotonic(), float(str(body["spec"]))
+        )
+        return self._reply({})
+
+    def _stop(self, body: dict[str, object]) -> HttpReply:
+        task, attempt = str(body["task"]), int(str(body["attempt"]))
+        if (task, attempt) in self.runs:
+            self._end((task, attempt), "stopped")
+        self.barred[task] = max(attempt, self.barred.get(task, 0))
+        return self._reply({})
+
+    async def _hold(self, body: dict[str, object]) -> HttpReply:
+        seen = int(str(body["lastSeen"]))
+        self.ended = [row for row in self.ended if int(str(row[0])) > seen]
+        end = time.monotonic() + int(str(body.get("waitMs", 0))) / 1000
+        while not self.ended and time.monotonic() < end:
+            await asyncio.sleep(TICK_SECONDS)
+        now = time.monotonic()
+        running = [
+            [run.task, run.attempt, "", 100 if not run.seconds else 50, now % 1]
+            for run in self.runs.values()
+        ]
+        return self._reply({"running": running, "ended": self.ended})
+
+    def _reply(self, content: dict[str, object], status: int = 200) -> HttpReply:
+        clock = {"clockMs": int(time.monotonic() * 1000), "born": self.born}
+        return reply(content | clock, status)
+
+    def _end(self, key: tuple[str, int], cause: str) -> None:
+        del self.runs[key]
+        self.barred[key[0]] = max(key[1], self.barred.get(key[0], 0))
+        self.ended.append([next(self.numbers), *key, cause, ""])
+
+    async def _work(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            for key, run in list(self.runs.items()):
+                if now > self.lease_end:
+                    self._end(key, "lapsed")
+                elif run.seconds and now - run.started >= run.seconds:
+                    self._end(key, "done")
+
+    async def _beat(self) -> None:
+        for sequence in itertools.count():
+            entry = {
+                "service": "archive",
+                "addr": self.address,
+                "zone": "a",
+                "state": "ready",
+                "capacity": {"cpu": self.millicores, "memMb": 64000, "gpu": 0},
+                "labels": ["a", "r1-1"],
+                "born": self.born,
+                "seq": sequence,
+            }
+            self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+            await asyncio.sleep(HEARTBEAT_SECONDS)
--- /dev/null
+++ b/tests/test_platform_site.py
@@ -0,0 +1,272 @@
+"""Real instances as processes, on stand-ins of the platform's store and workers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
+from plantainhinge.core.errors import PlantainhingeError
+from standins.platform_store import StandInStore
+from standins.platform_worker import StandInWorker
+
+pytestmark = pytest.mark.processes
+
+ROOT = Path(__file__).parent.parent
+HOST = ("Host", "archive.example")
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "jobs",
+            "host": "archive.example",
+            "pathPrefix": "/jobs/",
+            "service": "archive",
+            "attempts": 2,
+            "slackFactor": 2.0,
+            "targetLatencyMs": 250,
+        }
+    ],
+}
+
+
+def find_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Site:
+    """A store, workers and instances; clients try one instance after another."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = StandInStore(find_address())
+        self.workers = []
+        self.instances = {}
+        self.callers = {}
+
+    async def start(self, *, workers, instances):
+        await self.store.start()
+        self.store.put("keyed.op", "config", json.dumps(CONFIG).encode())
+        for index in range(workers):
+            worker = StandInWorker(f"w{index}", find_address(), self.store)
+            self.workers.append(worker)
+            await worker.start()
+        for index in range(instances):
+            await self.start_instance(f"i{index}")
+
+    async def start_instance(self, name):
+        settings = {
+            "instance": name,
+            "domain": "a",
+            "callers_address": find_address(),
+            "ready_address": find_address(),
+            "metrics_address": find_address(),
+            "log_address": self.store.address,
+            "lease_seconds_max": 4.0,
+            "member_seconds": 1.0,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.instances[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "plantainhinge.platform",
+            cwd=ROOT,
+            env=os.environ | {"PLANTAINHINGE_SETTINGS": str(path)},
+            stdout=(self.folder / f"{name}.log").open("w"),
+        )
+        self.callers[name] = HttpClient(settings["callers_address"])
+        await self.wait(lambda: self.is_ready(settings["ready_address"]), limit=15)
+
+    async def is_ready(self, address):
+        try:
+            call = HttpCall(method="GET", path="/-/ready")
+            return (await HttpClient(address).call(call, timeout=1)).status == 200
+        except PlantainhingeError:
+            return False
+
+    async def wait(self, condition, *, limit=20.0):
+        async with asyncio.timeout(limit):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def call(self, method, job, body=b"", *, start=0):
+        """Call until one instance answers for good; returns its answer."""
+        names = list(self.callers)
+        for index in range(60):
+            client = self.callers[names[(start + index) % len(names)]]
+            call = HttpCall(
+                method=method, path=f"/jobs/{job}", body=body, headers=(HOST,)
+            )
+            try:
+                answer = await client.call(call, timeout=3)
+            except PlantainhingeError:
+                await asyncio.sleep(0.1)
+                continue
+            if answer.status not in (429, 500, 503, 504):
+                return answer
+            await asyncio.sleep(0.1)
+        raise AssertionError(f"nobody answered {method} {job}")
+
+    async def submit(self, job, *, seconds, count=1, **step):
+        steps = [{"count": count, "cpu": 1000, "estRuntimeMs": seconds * 1000} | step]
+        body = json.dumps({"spec": str(seconds), "steps": steps}).encode()
+        answer = await self.call("POST", job, body, start=int(job, 16))
+        assert answer.status == 200
+
+    async def read_state(self, job):
+        answer = await self.call("GET", job, start=int(job, 16) + 1)
+        return json.loads(answer.body)["state"] if answer.status == 200 else "unknown"
+
+    async def wait_for(self, state, *jobs, limit=30.0):
+        async def reached():
+            return [await self.read_state(job) for job in jobs] == [state] * len(jobs)
+
+        await self.wait(reached, limit=limit)
+
+    def find_owner(self):
+        key = len("owner")
+        record = self.store.topics["keyed.cells"].records[-1][1 + key :]
+        return next(name for name in self.instances if name.encode() in record)
+
+    async def kill(self, name):
+        self.instances[name].send_signal(signal.SIGKILL)
+        await self.instances.pop(name).wait()
+        del self.callers[name]
+
+    def has_started(self, count):
+        async def condition():
+            return len(self.list_starts()) == count
+
+        return condition
+
+    async def is_idle(self):
+        return not any(worker.runs for worker in self.workers)
+
+    def list_starts(self):
+        return [start for worker in self.workers for start in worker.started]
+
+    async def close(self):
+        for process in self.instances.values():
+            process.kill()
+            await process.wait()
+
+
+def make_jobs(count):
+    return [f"{index:016x}" for index in range(1, count + 1)]
+
+
+def run_site(folder, scenario, *, workers=3, instances=2):
+    @asynccontextmanager
+    async def open_site():
+        site = Site(folder)
+        try:
+            await site.start(workers=workers, instances=instances)
+            yield site
+        finally:
+            await site.close()
+
+    async def run():
+        async with open_site() as site:
+            await scenario(site)
+
+    asyncio.run(run())
+
+
+def test_jobs_run_once_through_the_death_of_their_owner(tmp_path):
+    async def scenario(site):
+        jobs = make_jobs(8)
+        for job in jobs[:4]:
+            await site.submit(job, seconds=2.0, count=3)
+        await site.kill(site.find_owner())
+        for job in jobs[4:]:
+            await site.submit(job, seconds=0.3, count=2)
+        await site.wait_for("completed", *jobs)
+        tasks = [task for task, _ in site.list_starts()]
+        assert sorted(tasks) == sorted(set(tasks))
+        assert len(tasks) == 4 * 3 + 4 * 2
+
+    run_site(tmp_path, scenario)
+
+
+def test_a_planned_stop_loses_no_call_and_starts_nothing_twice(tmp_path):
+    async def scenario(site):
+        jobs = make_jobs(6)
+        for job in jobs[:3]:
+            await site.submit(job, seconds=1.5, count=2)
+        owner = site.find_owner()
+        site.instances[owner].send_signal(signal.SIGTERM)
+        for job in jobs[3:]:
+            await site.submit(job, seconds=0.3)
+        assert await site.instances.pop(owner).wait() == 0
+        del site.callers[owner]
+        await site.wait_for("completed", *jobs)
+        tasks = [task for task, _ in site.list_starts()]
+        assert sorted(tasks) == sorted(set(tasks))
+
+    run_site(tmp_path, scenario)
+
+
+def test_work_goes_on_while_the_store_is_down(tmp_path):
+    async def scenario(site):
+        (first, second) = make_jobs(2)
+        await site.submit(first, seconds=1.0, count=2)
+        await site.wait(site.has_started(2))
+        site.store.down = True
+        await site.wait(site.is_idle)
+        site.store.down = False
+        await site.submit(second, seconds=0.2)
+        await site.wait_for("completed", first, second)
+        assert len(site.list_starts()) == 3
+
+    run_site(tmp_path, scenario)
+
+
+def test_answers_of_the_store_that_are_lost_change_nothing(tmp_path):
+    async def scenario(site):
+        jobs = make_jobs(4)
+        for job in jobs:
+            site.store.lose = 1
+            await site.submit(job, seconds=0.3, count=2)
+        await site.wait_for("completed", *jobs)
+        assert len(site.list_starts()) == 8
+
+    run_site(tmp_path, scenario)
+
+
+def test_a_lasting_task_moves_off_a_silent_worker_and_is_cancelled(tmp_path):
+    async def scenario(site):
+        (job,) = make_jobs(1)
+        await site.submit(job, seconds=0, longRunning=True)
+        await site.wait_for("running", job)
+
+        async def runs():
+            return sum(len(worker.runs) for worker in site.workers) == 1
+
+        await site.wait(runs)
+        worker = next(worker for worker in site.workers if worker.runs)
+        worker.silent = True
+        others = [other for other in site.workers if other is not worker]
+
+        async def moved():
+            return any(other.runs for other in others)
+
+        await site.wait(moved, limit=15)
+        assert worker.runs == {}
+        assert (await site.call("DELETE", job)).status == 200
+
+        async def gone():
+            return not any(other.runs for other in others)
+
+        await site.wait(gone)
+        assert await site.read_state(job) == "cancelled"
+
+    run_site(tmp_path, scenario)
