Ask for advice where a queue needs it; count failures by gang; due times by occurrence

Cause: unseen deployments may send queues whose starts need tickets, gangs and recurring jobs; a start without a ticket would have been tried for ever. Change: one call at a time on the 30 workers with most room, tickets kept by step.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -41,6 +41,7 @@
 RENEWAL_PAUSE_SECONDS = Seconds(0.3)
 FLUSH_WAIT_SECONDS = Seconds(0.25)
 FROZEN_SECONDS = Seconds(0.7)
+ADVICE_PAUSE_SECONDS = Seconds(0.1)
 FORGET_SECONDS = Seconds(5.0)
 KEEP_SECONDS = Seconds(300.0)
 LOAD_SECONDS = Seconds(2.0)
@@ -117,6 +118,7 @@
             self._flush,
             self._decide,
             self._forget_jobs,
+            self._ask_advice,
         ):
             self._spawn(loop(cell))
 
@@ -325,6 +327,18 @@
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
         return False
 
+    async def _ask_advice(self, cell: Cell) -> None:
+        """Ask for advice on one step after the other, as the service wants it."""
+        while self.cell is cell:
+            due = cell.find_advice_request(now=read_monotonic(), wall=read_wall())
+            if due is None:
+                await asyncio.sleep(ADVICE_PAUSE_SECONDS)
+                continue
+            step, request = due
+            answer = await self.calls.advise(request)
+            cell.take_advice(step, request, answer, now=read_monotonic())
+            self.wake()
+
     async def _forget_jobs(self, cell: Cell) -> None:
         """Delete the records of jobs that finished long ago."""
         retention = Retention(KEEP_SECONDS)
--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -27,23 +27,27 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at = run.moved_at = now
             run.retry_at = float("inf")
-        case OrderOutcome.UNKNOWN:
+        case OrderOutcome.UNKNOWN | OrderOutcome.FENCED:
+            cell.fenced = cell.fenced or answer.outcome is OrderOutcome.FENCED
             retry_later(run, now=now)
         case OrderOutcome.NOT_SENT if run.tries > 1:
             retry_later(run, now=now)
-        case OrderOutcome.FENCED:
-            cell.fenced = True
-            retry_later(run, now=now)
-        case OrderOutcome.OTHER_LIFE:
-            lose_touch(cell, run.worker, now=now)
-            release_run(cell, run, now=now)
         case _:
-            logger.info(
-                "start refused",
-                extra=describe_run(run) | {"cause": answer.outcome.value},
-            )
-            health.note_refusal(run.worker, answer.outcome, now=now)
-            release_run(cell, run, now=now)
+            _take_refusal(cell, run, answer.outcome, now=now)
+
+
+def _take_refusal(
+    cell: CellTables, run: Run, outcome: OrderOutcome, *, now: float
+) -> None:
+    """Give an attempt up that surely won't start; its task waits again."""
+    logger.info("start refused", extra=describe_run(run) | {"cause": outcome.value})
+    if outcome is OrderOutcome.OTHER_LIFE:
+        lose_touch(cell, run.worker, now=now)
+    elif outcome is OrderOutcome.NO_TICKET:
+        run.task.step.tickets.pop(run.worker.name, None)
+    else:
+        health.note_refusal(run.worker, outcome, now=now)
+    release_run(cell, run, now=now)
 
 
 def take_stop_answer(
--- a/plantainhinge/dispatch/book.py
+++ b/plantainhinge/dispatch/book.py
@@ -87,6 +87,7 @@
     steps = []
     for index, spec in enumerate(job.record.spec.steps):
         step = StepRun(job, number, index, spec, left=spec.count)
+        step.due = _find_due(job, number)
         step.tasks = [
             Task(TaskKey(job.job, number, index, position), step)
             for position in range(spec.count)
@@ -97,6 +98,15 @@
     return steps
 
 
+def _find_due(job: JobRun, number: int) -> float:
+    """Return when an occurrence should be done, in seconds since the Unix epoch."""
+    recurrence = job.record.spec.recurrence
+    if recurrence is None:
+        return job.due
+    allowed = job.due - job.record.accepted_at
+    return recurrence.first + number * recurrence.interval + allowed
+
+
 def _restore(steps: list[StepRun], occurrence: OccurrenceProgress) -> None:
     for step, progress in zip(steps, occurrence.steps, strict=False):
         for index in unpack_bits(progress.done):
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -10,6 +10,8 @@
 from ..core.ids import JobId, Seconds, WorkerId
 from ..fleet.handover import Handover
 from ..fleet.model import (
+    Advice,
+    AdviceRequest,
     OrderAnswer,
     OrderOutcome,
     Renewal,
@@ -19,6 +21,7 @@
 from ..jobs.model import FINAL_JOB_STATES, JobRecord, JobState
 from ..jobs.records import Progress
 from . import (
+    advice,
     answers,
     assignment,
     book,
@@ -185,3 +188,25 @@
     def take_over(self, handover: Handover, *, now: float) -> None:
         """Take in what the last owner left."""
         handovers.take_over(self, handover, now=now)
+
+    def find_advice_request(
+        self, *, now: float, wall: Seconds
+    ) -> tuple[StepRun, AdviceRequest] | None:
+        """Return the most urgent step that needs advice, and what to ask."""
+        workers = [
+            worker
+            for worker in self.workers.values()
+            if worker.entry.domain not in self.closed_domains
+        ]
+        return advice.find_request(self.list_waiting(), workers, now=now, wall=wall)
+
+    def take_advice(
+        self,
+        step: StepRun,
+        request: AdviceRequest,
+        answer: Advice | None,
+        *,
+        now: float,
+    ) -> None:
+        """Enter the tickets that came."""
+        advice.take_advice(step, request, answer, now=now)
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -26,6 +26,7 @@
         checkpoint=run.task.checkpoint,
         epoch=cell.epoch,
         lease_end=grant_lease(run.worker, cell.terms, now=now),
+        ticket=run.task.step.tickets.get(run.worker.name, ("", 0.0))[0],
     )
     cell.commands.append(Start(run, order))
 
--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -43,7 +43,7 @@
     for worker in workers:
         if not has_room(step, needs, worker) or worker.name in task.avoid:
             continue
-        if not may_run(step, worker):
+        if not may_run(step, worker) or not holds_ticket(step, worker, now=now):
             continue
         value = score(step, worker, pairs, now)
         if step.spec.rack and step.spec.rack == worker.rack:
@@ -67,6 +67,13 @@
     )
 
 
+def holds_ticket(step: StepRun, worker: Worker, *, now: float) -> bool:
+    """Return whether a start there carries a ticket, if the queue asks for one."""
+    if not step.job.record.policy.advised:
+        return True
+    return now < step.tickets.get(worker.name, ("", 0.0))[1]
+
+
 def may_run(step: StepRun, worker: Worker) -> bool:
     """Return whether the step's own conditions allow one more task there."""
     spec = step.spec
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -42,19 +42,19 @@
     if step.spec.lasting:
         return (priority, Urgency.LASTING, job.record.accepted_at)
     remaining = estimate_remaining(job, step.occurrence)
-    if job.state is JobState.RUNNING and wall + remaining <= job.due:
-        return (priority, Urgency.BEGUN, job.due)
-    if wall + FIRST_START_MARGIN * remaining <= job.due:
-        return (priority, Urgency.IN_TIME, job.due)
-    if is_overdue(job, wall=wall):
+    if job.state is JobState.RUNNING and wall + remaining <= step.due:
+        return (priority, Urgency.BEGUN, step.due)
+    if wall + FIRST_START_MARGIN * remaining <= step.due:
+        return (priority, Urgency.IN_TIME, step.due)
+    if is_overdue(step, wall=wall):
         return (priority, Urgency.OVERDUE, job.record.accepted_at)
     return (priority, Urgency.LATE, remaining)
 
 
-def is_overdue(job: JobRun, *, wall: Seconds) -> bool:
-    """Return whether the job is so late that others gain more from the room."""
-    allowed = job.due - job.record.accepted_at
-    return wall - job.record.accepted_at > OVERDUE_FACTOR * allowed
+def is_overdue(step: StepRun, *, wall: Seconds) -> bool:
+    """Return whether a step is so late that others gain more from the room."""
+    allowed = step.job.due - step.job.record.accepted_at
+    return wall - step.due > (OVERDUE_FACTOR - 1) * allowed
 
 
 def estimate_remaining(job: JobRun, occurrence: int) -> Seconds:
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -84,6 +84,12 @@
         Tasks that are bound to no worker.
     left : int
         Tasks that aren't done.
+    due : float
+        Seconds since the Unix epoch by which its occurrence should be done.
+    tickets : dict
+        Ticket and its last moment by worker, for queues that need them.
+    asked, asked_at
+        Workers that advice was asked on, and when it was last asked.
     """
 
     job: "JobRun"
@@ -94,7 +100,10 @@
     waiting: list[Task] = field(default_factory=list)
     left: int = 0
     per_worker: dict[WorkerId, int] = field(default_factory=dict)
-    tickets: dict[tuple[WorkerId, int], tuple[str, float]] = field(default_factory=dict)
+    due: float = 0.0
+    tickets: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
+    asked: set[WorkerId] = field(default_factory=set)
+    asked_at: float = float("-inf")
 
     @property
     def ready(self) -> bool:
@@ -204,12 +213,16 @@
         """Return what isn't committed; fills take no processors."""
         return self.entry.capacity - self.committed
 
+    @property
+    def room_now(self) -> int:
+        """Return the thousandths of a core that are free for ordinary tasks."""
+        return self.entry.capacity.millicores - self.committed.millicores
+
     @property
     def spare_millicores(self) -> int:
         """Return the processors left over for tasks that fill, less their demand."""
         unused = int(self.serving * (1 - SERVING_USE))
-        free = self.entry.capacity.millicores - self.committed.millicores
-        return free + unused - self.filling
+        return self.room_now + unused - self.filling
 
     def accepts(self, now: float) -> bool:
         """Return whether it may be given new work at all."""
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -11,6 +11,9 @@
 
 logger = logging.getLogger(__name__)
 
+# the task of a gang that counts the failures of all its members
+GANG_POSITION = 0
+
 
 def start_task(
     cell: CellTables, task: Task, worker: Worker, attempt: int, *, now: float
@@ -54,13 +57,14 @@
     """Count an attempt that failed; the last one that is allowed fails the job."""
     job = task.step.job
     task.avoid.add(worker.name)
-    if attempt in task.failed:
+    counted = task.step.tasks[GANG_POSITION] if task.step.spec.gang else task
+    if attempt in counted.failed:
         return
     cell.dirty[job.job] = job
     if task.step.spec.lasting:
         return
-    task.failed.add(attempt)
-    if len(task.failed) >= job.record.policy.attempts:
+    counted.failed.add(attempt)
+    if len(counted.failed) >= job.record.policy.attempts:
         end_job(cell, job, JobState.FAILED, now=now)
 
 
--- a/plantainhinge/fleet/model.py
+++ b/plantainhinge/fleet/model.py
@@ -186,3 +186,31 @@
     acknowledged: int
     wait: Seconds
     lease_end: Seconds | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdviceRequest:
+    """Ask which of some workers may run a step.
+
+    Parameters
+    ----------
+    task : TaskKey
+        Any task of the step.
+    """
+
+    task: TaskKey
+    workers: tuple[WorkerId, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Advice:
+    """Workers that may run a step, each with the ticket that its starts carry.
+
+    Parameters
+    ----------
+    valid : float
+        Seconds for which the tickets hold.
+    """
+
+    tickets: tuple[tuple[WorkerId, str], ...]
+    valid: Seconds
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -6,6 +6,8 @@
 
 from ..core.ids import Epoch, InstanceId, Seconds
 from .model import (
+    Advice,
+    AdviceRequest,
     OrderAnswer,
     PaceOrder,
     Renewal,
@@ -135,6 +137,10 @@
         """Renew the leases of a worker and return its lists."""
         ...
 
+    async def advise(self, request: AdviceRequest) -> Advice | None:
+        """Ask which workers may run a step; None if there was no answer."""
+        ...
+
     def forget(self, entry: WorkerEntry) -> None:
         """Drop the connections to a worker that left."""
         ...
--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -9,8 +9,6 @@
 from ..core.ids import JobId, QueueName, Seconds, ServiceId
 from ..core.resources import Resources
 
-GANG_INDEX = 0
-
 
 class JobState(Enum):
     """Where a job stands, as its caller is told."""
--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -68,7 +68,7 @@
             ),
         ),
         log=store,
-        calls=Workers(lease_max),
+        calls=Workers(lease_max, settings.advice_address),
         operator=OperatorView(store, OPERATOR_TOPIC, decode_operator_record),
         workers=WorkerView(store, WORKER_TOPIC, decode_entry),
     )
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -19,6 +19,8 @@
     ----------
     callers_address, ready_address, metrics_address, log_address : str
         ``host:port`` for callers, for probes, for metrics and of the store.
+    advice_address : str
+        The same of the service that advises on workers; empty without one.
     lease_seconds_max : float
         Longest lease that workers grant.
     member_seconds : float
@@ -31,6 +33,7 @@
     ready_address: Address
     metrics_address: Address
     log_address: Address
+    advice_address: str = ""
     lease_seconds_max: PositiveSeconds
     member_seconds: PositiveSeconds
 
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -11,6 +11,8 @@
 from ..core.ids import Attempt, DomainId, JobId, Seconds, ServiceId, WorkerId
 from ..core.resources import Resources
 from ..fleet.model import (
+    Advice,
+    AdviceRequest,
     EndCause,
     EndedRow,
     OrderAnswer,
@@ -32,6 +34,7 @@
 CONFLICT = 409
 OTHER_LIFE = 421
 BAD_REQUEST = 400
+ADVICE_SECONDS = Seconds(3.0)
 ORDER_SECONDS = Seconds(0.5)
 RENEWAL_SECONDS = Seconds(0.7)
 CONNECTIONS_MAX = 6
@@ -79,6 +82,11 @@
     born: int = 0
 
 
+class _Advice(msgspec.Struct):
+    good: list[tuple[str, str]]  # rows of worker and ticket
+    validity: float = msgspec.field(name="validityMs")
+
+
 def decode_entry(key: str, value: bytes) -> WorkerEntry | None:
     """Return a worker's entry, or None if it can't be used.
 
@@ -122,9 +130,12 @@
     ----------
     lease_max : float
         Longest lease in seconds that a worker grants.
+    advice_address : str
+        ``host:port`` of the service that knows which workers may run a step.
     """
 
     lease_max: Seconds
+    advice_address: str = ""
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
     async def start(self, entry: WorkerEntry, order: StartOrder) -> OrderAnswer:
@@ -189,12 +200,42 @@
             )
             return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
 
+    async def advise(self, request: AdviceRequest) -> Advice | None:
+        """Ask which workers may run a step; None if there was no answer."""
+        step = format_task(request.task).rpartition(".")[0]
+        call = HttpCall(
+            method="POST",
+            path="/-/advise",
+            body=msgspec.json.encode({"step": step, "workers": request.workers}),
+            headers=(("Content-Type", "application/json"),),
+        )
+        client = self._find_client(self.advice_address)
+        try:
+            answer = await client.call(call, timeout=ADVICE_SECONDS)
+            if answer.status != OK:
+                logger.info(
+                    "advice refused", extra={"step": step, "status": answer.status}
+                )
+                return None
+            advice = msgspec.json.decode(answer.body, type=_Advice)
+        except (PlantainhingeError, msgspec.MsgspecError) as error:
+            logger.info("advice failed", extra={"step": step, "cause": str(error)})
+            return None
+        rows = tuple((WorkerId(worker), ticket) for worker, ticket in advice.good)
+        return Advice(tickets=rows, valid=Seconds(advice.validity / 1000))
+
     def forget(self, entry: WorkerEntry) -> None:
         """Drop the connections to a worker that left."""
         client = self._clients.pop(entry.address, None)
         if client is not None:
             client.close()
 
+    def _find_client(self, address: str) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = HttpClient(address, CONNECTIONS_MAX)
+        return client
+
     async def _order(
         self, entry: WorkerEntry, path: str, body: dict[str, Any]
     ) -> OrderAnswer:
@@ -204,10 +245,7 @@
     async def _call(
         self, entry: WorkerEntry, path: str, body: dict[str, Any], timeout: Seconds
     ) -> HttpAnswer | OrderAnswer:
-        client = self._clients.get(entry.address)
-        if client is None:
-            client = HttpClient(entry.address, CONNECTIONS_MAX)
-            self._clients[entry.address] = client
+        client = self._find_client(entry.address)
         call = HttpCall(
             method="POST",
             path=path,
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,75 @@
+"""Queues that need advice: who is asked on what, and what starts carry."""
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import Advice
+from plantainhinge.jobs.model import Step
+
+from .cell_site import ModelSite, make_entry, make_job, make_policy
+
+ADVISED = make_policy(advised=True)
+
+
+def make_site(*, jobs=1, count=2):
+    site = ModelSite(*[make_entry(f"w{index}") for index in range(40)])
+    site.run(0.2)
+    step = Step(count=count, request=Resources(1000, 100), estimate=1.0)
+    for index in range(jobs):
+        site.submit(make_job(f"j{index}", step, policy=ADVISED, accepted_at=index))
+    return site
+
+
+def ask(site, *good, valid=3.0):
+    step, request = site.cell.find_advice_request(now=site.now, wall=site.now)
+    tickets = tuple((worker, f"ticket-{worker}") for worker in good)
+    advice = Advice(tickets=tickets, valid=valid)
+    site.cell.take_advice(step, request, advice, now=site.now)
+    return request
+
+
+def test_nothing_starts_without_a_ticket():
+    site = make_site()
+    site.run(1)
+    assert site.count_starts() == 0
+
+
+def test_a_call_names_few_workers_and_serves_the_whole_step():
+    site = make_site()
+    request = ask(site, "w3")
+    assert len(request.workers) == 30
+    site.run(0.2)
+    assert {worker for worker, _, _ in site.list_running()} == {"w3"}
+    assert site.count_starts() == 2
+    assert site.cell.find_advice_request(now=site.now, wall=site.now) is None
+
+
+def test_a_start_carries_its_ticket():
+    site = make_site(count=1)
+    ask(site, "w3")
+    site.cell.decide(now=site.now, wall=site.now)
+    (start,) = site.cell.take_commands()
+    assert start.order.ticket == "ticket-w3"
+
+
+def test_workers_that_were_not_asked_on_come_first_the_next_time():
+    site = make_site()
+    first = ask(site)
+    site.run(1.1)
+    second = ask(site, "w5")
+    assert set(second.workers) - set(first.workers)
+
+
+def test_tickets_run_out():
+    site = make_site()
+    step = Step(count=1, request=Resources(1000, 100), estimate=1.0)
+    ask(site, "w3", valid=1.0)
+    site.run(1.5)
+    assert site.count_starts() == 2
+    site.submit(make_job("later", step, policy=ADVISED))
+    site.run(0.5)
+    assert site.count_starts() == 2
+
+
+def test_the_most_urgent_step_is_asked_on_first():
+    site = make_site(jobs=3)
+    assert ask(site).task.job == "j0"
+    assert ask(site).task.job == "j1"
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -4,8 +4,9 @@
 import pytest
 
 from plantainhinge.core.resources import Resources
+from plantainhinge.dispatch.book import open_job
 from plantainhinge.fleet.model import EndCause, EndedRow, WorkerState
-from plantainhinge.jobs.model import Step
+from plantainhinge.jobs.model import JobSpec, Recurrence, Step
 
 from .cell_site import LEASE_BOUND, ModelSite, make_entry, make_job, make_policy
 
@@ -319,3 +320,43 @@
     site.take_over([job])
     site.run(20)
     assert site.count_starts() == 3
+
+
+def test_a_gang_fails_after_its_attempts_whichever_member_fails():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(count=2, gang=True), policy=make_policy(attempts=2))
+    site.submit(job)
+    for position in (0, 1):
+        site.run_until(lambda: len(site.list_running()) == 2)
+        for worker in site.workers.values():
+            for key in list(worker.runs):
+                failed = key[0].position == position
+                worker._end(key, EndCause.FAILED if failed else EndCause.BROKEN)
+    site.run(0.5)
+    assert site.state_of("j") == "failed"
+    assert site.count_starts() == 4
+
+
+def test_an_occurrence_is_due_by_its_own_time():
+    spec = JobSpec(
+        payload="work", steps=(make_step(),), recurrence=Recurrence(3, 5.0, 10.0)
+    )
+    record = msgspec.structs.replace(make_job("j"), spec=spec)
+    job = open_job(record, None, wall=30.0)
+    assert [steps[0].due for steps in job.occurrences.values()] == [7.25, 17.25, 27.25]
+
+
+def test_occurrences_run_at_their_times_and_may_overlap():
+    site = ModelSite(make_entry("w1"))
+    spec = JobSpec(
+        payload="work",
+        steps=(make_step(estimate=2.0),),
+        recurrence=Recurrence(3, 1.0, 1.0),
+    )
+    site.submit(msgspec.structs.replace(make_job("j"), spec=spec))
+    site.run(0.9)
+    assert site.count_starts() == 0
+    site.run(1.3)
+    assert len(site.list_running()) == 2
+    site.run_until(lambda: site.state_of("j") == "completed", limit=10)
+    assert site.count_starts() == 3
