--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -16,6 +16,8 @@
 
 NEAR_DATA_BONUS = 1e6
 FILL_SHARE_MIN = 0.7
+# share of each worker that new lasting tasks leave free for work that comes and goes
+HEADROOM_SHARE = 0.10
 # spare processors that are worth as much as one unit of pressure
 HARM_MILLICORES = 60000.0
 # room that is worth as much as an image more, or the same image, on a worker
@@ -56,6 +58,10 @@
 def has_room(step: StepRun, needs: Resources, worker: Worker) -> bool:
     """Return whether one more task of a step fits on a worker."""
     capacity, committed = worker.entry.capacity, worker.committed
+    if step.spec.lasting and not is_restart(step):
+        kept = capacity.millicores * HEADROOM_SHARE
+        if needs.millicores + kept > worker.room_now:
+            return False
     if step.spec.fills:
         least = FILL_SHARE_MIN * step.spec.request.millicores
         if worker.spare_millicores < least:
@@ -74,6 +80,11 @@
     return now < step.tickets.get(worker.name, ("", 0.0))[1]
 
 
+def is_restart(step: StepRun) -> bool:
+    """Return whether a step's waiting tasks have run before."""
+    return any(task.attempt for task in step.waiting)
+
+
 def may_run(step: StepRun, worker: Worker) -> bool:
     """Return whether the step's own conditions allow one more task there."""
     spec = step.spec
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -81,11 +81,15 @@
 
 @dataclass
 class ModelWorker:
-    """Runs what it is told, under a lease; remembers every start."""
+    """Runs what it is told, under a lease; remembers every start and stop.
+
+    One that is silent gets nothing, one that is mute acts and doesn't answer.
+    """
 
     entry: WorkerEntry
     now: float = 0.0
     silent: bool = False
+    mute: bool = False
     lose_answers: int = 0
     fails: bool = False
     fence: int = 0
@@ -93,6 +97,7 @@
     runs: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
     started: list = field(default_factory=list)
+    stopped: list = field(default_factory=list)
     numbers: object = None
     tail: object = None
 
@@ -117,12 +122,13 @@
                 self.now,
                 bool(step.target_seconds),
             )
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if self.mute or self.lose_answers:
+            self.lose_answers = max(0, self.lose_answers - 1)
             return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
         return OrderAnswer(outcome=OrderOutcome.ACCEPTED)
 
     def stop(self, order):
+        self.stopped.append((order.task, order.attempt))
         if self.silent:
             return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
         if (order.task, order.attempt) in self.runs:
@@ -143,6 +149,8 @@
         if renewal.lease_end is not None:
             self.lease_end = max(self.lease_end, renewal.lease_end)
         self.ended = [row for row in self.ended if row.number > renewal.acknowledged]
+        if self.mute:
+            return None
         return self.report()
 
     def report(self):
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -73,17 +73,19 @@
 
 def test_a_flush_whose_answer_was_lost_is_logged_once():
     async def scenario():
-        log = MemoryKeyedLog()
-        runner = make_runner(log)
+        log, lost = MemoryKeyedLog(), []
+        runner = make_runner(log, lost)
         await accept(log, make_job("a"))
         await runner.own(Epoch(1))
         log.fail = ["lose", "refuse"]
         cancel(runner, "a")
         await runner.finish()
         runner.disown("test")
-        return log.topics[PROGRESS_TOPIC]
+        return log.topics[PROGRESS_TOPIC], lost
 
-    assert len(asyncio.run(scenario())) == 1
+    records, lost = asyncio.run(scenario())
+    assert len(records) == 1
+    assert lost == []
 
 
 def test_an_owner_that_was_replaced_writes_nothing_and_says_so():
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -360,3 +360,60 @@
     assert len(site.list_running()) == 2
     site.run_until(lambda: site.state_of("j") == "completed", limit=10)
     assert site.count_starts() == 3
+
+
+def test_a_start_without_an_answer_stays_bound_to_its_worker():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.run(0.2)
+    for worker in site.workers.values():
+        worker.mute = True
+    site.submit(make_job("j", make_step(estimate=9.0)))
+    site.cell.decide(now=site.now, wall=site.now)
+    for command in site.cell.take_commands():
+        site._deliver(command)
+    (first,) = (worker for worker in site.workers.values() if worker.started)
+    for worker in site.workers.values():
+        worker.mute = worker is first
+    site.run(3)
+    assert site.count_starts() == 1
+    first.mute = False
+    site.run(1)
+    assert site.count_starts() == 1
+
+
+def test_a_start_on_its_way_to_an_earlier_life_is_barred():
+    site = ModelSite(make_entry("w1"))
+    site.run(0.2)
+    site.submit(make_job("j", make_step(estimate=9.0)))
+    site.cell.decide(now=site.now, wall=site.now)
+    ((order, _),) = [(c.order, c) for c in site.cell.take_commands()]
+    worker = site.workers["w1"]
+    worker.entry = msgspec.structs.replace(worker.entry, born=2)
+    worker.now, worker.fence = 0.0, 0
+    site.see()
+    site.run(0.1)
+    assert (order.task, order.attempt) in worker.stopped
+
+
+def test_new_lasting_tasks_leave_room_for_work_that_comes_and_goes():
+    site = ModelSite(make_entry("w1", cores=10), make_entry("w2", cores=10))
+    step = make_step(count=20, lasting=True)
+    site.submit(make_job("watch", step))
+    site.run(0.5)
+    assert [len(worker.runs) for worker in site.workers.values()] == [9, 9]
+    site.submit(make_job("lookup", make_step(count=2)))
+    site.run(0.2)
+    assert site.count_starts() == 20
+
+
+def test_a_lasting_task_that_ran_before_may_use_all_room():
+    site = ModelSite(make_entry("w1", cores=10), make_entry("w2", cores=10))
+    site.submit(make_job("watch", make_step(count=18, lasting=True)))
+    site.run(0.5)
+    silent = site.workers["w2"]
+    for key in list(silent.runs):
+        silent._end(key, EndCause.FAILED)
+    silent.entry = msgspec.structs.replace(silent.entry, state=WorkerState.DRAINING)
+    site.see()
+    site.run(0.5)
+    assert len(site.workers["w1"].runs) == 10
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -162,3 +162,12 @@
         return set(view.table.rows)
 
     assert run_service(scenario) == {"a", "b"}
+
+
+def test_an_unknown_job_is_looked_for_in_the_newest_log():
+    async def scenario(log, service):
+        before = await service.find_state(JobId("a"), timeout=1.0)
+        await submit(make_service(log))
+        return before, await service.find_state(JobId("a"), timeout=1.0)
+
+    assert run_service(scenario) == (Verdict.UNKNOWN_JOB, JobState.QUEUED)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -6,7 +6,7 @@
 from plantainhinge.core.resources import Resources
 from plantainhinge.dispatch.book import open_job
 from plantainhinge.dispatch.queueing import Urgency, order_steps, rank_step
-from plantainhinge.jobs.model import Step, find_critical_path
+from plantainhinge.jobs.model import JobState, Step, find_critical_path
 
 from .cell_site import ModelSite, make_entry, make_job, make_policy
 
@@ -87,3 +87,12 @@
     for job in site.log:
         if site.state_of(job) == "completed":
             done.setdefault(job, site.now)
+
+
+def test_jobs_that_have_begun_go_before_those_that_have_not():
+    (begun, fresh) = open_steps(
+        make_job("begun", make_step(), accepted_at=1.0), make_job("fresh")
+    )
+    begun.job.state = JobState.RUNNING
+    ordered = order_steps([fresh, begun], wall=0.5)
+    assert [step.job.job for step in ordered] == ["begun", "fresh"]
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -119,18 +119,31 @@
 
 
 def test_all_work_rests_beside_a_task_that_stays_over_its_target():
-    """Just over the target, where no single neighbour seems to blame."""
+    """Just over the target beside heavy work, where a small cut seems enough."""
     site = make_site(workers=1)
     site.submit(make_job("s", make_serving(1)))
     site.run(0.5)
     site.submit(make_job("l", make_filling("light", 3, estimate=60.0)))
     site.run(1)
+    site.cell.pairs.set(KindId("front"), KindId("light"), 50.0, Seconds(site.now))
     worker = site.workers["w0"]
     worker.tail = lambda worker, run: 1.001 * TARGET if run.serving else 1.0
     site.run(2)
     assert {run.pace for run in worker.runs.values() if not run.serving} == {0}
 
 
+def test_nothing_is_placed_where_it_would_push_a_task_over_its_target():
+    site = make_site(workers=1)
+    site.submit(make_job("s", make_serving(1)))
+    site.run(0.5)
+    pressed = IDLE_TAIL / (1 - 0.70)
+    site.workers["w0"].tail = lambda worker, run: pressed if run.serving else 2.0
+    site.run(1)
+    site.submit(make_job("h", make_filling("heavy", 1)))
+    site.run(2)
+    assert site.count_starts() == 1
+
+
 def test_slowed_work_moves_to_where_it_disturbs_nobody():
     site = make_site(workers=2)
     site.submit(make_job("s", make_serving(2)))
