--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -235,7 +235,12 @@
     await_running(site, "audit-w")
     worker = see_attempts(site, "audit-w")[0].worker
     site.signal(worker, signal.SIGSTOP)
-    await_condition("it runs elsewhere", lambda: bool(see_attempts(site, "audit-w")))
+    await_condition(
+        "it runs elsewhere",
+        lambda: any(
+            attempt.worker != worker for attempt in see_attempts(site, "audit-w")
+        ),
+    )
     site.signal(worker, signal.SIGCONT)
     await_condition("it finishes", lambda: read_state(site, "audit-w") == "finished")
     attempts = see_attempts(site, "audit-w")
