Bound the volume of logs and never wait for their reader

Cause: the handler wrote to standard output from the event loop; a reader that stalls would have stopped the instance, and a flood had no bound. Change: a thread writes from a bounded queue, what doesn't fit is dropped and counted; 60 lines a second of each kind, warnings and causes of refusals always.

--- a/plantainhinge/daemons/logs.py
+++ b/plantainhinge/daemons/logs.py
@@ -1,33 +1,10 @@
 """Structured logs: one JSON object a line on standard error."""
 
 import logging
-from typing import Any
 
-from pythonjsonlogger.json import JsonFormatter
-
-from ..core.errors import PlantainhingeError
 from ..core.settings import Settings
 from ..core.states import DaemonRole
-
-FORMAT = "{asctime}{levelname}{name}{message}"
-
-
-class ErrorFormatter(JsonFormatter):
-    """Adds code, step and peer of the error that a line is about."""
-
-    def add_fields(
-        self,
-        log_data: dict[str, Any],
-        record: logging.LogRecord,
-        message_dict: dict[str, Any],
-    ) -> None:
-        """Fill in the fields of one line."""
-        super().add_fields(log_data, record, message_dict)
-        error = record.exc_info[1] if record.exc_info else None
-        if isinstance(error, PlantainhingeError):
-            log_data["code"] = error.code
-            log_data["step"] = error.step
-            log_data["peer"] = error.peer
+from .log_format import FORMAT, ErrorFormatter
 
 
 def configure_logging(settings: Settings, role: DaemonRole) -> None:
--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -1,16 +1,14 @@
 """Runs an entry instance on the users' platform."""
 
 import asyncio
-import logging
 import os
 import sys
 from pathlib import Path
 
-from pythonjsonlogger.json import JsonFormatter
-
 from ..adapters.stream_http_client import HttpClient
 from ..core.errors import PlantainhingeError
 from ..core.ids import Seconds
+from ..daemons.bounded_logs import open_bounded_logs
 from ..daemons.instance import Instance, InstanceSettings
 from ..daemons.operator_view import OperatorView
 from ..daemons.worker_view import WorkerView
@@ -26,7 +24,6 @@
 WORKER_TOPIC = "keyed.servers"
 LEASE_SECONDS = Seconds(6.0)
 LOG_CONNECTIONS = 16
-LOG_FORMAT = "{asctime}{levelname}{name}{message}"
 
 
 def main() -> int:
@@ -36,17 +33,10 @@
     except PlantainhingeError as error:
         print(error, file=sys.stderr)
         return error.exit_code
-    configure_logs(settings)
-    asyncio.run(run_instance(settings))
-    return 0
-
-
-def configure_logs(settings: PlatformSettings) -> None:
-    """Write one JSON object a line to standard output."""
-    handler = logging.StreamHandler(sys.stdout)
     identity = {"instance": settings.instance, "domain": settings.domain}
-    handler.setFormatter(JsonFormatter(LOG_FORMAT, style="{", static_fields=identity))
-    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    with open_bounded_logs(identity):
+        asyncio.run(run_instance(settings))
+    return 0
 
 
 async def run_instance(settings: PlatformSettings) -> None:
