--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -3,31 +3,31 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import Any
 
 from ..core.clock import read_monotonic, read_uptime, read_wall
-from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
+from ..core.errors import (
+    NotOwnerError,
+    PlantainhingeError,
+    RaceLostError,
+    UnavailableError,
+)
 from ..core.ids import DomainId, Epoch, JobId, Seconds
-from ..core.metrics import Counter, Level, Metrics, NoMetrics
-from ..dispatch.cell import Cell, Flush
+from ..core.metrics import Counter, Metrics, NoMetrics
+from ..dispatch.cell import Cell
 from ..dispatch.leases import LeaseTerms
-from ..dispatch.load import CellLoad, measure_load
+from ..dispatch.load import measure_load
 from ..dispatch.orders import Command, Pace, Start, Stop
 from ..dispatch.tables import Worker
-from ..fleet.handover import HANDOVER_KEY, encode_handover
 from ..fleet.model import OrderOutcome, WorkerReport
-from ..fleet.protocols import Entry, Fence, KeyedLog, WorkerCalls
+from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
-from ..jobs.records import (
-    Cancellation,
-    RecordKind,
-    encode_record,
-    form_key,
-    list_keys,
-)
+from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
-from .job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
+from .job_view import JobView
+from .load_report import report_load
+from .progress_log import ProgressLog, encode_flush
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -73,15 +73,17 @@
     metrics: Metrics = field(default_factory=NoMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
-    _sequence: int = 0
     _load_at: float = 0.0
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
     _renewing: set[str] = field(default_factory=set)
-    _appending: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _flushing: asyncio.Lock = field(default_factory=asyncio.Lock)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
     _flushed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        self.progress = ProgressLog(self.log)
+
     async def own(self, epoch: Epoch) -> None:
         """Begin to act under an epoch."""
         started = read_monotonic()
@@ -137,10 +139,9 @@
 
     async def _prepare(self, epoch: Epoch) -> None:
         """Shut earlier owners out, then read everything to its end."""
-        self._sequence = 0
         for attempt in range(START_TRIES_MAX):
             try:
-                await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+                await self.progress.begin(epoch)
                 await asyncio.gather(
                     self.view.job_tail.catch_up(),
                     self.view.progress_tail.catch_up(),
@@ -155,7 +156,9 @@
                     extra={"epoch": epoch, "try": attempt, "cause": str(error)},
                 )
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
-        await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+        raise UnavailableError(
+            f"the log could not be read in {START_TRIES_MAX} tries", step="cell.own"
+        )
 
     # Loops
 
@@ -258,27 +261,11 @@
         cell.decide(now=now, wall=read_wall())
         if now >= self._load_at:
             self._load_at = now + LOAD_SECONDS
-            self._report_load(cell, measure_load(cell, now=now))
+            report_load(self.metrics, cell.epoch, measure_load(cell, now=now))
         for command in cell.take_commands():
             self._spawn(self._send(cell, command))
         self._dirty.set()
 
-    def _report_load(self, cell: Cell, load: CellLoad) -> None:
-        logger.info("cell load", extra=asdict(load))
-        levels = self.metrics
-        levels.set(Level.EPOCH, cell.epoch)
-        levels.set(Level.OPEN_JOBS, load.jobs)
-        levels.set(Level.RUNNING_ATTEMPTS, load.attempts)
-        levels.set(Level.WAITING_TASKS, load.waiting_ordinary, kind="ordinary")
-        levels.set(Level.WAITING_TASKS, load.waiting_filling, kind="filling")
-        levels.set(Level.WAITING_TASKS, load.waiting_lasting, kind="lasting")
-        levels.set(Level.CELL_CORES, load.capacity_cores, use="capacity")
-        levels.set(Level.CELL_CORES, load.committed_cores, use="committed")
-        levels.set(Level.CELL_CORES, load.filling_use, use="filling")
-        levels.set(Level.CELL_WORKERS, load.workers, state="known")
-        levels.set(Level.CELL_WORKERS, load.in_touch, state="in-touch")
-        levels.set(Level.CELL_WORKERS, load.aside, state="set-aside")
-
     async def _flush(self, cell: Cell) -> None:
         while self.cell is cell:
             await self._dirty.wait()
@@ -287,45 +274,28 @@
             await self._flush_once(cell)
 
     async def _flush_once(self, cell: Cell) -> None:
-        """Log what is due; one append at a time, since each has a number."""
-        async with self._appending:
-            await self._flush_due(cell)
-
-    async def _flush_due(self, cell: Cell) -> None:
-        flush = cell.take_flush(now=read_monotonic())
-        if flush is None:
-            return
-        entries = _encode_flush(flush)
-        if entries and not await self._write(cell, entries):
-            return
-        for progress in flush.progress:
-            self.view.table.apply(progress)
-        cell.confirm_flush(flush)
+        """Log what is due, and let the workers forget the ends in it."""
+        async with self._flushing:
+            flush = cell.take_flush(now=read_monotonic())
+            if flush is None:
+                return
+            entries = encode_flush(flush)
+            if entries and not await self._write(cell, entries):
+                return
+            for progress in flush.progress:
+                self.view.table.apply(progress)
+            cell.confirm_flush(flush)
         self._flushed.set()
         self._flushed.clear()
 
     async def _write(self, cell: Cell, entries: list[Entry]) -> bool:
-        """Append progress, repeating it under its number while answers are lost.
-
-        The next number may carry other records only after this one was answered.
-        """
-        fence = Fence(cell.epoch, self._sequence)
-        while self.cell is cell:
-            try:
-                await self.log.append(PROGRESS_TOPIC, entries, fence=fence)
-                self._sequence += 1
-                return True
-            except NotOwnerError as error:
-                self.report_fenced(str(error))
-                return False
-            except RaceLostError as error:
-                logger.error("progress out of step", extra={"cause": str(error)})
-                self.report_fenced(str(error))
-                return False
-            except PlantainhingeError as error:
-                logger.warning("progress not logged", extra={"cause": str(error)})
-                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
-        return False
+        try:
+            return await self.progress.write(
+                entries, is_owner=lambda: self.cell is cell
+            )
+        except (NotOwnerError, RaceLostError) as error:
+            self.report_fenced(str(error))
+            return False
 
     async def _ask_advice(self, cell: Cell) -> None:
         """Ask for advice on one step after the other, as the service wants it."""
@@ -347,23 +317,19 @@
             expired = retention.select_expired(self.view.table, now=read_monotonic())
             if not expired:
                 continue
-            try:
-                await self._delete(cell, expired)
-            except PlantainhingeError as error:
-                logger.warning("records not deleted", extra={"cause": str(error)})
+            await self._delete(cell, expired)
 
     async def _delete(self, cell: Cell, jobs: list[JobId]) -> None:
-        keys = [list_keys(job) for job in jobs]
-        accepted = [
-            Entry(of_job[kind], b"")
-            for of_job in keys
-            for kind in (RecordKind.ACCEPTED, RecordKind.CANCELLED)
-        ]
-        progress = [Entry(of_job[RecordKind.PROGRESS], b"") for of_job in keys]
-        await self.log.append(JOB_TOPIC, accepted)
-        async with self._appending:
-            if not await self._write(cell, progress):
-                return
+        try:
+            done = await self.progress.delete(jobs, is_owner=lambda: self.cell is cell)
+        except (NotOwnerError, RaceLostError) as error:
+            self.report_fenced(str(error))
+            return
+        except PlantainhingeError as error:
+            logger.warning("records not deleted", extra={"cause": str(error)})
+            return
+        if not done:
+            return
         for job in jobs:
             self.view.table.forget(job)
             cell.ended.discard(job)
@@ -403,13 +369,4 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.error("loop ended by an error", exc_info=task.exception())
-
-
-def _encode_flush(flush: Flush) -> list[Entry]:
-    entries = [
-        Entry(form_key(progress), encode_record(progress))
-        for progress in flush.progress
-    ]
-    if flush.handover is not None:
-        entries.append(Entry(HANDOVER_KEY, encode_handover(flush.handover)))
-    return entries
+            self.report_fenced("a loop ended by an error")
--- /dev/null
+++ b/plantainhinge/daemons/load_report.py
@@ -0,0 +1,27 @@
+"""Tells the log and the metrics how much an owned cell carries."""
+
+import logging
+from dataclasses import asdict
+
+from ..core.ids import Epoch
+from ..core.metrics import Level, Metrics
+from ..dispatch.load import CellLoad
+
+logger = logging.getLogger(__name__)
+
+
+def report_load(metrics: Metrics, epoch: Epoch, load: CellLoad) -> None:
+    """Write one line and set the levels."""
+    logger.info("cell load", extra=asdict(load))
+    metrics.set(Level.EPOCH, epoch)
+    metrics.set(Level.OPEN_JOBS, load.jobs)
+    metrics.set(Level.RUNNING_ATTEMPTS, load.attempts)
+    metrics.set(Level.WAITING_TASKS, load.waiting_ordinary, kind="ordinary")
+    metrics.set(Level.WAITING_TASKS, load.waiting_filling, kind="filling")
+    metrics.set(Level.WAITING_TASKS, load.waiting_lasting, kind="lasting")
+    metrics.set(Level.CELL_CORES, load.capacity_cores, use="capacity")
+    metrics.set(Level.CELL_CORES, load.committed_cores, use="committed")
+    metrics.set(Level.CELL_CORES, load.filling_use, use="filling")
+    metrics.set(Level.CELL_WORKERS, load.workers, state="known")
+    metrics.set(Level.CELL_WORKERS, load.in_touch, state="in-touch")
+    metrics.set(Level.CELL_WORKERS, load.aside, state="set-aside")
--- /dev/null
+++ b/plantainhinge/daemons/progress_log.py
@@ -0,0 +1,91 @@
+"""The owner's appends of progress: fenced, numbered, one at a time."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
+from ..core.ids import Epoch, JobId, Seconds
+from ..dispatch.cell import Flush
+from ..fleet.handover import HANDOVER_KEY, encode_handover
+from ..fleet.protocols import Entry, Fence, KeyedLog
+from ..jobs.records import RecordKind, encode_record, form_key, list_keys
+from .job_view import JOB_TOPIC, PROGRESS_TOPIC
+
+logger = logging.getLogger(__name__)
+
+RETRY_SECONDS = Seconds(0.2)
+
+
+@dataclass
+class ProgressLog:
+    """Writes under one epoch after another."""
+
+    log: KeyedLog
+    _epoch: Epoch = Epoch(0)
+    _sequence: int = 0
+    _turn: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    async def begin(self, epoch: Epoch) -> None:
+        """Shut earlier owners out."""
+        self._epoch, self._sequence = epoch, 0
+        await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+
+    async def write(
+        self, entries: Sequence[Entry], *, is_owner: Callable[[], bool]
+    ) -> bool:
+        """Append entries, repeating that under one number while answers are lost.
+
+        The next number may carry other entries only after this one was answered,
+        so appends take turns.
+
+        Returns
+        -------
+        bool
+            False if ``is_owner`` said so first.
+
+        Raises
+        ------
+        NotOwnerError, RaceLostError
+            If another owner came.
+        """
+        async with self._turn:
+            fence = Fence(self._epoch, self._sequence)
+            while is_owner():
+                try:
+                    await self.log.append(PROGRESS_TOPIC, entries, fence=fence)
+                except (NotOwnerError, RaceLostError):
+                    raise
+                except PlantainhingeError as error:
+                    logger.warning("progress not logged", extra={"cause": str(error)})
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
+                self._sequence += 1
+                return True
+        return False
+
+    async def delete(
+        self, jobs: Iterable[JobId], *, is_owner: Callable[[], bool]
+    ) -> bool:
+        """Delete all records of some jobs; returns whether that was done."""
+        keys = [list_keys(job) for job in jobs]
+        accepted = [
+            Entry(of_job[kind], b"")
+            for of_job in keys
+            for kind in (RecordKind.ACCEPTED, RecordKind.CANCELLED)
+        ]
+        progress = [Entry(of_job[RecordKind.PROGRESS], b"") for of_job in keys]
+        await self.log.append(JOB_TOPIC, accepted)
+        return await self.write(progress, is_owner=is_owner)
+
+
+def encode_flush(flush: Flush) -> list[Entry]:
+    """Return the entries of a flush."""
+    entries = [
+        Entry(form_key(progress), encode_record(progress))
+        for progress in flush.progress
+    ]
+    if flush.handover is not None:
+        entries.append(Entry(HANDOVER_KEY, encode_handover(flush.handover)))
+    return entries
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..core.errors import CorruptRecordError
+from ..core.packing import unpack_record
 from .model import WorkerEntry
 
 HANDOVER_KEY = "handover"
@@ -44,7 +44,4 @@
     CorruptRecordError
         If it isn't one.
     """
-    try:
-        return msgspec.msgpack.decode(value, type=Handover)
-    except msgspec.MsgspecError as error:
-        raise CorruptRecordError(str(error), step="handover.decode") from error
+    return unpack_record(value, Handover, step="handover.decode")
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from ..core.errors import CorruptRecordError
 from ..core.ids import Epoch, InstanceId
+from ..core.packing import unpack_record
 
 OWNER_KEY = "owner"
 
@@ -43,10 +43,7 @@
     CorruptRecordError
         If it isn't one.
     """
-    try:
-        return msgspec.msgpack.decode(value, type=OwnerRecord)
-    except msgspec.MsgspecError as error:
-        raise CorruptRecordError(str(error), step="ownership.decode") from error
+    return unpack_record(value, OwnerRecord, step="ownership.decode")
 
 
 def should_take_over(
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -167,3 +167,20 @@
     calls = asyncio.run(scenario())
     assert calls.asked_at[2] - calls.asked_at[1] < 0.1
     assert calls.waits[2] == 0
+
+
+def test_an_owner_whose_loop_fails_gives_the_cell_up(monkeypatch):
+    async def scenario():
+        log, lost = MemoryKeyedLog(), []
+        runner = make_runner(log, lost)
+
+        def fail(*args, **kwargs):
+            raise RuntimeError("a fault of ours")
+
+        monkeypatch.setattr(runner, "_renew_new_workers", fail)
+        await runner.own(Epoch(1))
+        await asyncio.sleep(0.05)
+        runner.disown("test")
+        return lost
+
+    assert asyncio.run(scenario()) == ["a loop ended by an error"]
