Let the live process with most processors be the candidate for the cell

Change: the name in the group tells the processors; candidate is the largest of the members that the group lists. Tests as tables.

--- a/plantainhinge/core/ids.py
+++ b/plantainhinge/core/ids.py
@@ -26,6 +26,7 @@
 
 Seconds = NewType("Seconds", float)
 
+MemberName = NewType("MemberName", str)
 JobId = NewType("JobId", str)
 QueueName = NewType("QueueName", str)
 StepIndex = NewType("StepIndex", int)
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
 from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.protocols import KeyedLog, WorkerCalls
+from ..jobs.ownership import form_member
 from .cell_runner import CellRunner
 from .job_service import JobService
 from .job_view import JobView
@@ -40,6 +42,8 @@
     ----------
     callers_address, ready_address, metrics_address : str
         ``host:port`` for callers, for the probes of the balancer and for metrics.
+    cores : float
+        Processors at hand; the instance with most of them should own the cell.
     """
 
     instance: InstanceId
@@ -47,6 +51,7 @@
     ready_address: str
     metrics_address: str
     terms: LeaseTerms
+    cores: float = 1.0
 
 
 @dataclass
@@ -77,7 +82,9 @@
         )
         self.ownership = Ownership(
             log=self.log,
-            instance=self.settings.instance,
+            member=form_member(
+                self.settings.instance, uuid.uuid4().hex[:8], self.settings.cores
+            ),
             own=self.runner.own,
             disown=self.runner.disown,
         )
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -13,14 +12,14 @@
     RaceLostError,
     TrimmedError,
 )
-from ..core.ids import Epoch, InstanceId, Seconds
-from ..fleet.protocols import Entry, KeyedLog, Membership
+from ..core.ids import Epoch, MemberName, Seconds
+from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.ownership import (
     OWNER_KEY,
     OwnerRecord,
+    choose_candidate,
     decode_owner,
     encode_owner,
-    name_member,
     should_take_over,
 )
 
@@ -39,6 +38,8 @@
 
     Parameters
     ----------
+    member : MemberName
+        This process's name in the group.
     own : callable
         Begins to act as the owner under an epoch.
     disown : callable
@@ -48,23 +49,18 @@
     """
 
     log: KeyedLog
-    instance: InstanceId
+    member: MemberName
     own: Callable[[Epoch], Awaitable[None]]
     disown: Callable[[str], None]
-    life: str = field(default_factory=lambda: uuid.uuid4().hex[:8])
     epoch: Epoch | None = None
     contact_at: float = float("-inf")
     leaving: bool = False
     _generation: int = 0
+    _candidate: bool = False
     _checked_at: float = float("-inf")
     _position: int | None = None
     _nudged: asyncio.Event = field(default_factory=asyncio.Event)
 
-    @property
-    def member(self) -> InstanceId:
-        """Return this process's name in the group."""
-        return InstanceId(f"{self.instance}/{self.life}")
-
     async def run(self) -> None:
         """Stay in the group until cancelled."""
         while not self.leaving:
@@ -99,7 +95,7 @@
             if self.epoch is not None:
                 owner, end = await self._read_owner()
                 if self._is_mine(owner):
-                    released = OwnerRecord(self.epoch, InstanceId(""), "")
+                    released = OwnerRecord(self.epoch, MemberName(""))
                     await self._write_owner(released, end)
                 self.drop("leaving")
         except PlantainhingeError as error:
@@ -114,17 +110,16 @@
         self.disown(reason)
 
     async def _step(self) -> None:
-        membership = await self.log.join(self.member, generation=self._generation)
+        generation = await self.log.join(self.member, generation=self._generation)
         if self.contact_at == float("-inf"):
             logger.info("joined the group", extra={"member": self.member})
         self.contact_at = read_monotonic()
-        changed = membership.generation != self._generation
-        self._generation = membership.generation
-        due = self.contact_at - self._checked_at > RECHECK_SECONDS
-        nudged = self._nudged.is_set()
+        changed = generation != self._generation or self._nudged.is_set()
+        self._generation = generation
         self._nudged.clear()
-        if self.epoch is None and (changed or due or nudged):
-            await self._consider(membership)
+        due = self._candidate and self.contact_at - self._checked_at > RECHECK_SECONDS
+        if self.epoch is None and (changed or due):
+            await self._consider()
 
     async def _wait(self, seconds: float) -> None:
         try:
@@ -147,18 +142,16 @@
         if page.entries:
             self._nudged.set()
 
-    async def _consider(self, membership: Membership) -> None:
+    async def _consider(self) -> None:
         owner, end = await self._read_owner()
         members = await self.log.list_members()
-        if not should_take_over(
-            owner, me=self.member, candidate=membership.first, members=members
-        ):
+        self._candidate = choose_candidate(members) == self.member
+        if not should_take_over(owner, me=self.member, members=members):
             self._checked_at = read_monotonic()
             return
         epoch = Epoch(owner.epoch + 1 if owner is not None else 1)
-        record = OwnerRecord(epoch, self.instance, self.life)
         try:
-            await self._write_owner(record, end)
+            await self._write_owner(OwnerRecord(epoch, self.member), end)
         except RaceLostError as error:
             logger.info("claim lost", extra={"epoch": epoch, "cause": str(error)})
             return
@@ -166,8 +159,9 @@
             "cell claimed",
             extra={
                 "epoch": epoch,
-                "generation": membership.generation,
-                "previous": name_member(owner) if owner else "",
+                "generation": self._generation,
+                "previous": owner.member if owner else "",
+                "members": len(members),
             },
         )
         self.epoch = epoch
@@ -191,11 +185,7 @@
         await self.log.append(OWNER_TOPIC, [entry], expected_end=end)
 
     def _is_mine(self, owner: OwnerRecord | None) -> bool:
-        return (
-            owner is not None
-            and owner.epoch == self.epoch
-            and name_member(owner) == self.member
-        )
+        return owner == OwnerRecord(self.epoch or Epoch(0), self.member)
 
     def _note_loss(self, error: PlantainhingeError) -> None:
         logger.warning(
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..core.ids import Epoch, InstanceId, Seconds
+from ..core.ids import Epoch, MemberName, Seconds
 from .model import (
     Advice,
     AdviceRequest,
@@ -49,20 +49,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, slots=True)
-class Membership:
-    """A member's place in the group.
-
-    Parameters
-    ----------
-    first : bool
-        Whether this member is the candidate to own the cell.
-    """
-
-    generation: int
-    first: bool
-
-
 class KeyedLog(Protocol):
     """An append-only log whose newest record of each key is kept."""
 
@@ -103,15 +89,18 @@
         """Return the newest record of each key and an offset to read on from."""
         ...
 
-    async def join(self, member: InstanceId, *, generation: int) -> Membership:
-        """Join the group of instances or stay in it."""
+    async def join(self, member: MemberName, *, generation: int) -> int:
+        """Join the group or stay in it; return its generation.
+
+        It rises whenever a member comes or goes.
+        """
         ...
 
-    async def leave(self, member: InstanceId) -> None:
+    async def leave(self, member: MemberName) -> None:
         """Leave the group at once."""
         ...
 
-    async def list_members(self) -> frozenset[InstanceId]:
+    async def list_members(self) -> frozenset[MemberName]:
         """Return the members whose time hasn't run out."""
         ...
 
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -1,17 +1,19 @@
 """Who owns a cell: one instance under an epoch that only grows.
 
 The record of the owner changes by conditional append only, so of two that try at
-once one wins. The group of live instances merely says when a change is due.
+once one wins. The group of live processes merely says when a change is due, and for
+whom.
 """
 
 from collections.abc import Collection
 
 import msgspec
 
-from ..core.ids import Epoch, InstanceId
+from ..core.ids import Epoch, InstanceId, MemberName
 from ..core.packing import unpack_record
 
 OWNER_KEY = "owner"
+CENTICORES = 100
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
@@ -19,15 +21,12 @@
 
     Parameters
     ----------
-    instance : InstanceId
-        Empty after an owner gave the cell up.
-    life : str
-        Names one process of that instance.
+    member : MemberName
+        The owner's process; empty after it gave the cell up.
     """
 
     epoch: Epoch
-    instance: InstanceId
-    life: str
+    member: MemberName
 
 
 def encode_owner(record: OwnerRecord) -> bytes:
@@ -46,32 +45,42 @@
     return unpack_record(value, OwnerRecord, step="ownership.decode")
 
 
+def form_member(instance: InstanceId, life: str, cores: float) -> MemberName:
+    """Return the name of a process in the group; it tells what it can carry.
+
+    Parameters
+    ----------
+    life : str
+        Names one process of the instance.
+    """
+    return MemberName(f"{instance}/{life}/{round(cores * CENTICORES)}")
+
+
+def choose_candidate(members: Collection[MemberName]) -> MemberName | None:
+    """Return the live process that should own the cell: the one with most cores."""
+    return max(members, key=_rank_member, default=None)
+
+
 def should_take_over(
-    owner: OwnerRecord | None,
-    *,
-    me: InstanceId,
-    candidate: bool,
-    members: Collection[InstanceId],
+    owner: OwnerRecord | None, *, me: MemberName, members: Collection[MemberName]
 ) -> bool:
     """Return whether this process, which owns nothing now, should claim the cell.
 
     Parameters
     ----------
-    me : InstanceId
-        This process's name in the group. A record that names it comes from a claim
-        whose answer was lost.
-    candidate : bool
-        Whether the group names this process as the next owner.
-    members : collection of InstanceId
+    me : MemberName
+        This process. A record that names it comes from a claim whose answer was
+        lost.
+    members : collection of MemberName
         Processes that the group holds for alive.
     """
-    if owner is not None and name_member(owner) == me:
+    if owner is not None and owner.member == me:
         return True
-    if not candidate:
+    if owner is not None and owner.member and owner.member in members:
         return False
-    return owner is None or not owner.instance or name_member(owner) not in members
+    return choose_candidate(members) == me
 
 
-def name_member(owner: OwnerRecord) -> InstanceId:
-    """Return the name under which the owner's process joined the group."""
-    return InstanceId(f"{owner.instance}/{owner.life}")
+def _rank_member(member: MemberName) -> tuple[int, str]:
+    cores = member.rpartition("/")[2]
+    return (int(cores) if cores.isdigit() else 0, member)
--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -56,6 +56,7 @@
             terms=LeaseTerms(
                 length=Seconds(min(LEASE_SECONDS, lease_max)), length_max=lease_max
             ),
+            cores=settings.core_share * settings.core_speed,
         ),
         log=store,
         calls=Workers(lease_max, settings.advice_address),
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -8,7 +8,7 @@
 from ..core.errors import BadInputError
 from ..core.ids import DomainId, InstanceId
 
-PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d+$")]
 
 
@@ -25,6 +25,8 @@
         Longest lease that workers grant.
     member_seconds : float
         Shortest time after which a silent member leaves the group.
+    core_share, core_speed : float
+        Share of a processor, and how many times as fast it is as a usual one.
     """
 
     instance: InstanceId
@@ -34,8 +36,10 @@
     metrics_address: Address
     log_address: Address
     advice_address: str = ""
-    lease_seconds_max: PositiveSeconds
-    member_seconds: PositiveSeconds
+    lease_seconds_max: PositiveNumber
+    member_seconds: PositiveNumber
+    core_share: PositiveNumber = 1.0
+    core_speed: PositiveNumber = 1.0
 
 
 def read_platform_settings(path: Path) -> PlatformSettings:
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -20,8 +20,8 @@
     UnavailableError,
     UncertainError,
 )
-from ..core.ids import InstanceId, Seconds
-from ..fleet.protocols import Entry, Fence, Membership, Page
+from ..core.ids import MemberName, Seconds
+from ..fleet.protocols import Entry, Fence, Page
 
 T = TypeVar("T")
 
@@ -38,8 +38,8 @@
 }
 PRODUCER = "owner"
 GROUP = "instances"
+# enough partitions that each member holds one, since only holders are listed
 GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
-FIRST_PART = (GROUP_TOPICS[0], 0)
 JSON_HEADERS = (("Content-Type", "application/json"),)
 READ_KIB_MAX = 1024
 WRITE_SECONDS = Seconds(0.8)
@@ -71,8 +71,6 @@
 
 class _Joined(msgspec.Struct):
     generation: int
-    # rows of topic, partition and committed offset that belong to the member
-    parts: list[tuple[str, int, int]]
 
 
 class _Owners(msgspec.Struct):
@@ -149,7 +147,7 @@
                 return Page(tuple(entries), end, whole=False)
             last = page.items[-1].key
 
-    async def join(self, member: InstanceId, *, generation: int) -> Membership:
+    async def join(self, member: MemberName, *, generation: int) -> int:
         """Join the group or stay in it; see ``KeyedLog.join``."""
         body = msgspec.json.encode(
             {
@@ -162,22 +160,21 @@
         )
         answer = await self._post("/-/log-join", body, "join")
         joined = _decode(answer, _Joined, "store.join", self.client.address)
-        held = {(topic, part) for topic, part, _ in joined.parts}
-        return Membership(joined.generation, FIRST_PART in held)
+        return joined.generation
 
-    async def leave(self, member: InstanceId) -> None:
+    async def leave(self, member: MemberName) -> None:
         """Leave the group; see ``KeyedLog.leave``."""
         body = msgspec.json.encode({"group": GROUP, "memberId": member})
         await self._post("/-/log-leave", body, "leave")
 
-    async def list_members(self) -> frozenset[InstanceId]:
+    async def list_members(self) -> frozenset[MemberName]:
         """List the group; see ``KeyedLog.list_members``."""
         query = urlencode({"group": GROUP})
         call = HttpCall(method="GET", path=f"/-/log-owners?{query}")
         answer = await self.client.call(call, timeout=READ_SECONDS)
         _check(answer, "store.members", self.client.address)
         owners = _decode(answer, _Owners, "store.members", self.client.address)
-        return frozenset(InstanceId(row[2]) for row in owners.parts)
+        return frozenset(MemberName(row[2]) for row in owners.parts)
 
     async def _post(self, path: str, body: bytes, step: str) -> HttpAnswer:
         call = HttpCall(method="POST", path=path, body=body, headers=JSON_HEADERS)
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -10,7 +10,7 @@
     UnavailableError,
     UncertainError,
 )
-from plantainhinge.fleet.protocols import Membership, Page
+from plantainhinge.fleet.protocols import Page
 
 REPEATS_KNOWN = 5
 READ_POLL_SECONDS = 0.002
@@ -102,8 +102,7 @@
         if member not in self.members:
             self.generation += 1
         self.members[member] = True
-        first = next(iter(self.members)) == member
-        return Membership(self.generation, first)
+        return self.generation
 
     async def leave(self, member):
         self.members.pop(member, None)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,14 +5,15 @@
 import pytest
 
 from plantainhinge.core.errors import CorruptRecordError
-from plantainhinge.core.ids import Epoch, InstanceId
+from plantainhinge.core.ids import Epoch, InstanceId, MemberName
 from plantainhinge.daemons.ownership import OWNER_TOPIC, Ownership
-from plantainhinge.fleet.protocols import Entry, Membership
+from plantainhinge.fleet.protocols import Entry
 from plantainhinge.jobs.ownership import (
     OWNER_KEY,
     OwnerRecord,
     decode_owner,
     encode_owner,
+    form_member,
     should_take_over,
 )
 
@@ -25,7 +26,7 @@
     def __init__(self, log, name):
         self.events = []
         self.ownership = Ownership(
-            log=log, instance=InstanceId(name), own=self._own, disown=self._disown
+            log=log, member=MemberName(name), own=self._own, disown=self._disown
         )
         self.tasks = []
 
@@ -46,6 +47,17 @@
             task.cancel()
 
 
+class FixedMembers:
+    """The log as one sees it who holds all others for dead."""
+
+    def __init__(self, log, member):
+        self.read_newest, self.append = log.read_newest, log.append
+        self.member = member
+
+    async def list_members(self):
+        return frozenset({self.member})
+
+
 def read_epochs(log):
     return [decode_owner(entry.value).epoch for entry in log.topics[OWNER_TOPIC]]
 
@@ -59,7 +71,7 @@
 def run_members(scenario):
     async def run():
         log = MemoryKeyedLog()
-        members = [Member(log, name) for name in ("one", "two")]
+        members = [Member(log, name) for name in ("one/a/200", "two/b/100")]
         for member in members:
             member.start()
         try:
@@ -84,7 +96,7 @@
 
 def test_a_planned_stop_hands_the_cell_over_at_once():
     async def scenario(log, one, two):
-        await wait_for(lambda: "two/" in str(list(log.members)))
+        await wait_for(lambda: "two/b/100" in log.members)
         await asyncio.sleep(0.05)
         started = asyncio.get_running_loop().time()
         await one.ownership.leave()
@@ -99,7 +111,7 @@
 
 def test_a_silent_owner_is_replaced_under_a_higher_epoch():
     async def scenario(log, one, two):
-        await wait_for(lambda: "two/" in str(list(log.members)))
+        await wait_for(lambda: "two/b/100" in log.members)
         one.kill()
         del log.members[one.ownership.member]
         log.generation += 1
@@ -111,7 +123,7 @@
 
 def test_an_owner_that_was_replaced_finds_out_when_it_asks():
     async def scenario(log, one, two):
-        record = OwnerRecord(Epoch(7), InstanceId("other"), "life")
+        record = OwnerRecord(Epoch(7), MemberName("other"))
         log.topics[OWNER_TOPIC].append(Entry(OWNER_KEY, encode_owner(record)))
         await one.ownership.verify()
         return one.events
@@ -122,14 +134,14 @@
 def test_of_two_that_claim_at_once_one_wins():
     async def scenario():
         log = MemoryKeyedLog()
-        members = [Member(log, name) for name in ("one", "two")]
+        members = [Member(log, name) for name in ("one/a/200", "two/b/100")]
         for member in members:
             await log.join(member.ownership.member, generation=0)
         log.pause = 0.01
-        membership = Membership(2, True)
-        await asyncio.gather(
-            *(member.ownership._consider(membership) for member in members)
-        )
+        one, two = members
+        one.ownership.log = FixedMembers(log, one.ownership.member)
+        two.ownership.log = FixedMembers(log, two.ownership.member)
+        await asyncio.gather(*(member.ownership._consider() for member in members))
         return [event for member in members for event in member.events], log
 
     events, log = asyncio.run(scenario())
@@ -138,20 +150,25 @@
 
 
 @pytest.mark.parametrize(
-    ("owner", "candidate", "members", "expected"),
+    ("owner", "members", "expected"),
     [
-        (None, True, (), True),
-        (None, False, (), False),
-        (OwnerRecord(Epoch(1), InstanceId(""), ""), True, ("a/1",), True),
-        (OwnerRecord(Epoch(1), InstanceId("a"), "1"), True, ("a/1",), False),
-        (OwnerRecord(Epoch(1), InstanceId("a"), "1"), True, ("a/2",), True),
-        (OwnerRecord(Epoch(1), InstanceId("me"), "1"), False, ("me/1",), True),
+        (None, ("me/1/50", "a/1/40"), True),
+        (None, ("me/1/50", "a/1/200"), False),
+        (None, ("me/1/50", "odd"), True),
+        (OwnerRecord(Epoch(1), MemberName("")), ("me/1/50",), True),
+        (OwnerRecord(Epoch(1), MemberName("a/1/40")), ("me/1/50", "a/1/40"), False),
+        (OwnerRecord(Epoch(1), MemberName("a/1/40")), ("me/1/50", "a/2/40"), True),
+        (OwnerRecord(Epoch(1), MemberName("a/1/40")), ("me/1/50", "b/1/60"), False),
+        (OwnerRecord(Epoch(1), MemberName("me/1/50")), ("b/1/60",), True),
     ],
 )
-def test_when_an_instance_takes_over(owner, candidate, members, expected):
-    me = InstanceId("me/1")
-    decided = should_take_over(owner, me=me, candidate=candidate, members=members)
-    assert decided is expected
+def test_when_an_instance_takes_over(owner, members, expected):
+    me = MemberName("me/1/50")
+    assert should_take_over(owner, me=me, members=members) is expected
+
+
+def test_a_member_tells_what_it_can_carry():
+    assert form_member(InstanceId("i"), "life", 1.075) == "i/life/108"
 
 
 def test_an_owner_record_that_is_none_is_named():
