Hand the cell over when a much larger process joins

Cause: the first process to start claims the cell, on unequal machines often a small one. Change: on a change of the group an owner releases the cell if another process has 1.5 times its processors or more. Its first test run found an owner that handed over to itself when its name told no processors; mended, with a test.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -87,6 +87,7 @@
             ),
             own=self.runner.own,
             disown=self.runner.disown,
+            finish=self.runner.finish,
         )
         self.service = JobService(
             log=self.log,
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -20,6 +20,7 @@
     choose_candidate,
     decode_owner,
     encode_owner,
+    should_hand_over,
     should_take_over,
 )
 
@@ -44,6 +45,8 @@
         Begins to act as the owner under an epoch.
     disown : callable
         Stops acting at once.
+    finish : callable
+        Logs what is due before the cell is released.
     contact_at : float
         Monotonic seconds of the last answer of the group.
     """
@@ -52,6 +55,7 @@
     member: MemberName
     own: Callable[[Epoch], Awaitable[None]]
     disown: Callable[[str], None]
+    finish: Callable[[], Awaitable[None]]
     epoch: Epoch | None = None
     contact_at: float = float("-inf")
     leaving: bool = False
@@ -93,11 +97,7 @@
         try:
             await self.log.leave(self.member)
             if self.epoch is not None:
-                owner, end = await self._read_owner()
-                if self._is_mine(owner):
-                    released = OwnerRecord(self.epoch, MemberName(""))
-                    await self._write_owner(released, end)
-                self.drop("leaving")
+                await self._release("leaving")
         except PlantainhingeError as error:
             logger.warning("leaving failed", extra={"cause": str(error)})
 
@@ -120,6 +120,8 @@
         due = self._candidate and self.contact_at - self._checked_at > RECHECK_SECONDS
         if self.epoch is None and (changed or due):
             await self._consider()
+        elif self.epoch is not None and changed:
+            await self._hand_over()
 
     async def _wait(self, seconds: float) -> None:
         try:
@@ -170,6 +172,22 @@
         except PlantainhingeError as error:
             self.drop(f"takeover failed: {error}")
 
+    async def _hand_over(self) -> None:
+        """Release the cell if a much larger process is there."""
+        members = await self.log.list_members()
+        if not should_hand_over(self.member, members):
+            return
+        logger.info("cell handed over", extra={"to": choose_candidate(members)})
+        await self.finish()
+        await self._release("a larger process is there")
+
+    async def _release(self, reason: str) -> None:
+        owner, end = await self._read_owner()
+        if self.epoch is not None and self._is_mine(owner):
+            released = OwnerRecord(self.epoch, MemberName(""))
+            await self._write_owner(released, end)
+        self.drop(reason)
+
     async def _read_owner(self) -> tuple[OwnerRecord | None, int]:
         page = await self.log.read_newest(OWNER_TOPIC)
         for entry in page.entries:
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -14,6 +14,8 @@
 
 OWNER_KEY = "owner"
 CENTICORES = 100
+# a hand-over pauses all starts for a moment, so it must be worth that
+HAND_OVER_FACTOR = 1.5
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
@@ -81,6 +83,14 @@
     return choose_candidate(members) == me
 
 
+def should_hand_over(me: MemberName, members: Collection[MemberName]) -> bool:
+    """Return whether another live process can carry the cell much better."""
+    candidate = choose_candidate(members)
+    if candidate is None or candidate == me:
+        return False
+    return _rank_member(candidate)[0] >= HAND_OVER_FACTOR * _rank_member(me)[0]
+
+
 def _rank_member(member: MemberName) -> tuple[int, str]:
     cores = member.rpartition("/")[2]
     return (int(cores) if cores.isdigit() else 0, member)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -14,6 +14,7 @@
     decode_owner,
     encode_owner,
     form_member,
+    should_hand_over,
     should_take_over,
 )
 
@@ -26,13 +27,20 @@
     def __init__(self, log, name):
         self.events = []
         self.ownership = Ownership(
-            log=log, member=MemberName(name), own=self._own, disown=self._disown
+            log=log,
+            member=MemberName(name),
+            own=self._own,
+            disown=self._disown,
+            finish=self._finish,
         )
         self.tasks = []
 
     async def _own(self, epoch):
         self.events.append(("own", epoch))
 
+    async def _finish(self):
+        self.events.append(("finish", None))
+
     def _disown(self, reason):
         self.events.append(("disown", reason))
 
@@ -187,3 +195,34 @@
         return member.events
 
     assert asyncio.run(scenario()) == [("own", 2)]
+
+
+def test_a_much_larger_process_gets_the_cell_when_it_joins():
+    async def scenario(log, one, two):
+        await wait_for(lambda: "two/b/100" in log.members)
+        large = Member(log, "large/c/900")
+        large.start()
+        try:
+            await wait_for(lambda: large.events)
+            return one.events, two.events, large.events
+        finally:
+            large.kill()
+
+    one, two, large = run_members(scenario)
+    assert [name for name, _ in one] == ["own", "finish", "disown"]
+    assert two == []
+    assert large == [("own", 2)]
+
+
+@pytest.mark.parametrize(
+    ("other", "expected"),
+    [("a/1/140", False), ("a/1/150", True), ("a/1/20", False), ("odd", False)],
+)
+def test_when_an_owner_hands_over(other, expected):
+    me = MemberName("me/1/100")
+    assert should_hand_over(me, [me, MemberName(other)]) is expected
+
+
+def test_an_owner_never_hands_over_to_itself():
+    me = MemberName("odd")
+    assert not should_hand_over(me, [me])
