Look into a change of the group until that succeeds; begin a failed loop again

Cause: found by reading: a member that failed to read the group after a change forgot the change, and a loop that ended by an error left the instance without it. Also: the configured limit of bodies is kept, and code that nothing used is gone.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -54,7 +54,6 @@
     def __init__(self, peer: str) -> None:
         self.peer = peer
         self.closed = False
-        self.served = 0
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[HttpAnswer] | None = None
         self._parser: httptools.HttpResponseParser | None = None
--- a/plantainhinge/daemons/bounded_logs.py
+++ b/plantainhinge/daemons/bounded_logs.py
@@ -19,8 +19,6 @@
 
 QUEUE_LINES = 4096
 LINES_PER_SECOND = 60
-DROPPED = "lines dropped"
-LEFT_OUT = "lines left out"
 # outcomes whose lines are always written: they say why a caller was turned away
 KEPT_OUTCOMES = frozenset({"refused", "uncertain"})
 
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -109,11 +109,8 @@
         await probes.start()
         await HttpServer(self.settings.metrics_address, self._serve_metrics).start()
         logger.info("started", extra={"address": self.settings.callers_address})
-        tasks = [
-            loop.create_task(self._tail_operator()),
-            loop.create_task(self.ownership.run()),
-            loop.create_task(self.ownership.watch()),
-        ]
+        loops = (self._tail_operator, self.ownership.run, self.ownership.watch)
+        tasks = [loop.create_task(keep_running(work)) for work in loops]
         await self._stopping.wait()
         await self._stop(callers)
         for task in tasks:
@@ -179,5 +176,17 @@
             logger.warning("ownership not verified", extra={"cause": str(error)})
 
 
+async def keep_running(work: Callable[[], Awaitable[None]]) -> None:
+    """Run a loop to its end; one that fails is logged and begun again."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            logger.exception("loop failed", extra={"loop": work.__name__})
+            await asyncio.sleep(FAILURE_PAUSE_SECONDS)
+        else:
+            return
+
+
 def _note_reload() -> None:
     logger.info("settings signalled; all of them take effect at the next start")
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -61,6 +61,7 @@
     leaving: bool = False
     _generation: int = 0
     _candidate: bool = False
+    _change_seen: bool = False
     _checked_at: float = float("-inf")
     _position: int | None = None
     _nudged: asyncio.Event = field(default_factory=asyncio.Event)
@@ -114,14 +115,18 @@
         if self.contact_at == float("-inf"):
             logger.info("joined the group", extra={"member": self.member})
         self.contact_at = read_monotonic()
-        changed = generation != self._generation or self._nudged.is_set()
+        if generation != self._generation or self._nudged.is_set():
+            self._change_seen = False
         self._generation = generation
         self._nudged.clear()
         due = self._candidate and self.contact_at - self._checked_at > RECHECK_SECONDS
-        if self.epoch is None and (changed or due):
+        if self._change_seen and not due:
+            return
+        if self.epoch is None:
             await self._consider()
-        elif self.epoch is not None and changed:
+        else:
             await self._hand_over()
+        self._change_seen = True
 
     async def _wait(self, seconds: float) -> None:
         try:
@@ -174,6 +179,7 @@
 
     async def _hand_over(self) -> None:
         """Release the cell if a much larger process is there."""
+        self._checked_at = read_monotonic()
         members = await self.log.list_members()
         if not should_hand_over(self.member, members):
             return
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -41,8 +41,6 @@
     cell: CellTables, step: StepRun, workers: list[Worker], *, now: float
 ) -> None:
     for task in list(step.waiting):
-        if task.not_before > now:
-            continue
         worker = choose_worker(task, workers, cell.pairs, now=now)
         if worker is None and task.avoid:
             task.avoid.clear()
@@ -55,9 +53,7 @@
 def _place_gang(
     cell: CellTables, step: StepRun, workers: list[Worker], *, now: float
 ) -> None:
-    if len(step.waiting) < len(step.tasks) or any(
-        task.not_before > now for task in step.tasks
-    ):
+    if len(step.waiting) < len(step.tasks):
         return
     attempt = max(task.attempt for task in step.tasks) + 1
     for group in _group_for_gang(step, workers):
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -112,12 +112,6 @@
             if worker is not None and worker.born == born:
                 worker.acknowledged = max(worker.acknowledged, number)
 
-    def restore_flush(self, flush: Flush) -> None:
-        """Make the jobs of a flush that failed due again."""
-        self.acks_due = True
-        self.handover_at = float("-inf")
-        self.dirty = {job.job: job for job in flush.jobs} | self.dirty
-
     def prepare_renewal(self, worker: Worker, *, now: float) -> Renewal:
         """Return the next renewal for a worker."""
         at_once = not worker.in_touch or worker.seen_number > worker.acknowledged
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -97,7 +97,6 @@
     task.attempt = max(task.attempt, row.attempt)
     run = Run(task, row.attempt, worker, RunPhase.RUNNING, now, now)
     run.percent, run.gauge, run.moved_at = row.percent, row.gauge, now
-    run.inherited = True
     others = [other for other in task.runs if other.phase is not RunPhase.STOPPING]
     bind(run)
     if task in task.step.waiting:
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -56,7 +56,6 @@
     own_load: float = 0.45
     measured_at: float = float("-inf")
     over_since: float = float("inf")
-    inherited: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -70,7 +69,6 @@
     failed: set[int] = field(default_factory=set)
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
-    not_before: float = 0.0
     avoid: set[WorkerId] = field(default_factory=set)
 
 
--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -178,10 +178,3 @@
         counts = only is None or index in only
         finish.append(start + (step.estimate if counts else 0.0))
     return Seconds(max(finish, default=0.0))
-
-
-def measure_work(steps: tuple[Step, ...]) -> float:
-    """Return the estimated core-seconds of one occurrence."""
-    return sum(
-        step.count * step.estimate * step.request.millicores / 1000 for step in steps
-    )
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -87,6 +87,8 @@
             return _refuse(Verdict.REFUSED, 1)
         host = request.headers.get("host", "").partition(":")[0]
         path = request.path.partition("?")[0]
+        if len(request.body) > configuration.body_bytes_max:
+            return HttpReply(status=413)
         route = configuration.find_route(host, path)
         if route is None:
             return _refuse(Verdict.UNKNOWN_QUEUE, 1)
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -33,7 +33,6 @@
 OK = 200
 CONFLICT = 409
 OTHER_LIFE = 421
-BAD_REQUEST = 400
 ADVICE_SECONDS = Seconds(3.0)
 ORDER_SECONDS = Seconds(0.5)
 RENEWAL_SECONDS = Seconds(0.7)
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -192,6 +192,7 @@
         self.now = 0.0
         self.log_up = log_up
         self.handover = Handover()
+        self.flush = None
         self.workers = {entry.worker: ModelWorker(entry) for entry in entries}
         self.states = {}
         self.log = {}
@@ -210,6 +211,7 @@
     def take_over(self, records):
         """Replace the owner by another one that knows only the log."""
         self.cell = Cell(Epoch(self.cell.epoch + 1), TERMS, self.now)
+        self.flush = None
         self.cell.take_over(self.handover, now=self.now)
         for record in records:
             self.submit(record, inherited=True)
@@ -273,12 +275,10 @@
                 self.workers[run.worker.name].pace(order)
 
     def _flush(self):
-        flush = self.cell.take_flush(now=self.now)
-        if flush is None:
-            return
-        if not self.log_up:
-            self.cell.restore_flush(flush)
+        self.flush = self.flush or self.cell.take_flush(now=self.now)
+        if self.flush is None or not self.log_up:
             return
+        flush, self.flush = self.flush, None
         for progress in flush.progress:
             self.log[progress.job] = progress
         self.handover = flush.handover or self.handover
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantainhinge.core.errors import CorruptRecordError
+from plantainhinge.core.errors import CorruptRecordError, UnavailableError
 from plantainhinge.core.ids import Epoch, InstanceId, MemberName
 from plantainhinge.daemons.ownership import OWNER_TOPIC, Ownership
 from plantainhinge.fleet.protocols import Entry
@@ -226,3 +226,25 @@
 def test_an_owner_never_hands_over_to_itself():
     me = MemberName("odd")
     assert not should_hand_over(me, [me])
+
+
+def test_a_change_that_could_not_be_looked_into_is_looked_into_again():
+    async def scenario(log, one, two):
+        await wait_for(lambda: "two/b/100" in log.members)
+        await asyncio.sleep(0.4)
+        list_members, failures = log.list_members, [True, True]
+
+        async def fail():
+            if failures:
+                failures.pop()
+                raise UnavailableError("refused", step="log.members")
+            return await list_members()
+
+        log.list_members = fail
+        one.kill()
+        del log.members[one.ownership.member]
+        log.generation += 1
+        await wait_for(lambda: two.events)
+        return two.events
+
+    assert run_members(scenario) == [("own", 2)]
