--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -81,8 +81,11 @@
 
 
 def is_restart(step: StepRun) -> bool:
-    """Return whether a step's waiting tasks have run before."""
-    return any(task.attempt for task in step.waiting)
+    """Return whether a step's waiting tasks have run before.
+
+    Of an inherited job that isn't known for each task, so it is assumed.
+    """
+    return step.job.inherited or any(task.attempt for task in step.waiting)
 
 
 def may_run(step: StepRun, worker: Worker) -> bool:
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -417,3 +417,17 @@
     site.see()
     site.run(0.5)
     assert len(site.workers["w1"].runs) == 10
+
+
+def test_a_lasting_task_that_ran_under_an_earlier_owner_may_use_all_room():
+    site = ModelSite(make_entry("w1", cores=10), make_entry("w2", cores=10))
+    job = make_job("watch", make_step(count=18, lasting=True))
+    site.submit(job)
+    site.run(0.5)
+    lost = site.workers["w2"]
+    lost.runs.clear()
+    lost.entry = msgspec.structs.replace(lost.entry, born=2, state=WorkerState.DRAINING)
+    lost.fence, lost.now = 0, 0.0
+    site.take_over([job])
+    site.run(0.5)
+    assert len(site.workers["w1"].runs) == 10
