--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 docs: $(VENV)/.ready
 	$(PYTHON) -m tools.settings_page
+	$(PYTHON) -m tools.log_page
 
 lock: $(VENV)/.ready
 	$(VENV)/bin/pip-compile $(LOCK) --output-file requirements.txt requirements.in
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -9,6 +9,8 @@
 import httptools
 
 from ..core.ids import Seconds
+from ..core.log_events import write_event
+from ..fleet.log_events import HandlerFailed, RequestRejected
 
 logger = logging.getLogger(__name__)
 
@@ -144,7 +146,7 @@
     def _reject(self, error: Exception) -> None:
         cause = error.__context__ if error.__context__ else error
         status = cause.status if isinstance(cause, _TooLargeError) else 400
-        logger.info("request rejected", extra={"status": status, "cause": str(cause)})
+        write_event(logger, RequestRejected(status=status, cause=str(cause)))
         if self._transport is not None:
             self._transport.write(HttpReply(status=status).encode(keep=False))
             self._transport.close()
@@ -185,8 +187,8 @@
         """Return the handler's reply; an error in it is logged and becomes a 500."""
         try:
             return await self.handle(request)
-        except Exception:
-            logger.exception("handler failed", extra={"path": request.path})
+        except Exception as error:
+            write_event(logger, HandlerFailed(path=request.path), error=error)
             return HttpReply(status=500)
 
     async def drain(self, *, timeout: Seconds) -> None:
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -14,6 +14,7 @@
     UnavailableError,
 )
 from ..core.ids import DomainId, Epoch, JobId, Seconds
+from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NoMetrics
 from ..dispatch.cell import Cell
 from ..dispatch.leases import LeaseTerms
@@ -27,6 +28,17 @@
 from ..jobs.retention import Retention
 from .job_view import JobView
 from .load_report import report_load
+from .log_events import (
+    CellOwned,
+    DecisionsFailed,
+    DirectoryUnreadable,
+    JobsUnreadable,
+    LoopEnded,
+    ProcessStoodStill,
+    RecordsDeleted,
+    RecordsNotDeleted,
+    TakeoverStepFailed,
+)
 from .progress_log import ProgressLog, encode_flush
 from .worker_view import WorkerView
 
@@ -105,15 +117,13 @@
         cell.closed_domains = self.find_closed()
         self.cell = cell
         self.metrics.count(Counter.OWNERSHIPS)
-        logger.info(
-            "cell owned",
-            extra={
-                "epoch": epoch,
-                "jobs": len(cell.jobs),
-                "workers": len(cell.workers),
-                "took_s": read_monotonic() - started,
-            },
+        event = CellOwned(
+            epoch=epoch,
+            jobs=len(cell.jobs),
+            workers=len(cell.workers),
+            took_s=read_monotonic() - started,
         )
+        write_event(logger, event)
         for loop in (
             self._tail_jobs,
             self._poll_directory,
@@ -137,6 +147,12 @@
         if self.cell is not None:
             await self._flush_once(self.cell)
 
+    def change_terms(self, terms: LeaseTerms) -> None:
+        """Give leases on other terms from now on."""
+        self.terms = terms
+        if self.cell is not None:
+            self.cell.terms = terms
+
     async def _prepare(self, epoch: Epoch) -> None:
         """Shut earlier owners out, then read everything to its end."""
         for attempt in range(START_TRIES_MAX):
@@ -151,10 +167,10 @@
             except NotOwnerError:
                 raise
             except PlantainhingeError as error:
-                logger.warning(
-                    "takeover step failed",
-                    extra={"epoch": epoch, "try": attempt, "cause": str(error)},
+                event = TakeoverStepFailed(
+                    epoch=epoch, attempt=attempt, cause=str(error)
                 )
+                write_event(logger, event)
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
         raise UnavailableError(
             f"the log could not be read in {START_TRIES_MAX} tries", step="cell.own"
@@ -167,7 +183,7 @@
             try:
                 await self.view.job_tail.advance(wait=JOB_WAIT_SECONDS)
             except PlantainhingeError as error:
-                logger.warning("jobs unreadable", extra={"cause": str(error)})
+                write_event(logger, JobsUnreadable(cause=str(error)))
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
             self._take_fresh(cell)
 
@@ -193,7 +209,7 @@
                 await self.workers.tail.advance()
                 cell.see_workers(self.workers.entries.values(), now=read_monotonic())
             except PlantainhingeError as error:
-                logger.warning("directory unreadable", extra={"cause": str(error)})
+                write_event(logger, DirectoryUnreadable(cause=str(error)))
             self._renew_new_workers(cell)
             await asyncio.sleep(DIRECTORY_SECONDS)
 
@@ -245,13 +261,13 @@
             self._wake.clear()
             slept, awake_at = read_uptime() - awake_at, read_uptime()
             if slept > FROZEN_SECONDS:
-                logger.warning("process stood still", extra={"slept_s": slept})
+                write_event(logger, ProcessStoodStill(slept_s=slept))
                 await self.check_ownership()
                 continue
             try:
                 self._decide_once(cell)
-            except Exception:
-                logger.exception("decisions failed")
+            except Exception as error:
+                write_event(logger, DecisionsFailed(), error=error)
             if cell.fenced:
                 self.report_fenced("a worker has seen a higher epoch")
 
@@ -326,14 +342,14 @@
             self.report_fenced(str(error))
             return
         except PlantainhingeError as error:
-            logger.warning("records not deleted", extra={"cause": str(error)})
+            write_event(logger, RecordsNotDeleted(cause=str(error)))
             return
         if not done:
             return
         for job in jobs:
             self.view.table.forget(job)
             cell.ended.discard(job)
-        logger.info("records deleted", extra={"jobs": len(jobs)})
+        write_event(logger, RecordsDeleted(jobs=len(jobs)))
 
     async def _send(self, cell: Cell, command: Command) -> None:
         match command:
@@ -368,5 +384,5 @@
     def _end_task(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error("loop ended by an error", exc_info=task.exception())
+            write_event(logger, LoopEnded(), error=task.exception())
             self.report_fenced("a loop ended by an error")
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -6,12 +6,14 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from ..adapters.metrics_text import TextMetrics
 from ..adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
 from ..core.clock import read_monotonic
 from ..core.errors import PlantainhingeError
 from ..core.ids import InstanceId, Seconds
+from ..core.log_events import write_event
 from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.protocols import KeyedLog, WorkerCalls
@@ -19,8 +21,18 @@
 from .cell_runner import CellRunner
 from .job_service import JobService
 from .job_view import JobView
+from .log_events import (
+    LogLost,
+    LogRegained,
+    LoopFailed,
+    OwnershipNotVerified,
+    Started,
+    Stopped,
+    Stopping,
+)
 from .operator_view import OperatorView
 from .ownership import Ownership
+from .settings_watch import SettingsWatch
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -56,7 +68,13 @@
 
 @dataclass
 class Instance:
-    """The parts of one process and their life cycle."""
+    """The parts of one process and their life cycle.
+
+    Parameters
+    ----------
+    watch : SettingsWatch, optional
+        Keeps the settings current.
+    """
 
     settings: InstanceSettings
     log: KeyedLog
@@ -64,6 +82,7 @@
     operator: OperatorView
     workers: WorkerView
     metrics: TextMetrics = field(default_factory=TextMetrics)
+    watch: SettingsWatch[Any] | None = None
     draining: bool = False
     _stopping: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -102,14 +121,19 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         callers = HttpServer(self.settings.callers_address, handle)
         probes = HttpServer(self.settings.ready_address, self._probe)
         await callers.start()
         await probes.start()
         await HttpServer(self.settings.metrics_address, self._serve_metrics).start()
-        logger.info("started", extra={"address": self.settings.callers_address})
-        loops = (self._tail_operator, self.ownership.run, self.ownership.watch)
+        event = Started(
+            address=self.settings.callers_address, cores=self.settings.cores
+        )
+        write_event(logger, event)
+        loops = [self._tail_operator, self.ownership.run, self.ownership.watch]
+        if self.watch is not None:
+            loops.append(self.watch.run)
         tasks = [loop.create_task(keep_running(work)) for work in loops]
         await self._stopping.wait()
         await self._stop(callers)
@@ -118,27 +142,35 @@
 
     async def _stop(self, callers: HttpServer) -> None:
         self.draining = True
-        logger.info("stopping", extra={"owner": self.runner.cell is not None})
+        write_event(logger, Stopping(owner=self.runner.cell is not None))
         started = read_monotonic()
         await self.runner.finish()
         await self.ownership.leave()
         elapsed = read_monotonic() - started
         await asyncio.sleep(max(0.0, DRAIN_SECONDS - elapsed))
         await callers.drain(timeout=CLOSE_SECONDS)
-        logger.info("stopped", extra={"took_s": read_monotonic() - started})
+        write_event(logger, Stopped(took_s=read_monotonic() - started))
+
+    def change_terms(self, terms: LeaseTerms) -> None:
+        """Give leases on other terms from now on."""
+        self.runner.change_terms(terms)
+
+    def _reload(self) -> None:
+        if self.watch is not None:
+            self.watch.signal()
 
     async def _tail_operator(self) -> None:
-        lost = False
+        lost_at: float | None = None
         while True:
             try:
                 await self.operator.tail.advance(wait=OPERATOR_WAIT_SECONDS)
-                if lost:
-                    logger.info("log regained", extra={"topic": "operator"})
-                lost = False
+                if lost_at is not None:
+                    write_event(logger, LogRegained(lost_s=read_monotonic() - lost_at))
+                lost_at = None
             except PlantainhingeError as error:
-                if not lost:
-                    logger.warning("log lost", extra={"cause": str(error)})
-                lost = True
+                if lost_at is None:
+                    write_event(logger, LogLost(cause=str(error)))
+                    lost_at = read_monotonic()
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
 
     async def _probe(self, request: HttpRequest) -> HttpReply:
@@ -173,7 +205,7 @@
         try:
             await self.ownership.verify()
         except PlantainhingeError as error:
-            logger.warning("ownership not verified", extra={"cause": str(error)})
+            write_event(logger, OwnershipNotVerified(cause=str(error)))
 
 
 async def keep_running(work: Callable[[], Awaitable[None]]) -> None:
@@ -181,12 +213,8 @@
     while True:
         try:
             await work()
-        except Exception:
-            logger.exception("loop failed", extra={"loop": work.__name__})
+        except Exception as error:
+            write_event(logger, LoopFailed(loop=work.__name__), error=error)
             await asyncio.sleep(FAILURE_PAUSE_SECONDS)
         else:
             return
-
-
-def _note_reload() -> None:
-    logger.info("settings signalled; all of them take effect at the next start")
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -4,11 +4,11 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from ..core.clock import read_monotonic, read_wall
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import JobId, QueueName, Seconds
+from ..core.log_events import write_event
 from ..core.metrics import Counter, Distribution, Metrics, NoMetrics
 from ..fleet.operator import SchedulingConfiguration
 from ..fleet.protocols import Entry, KeyedLog
@@ -16,6 +16,16 @@
 from ..jobs.records import Cancellation, Record, encode_record, form_key
 from ..jobs.table import JobRow
 from .job_view import JOB_TOPIC, JobView
+from .log_events import (
+    AppendFailed,
+    CallAnswered,
+    CancelAnswered,
+    CountFromOldView,
+    StateAnswered,
+    StateFromOldView,
+    SubmitAnswered,
+)
+from .verdicts import Verdict
 
 logger = logging.getLogger(__name__)
 
@@ -25,17 +35,12 @@
 APPEND_TRIES_MAX = 3
 ANSWER_MARGIN_SECONDS = Seconds(0.2)
 RETRY_PAUSE_SECONDS = 0.05
-
-
-class Verdict(Enum):
-    """What a caller is told besides a state."""
-
-    DONE = "done"
-    UNKNOWN_QUEUE = "unknown-queue"
-    UNKNOWN_JOB = "unknown-job"
-    MALFORMED = "malformed"
-    REFUSED = "refused"
-    UNCERTAIN = "uncertain"
+# how metrics name the calls
+CALL_NAMES: dict[type[CallAnswered], str] = {
+    SubmitAnswered: "submit",
+    CancelAnswered: "cancel",
+    StateAnswered: "state",
+}
 
 
 @dataclass
@@ -68,36 +73,36 @@
         """Take a job; done once the log holds it."""
         started = read_monotonic()
         if self.view.table.find(job) is not None:
-            return self._tell("submit", job, Verdict.DONE, started, cause="known")
+            return self._tell(SubmitAnswered, job, Verdict.DONE, started, cause="known")
         record = JobRecord(job=job, policy=policy, spec=spec, accepted_at=read_wall())
         verdict = await self._append(record, timeout=timeout)
         if verdict is Verdict.DONE:
             self.view.table.apply(record)
-        return self._tell("submit", job, verdict, started, cause=policy.queue)
+        return self._tell(SubmitAnswered, job, verdict, started, cause=policy.queue)
 
     async def cancel(self, job: JobId, *, timeout: Seconds) -> Verdict:
         """Take a job back; done once the log holds that."""
         started = read_monotonic()
         row = await self._find(job, timeout=timeout)
         if isinstance(row, Verdict):
-            return self._tell("cancel", job, row, started, cause="not found")
+            return self._tell(CancelAnswered, job, row, started, cause="not found")
         if row.final:
             return self._tell(
-                "cancel", job, Verdict.DONE, started, cause=row.state.value
+                CancelAnswered, job, Verdict.DONE, started, cause=row.state.value
             )
         record = Cancellation(job=job)
         verdict = await self._append(record, timeout=timeout)
         if verdict is Verdict.DONE:
             self.view.table.apply(record)
-        return self._tell("cancel", job, verdict, started, cause="open")
+        return self._tell(CancelAnswered, job, verdict, started, cause="open")
 
     async def find_state(self, job: JobId, *, timeout: Seconds) -> JobState | Verdict:
         """Return a job's state as the log has it."""
         started = read_monotonic()
         row = await self._find(job, timeout=timeout)
         if isinstance(row, Verdict):
-            return self._tell("state", job, row, started, cause="not found")
-        self._measure("state", Verdict.DONE, started)
+            return self._tell(StateAnswered, job, row, started, cause="not found")
+        self._measure(CALL_NAMES[StateAnswered], Verdict.DONE, started)
         return row.state
 
     async def count_queued(self, queue: QueueName) -> int | Verdict:
@@ -106,7 +111,7 @@
         try:
             await self._refresh(since)
         except PlantainhingeError as error:
-            logger.info("count from an old view", extra={"cause": str(error)})
+            write_event(logger, CountFromOldView(cause=str(error)))
             if self.view.progress_tail.position is None:
                 return Verdict.REFUSED
         return self.view.table.count_queued(queue)
@@ -122,14 +127,12 @@
             async with asyncio.timeout(limit):
                 await self._refresh(since, jobs=row is None)
         except (PlantainhingeError, TimeoutError) as error:
-            logger.info(
-                "state from an old view",
-                extra={
-                    "job": job,
-                    "cause": str(error) or "timeout",
-                    "age_s": asked_at - self.view.progress_tail.current_at,
-                },
+            event = StateFromOldView(
+                job=job,
+                cause=str(error) or "timeout",
+                age_s=asked_at - self.view.progress_tail.current_at,
             )
+            write_event(logger, event)
             return row if row is not None else Verdict.REFUSED
         return self.view.table.find(job) or Verdict.UNKNOWN_JOB
 
@@ -165,24 +168,21 @@
         return Verdict.UNCERTAIN
 
     def _log_append_failure(self, record: Record, error: Exception) -> None:
-        logger.warning(
-            "append failed",
-            extra={"job": record.job, "cause": str(error) or "timeout"},
-        )
+        cause = str(error) or "timeout"
+        write_event(logger, AppendFailed(job=record.job, cause=cause))
 
     def _tell(
-        self, call: str, job: JobId, verdict: Verdict, started: float, *, cause: str
+        self,
+        call: type[CallAnswered],
+        job: JobId,
+        verdict: Verdict,
+        started: float,
+        *,
+        cause: str,
     ) -> Verdict:
-        self._measure(call, verdict, started)
-        logger.info(
-            call,
-            extra={
-                "job": job,
-                "outcome": verdict.value,
-                "cause": cause,
-                "took_s": round(read_monotonic() - started, 4),
-            },
-        )
+        self._measure(CALL_NAMES[call], verdict, started)
+        took = round(read_monotonic() - started, 4)
+        write_event(logger, call(job=job, outcome=verdict, cause=cause, took_s=took))
         return verdict
 
     def _measure(self, call: str, verdict: Verdict, started: float) -> None:
--- a/plantainhinge/daemons/job_view.py
+++ b/plantainhinge/daemons/job_view.py
@@ -4,10 +4,12 @@
 
 from ..core.errors import CorruptRecordError
 from ..core.ids import JobId
+from ..core.log_events import write_event
 from ..fleet.handover import HANDOVER_KEY, Handover, decode_handover
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.records import Record, decode_record
 from ..jobs.table import JobTable
+from .log_events import HandoverIgnored, RecordIgnored
 from .tail import Tail
 
 logger = logging.getLogger(__name__)
@@ -43,7 +45,7 @@
         try:
             self.handover = decode_handover(entry.value)
         except CorruptRecordError as error:
-            logger.error("handover ignored", extra={"cause": str(error)})
+            write_event(logger, HandoverIgnored(cause=str(error)))
 
     def _apply(self, entry: Entry) -> Record | None:
         if not entry.value:
@@ -52,7 +54,7 @@
         try:
             record = decode_record(entry.key, entry.value)
         except CorruptRecordError as error:
-            logger.error("record ignored", extra={"cause": str(error)})
+            write_event(logger, RecordIgnored(key=entry.key, cause=str(error)))
             return None
         self.table.apply(record)
         return record
--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -1,9 +1,9 @@
 """Tells the log and the metrics how much an owned cell carries."""
 
 import logging
-from dataclasses import asdict
 
 from ..core.ids import Epoch
+from ..core.log_events import write_event
 from ..core.metrics import Level, Metrics
 from ..dispatch.load import CellLoad
 
@@ -12,7 +12,7 @@
 
 def report_load(metrics: Metrics, epoch: Epoch, load: CellLoad) -> None:
     """Write one line and set the levels."""
-    logger.info("cell load", extra=asdict(load))
+    write_event(logger, load)
     metrics.set(Level.EPOCH, epoch)
     metrics.set(Level.OPEN_JOBS, load.jobs)
     metrics.set(Level.RUNNING_ATTEMPTS, load.attempts)
--- a/plantainhinge/daemons/operator_view.py
+++ b/plantainhinge/daemons/operator_view.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 
 from ..core.ids import DomainId
+from ..core.log_events import write_event
 from ..fleet.operator import DomainClosure, OperatorRecord, SchedulingConfiguration
 from ..fleet.protocols import Entry, KeyedLog
+from .log_events import ConfigurationInForce, DomainClosed, DomainOpened
 from .tail import Tail
 
 logger = logging.getLogger(__name__)
@@ -35,16 +37,15 @@
 
     def _apply(self, entry: Entry) -> None:
         if not entry.value:
-            if self._closures.pop(entry.key, None) is not None:
-                logger.info("failure domain opened", extra={"key": entry.key})
+            domain = self._closures.pop(entry.key, None)
+            if domain is not None:
+                write_event(logger, DomainOpened(opened_domain=domain))
             return
         record = self._decode(entry.key, entry.value)
         match record:
             case DomainClosure():
                 self._closures[entry.key] = record.domain
-                logger.info(
-                    "failure domain closed", extra={"closed_domain": record.domain}
-                )
+                write_event(logger, DomainClosed(closed_domain=record.domain))
             case SchedulingConfiguration():
                 self._take_configuration(record)
 
@@ -53,7 +54,7 @@
         if current is not None and record.revision <= current.revision:
             return
         self.configuration = record
-        logger.info(
-            "configuration in force",
-            extra={"revision": record.revision, "queues": len(record.routes)},
+        event = ConfigurationInForce(
+            revision=record.revision, queues=len(record.routes)
         )
+        write_event(logger, event)
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -13,6 +13,7 @@
     TrimmedError,
 )
 from ..core.ids import Epoch, MemberName, Seconds
+from ..core.log_events import write_event
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.ownership import (
     OWNER_KEY,
@@ -23,6 +24,17 @@
     should_hand_over,
     should_take_over,
 )
+from .log_events import (
+    CellClaimed,
+    CellGivenUp,
+    CellHandedOver,
+    ClaimLost,
+    GroupCallFailed,
+    JoinedGroup,
+    LeavingFailed,
+    OwnerUnreadable,
+    OwnerUnwatched,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -83,7 +95,7 @@
             try:
                 await self._read_on()
             except PlantainhingeError as error:
-                logger.info("owner unwatched", extra={"cause": str(error)})
+                write_event(logger, OwnerUnwatched(cause=str(error)))
                 await asyncio.sleep(JOIN_SECONDS)
 
     async def verify(self) -> None:
@@ -100,20 +112,20 @@
             if self.epoch is not None:
                 await self._release("leaving")
         except PlantainhingeError as error:
-            logger.warning("leaving failed", extra={"cause": str(error)})
+            write_event(logger, LeavingFailed(cause=str(error)))
 
     def drop(self, reason: str) -> None:
         """Stop acting for the cell at once."""
         if self.epoch is None:
             return
-        logger.info("cell given up", extra={"epoch": self.epoch, "cause": reason})
+        write_event(logger, CellGivenUp(epoch=self.epoch, cause=reason))
         self.epoch = None
         self.disown(reason)
 
     async def _step(self) -> None:
         generation = await self.log.join(self.member, generation=self._generation)
         if self.contact_at == float("-inf"):
-            logger.info("joined the group", extra={"member": self.member})
+            write_event(logger, JoinedGroup(member=self.member))
         self.contact_at = read_monotonic()
         if generation != self._generation or self._nudged.is_set():
             self._change_seen = False
@@ -160,17 +172,15 @@
         try:
             await self._write_owner(OwnerRecord(epoch, self.member), end)
         except RaceLostError as error:
-            logger.info("claim lost", extra={"epoch": epoch, "cause": str(error)})
+            write_event(logger, ClaimLost(epoch=epoch, cause=str(error)))
             return
-        logger.info(
-            "cell claimed",
-            extra={
-                "epoch": epoch,
-                "generation": self._generation,
-                "previous": owner.member if owner else "",
-                "members": len(members),
-            },
+        event = CellClaimed(
+            epoch=epoch,
+            generation=self._generation,
+            previous=owner.member if owner else MemberName(""),
+            members=len(members),
         )
+        write_event(logger, event)
         self.epoch = epoch
         try:
             await self.own(epoch)
@@ -181,9 +191,10 @@
         """Release the cell if a much larger process is there."""
         self._checked_at = read_monotonic()
         members = await self.log.list_members()
-        if not should_hand_over(self.member, members):
+        candidate = choose_candidate(members)
+        if candidate is None or not should_hand_over(self.member, members):
             return
-        logger.info("cell handed over", extra={"to": choose_candidate(members)})
+        write_event(logger, CellHandedOver(to=candidate))
         await self.finish()
         await self._release("a larger process is there")
 
@@ -201,7 +212,7 @@
                 try:
                     return decode_owner(entry.value), page.end
                 except CorruptRecordError as error:
-                    logger.error("owner unreadable", extra={"cause": str(error)})
+                    write_event(logger, OwnerUnreadable(cause=str(error)))
         return None, page.end
 
     async def _write_owner(self, record: OwnerRecord, end: int) -> None:
@@ -212,10 +223,7 @@
         return owner == OwnerRecord(self.epoch or Epoch(0), self.member)
 
     def _note_loss(self, error: PlantainhingeError) -> None:
-        logger.warning(
-            "group call failed",
-            extra={
-                "cause": str(error),
-                "silent_s": read_monotonic() - self.contact_at,
-            },
+        event = GroupCallFailed(
+            cause=str(error), silent_s=read_monotonic() - self.contact_at
         )
+        write_event(logger, event)
--- a/plantainhinge/daemons/progress_log.py
+++ b/plantainhinge/daemons/progress_log.py
@@ -7,11 +7,13 @@
 
 from ..core.errors import NotOwnerError, PlantainhingeError, RaceLostError
 from ..core.ids import Epoch, JobId, Seconds
+from ..core.log_events import write_event
 from ..dispatch.cell import Flush
 from ..fleet.handover import HANDOVER_KEY, encode_handover
 from ..fleet.protocols import Entry, Fence, KeyedLog
 from ..jobs.records import RecordKind, encode_record, form_key, list_keys
 from .job_view import JOB_TOPIC, PROGRESS_TOPIC
+from .log_events import ProgressNotLogged
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +60,7 @@
                 except (NotOwnerError, RaceLostError):
                     raise
                 except PlantainhingeError as error:
-                    logger.warning("progress not logged", extra={"cause": str(error)})
+                    write_event(logger, ProgressNotLogged(cause=str(error)))
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._sequence += 1
--- /dev/null
+++ b/plantainhinge/daemons/settings_watch.py
@@ -0,0 +1,87 @@
+"""Reads the settings file again when it changed or a signal asked for it."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+import msgspec
+
+from ..core.errors import PlantainhingeError
+from ..core.ids import Seconds
+from ..core.log_events import write_event
+from .log_events import SettingsReread, SettingsUnreadable
+
+logger = logging.getLogger(__name__)
+
+LOOK_SECONDS = Seconds(2.0)
+
+S = TypeVar("S", bound=msgspec.Struct)
+
+
+@dataclass
+class SettingsWatch(Generic[S]):
+    """The settings in force, and a loop that keeps them current.
+
+    Parameters
+    ----------
+    current : Struct
+        The settings in force.
+    read : callable
+        Returns the checked settings of the file.
+    apply : callable
+        Puts settings in force, those in ``changeable`` at least.
+    changeable : frozenset of str
+        Settings that take effect without a restart.
+    """
+
+    current: S
+    read: Callable[[], S]
+    apply: Callable[[S], None]
+    changeable: frozenset[str]
+    _signalled: asyncio.Event = field(default_factory=asyncio.Event)
+    _fault: str = ""
+
+    def signal(self) -> None:
+        """Have the file read at once."""
+        self._signalled.set()
+
+    async def run(self) -> None:
+        """Look at the file until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_SECONDS):
+                    await self._signalled.wait()
+            except TimeoutError:
+                pass
+            signalled = self._signalled.is_set()
+            self._signalled.clear()
+            self.reread(signalled=signalled)
+
+    def reread(self, *, signalled: bool) -> None:
+        """Read the file; wrong settings are logged and change nothing."""
+        try:
+            found = self.read()
+        except PlantainhingeError as error:
+            if signalled or str(error) != self._fault:
+                write_event(logger, SettingsUnreadable(cause=str(error)))
+            self._fault = str(error)
+            return
+        self._fault = ""
+        changed = tuple(
+            name
+            for name in found.__struct_fields__
+            if getattr(found, name) != getattr(self.current, name)
+        )
+        if changed:
+            self.current = found
+            self.apply(found)
+        if changed or signalled:
+            restart = tuple(name for name in changed if name not in self.changeable)
+            write_event(
+                logger,
+                SettingsReread(
+                    signalled=signalled, changed=changed, restart_needed=restart
+                ),
+            )
--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -8,7 +8,9 @@
 from ..core.clock import read_monotonic
 from ..core.errors import TrimmedError
 from ..core.ids import Seconds
+from ..core.log_events import write_event
 from ..fleet.protocols import Entry, KeyedLog, Page
+from .log_events import TopicTrimmed
 
 logger = logging.getLogger(__name__)
 
@@ -70,14 +72,10 @@
             try:
                 return await self.log.read(self.topic, start=self.position, wait=wait)
             except TrimmedError as error:
-                logger.info(
-                    "topic trimmed",
-                    extra={
-                        "topic": self.topic,
-                        "position": self.position,
-                        "first": error.first,
-                    },
+                event = TopicTrimmed(
+                    topic=self.topic, position=self.position, first=error.first
                 )
+                write_event(logger, event)
         page = await self.log.read_newest(self.topic)
         self.position = None
         self.reset()
--- /dev/null
+++ b/plantainhinge/daemons/verdicts.py
@@ -0,0 +1,14 @@
+"""What callers are told besides a state."""
+
+from enum import Enum
+
+
+class Verdict(Enum):
+    """The outcome of a caller's call."""
+
+    DONE = "done"
+    UNKNOWN_QUEUE = "unknown-queue"
+    UNKNOWN_JOB = "unknown-job"
+    MALFORMED = "malformed"
+    REFUSED = "refused"
+    UNCERTAIN = "uncertain"
--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -2,11 +2,12 @@
 
 import logging
 
+from ..core.log_events import write_event
 from ..fleet.model import OrderAnswer, OrderOutcome
 from . import health
 from .cell_tables import CellTables
-from .descriptions import describe_run
 from .lives import lose_touch
+from .log_events import StartRefused, describe_run
 from .ordering import RETRY_SECONDS_MAX, retry_later
 from .tables import Run, RunPhase
 from .tasks import release_run
@@ -40,7 +41,7 @@
     cell: CellTables, run: Run, outcome: OrderOutcome, *, now: float
 ) -> None:
     """Give an attempt up that surely won't start; its task waits again."""
-    logger.info("start refused", extra=describe_run(run) | {"cause": outcome.value})
+    write_event(logger, StartRefused(about=describe_run(run), cause=outcome))
     if outcome is OrderOutcome.OTHER_LIFE:
         lose_touch(cell, run.worker, now=now)
     elif outcome is OrderOutcome.NO_TICKET:
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -1,13 +1,19 @@
 """Gives the waiting tasks to workers, most urgent first."""
 
+import logging
+
 from ..core.ids import Attempt, Seconds, ServiceId
+from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES
 from .cell_tables import CellTables
+from .log_events import StepPlaced, StepWaits, describe_step
 from .placing import choose_worker
-from .queueing import order_steps
+from .queueing import order_steps, rank_step
 from .tables import Run, RunPhase, StepRun, Worker, bind, unbind
 from .tasks import start_task
 
+logger = logging.getLogger(__name__)
+
 
 def place_waiting(cell: CellTables, *, now: float, wall: Seconds) -> None:
     """Start what fits of the tasks that wait."""
@@ -21,9 +27,10 @@
     for step in order_steps(waiting, wall=wall):
         pool = pools.get(step.job.record.policy.service, [])
         if step.spec.gang:
-            _place_gang(cell, step, pool, now=now)
+            placed = _place_gang(cell, step, pool, now=now)
         else:
-            _place_step(cell, step, pool, now=now)
+            placed = _place_step(cell, step, pool, now=now)
+        _log_placing(step, placed, len(pool), wall=wall)
 
 
 def list_waiting(cell: CellTables) -> list[StepRun]:
@@ -39,22 +46,26 @@
 
 def _place_step(
     cell: CellTables, step: StepRun, workers: list[Worker], *, now: float
-) -> None:
+) -> list[Run]:
+    """Start what fits of a step's tasks and return their attempts."""
+    placed: list[Run] = []
     for task in list(step.waiting):
         worker = choose_worker(task, workers, cell.pairs, now=now)
         if worker is None and task.avoid:
             task.avoid.clear()
             worker = choose_worker(task, workers, cell.pairs, now=now)
         if worker is None:
-            return
-        start_task(cell, task, worker, task.attempt + 1, now=now)
+            break
+        placed.append(start_task(cell, task, worker, task.attempt + 1, now=now))
+    return placed
 
 
 def _place_gang(
     cell: CellTables, step: StepRun, workers: list[Worker], *, now: float
-) -> None:
+) -> list[Run]:
+    """Start all members of a gang, or none, and return their attempts."""
     if len(step.waiting) < len(step.tasks):
-        return
+        return []
     attempt = max(task.attempt for task in step.tasks) + 1
     for group in _group_for_gang(step, workers):
         runs: list[Run] = []
@@ -68,9 +79,10 @@
         for run in runs:
             unbind(run)
         if len(runs) == len(step.tasks):
-            for run in runs:
-                start_task(cell, run.task, run.worker, attempt, now=now)
-            return
+            return [
+                start_task(cell, run.task, run.worker, attempt, now=now) for run in runs
+            ]
+    return []
 
 
 def _group_for_gang(step: StepRun, workers: list[Worker]) -> list[list[Worker]]:
@@ -81,3 +93,32 @@
     for worker in workers:
         racks.setdefault(worker.rack, []).append(worker)
     return [*racks.values(), workers]
+
+
+def _log_placing(
+    step: StepRun, placed: list[Run], workers: int, *, wall: Seconds
+) -> None:
+    """Write what was placed, and once for each step that something found no room."""
+    if placed:
+        event = StepPlaced(
+            about=describe_step(step),
+            positions=tuple(run.task.key.position for run in placed),
+            attempts=tuple(run.attempt for run in placed),
+            workers=tuple(run.worker.name for run in placed),
+            urgency=rank_step(step, wall=wall)[1].name.lower(),
+            late_s=round(wall - step.due, 3),
+            waiting=len(step.waiting),
+        )
+        write_event(logger, event)
+    if step.waiting and not step.wait_noted:
+        step.wait_noted = True
+        request = step.spec.request
+        waits = StepWaits(
+            about=describe_step(step),
+            waiting=len(step.waiting),
+            millicores=request.millicores,
+            memory_mib=request.memory_mib,
+            workers=workers,
+            urgency=rank_step(step, wall=wall)[1].name.lower(),
+        )
+        write_event(logger, waits)
--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -2,13 +2,26 @@
 
 import logging
 
+from ..core.log_events import write_event
 from ..fleet.model import WorkerState
 from . import health
 from .cell_tables import CellTables
-from .descriptions import describe_run
+from .log_events import (
+    AttemptMoves,
+    AttemptsPaced,
+    AttemptStuck,
+    describe_run,
+    name_task,
+)
 from .ordering import send_pace, stop_run
 from .placing import choose_worker
-from .sharing import adjust_paces, learn_from_report
+from .sharing import (
+    PaceChange,
+    adjust_paces,
+    find_neighbours,
+    learn_from_report,
+    measure_pressure,
+)
 from .tables import Run, RunPhase, Worker
 
 logger = logging.getLogger(__name__)
@@ -31,7 +44,8 @@
 def evict_stuck(cell: CellTables, *, now: float) -> None:
     """Stop attempts that make no progress, to try them elsewhere."""
     for run in health.find_stuck(cell.workers.values(), now=now):
-        logger.warning("attempt makes no progress", extra=describe_run(run))
+        event = AttemptStuck(about=describe_run(run), still_s=now - run.moved_at)
+        write_event(logger, event)
         run.task.avoid.add(run.worker.name)
         stop_run(cell, run, now=now)
 
@@ -56,10 +70,10 @@
         ]
         target = choose_worker(run.task, others, cell.pairs, now=now)
         if target is not None:
-            logger.info(
-                "attempt moves",
-                extra=describe_run(run) | {"pace": run.pace, "target": target.name},
+            event = AttemptMoves(
+                about=describe_run(run), pace=run.pace, target=target.name
             )
+            write_event(logger, event)
             stop_run(cell, run, now=now)
 
 
@@ -86,8 +100,24 @@
     if not worker.serving:
         return
     learn_from_report(worker, cell.pairs, now=now)
-    for change in adjust_paces(worker, cell.pairs, now=now):
+    changes = adjust_paces(worker, cell.pairs, now=now)
+    for change in changes:
         send_pace(cell, change.run, change.percent)
+    if changes:
+        write_event(logger, _describe_paces(worker, changes, now=now))
+
+
+def _describe_paces(
+    worker: Worker, changes: list[PaceChange], *, now: float
+) -> AttemptsPaced:
+    serving = find_neighbours(worker).serving
+    return AttemptsPaced(
+        worker=worker.name,
+        tasks=tuple(name_task(change.run) for change in changes),
+        percents=tuple(change.percent for change in changes),
+        pressure=max((measure_pressure(run) for run in serving), default=0.0),
+        over_s=max((max(0.0, now - run.over_since) for run in serving), default=0.0),
+    )
 
 
 def _should_move(run: Run) -> bool:
--- a/plantainhinge/dispatch/lives.py
+++ b/plantainhinge/dispatch/lives.py
@@ -3,10 +3,20 @@
 import logging
 from collections.abc import Iterable
 
+from ..core.log_events import write_event
 from ..fleet.model import WorkerEntry
 from .cell_tables import CellTables
-from .descriptions import describe_run, describe_worker
 from .leases import expect_unknown_leases
+from .log_events import (
+    LeaseLapsed,
+    WorkerChangedState,
+    WorkerListed,
+    WorkerOutOfTouch,
+    WorkerRestarted,
+    WorkerUnlisted,
+    describe_run,
+    describe_worker,
+)
 from .ordering import send_stop
 from .tables import RunPhase, Worker
 from .tasks import release_run
@@ -34,14 +44,14 @@
             if inherited:
                 expect_unknown_leases(worker, cell.terms, now=now)
                 cell.unseen.add(entry.worker)
-            logger.info("worker listed", extra=describe_worker(worker))
+            write_event(logger, WorkerListed(about=describe_worker(worker)))
         elif entry.born > worker.born:
             begin_life(cell, worker, entry.born, now=now)
         if entry.state is not worker.entry.state:
-            logger.info(
-                "worker changed state",
-                extra=describe_worker(worker) | {"state": entry.state.value},
+            change = WorkerChangedState(
+                about=describe_worker(worker), state=entry.state
             )
+            write_event(logger, change)
         worker.entry = entry
         worker.listed = True
     for name, worker in list(cell.workers.items()):
@@ -52,19 +62,19 @@
 def lose_touch(cell: CellTables, worker: Worker, *, now: float) -> None:
     """Note that a worker didn't answer."""
     if worker.in_touch:
-        logger.warning(
-            "worker out of touch",
-            extra=describe_worker(worker) | {"silent_s": now - worker.heard_at},
+        event = WorkerOutOfTouch(
+            about=describe_worker(worker), silent_s=now - worker.heard_at
         )
+        write_event(logger, event)
     worker.in_touch = False
 
 
 def begin_life(cell: CellTables, worker: Worker, born: int, *, now: float) -> None:
     """Note that a worker restarted: all that it ran is gone."""
-    logger.info(
-        "worker began another life",
-        extra=describe_worker(worker) | {"attempts_lost": len(worker.runs)},
+    event = WorkerRestarted(
+        about=describe_worker(worker), attempts_lost=len(worker.runs)
     )
+    write_event(logger, event)
     lost = list(worker.runs.values())
     worker.born = born
     worker.seen_number = worker.acknowledged = 0
@@ -79,7 +89,7 @@
 
 def _unlist(cell: CellTables, worker: Worker, *, now: float) -> None:
     if worker.listed:
-        logger.info("worker left the list", extra=describe_worker(worker))
+        write_event(logger, WorkerUnlisted(about=describe_worker(worker)))
     worker.listed = False
     silent = now - max(worker.heard_at, cell.started)
     if not worker.runs and silent > GONE_FORGET_SECONDS:
@@ -94,5 +104,5 @@
             continue
         cell.unseen.discard(worker.name)
         for run in list(worker.runs.values()):
-            logger.info("lease lapsed", extra=describe_run(run))
+            write_event(logger, LeaseLapsed(about=describe_run(run)))
             release_run(cell, run, now=now)
--- a/plantainhinge/dispatch/load.py
+++ b/plantainhinge/dispatch/load.py
@@ -1,24 +1,34 @@
 """How much work a cell carries, for the log."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
+from ..core.log_events import LogEvent, log_event
 from .cell import Cell
 from .tables import Run
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CellLoad:
-    """Tasks by kind, and cores by what they are used for.
+@log_event("cell load")
+class CellLoad(LogEvent, frozen=True, kw_only=True):
+    """What a cell carries, written by its owner each 2 s.
 
     Parameters
     ----------
+    jobs, attempts : int
+        Open jobs, and attempts bound to workers.
+    waiting_ordinary, waiting_filling, waiting_lasting : int
+        Tasks without a worker, by kind.
+    capacity_cores, committed_cores : int
+        Cores of the workers, and those promised to tasks.
     filling_cores : int
         Cores that attempts that fill may use at their paces.
     filling_use : int
         Cores that they do use.
     aside : int
         Workers that get no starts after refusals or failures.
+    workers, in_touch : int
+        Workers known, and those that answered last.
+    recovering : bool
+        Whether inherited tasks wait until all workers were heard.
     """
 
     jobs: int
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -2,13 +2,14 @@
 
 import logging
 
+from ..core.log_events import write_event
 from ..fleet.model import EndCause, EndedRow, RunningRow, StopOrder, WorkerReport
 from . import health
 from .cell_tables import CellTables
-from .descriptions import describe_run
 from .eviction import protect_serving
 from .leases import learn_clock
 from .lives import begin_life
+from .log_events import AttemptEnded, AttemptGone, describe_run
 from .ordering import stop_run
 from .orders import Stop
 from .tables import Run, RunPhase, Worker, bind
@@ -60,6 +61,11 @@
     if end.cause is EndCause.FAILED:
         health.note_failure(worker, now=now)
         fail_task(cell, task, worker, end.attempt, now=now)
+    if run is not None and end.cause is not EndCause.DONE:
+        event = AttemptEnded(
+            about=describe_run(run), cause=end.cause, failures=len(task.failed)
+        )
+        write_event(logger, event)
     if run is None and (task.runs or not task.step.job.inherited):
         return
     if end.cause is EndCause.DONE and not task.step.spec.lasting:
@@ -121,5 +127,5 @@
         if key in present or run.phase is RunPhase.ORDERED:
             continue
         if run.confirmed_at < sent:
-            logger.info("attempt is gone", extra=describe_run(run))
+            write_event(logger, AttemptGone(about=describe_run(run)))
             release_run(cell, run, now=now)
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -88,6 +88,8 @@
         Ticket and its last moment by worker, for queues that need them.
     asked, asked_at
         Workers that advice was asked on, and when it was last asked.
+    wait_noted : bool
+        Whether the log tells that tasks of it waited for room.
     """
 
     job: "JobRun"
@@ -102,6 +104,7 @@
     tickets: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     asked: set[WorkerId] = field(default_factory=set)
     asked_at: float = float("-inf")
+    wait_noted: bool = False
 
     @property
     def ready(self) -> bool:
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -3,9 +3,11 @@
 import logging
 
 from ..core.ids import Attempt, JobId
+from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, JobState
 from . import book
 from .cell_tables import CellTables
+from .log_events import JobEnded
 from .ordering import send_start, stop_run
 from .tables import JobRun, Run, RunPhase, Task, Worker, bind, unbind
 
@@ -17,7 +19,7 @@
 
 def start_task(
     cell: CellTables, task: Task, worker: Worker, attempt: int, *, now: float
-) -> None:
+) -> Run:
     """Bind a task to a worker under a new attempt and order its start."""
     task.attempt = attempt
     if task in task.step.waiting:
@@ -29,6 +31,7 @@
         job.state = JobState.RUNNING
         cell.dirty[job.job] = job
     send_start(cell, run, now=now)
+    return run
 
 
 def finish_task(cell: CellTables, task: Task, *, now: float) -> None:
@@ -79,7 +82,7 @@
         for run in list(task.runs):
             if run.phase is not RunPhase.STOPPING:
                 stop_run(cell, run, now=now)
-    logger.info("job ended", extra={"job": job.job, "state": state.value})
+    write_event(logger, JobEnded(job=job.job, state=state))
 
 
 def requeue_task(cell: CellTables, task: Task, *, now: float) -> None:
--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -11,6 +11,7 @@
 from ..daemons.bounded_logs import open_bounded_logs
 from ..daemons.instance import Instance, InstanceSettings
 from ..daemons.operator_view import OperatorView
+from ..daemons.settings_watch import SettingsWatch
 from ..daemons.worker_view import WorkerView
 from ..dispatch.leases import LeaseTerms
 from .ingress import Ingress
@@ -28,43 +29,52 @@
 
 def main() -> int:
     """Run until SIGTERM and return the exit code."""
+    path = Path(os.environ[SETTINGS_VARIABLE])
     try:
-        settings = read_platform_settings(Path(os.environ[SETTINGS_VARIABLE]))
+        settings = read_platform_settings(path)
     except PlantainhingeError as error:
         print(error, file=sys.stderr)
         return error.exit_code
     identity = {"instance": settings.instance, "domain": settings.domain}
     with open_bounded_logs(identity):
-        asyncio.run(run_instance(settings))
+        asyncio.run(run_instance(settings, path))
     return 0
 
 
-async def run_instance(settings: PlatformSettings) -> None:
+async def run_instance(settings: PlatformSettings, path: Path) -> None:
     """Put the parts together and run them."""
     store = Store(
         client=HttpClient(settings.log_address, LOG_CONNECTIONS),
         waiting_client=HttpClient(settings.log_address, LOG_CONNECTIONS),
         member_seconds=Seconds(settings.member_seconds),
     )
-    lease_max = Seconds(settings.lease_seconds_max)
     instance = Instance(
         settings=InstanceSettings(
             instance=settings.instance,
             callers_address=settings.callers_address,
             ready_address=settings.ready_address,
             metrics_address=settings.metrics_address,
-            terms=LeaseTerms(
-                length=Seconds(min(LEASE_SECONDS, lease_max)), length_max=lease_max
-            ),
+            terms=_choose_terms(settings),
             cores=settings.core_share * settings.core_speed,
         ),
         log=store,
-        calls=Workers(lease_max, settings.advice_address),
+        calls=Workers(settings.advice_address),
         operator=OperatorView(store, OPERATOR_TOPIC, decode_operator_record),
         workers=WorkerView(store, WORKER_TOPIC, decode_entry),
     )
+    instance.watch = SettingsWatch(
+        current=settings,
+        read=lambda: read_platform_settings(path),
+        apply=lambda found: instance.change_terms(_choose_terms(found)),
+        changeable=frozenset({"lease_seconds_max"}),
+    )
     await instance.run(Ingress(instance.service).handle)
 
 
+def _choose_terms(settings: PlatformSettings) -> LeaseTerms:
+    longest = Seconds(settings.lease_seconds_max)
+    return LeaseTerms(length=Seconds(min(LEASE_SECONDS, longest)), length_max=longest)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -10,8 +10,11 @@
 from ..adapters.stream_http_server import HttpReply, HttpRequest
 from ..core.errors import BadInputError
 from ..core.ids import JobId, Seconds
+from ..core.log_events import write_event
 from ..core.resources import Resources
-from ..daemons.job_service import JobService, Verdict
+from ..daemons.job_service import JobService
+from ..daemons.verdicts import Verdict
+from ..fleet.log_events import JobMalformed
 from ..fleet.operator import QueueRoute
 from ..jobs.model import JobSpec, Recurrence, Step
 
@@ -117,7 +120,7 @@
         try:
             spec = decode_spec(request.body)
         except BadInputError as error:
-            logger.info("job malformed", extra={"job": job, "cause": str(error)})
+            write_event(logger, JobMalformed(job=job, cause=str(error)))
             return HttpReply(status=STATUSES[Verdict.MALFORMED])
         verdict = await self.service.submit(
             job, route.policy, spec, timeout=_read_timeout(request)
--- a/plantainhinge/platform/operator.py
+++ b/plantainhinge/platform/operator.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from ..core.ids import DomainId, QueueName, Revision, ServiceId
+from ..core.log_events import write_event
+from ..fleet.log_events import ConfigurationUnreadable
 from ..fleet.operator import (
     DomainClosure,
     OperatorRecord,
@@ -52,7 +54,7 @@
     try:
         config = msgspec.json.decode(value, type=_Config)
     except msgspec.MsgspecError as error:
-        logger.error("configuration unreadable", extra={"cause": str(error)})
+        write_event(logger, ConfigurationUnreadable(cause=str(error)))
         return None
     return SchedulingConfiguration(
         revision=Revision(config.version),
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -9,7 +9,15 @@
 from ..adapters.stream_http_client import HttpAnswer, HttpCall, HttpClient
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import Attempt, DomainId, JobId, Seconds, ServiceId, WorkerId
+from ..core.log_events import write_event
 from ..core.resources import Resources
+from ..fleet.log_events import (
+    AdviceFailed,
+    AdviceRefused,
+    EntryIgnored,
+    ReportMalformed,
+    WorkerCallFailed,
+)
 from ..fleet.model import (
     Advice,
     AdviceRequest,
@@ -106,7 +114,7 @@
             remaining=entry.remaining / 1000,
         )
     except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
-        logger.info("worker entry ignored", extra={"key": key, "cause": str(error)})
+        write_event(logger, EntryIgnored(key=key, cause=str(error)))
         return None
 
 
@@ -127,13 +135,10 @@
 
     Parameters
     ----------
-    lease_max : float
-        Longest lease in seconds that a worker grants.
     advice_address : str
         ``host:port`` of the service that knows which workers may run a step.
     """
 
-    lease_max: Seconds
     advice_address: str = ""
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
@@ -193,10 +198,8 @@
             report = msgspec.json.decode(answer.body, type=_Report)
             return _decode_report(report)
         except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
-            logger.warning(
-                "worker report malformed",
-                extra={"worker": entry.worker, "cause": str(error)},
-            )
+            event = ReportMalformed(worker=entry.worker, cause=str(error))
+            write_event(logger, event)
             return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
 
     async def advise(self, request: AdviceRequest) -> Advice | None:
@@ -212,13 +215,12 @@
         try:
             answer = await client.call(call, timeout=ADVICE_SECONDS)
             if answer.status != OK:
-                logger.info(
-                    "advice refused", extra={"step": step, "status": answer.status}
-                )
+                event = AdviceRefused(advised_step=step, status=answer.status)
+                write_event(logger, event)
                 return None
             advice = msgspec.json.decode(answer.body, type=_Advice)
         except (PlantainhingeError, msgspec.MsgspecError) as error:
-            logger.info("advice failed", extra={"step": step, "cause": str(error)})
+            write_event(logger, AdviceFailed(advised_step=step, cause=str(error)))
             return None
         rows = tuple((WorkerId(worker), ticket) for worker, ticket in advice.good)
         return Advice(tickets=rows, valid=Seconds(advice.validity / 1000))
@@ -265,10 +267,8 @@
 
 
 def _log_failure(entry: WorkerEntry, path: str, error: PlantainhingeError) -> None:
-    logger.info(
-        "worker call failed",
-        extra={"worker": entry.worker, "call": path, "cause": str(error)},
-    )
+    event = WorkerCallFailed(worker=entry.worker, call=path, cause=str(error))
+    write_event(logger, event)
 
 
 def _judge(answer: HttpAnswer) -> OrderAnswer:
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -5,8 +5,9 @@
 import pytest
 
 from plantainhinge.core.ids import Epoch, JobId
-from plantainhinge.daemons.job_service import JobService, Verdict
+from plantainhinge.daemons.job_service import JobService
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
+from plantainhinge.daemons.verdicts import Verdict
 from plantainhinge.fleet.protocols import Entry, Fence
 from plantainhinge.jobs.model import JobState
 from plantainhinge.jobs.records import Progress, encode_record, form_key
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,15 +5,16 @@
 
 import pytest
 
-from tools.settings_page import PAGE, build_page
+from tools import log_page, settings_page
 
 ROOT = Path(__file__).parent.parent
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 LINK = re.compile(r"\]\((?!https?:|#)([^)#]+)[^)]*\)")
 
 
-def test_the_reference_of_settings_is_current():
-    assert PAGE.read_text(encoding="utf-8") == build_page(), "run `make docs`"
+@pytest.mark.parametrize("page", [settings_page, log_page], ids=lambda p: p.__name__)
+def test_pages_written_from_the_code_are_current(page):
+    assert page.PAGE.read_text(encoding="utf-8") == page.build_page(), "run `make docs`"
 
 
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
--- /dev/null
+++ b/tools/log_page.py
@@ -0,0 +1,69 @@
+"""Writes the reference of the log's lines from the classes of their events."""
+
+import inspect
+import logging
+import typing
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from plantainhinge.core.log_events import LINE_KINDS, LineKind, LogFields
+from plantainhinge.daemons import log_events as _daemon_events
+from plantainhinge.dispatch import load as _load_event, log_events as _cell_events
+from plantainhinge.fleet import log_events as _outside_events
+
+from .wording import read_descriptions
+
+# their events are registered once they are imported
+SOURCES = (_daemon_events, _load_event, _cell_events, _outside_events)
+PAGE = Path(__file__).parent.parent / "docs" / "operators" / "logs.md"
+HEAD = """# Lines of the log
+
+An entry instance writes one JSON object a line to standard output. `message` names
+the event, and is the same in each of its lines. Every line also has `asctime`,
+`levelname`, `name`, `instance` and `domain`. `left_out` counts lines of the same event
+that were over its rate in the second before, `dropped` lines that nobody read in time.
+[OPERATIONS.md](../OPERATIONS.md) shows how to get from a request to its cause.
+
+This page is written by `make docs` from the classes of the events.
+
+"""
+
+
+def build_page() -> str:
+    """Return the text of the page."""
+    kinds = sorted((LINE_KINDS.find(name) for name in LINE_KINDS), key=_sort_key)
+    return HEAD + "\n".join(_describe(kind) for kind in kinds)
+
+
+def _sort_key(kind: LineKind) -> str:
+    return kind.message
+
+
+def _describe(kind: LineKind) -> str:
+    summary = inspect.cleandoc(kind.event.__doc__ or "").splitlines()[0]
+    level = logging.getLevelName(kind.level)
+    lines = [f"## {kind.message}", "", f"{level}. {summary}"]
+    rows = [f"- `{name}`: {text}" for name, text in _list_fields(kind.event)]
+    return "\n".join([*lines, *([""] if rows else []), *rows, ""])
+
+
+def _list_fields(model: type[msgspec.Struct]) -> Iterator[tuple[str, str]]:
+    hints = typing.get_type_hints(model)
+    texts = read_descriptions(model)
+    for field in msgspec.structs.fields(model):
+        hint = hints[field.name]
+        if isinstance(hint, type) and issubclass(hint, LogFields):
+            yield from _list_fields(hint)
+        else:
+            yield field.encode_name, texts[field.name]
+
+
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(build_page(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -1,7 +1,5 @@
 """Writes the reference of a daemon's settings from the checked structures."""
 
-import inspect
-import re
 import typing
 from collections.abc import Iterator
 from pathlib import Path
@@ -11,7 +9,7 @@
 from plantainhinge.cli.arguments import name_variable
 from plantainhinge.core.settings import OVERRIDES, Settings
 
-from .wording import describe_type
+from .wording import describe_type, read_descriptions
 
 PAGE = Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
 HEAD = """# Settings of a daemon
@@ -34,7 +32,6 @@
 | name | flag | environment |
 | --- | --- | --- |
 """
-PARAMETER = re.compile(r"^(?P<names>[a-z_, ]+) : .+$")
 
 
 def build_page() -> str:
@@ -49,7 +46,7 @@
 
 def _list_rows(model: type[msgspec.Struct], path: str) -> Iterator[list[str]]:
     hints = typing.get_type_hints(model, include_extras=True)
-    texts = _read_descriptions(model)
+    texts = read_descriptions(model)
     for field in msgspec.structs.fields(model):
         name = f"{path}{field.encode_name}"
         hint = hints[field.name]
@@ -62,20 +59,6 @@
         yield [f"`{name}`", describe_type(hint), default, text]
 
 
-def _read_descriptions(model: type[msgspec.Struct]) -> dict[str, str]:
-    """Return what the class's Parameters section says of each field."""
-    texts: dict[str, str] = {}
-    names: list[str] = []
-    for line in inspect.cleandoc(model.__doc__ or "").splitlines():
-        found = PARAMETER.match(line)
-        if found:
-            names = [name.strip() for name in found["names"].split(",")]
-        elif line.startswith("    "):
-            for name in names:
-                texts[name] = f"{texts.get(name, '')} {line.strip()}".strip()
-    return texts
-
-
 def main() -> None:
     """Write the page."""
     PAGE.write_text(build_page(), encoding="utf-8")
--- a/tools/wording.py
+++ b/tools/wording.py
@@ -1,10 +1,14 @@
-"""Valid values of a declared type in words, for pages."""
+"""Declared types and their fields in words, for pages."""
 
+import inspect
+import re
 from enum import Enum
 from typing import Any
 
 import msgspec
 
+PARAMETER = re.compile(r"^(?P<names>[a-z_, ]+) : .+$")
+
 
 def describe_type(model: Any) -> str:
     """Return the valid values of a type in words."""
@@ -53,3 +57,25 @@
     msgspec.inspect.ListType: "a list",
     msgspec.inspect.DictType: "an object",
 }
+
+
+def read_descriptions(model: type[msgspec.Struct]) -> dict[str, str]:
+    """Return what a class and its bases say of each field in Parameters."""
+    texts: dict[str, str] = {}
+    for base in reversed(model.__mro__):
+        if issubclass(base, msgspec.Struct):
+            texts.update(_read_parameters(base))
+    return texts
+
+
+def _read_parameters(model: type[msgspec.Struct]) -> dict[str, str]:
+    texts: dict[str, str] = {}
+    names: list[str] = []
+    for line in inspect.cleandoc(model.__doc__ or "").splitlines():
+        found = PARAMETER.match(line)
+        if found:
+            names = [name.strip() for name in found["names"].split(",")]
+        elif line.startswith("    "):
+            for name in names:
+                texts[name] = f"{texts.get(name, '')} {line.strip()}".strip()
+    return texts
