Let the time line be read from the logs of entry instances

Cause: `plantainhinge timeline` asks daemons of the older kind for events that they keep in memory; an entry instance keeps none, and its logs had to be read with grep and jq by someone who knew which other lines matter. Ruled out: a ring of events in each entry instance (it dies with the process, which is when it is needed).

--- a/plantainhinge/cli/arguments.py
+++ b/plantainhinge/cli/arguments.py
@@ -9,10 +9,10 @@
 ENVIRONMENT_PREFIX = "PLANTAINHINGE_"
 
 
-def add_settings(parser: argparse.ArgumentParser) -> None:
+def add_settings(parser: argparse.ArgumentParser, *, required: bool = True) -> None:
     """Add the settings file and the values that go before the file's own."""
     parser.add_argument(
-        "--settings", type=Path, required=True, help="settings file of an instance"
+        "--settings", type=Path, required=required, help="settings file of an instance"
     )
     for name, keys in OVERRIDES.items():
         parser.add_argument(
--- a/plantainhinge/cli/timeline.py
+++ b/plantainhinge/cli/timeline.py
@@ -5,10 +5,12 @@
 import msgspec
 
 from ..adapters.peers_grpc import QUERY_EVENTS
+from ..core.errors import BadInputError
 from ..core.events import Event
 from ..core.messages import QueryEvents
 from ..core.settings import Settings
 from .arguments import add_settings, read_settings
+from .log_lines import LogLine, read_lines, select_lines
 from .output import format_time
 from .processes import ask_processes
 from .registry import command
@@ -40,6 +42,18 @@
         return "\n".join(lines) or f"no event about {self.subject or 'anything'}"
 
 
+class LoggedTimeLine(msgspec.Struct, frozen=True):
+    """Lines of logs that explain a subject, in the order of their times."""
+
+    subject: str
+    lines: list[LogLine]
+
+    def format_text(self) -> str:
+        """Return one line an event."""
+        lines = [format_line(line, self.subject) for line in self.lines]
+        return "\n".join(lines) or f"no line about {self.subject}"
+
+
 def collect_events(settings: Settings, subject: str) -> TimeLine:
     """Return the events about a subject and about the requests made with it."""
     first = _query(settings, [subject])
@@ -75,6 +89,24 @@
     ).rstrip()
 
 
+def format_line(line: LogLine, subject: str) -> str:
+    """Return one line of a log for a person to read."""
+    detail = " ".join(
+        f"{name}={_format_value(value)}"
+        for name, value in line.fields.items()
+        if value not in ("", subject) and name != "domain"
+    )
+    at = line.at.strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
+    name = f"{line.message:<{NAME_WIDTH}}"
+    return f"{at} {line.instance:<{PROCESS_WIDTH}} {name} {detail}".rstrip()
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, list):
+        return ",".join(str(item) for item in value)
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
 def _query(settings: Settings, subjects: list[str]) -> TimeLine:
     requests = [QueryEvents(subject=subject) for subject in subjects]
     replies = ask_processes(settings, QUERY_EVENTS, requests)
@@ -90,9 +122,15 @@
         "subject",
         nargs="?",
         default="",
-        help="a request, idempotency key, task, worker, failure domain or stream",
+        help="a request, job, idempotency key, task, worker, failure domain or stream",
+    )
+    parser.add_argument(
+        "--logs",
+        nargs="+",
+        metavar="FILE",
+        help="read these logs of entry instances, - for standard input",
     )
-    add_settings(parser)
+    add_settings(parser, required=False)
 
 
 @command(
@@ -101,6 +139,13 @@
     example="plantainhinge timeline audit-1 --settings /etc/plantainhinge.jsonc",
     arguments=_add_arguments,
 )
-def show_timeline(options: argparse.Namespace) -> TimeLine:
-    """Ask every process for its events and merge them."""
+def show_timeline(options: argparse.Namespace) -> TimeLine | LoggedTimeLine:
+    """Ask every process for its events, or read them from logs, in one order."""
+    if options.logs:
+        if not options.subject:
+            raise BadInputError("a subject is needed with --logs", step="timeline")
+        lines = select_lines(read_lines(options.logs), options.subject)
+        return LoggedTimeLine(options.subject, lines)
+    if options.settings is None:
+        raise BadInputError("one of --settings and --logs is needed", step="timeline")
     return collect_events(read_settings(options), options.subject)
