Start a second attempt beside slow ones where a step allows copies

Cause: lookups waited for their last task on a worker that turned slow, fell silent (up to its lease, 6 s) or left the order unanswered (2 to 12 s), though their steps allow copies and other workers had room. Change: dispatch/copies.py, decided after waiting tasks got their room; one copy a task; a line `copy ordered` with its reasons. Conclusion: kept for workers in trouble; tests/test_copies.py plays that load.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -20,10 +20,7 @@
     waiting = list_waiting(cell)
     if not waiting:
         return
-    pools: dict[ServiceId, list[Worker]] = {}
-    for worker in cell.workers.values():
-        if worker.accepts(now) and worker.entry.domain not in cell.closed_domains:
-            pools.setdefault(worker.entry.service, []).append(worker)
+    pools = list_pools(cell, now=now)
     for step in order_steps(waiting, wall=wall):
         pool = pools.get(step.job.record.policy.service, [])
         if step.spec.gang:
@@ -33,6 +30,15 @@
         _log_placing(step, placed, len(pool), wall=wall)
 
 
+def list_pools(cell: CellTables, *, now: float) -> dict[ServiceId, list[Worker]]:
+    """Return the workers that take new work, by service."""
+    pools: dict[ServiceId, list[Worker]] = {}
+    for worker in cell.workers.values():
+        if worker.accepts(now) and worker.entry.domain not in cell.closed_domains:
+            pools.setdefault(worker.entry.service, []).append(worker)
+    return pools
+
+
 def list_waiting(cell: CellTables) -> list[StepRun]:
     """Return the steps whose turn has come and that have tasks waiting."""
     waiting: list[StepRun] = []
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -25,6 +25,7 @@
     answers,
     assignment,
     book,
+    copies,
     eviction,
     handovers,
     lives,
@@ -152,6 +153,7 @@
             self.moved_at = now
             eviction.move_slowed(self, now=now)
         assignment.place_waiting(self, now=now, wall=wall)
+        copies.copy_slow(self, now=now)
 
     def list_waiting(self) -> list[StepRun]:
         """Return the steps whose turn has come and that have tasks waiting."""
--- a/plantainhinge/dispatch/cell_tables.py
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -2,13 +2,16 @@
 
 from dataclasses import dataclass, field
 
-from ..core.ids import DomainId, Epoch, JobId, WorkerId
+from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
 from ..placement.interference import PairTable
 from .leases import LeaseTerms
 from .orders import Command
 from .sharing import PRIOR_WEIGHT
 from .tables import JobRun, Worker
 
+# nobody can have given leases before it
+FIRST_EPOCH = Epoch(1)
+
 
 @dataclass
 class CellTables:
@@ -42,6 +45,10 @@
         Monotonic seconds at which the record for the next owner was last written.
     moved_at : float
         Monotonic seconds at which moves of slowed attempts were last looked for.
+    earlier_lease : float
+        Longest lease in seconds that an earlier owner may have given.
+    copied_at : float
+        Monotonic seconds at which slow attempts to copy were last looked for.
     """
 
     epoch: Epoch
@@ -59,6 +66,12 @@
     ended: set[JobId] = field(default_factory=set)
     handover_at: float = float("-inf")
     moved_at: float = float("-inf")
+    copied_at: float = float("-inf")
+    earlier_lease: Seconds = Seconds(0.0)
+
+    def __post_init__(self) -> None:
+        first = self.epoch <= FIRST_EPOCH
+        self.earlier_lease = self.terms.length if first else self.terms.length_max
 
     @property
     def recovering(self) -> bool:
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -281,6 +281,25 @@
     urgency: str
 
 
+@log_event("copy ordered")
+class CopyOrdered(AttemptEvent, frozen=True, kw_only=True):
+    """A second attempt starts beside a slow one; the first to be done counts.
+
+    Parameters
+    ----------
+    target : str
+        Where the copy runs.
+    left_s : float
+        Seconds that the slow attempt needs at its speed so far.
+    fresh_s : float
+        Seconds that a new attempt is expected to need.
+    """
+
+    target: WorkerId
+    left_s: float
+    fresh_s: float
+
+
 @log_event("job ended")
 class JobEnded(LogEvent, frozen=True, kw_only=True):
     """A job's state became final.
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -83,15 +83,18 @@
 class ModelWorker:
     """Runs what it is told, under a lease; remembers every start and stop.
 
-    One that is silent gets nothing, one that is mute acts and doesn't answer.
+    One that is silent gets nothing, one that is mute acts and doesn't answer, one
+    that is deaf answers renewals and leaves starts alone.
     """
 
     entry: WorkerEntry
     now: float = 0.0
     silent: bool = False
     mute: bool = False
+    deaf: bool = False
     lose_answers: int = 0
     fails: bool = False
+    speed: float = 1.0
     fence: int = 0
     lease_end: float = 0.0
     runs: dict = field(default_factory=dict)
@@ -105,7 +108,7 @@
         self.numbers = itertools.count(1)
 
     def start(self, order, step):
-        if self.silent:
+        if self.silent or self.deaf:
             return OrderAnswer(outcome=OrderOutcome.UNKNOWN)
         if order.epoch < self.fence:
             return OrderAnswer(outcome=OrderOutcome.FENCED)
@@ -168,7 +171,7 @@
     def advance(self, seconds):
         self.now += seconds
         for key, run in list(self.runs.items()):
-            run.left -= seconds * run.pace / 100
+            run.left -= seconds * self.speed * run.pace / 100
             if self.now > self.lease_end:
                 self._end(key, EndCause.LAPSED)
             elif run.left <= 0 and not run.lasting:
@@ -188,15 +191,16 @@
 class ModelSite:
     """An owner and its workers, moved on in small steps of time."""
 
-    def __init__(self, *entries, epoch=1, log_up=True):
+    def __init__(self, *entries, epoch=1, log_up=True, terms=TERMS):
         self.now = 0.0
         self.log_up = log_up
+        self.terms = terms
         self.handover = Handover()
         self.flush = None
         self.workers = {entry.worker: ModelWorker(entry) for entry in entries}
         self.states = {}
         self.log = {}
-        self.cell = Cell(Epoch(epoch), TERMS, 0.0)
+        self.cell = Cell(Epoch(epoch), terms, 0.0)
         self.see()
 
     def see(self, *, inherited=False):
@@ -210,7 +214,7 @@
 
     def take_over(self, records):
         """Replace the owner by another one that knows only the log."""
-        self.cell = Cell(Epoch(self.cell.epoch + 1), TERMS, self.now)
+        self.cell = Cell(Epoch(self.cell.epoch + 1), self.terms, self.now)
         self.flush = None
         self.cell.take_over(self.handover, now=self.now)
         for record in records:
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,104 @@
+"""Second attempts of slow tasks, where a step allows them."""
+
+import pytest
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.jobs.model import Step
+
+from .cell_site import ModelSite, make_entry, make_job
+
+
+def make_step(**changes):
+    request = Resources(1000, 100)
+    return Step(
+        **({"request": request, "estimate": 1.0, "speculative": True} | changes)
+    )
+
+
+def start_one(site, **changes):
+    """Start a job of one task and return its worker."""
+    site.run(0.2)
+    site.submit(make_job("j", make_step(**changes)))
+    site.run(0.1)
+    ((worker, _, _),) = site.list_running()
+    return site.workers[worker]
+
+
+def make_site():
+    return ModelSite(make_entry("w1"), make_entry("w2"))
+
+
+def test_a_task_on_a_worker_that_turned_slow_is_done_elsewhere():
+    site = make_site()
+    start_one(site).speed = 0.1
+    site.run_until(lambda: site.state_of("j") == "completed", limit=2.5)
+    assert site.count_starts() == 2
+
+
+def test_a_task_on_a_worker_that_fell_silent_is_copied_at_once():
+    site = make_site()
+    start_one(site).silent = True
+    site.run_until(lambda: site.state_of("j") == "completed", limit=1.5)
+
+
+def test_an_order_without_an_answer_is_copied():
+    site = ModelSite(make_entry("w1", cores=9), make_entry("w2"))
+    site.run(0.2)
+    site.workers["w1"].deaf = True
+    site.submit(make_job("j", make_step()))
+    site.run_until(lambda: site.state_of("j") == "completed", limit=1.6)
+    assert [len(worker.started) for worker in site.workers.values()] == [0, 1]
+
+
+def test_the_slower_attempt_is_stopped_and_its_room_comes_back():
+    site = make_site()
+    slow = start_one(site)
+    slow.speed = 0.1
+    site.run_until(lambda: site.state_of("j") == "completed", limit=3)
+    site.run(0.5)
+    assert site.list_running() == []
+    assert slow.stopped
+
+
+@pytest.mark.parametrize("changes", [{"speculative": False}, {"lasting": True}])
+def test_other_tasks_run_once(changes):
+    site = make_site()
+    start_one(site, **changes).silent = True
+    site.run(2)
+    assert site.count_starts() == 1
+
+
+def test_a_task_at_its_usual_speed_is_not_copied():
+    site = make_site()
+    start_one(site, estimate=3.0).speed = 0.8
+    site.run_until(lambda: site.state_of("j") == "completed", limit=6)
+    assert site.count_starts() == 1
+
+
+def test_tasks_that_are_all_slow_are_not_copied():
+    site = ModelSite(*(make_entry(f"w{index}", cores=2) for index in range(6)))
+    site.run(0.2)
+    for worker in site.workers.values():
+        worker.speed = 0.3
+    site.submit(make_job("j", make_step(count=6, per_worker_max=1)))
+    site.run_until(lambda: site.state_of("j") == "completed", limit=6)
+    assert site.count_starts() == 6
+
+
+def test_at_most_one_copy_runs_beside_a_task():
+    site = ModelSite(*(make_entry(f"w{index}") for index in range(4)))
+    start_one(site)
+    for worker in site.workers.values():
+        worker.speed = 0.01
+    site.run(10)
+    assert site.count_starts() == 2
+
+
+def test_tasks_that_wait_get_the_room_before_copies():
+    site = ModelSite(make_entry("w1", cores=1), make_entry("w2", cores=1))
+    start_one(site).silent = True
+    site.submit(make_job("k", make_step()))
+    site.run(0.3)
+    running = {task.job for _, task, _ in site.list_running()}
+    assert running == {"j", "k"}
+    assert site.count_starts() == 2
