Read the newest records page by page, for as long as bytes come

After all processes were killed, each instance read the topics of jobs anew: pages of up to 1 MB over links of 5 Mbit/s, given up after 0.8 s and begun again from the first page. 268 calls ran into their deadline and counts of waiting jobs came from views that never got loaded (`count from an old view` from all instances for 13 s). Ruled out: the owner (it held 316 jobs and placed them); the store being down. Change: a page that was read is kept and the next read goes on after it; an answer may take 6 s while bytes keep coming, 0.8 s without one ends it; reads from an offset ask for 256 KiB. Two reads at once take each record in once. Conclusion: slow links load a topic in the time its bytes need.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -59,6 +59,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
+        self.heard_at = float("-inf")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -68,6 +69,7 @@
         self._fail(CLOSED_EARLY)
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
         if self._parser is None:
             self.close()
             return
@@ -134,9 +136,17 @@
     _open: int = 0
     _waiters: deque["asyncio.Future[None]"] = field(default_factory=deque)
 
-    async def call(self, call: HttpCall, *, timeout: Seconds) -> HttpAnswer:
+    async def call(
+        self, call: HttpCall, *, timeout: Seconds, timeout_in_all: Seconds | None = None
+    ) -> HttpAnswer:
         """Return the answer to ``call``.
 
+        Parameters
+        ----------
+        timeout_in_all : float, optional
+            Longest time in seconds for a large answer over a slow link; ``timeout``
+            is then the longest without another byte of it.
+
         Raises
         ------
         UnavailableError
@@ -144,11 +154,12 @@
         UncertainError
             If it was sent and no whole answer came in time.
         """
-        deadline = asyncio.get_running_loop().time() + timeout
-        connection = await self._take(deadline)
+        started = asyncio.get_running_loop().time()
+        last = started + (timeout_in_all or timeout)
+        connection = await self._take(started + timeout)
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await connection.exchange(call.encode(self.address))
+            answering = connection.exchange(call.encode(self.address))
+            answer = await _wait_for(answering, connection, timeout, last=last)
         except TimeoutError:
             connection.close()
             raise UncertainError(
@@ -227,3 +238,30 @@
             if not waiter.done():
                 waiter.set_result(None)
                 return
+
+
+async def _wait_for(
+    answering: "asyncio.Future[HttpAnswer]",
+    connection: _Connection,
+    timeout: Seconds,
+    *,
+    last: float,
+) -> HttpAnswer:
+    """Return an answer, as long as bytes of it keep coming until ``last``.
+
+    Raises
+    ------
+    TimeoutError
+        If none came for ``timeout`` seconds, or it wasn't whole in time.
+    """
+    loop = asyncio.get_running_loop()
+    sent_at = loop.time()
+    try:
+        while not answering.done():
+            end = min(last, max(sent_at, connection.heard_at) + timeout)
+            if loop.time() >= end:
+                raise TimeoutError
+            await asyncio.wait({answering}, timeout=end - loop.time())
+        return answering.result()
+    finally:
+        answering.cancel()
--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -3,13 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..core.clock import read_monotonic
 from ..core.errors import TrimmedError
 from ..core.ids import Seconds
 from ..core.log_events import write_event
-from ..fleet.protocols import Entry, KeyedLog, Page
+from ..fleet.protocols import Entry, KeyedLog
 from .log_events import TopicTrimmed
 
 logger = logging.getLogger(__name__)
@@ -37,18 +37,34 @@
     reset: Callable[[], None]
     current_at: float = float("-inf")
     position: int | None = None
-    _reading: asyncio.Lock | None = None
+    _reading: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _restarting: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _next_key: str = ""
+    _restart_end: int | None = None
 
     async def advance(self, *, wait: Seconds = NOW) -> int:
         """Read once and take the records in; returns how many came."""
-        asked_at = read_monotonic()
-        page = await self._read(wait)
-        for entry in page.entries:
+        if self.position is None:
+            return await self._restart()
+        start, asked_at = self.position, read_monotonic()
+        try:
+            page = await self.log.read(self.topic, start=start, wait=wait)
+        except TrimmedError as error:
+            event = TopicTrimmed(topic=self.topic, position=start, first=error.first)
+            write_event(logger, event)
+            if self.position == start:
+                self.position = None
+            return 0
+        if self.position is None:
+            return 0
+        # another read may have taken some of them in meanwhile
+        entries = page.entries[max(0, self.position - start) :]
+        for entry in entries:
             self.apply(entry)
-        self.position = max(page.end, self.position or 0)
+        self.position = max(page.end, self.position)
         if page.whole:
             self.current_at = max(self.current_at, asked_at)
-        return len(page.entries)
+        return len(entries)
 
     async def catch_up(self, *, since: float | None = None) -> None:
         """Return once all records appended before ``since`` were taken in.
@@ -60,23 +76,30 @@
             while a read is under way share the next one.
         """
         since = read_monotonic() if since is None else since
-        if self._reading is None:
-            self._reading = asyncio.Lock()
         while self.current_at < since:
             async with self._reading:
                 while self.current_at < since:
                     await self.advance()
 
-    async def _read(self, wait: Seconds) -> Page:
-        if self.position is not None:
-            try:
-                return await self.log.read(self.topic, start=self.position, wait=wait)
-            except TrimmedError as error:
-                event = TopicTrimmed(
-                    topic=self.topic, position=self.position, first=error.first
-                )
-                write_event(logger, event)
-        page = await self.log.read_newest(self.topic)
-        self.position = None
+    def forget(self) -> None:
+        """Begin anew with the next read."""
+        self.position = self._restart_end = None
+        self._next_key = ""
+        self.current_at = float("-inf")
         self.reset()
-        return page
+
+    async def _restart(self) -> int:
+        """Read one page of the newest records; go on after it the next time."""
+        async with self._restarting:
+            if self.position is not None:
+                return 0
+            page = await self.log.read_newest(self.topic, after=self._next_key)
+            if self._restart_end is None:
+                self.reset()
+                self._restart_end = page.end
+            for entry in page.entries:
+                self.apply(entry)
+            self._next_key = page.next_key
+            if not page.next_key:
+                self.position, self._restart_end = self._restart_end, None
+            return len(page.entries)
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -34,11 +34,14 @@
     ----------
     whole : bool
         Whether the topic held no further records.
+    next_key : str
+        Key after which the newest records go on; empty if these were the last.
     """
 
     entries: tuple[Entry, ...]
     end: int
     whole: bool = True
+    next_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,8 +88,12 @@
         """
         ...
 
-    async def read_newest(self, topic: str) -> Page:
-        """Return the newest record of each key and an offset to read on from."""
+    async def read_newest(self, topic: str, *, after: str = "") -> Page:
+        """Return the newest records of keys after one, in the order of the keys.
+
+        Pages are no snapshot: a record appended meanwhile may be in none of them.
+        The offset of the first page is the one to read on from.
+        """
         ...
 
     async def join(self, member: MemberName, *, generation: int) -> int:
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -41,9 +41,11 @@
 # enough partitions that each member holds one, since only holders are listed
 GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
 JSON_HEADERS = (("Content-Type", "application/json"),)
-READ_KIB_MAX = 1024
+READ_KIB_MAX = 256
 WRITE_SECONDS = Seconds(0.8)
 READ_SECONDS = Seconds(0.8)
+# for answers of up to a mebibyte over a link of 5 Mbit/s that others use as well
+READ_SECONDS_IN_ALL = Seconds(6.0)
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 
@@ -124,28 +126,30 @@
             query["waitMs"] = int(wait * 1000)
             client = self.waiting_client
         call = HttpCall(method="GET", path=f"/-/log-read?{urlencode(query)}")
-        answer = await client.call(call, timeout=Seconds(wait + READ_SECONDS))
+        answer = await client.call(
+            call,
+            timeout=Seconds(wait + READ_SECONDS),
+            timeout_in_all=Seconds(wait + READ_SECONDS_IN_ALL),
+        )
         _check(answer, "store.read", client.address)
         return _parse_records(answer.body, start, client.address)
 
-    async def read_newest(self, topic: str) -> Page:
+    async def read_newest(self, topic: str, *, after: str = "") -> Page:
         """Read the newest record of each key; see ``KeyedLog.read_newest``."""
-        entries: list[Entry] = []
-        end: int | None = None
-        last = ""
-        while True:
-            query: dict[str, str | int] = {"topic": topic, "part": 0}
-            if last:
-                query["dependsOn"] = last  # here: the key to continue after
-            call = HttpCall(method="GET", path=f"/-/log-newest?{urlencode(query)}")
-            answer = await self.client.call(call, timeout=READ_SECONDS)
-            _check(answer, "store.newest", self.client.address)
-            page = _decode(answer, _Newest, "store.newest", self.client.address)
-            entries.extend(Entry(item.key, item.value) for item in page.items)
-            end = page.end if end is None else end
-            if not page.more or not page.items:
-                return Page(tuple(entries), end, whole=False)
-            last = page.items[-1].key
+        query: dict[str, str | int] = {"topic": topic, "part": 0}
+        if after:
+            query["dependsOn"] = after  # here: the key to continue after
+        call = HttpCall(method="GET", path=f"/-/log-newest?{urlencode(query)}")
+        answer = await self.client.call(
+            call, timeout=READ_SECONDS, timeout_in_all=READ_SECONDS_IN_ALL
+        )
+        _check(answer, "store.newest", self.client.address)
+        page = _decode(answer, _Newest, "store.newest", self.client.address)
+        entries = tuple(Entry(item.key, item.value) for item in page.items)
+        more = page.more and bool(entries)
+        return Page(
+            entries, page.end, whole=False, next_key=entries[-1].key if more else ""
+        )
 
     async def join(self, member: MemberName, *, generation: int) -> int:
         """Join the group or stay in it; see ``KeyedLog.join``."""
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -31,6 +31,7 @@
         self.fail = []
         self.pause = 0.0
         self.reads = 0
+        self.page_size = 500
         self.members = {}
         self.generation = 0
 
@@ -87,13 +88,18 @@
             await asyncio.sleep(READ_POLL_SECONDS)
         return Page(tuple(records[start:]), len(records))
 
-    async def read_newest(self, topic):
+    async def read_newest(self, topic, *, after=""):
         self.reads += 1
         newest = {}
         for entry in self.topics[topic]:
             newest[entry.key] = entry
-        held = tuple(entry for entry in newest.values() if entry.value)
-        return Page(held, len(self.topics[topic]), whole=False)
+        held = sorted(
+            (entry for entry in newest.values() if entry.value and entry.key > after),
+            key=lambda entry: entry.key,
+        )
+        page = tuple(held[: self.page_size])
+        next_key = page[-1].key if len(held) > self.page_size else ""
+        return Page(page, len(self.topics[topic]), whole=False, next_key=next_key)
 
     def trim(self, topic):
         self.first[topic] = len(self.topics[topic])
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -1,23 +1,17 @@
 """The event loop's HTTP client and server, against each other and bad peers."""
 
 import asyncio
-import socket
 
 import pytest
 
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
 from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
 from plantainhinge.core.errors import UnavailableError, UncertainError
+from standins.addresses import find_address
 
 LARGE = b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n"
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def echo(request):
     if request.path == "/slow":
         await asyncio.sleep(0.3)
@@ -132,3 +126,27 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("pause", [0.1, 0.6])
+def test_a_large_answer_may_take_long_while_bytes_keep_coming(pause):
+    async def play():
+        async def drip(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(8):
+                await asyncio.sleep(pause)
+                writer.write(b"x")
+            writer.close()
+
+        address = find_address()
+        host, _, port = address.rpartition(":")
+        async with await asyncio.start_server(drip, host, int(port)):
+            call = HttpCall(method="GET", path="/large")
+            return await HttpClient(address).call(call, timeout=0.3, timeout_in_all=3.0)
+
+    if pause < 0.3:
+        assert asyncio.run(play()).body == b"x" * 8
+    else:
+        with pytest.raises(UncertainError):
+            asyncio.run(play())
