Let a reload signal that comes during a start not end the process

SIGHUP came while the modules were loaded, before the event loop's handler stood, and its default ends a process. Ruled out: a fault of the event loop's handler (it was not set yet). Change: __main__ ignores SIGHUP first and imports the program afterwards; program.py holds what was __main__. Measured: tests/test_platform_site.py waits for the signal's disposition and sends it; with the old __main__ it ends by its assertion "too late". Conclusion: mended.

--- a/plantainhinge/platform/__main__.py
+++ b/plantainhinge/platform/__main__.py
@@ -1,79 +1,16 @@
 """Runs an entry instance on the users' platform."""
 
-import asyncio
-import os
+import signal
 import sys
-from pathlib import Path
-
-from ..adapters.stream_http_client import HttpClient
-from ..core.errors import PlantainhingeError
-from ..core.ids import Seconds
-from ..daemons.bounded_logs import open_bounded_logs
-from ..daemons.instance import Instance, InstanceSettings
-from ..daemons.operator_view import OperatorView
-from ..daemons.settings_watch import SettingsWatch
-from ..daemons.worker_view import WorkerView
-from ..dispatch.leases import LeaseTerms
-from .ingress import Ingress
-from .operator import decode_operator_record
-from .settings import PlatformSettings, read_platform_settings
-from .store import Store
-from .workers import Workers, decode_entry
-
-SETTINGS_VARIABLE = "PLANTAINHINGE_SETTINGS"
-OPERATOR_TOPIC = "keyed.op"
-WORKER_TOPIC = "keyed.servers"
-LEASE_SECONDS = Seconds(6.0)
-LOG_CONNECTIONS = 16
 
 
 def main() -> int:
     """Run until SIGTERM and return the exit code."""
-    path = Path(os.environ[SETTINGS_VARIABLE])
-    try:
-        settings = read_platform_settings(path)
-    except PlantainhingeError as error:
-        print(error, file=sys.stderr)
-        return error.exit_code
-    identity = {"instance": settings.instance, "domain": settings.domain}
-    with open_bounded_logs(identity):
-        asyncio.run(run_instance(settings, path))
-    return 0
-
-
-async def run_instance(settings: PlatformSettings, path: Path) -> None:
-    """Put the parts together and run them."""
-    store = Store(
-        client=HttpClient(settings.log_address, LOG_CONNECTIONS),
-        waiting_client=HttpClient(settings.log_address, LOG_CONNECTIONS),
-        member_seconds=Seconds(settings.member_seconds),
-    )
-    instance = Instance(
-        settings=InstanceSettings(
-            instance=settings.instance,
-            callers_address=settings.callers_address,
-            ready_address=settings.ready_address,
-            metrics_address=settings.metrics_address,
-            terms=_choose_terms(settings),
-            cores=settings.core_share * settings.core_speed,
-        ),
-        log=store,
-        calls=Workers(settings.advice_address),
-        operator=OperatorView(store, OPERATOR_TOPIC, decode_operator_record),
-        workers=WorkerView(store, WORKER_TOPIC, decode_entry),
-    )
-    instance.watch = SettingsWatch(
-        current=settings,
-        read=lambda: read_platform_settings(path),
-        apply=lambda found: instance.change_terms(_choose_terms(found)),
-        changeable=frozenset({"lease_seconds_max"}),
-    )
-    await instance.run(Ingress(instance.service).handle)
-
+    # unhandled, a reload signal ends the process; the imports below take a while
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .program import main as run  # noqa: PLC0415
 
-def _choose_terms(settings: PlatformSettings) -> LeaseTerms:
-    longest = Seconds(settings.lease_seconds_max)
-    return LeaseTerms(length=Seconds(min(LEASE_SECONDS, longest)), length_max=longest)
+    return run()
 
 
 if __name__ == "__main__":
--- a/tests/test_instance_imports.py
+++ b/tests/test_instance_imports.py
@@ -11,7 +11,7 @@
 
 def test_the_process_of_an_instance_needs_no_other_package():
     program = (
-        "import sys, plantainhinge.platform.__main__;"
+        "import sys, plantainhinge.platform.program;"
         f"print([name for name in {OTHERS} if name in sys.modules])"
     )
     answer = subprocess.run(
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -13,12 +12,14 @@
 
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
 from plantainhinge.core.errors import PlantainhingeError
+from standins.addresses import find_address
 from standins.platform_store import StandInStore
 from standins.platform_worker import StandInWorker
 
 pytestmark = pytest.mark.processes
 
 ROOT = Path(__file__).parent.parent
+HANGUP = 1 << (signal.SIGHUP - 1)
 HOST = ("Host", "archive.example")
 CONFIG = {
     "version": 1,
@@ -36,12 +37,6 @@
 }
 
 
-def find_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Site:
     """A store, workers and instances; clients try one instance after another."""
 
@@ -68,7 +63,7 @@
             "domain": "a",
             "callers_address": find_address(),
             "ready_address": find_address(),
-            "metrics_address": find_address(),
+            "control_address": find_address(),
             "log_address": self.store.address,
             "lease_seconds_max": 4.0,
             "member_seconds": 1.0,
@@ -270,3 +265,29 @@
         assert await site.read_state(job) == "cancelled"
 
     run_site(tmp_path, scenario)
+
+
+def test_a_reload_signal_while_a_process_starts_does_not_end_it(tmp_path):
+    async def scenario(site):
+        starting = asyncio.create_task(site.start_instance("late"))
+        async with asyncio.timeout(15):
+            while "late" not in site.instances:
+                await asyncio.sleep(0)
+            process = site.instances["late"]
+            while not read_signals(process.pid, "SigIgn") & HANGUP:
+                assert not read_signals(process.pid, "SigCgt") & HANGUP, "too late"
+                await asyncio.sleep(0.001)
+        process.send_signal(signal.SIGHUP)
+        await starting
+        assert process.returncode is None
+
+    run_site(tmp_path, scenario, workers=1, instances=1)
+
+
+def read_signals(pid, kind):
+    """Return the mask of signals that a process ignores or catches."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == kind:
+            return int(value, 16)
+    return 0
