Add a randomized soak of real processes under faults from outside

Change: soak/ starts instances as processes on the stand-ins of store and workers, with a loopback proxy before each instance, between it and the log, and before each worker. 14 kinds of faults come in series and beside each other: the log refuses, is silent, loses answers; ways that are cut, one way, slowed, reset; processes killed, all at once, frozen, stopped by plan, reloaded; workers that crash; configurations in quick succession; a failure domain emptied. Six promises are judged by what callers and workers saw, and that all accepted work is served in the end. Clocks are not stepped: a process's clock can't be changed from outside without preloading.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real instances as processes, with faults from outside."""
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,194 @@
+"""What must hold whatever fails, judged by what callers and workers saw."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from plantainhinge.core.registry import Registry
+
+from .accounts import Accounts, JobAccount, RunAccount, TaskName
+
+# time after which every instance knows of an accepted job
+VISIBLE_SECONDS = 3.0
+# time after an acknowledged cancelling in which a start may still be on its way
+CANCEL_SECONDS = 6.0
+DONE = "done"
+FINAL = "completed"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A promise that was broken.
+
+    Parameters
+    ----------
+    at : float
+        Seconds on the clock of the accounts.
+    """
+
+    promise: str
+    subject: str
+    at: float
+    detail: str
+
+
+Check = Callable[[Accounts, float], Iterator[Violation]]
+PROMISES: Registry[Check] = Registry("promise")
+
+
+def check_promises(accounts: Accounts, *, now: float) -> list[Violation]:
+    """Return all that was broken so far, in the order of time."""
+    found = [
+        violation
+        for name in PROMISES
+        for violation in PROMISES.find(name)(accounts, now)
+    ]
+    return sorted(found, key=lambda violation: violation.at)
+
+
+@PROMISES.register("one attempt of a task runs at a time")
+def check_overlaps(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return starts while another attempt of the task ran."""
+    for task, runs in _group_runs(accounts).items():
+        for earlier, later in _list_pairs(runs):
+            if later.started_at < (earlier.ended_at or now):
+                yield _blame(
+                    "one attempt of a task runs at a time",
+                    task,
+                    later,
+                    f"attempt {earlier.attempt} ran on {earlier.worker}",
+                )
+
+
+@PROMISES.register("a task that is done isn't started again")
+def check_repeats(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return starts after an end that was taken note of."""
+    for task, runs in _group_runs(accounts).items():
+        for earlier, later in _list_pairs(runs):
+            if earlier.cause != DONE or earlier.noted_at is None:
+                continue
+            if later.started_at > (earlier.ended_at or now):
+                yield _blame(
+                    "a task that is done isn't started again",
+                    task,
+                    later,
+                    f"attempt {earlier.attempt} was done on {earlier.worker}",
+                )
+
+
+@PROMISES.register("steps run in order")
+def check_order(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return starts before all tasks of the step before were done."""
+    done = _find_done(accounts)
+    for run in accounts.runs:
+        job = accounts.jobs.get(run.task.job)
+        if job is None or run.task.step == 0:
+            continue
+        before = run.task.step - 1
+        for position in range(job.steps[before]):
+            needed = TaskName(job.job, run.task.occurrence, before, position)
+            if done.get(needed, float("inf")) > run.started_at:
+                yield _blame(
+                    "steps run in order", run.task, run, f"{needed} wasn't done"
+                )
+
+
+@PROMISES.register("nothing runs that nobody asked for")
+def check_asked(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return starts of unknown, refused and cancelled jobs."""
+    for run in accounts.runs:
+        job = accounts.jobs.get(run.task.job)
+        cause = _find_objection(job, run)
+        if cause:
+            yield _blame("nothing runs that nobody asked for", run.task, run, cause)
+
+
+@PROMISES.register("an accepted job is never lost")
+def check_lost(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return accepted jobs that were denied, or said to have ended otherwise."""
+    for job in accounts.jobs.values():
+        if job.accepted_at is None:
+            continue
+        for at, state in job.states:
+            denied = state == "gone" and at > job.accepted_at + VISIBLE_SECONDS
+            uncalled = state == "cancelled" and job.cancel_sent is None
+            if denied or uncalled or state == "failed":
+                promise = "an accepted job is never lost"
+                yield Violation(promise, job.job, at, f"said to be {state}")
+
+
+@PROMISES.register("a completed job is complete")
+def check_complete(accounts: Accounts, now: float) -> Iterator[Violation]:
+    """Return jobs shown as completed with a task that wasn't done."""
+    done = _find_done(accounts)
+    for job in accounts.jobs.values():
+        shown = min((at for at, state in job.states if state == FINAL), default=None)
+        if shown is None:
+            continue
+        for step, count in enumerate(job.steps):
+            for position in range(count):
+                task = TaskName(job.job, 0, step, position)
+                if done.get(task, float("inf")) > shown:
+                    promise = "a completed job is complete"
+                    yield Violation(promise, job.job, shown, f"{task} wasn't done")
+
+
+def find_unfinished(accounts: Accounts) -> list[JobAccount]:
+    """Return accepted jobs that should have ended, or been running, by now."""
+    running = {run.task for run in accounts.runs if run.ended_at is None}
+    return [
+        job
+        for job in accounts.jobs.values()
+        if job.accepted_at is not None
+        and job.cancel_sent is None
+        and not _is_served(job, running)
+    ]
+
+
+def _is_served(job: JobAccount, running: set[TaskName]) -> bool:
+    if not job.lasting:
+        return any(state == FINAL for _, state in job.states)
+    return all(
+        TaskName(job.job, 0, step, position) in running
+        for step, count in enumerate(job.steps)
+        for position in range(count)
+    )
+
+
+def _find_objection(job: JobAccount | None, run: RunAccount) -> str:
+    if job is None:
+        return "nobody handed the job in"
+    if job.refused:
+        return "each try to hand it in was refused"
+    late = job.cancelled_at is not None and (
+        run.started_at > job.cancelled_at + CANCEL_SECONDS
+    )
+    return "the job was cancelled long before" if late else ""
+
+
+def _group_runs(accounts: Accounts) -> dict[TaskName, list[RunAccount]]:
+    groups: dict[TaskName, list[RunAccount]] = defaultdict(list)
+    for run in accounts.runs:
+        groups[run.task].append(run)
+    return groups
+
+
+def _list_pairs(runs: list[RunAccount]) -> Iterator[tuple[RunAccount, RunAccount]]:
+    for index, later in enumerate(runs):
+        for earlier in runs[:index]:
+            yield earlier, later
+
+
+def _find_done(accounts: Accounts) -> dict[TaskName, float]:
+    """Return when each task was first done."""
+    done: dict[TaskName, float] = {}
+    for run in accounts.runs:
+        if run.cause == DONE and run.ended_at is not None:
+            done[run.task] = min(run.ended_at, done.get(run.task, float("inf")))
+    return done
+
+
+def _blame(promise: str, task: TaskName, run: RunAccount, why: str) -> Violation:
+    subject = f"{task.job}.{task.occurrence}.{task.step}.{task.position}"
+    detail = f"attempt {run.attempt} started on {run.worker}; {why}"
+    return Violation(promise, subject, run.started_at, detail)
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,235 @@
+"""The site of a soak: processes, stand-ins, and proxies between them."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
+from plantainhinge.core.errors import PlantainhingeError
+from plantainhinge.core.ids import Seconds
+from standins.addresses import find_address
+from standins.platform_store import StandInStore
+
+from .accounts import Accounts
+from .proxy import Proxy
+from .workers import SoakWorker
+
+ROOT = Path(__file__).parent.parent
+HOST_NAME = "archive.example"
+DOMAINS = ("a", "b", "c")
+MEMBER_SECONDS = 1.0
+LEASE_SECONDS = 4.0
+READY_SECONDS = 20.0
+RESTART_SECONDS = 0.3
+
+
+@dataclass
+class SoakInstance:
+    """One instance: its process, and the proxies before and behind it.
+
+    Parameters
+    ----------
+    starts : int
+        How often its process was started.
+    wanted_down : bool
+        Whether the soak has stopped the process.
+    """
+
+    name: str
+    callers: Proxy
+    log: Proxy
+    ready_address: str
+    settings: Path
+    output: Path
+    process: asyncio.subprocess.Process | None = None
+    starts: int = 0
+    wanted_down: bool = False
+    launching: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+@dataclass
+class SoakSite:
+    """All parts of one site.
+
+    Parameters
+    ----------
+    folder : Path
+        Holds settings and logs.
+    """
+
+    folder: Path
+    accounts: Accounts = field(default_factory=Accounts)
+    instances: dict[str, SoakInstance] = field(default_factory=dict)
+    workers: dict[str, SoakWorker] = field(default_factory=dict)
+    worker_proxies: dict[str, Proxy] = field(default_factory=dict)
+    config_version: int = 0
+    unexpected_ends: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.store = StandInStore(find_address())
+
+    async def start(self, *, instances: int, workers: int) -> None:
+        """Start everything and wait until all instances are ready."""
+        await self.store.start()
+        self.change_configuration()
+        for index in range(workers):
+            await self._add_worker(f"w{index}", DOMAINS[index % len(DOMAINS)])
+        for index in range(instances):
+            await self._add_instance(f"i{index}", DOMAINS[index % len(DOMAINS)])
+        async with asyncio.timeout(READY_SECONDS):
+            for instance in self.instances.values():
+                while not await self.is_ready(instance):
+                    await asyncio.sleep(0.05)
+
+    def change_configuration(self) -> None:
+        """Put another version of the same configuration in force."""
+        self.config_version += 1
+        route = {
+            "name": "jobs",
+            "host": HOST_NAME,
+            "pathPrefix": "/jobs/",
+            "service": "archive",
+            "attempts": 3,
+            "slackFactor": 2.0,
+            "targetLatencyMs": 250,
+        }
+        config = {"version": self.config_version, "routes": [route]}
+        self.store.put("keyed.op", "config", json.dumps(config).encode())
+
+    async def launch(self, instance: SoakInstance) -> None:
+        """Start an instance's process, unless it runs."""
+        async with instance.launching:
+            if instance.process is None or instance.process.returncode is not None:
+                await self._launch(instance)
+
+    async def _launch(self, instance: SoakInstance) -> None:
+        instance.starts += 1
+        instance.wanted_down = False
+        with instance.output.open("a") as output:
+            instance.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "plantainhinge.platform",
+                cwd=ROOT,
+                env=os.environ | {"PLANTAINHINGE_SETTINGS": str(instance.settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    async def stop(self, instance: SoakInstance, how: signal.Signals) -> None:
+        """End an instance's process and wait until it is gone."""
+        process = instance.process
+        if process is None or process.returncode is not None:
+            return
+        instance.wanted_down = True
+        process.send_signal(how)
+        await process.wait()
+
+    async def restart(self, instance: SoakInstance, how: signal.Signals) -> None:
+        """End an instance's process and start it again."""
+        await self.stop(instance, how)
+        await asyncio.sleep(RESTART_SECONDS)
+        await self.launch(instance)
+
+    def signal(self, instance: SoakInstance, what: signal.Signals) -> None:
+        """Send a signal to an instance's process, if it runs."""
+        process = instance.process
+        if process is not None and process.returncode is None:
+            process.send_signal(what)
+
+    def find_owner(self) -> SoakInstance | None:
+        """Return the instance that the log names as the owner."""
+        topic = self.store.topics.get("keyed.cells")
+        if topic is None or not topic.records:
+            return None
+        record = topic.records[-1]
+        for name, instance in self.instances.items():
+            if f"{name}/".encode() in record:
+                return instance
+        return None
+
+    async def watch(self) -> None:
+        """Start again what ended by itself, and note it, until cancelled."""
+        while True:
+            await asyncio.sleep(RESTART_SECONDS)
+            for instance in self.instances.values():
+                process = instance.process
+                if process is None or process.returncode is None:
+                    continue
+                if not instance.wanted_down:
+                    note = f"{instance.name} ended by itself with {process.returncode}"
+                    self.unexpected_ends.append(note)
+                    await self.launch(instance)
+
+    async def is_ready(self, instance: SoakInstance) -> bool:
+        """Return whether an instance says that it is ready."""
+        call = HttpCall(method="GET", path="/-/ready")
+        client = HttpClient(instance.ready_address)
+        try:
+            return (await client.call(call, timeout=Seconds(1.0))).status == 200
+        except PlantainhingeError:
+            return False
+        finally:
+            client.close()
+
+    async def close(self) -> None:
+        """End all processes that this site started."""
+        for instance in self.instances.values():
+            self.signal(instance, signal.SIGCONT)
+            await self.stop(instance, signal.SIGKILL)
+
+    async def _add_worker(self, name: str, domain: str) -> None:
+        proxy = Proxy(listen=find_address(), target=find_address())
+        worker = SoakWorker(
+            name,
+            proxy.listen,
+            self.store,
+            listen=proxy.target,
+            domain=domain,
+            accounts=self.accounts,
+        )
+        self.workers[name], self.worker_proxies[name] = worker, proxy
+        await worker.start()
+        await proxy.start()
+
+    async def _add_instance(self, name: str, domain: str) -> None:
+        callers = Proxy(listen=find_address(), target=find_address())
+        log = Proxy(listen=find_address(), target=self.store.address)
+        ready = find_address()
+        settings = {
+            "instance": name,
+            "domain": domain,
+            "callers_address": callers.target,
+            "ready_address": ready,
+            "control_address": find_address(),
+            "log_address": log.listen,
+            "lease_seconds_max": LEASE_SECONDS,
+            "member_seconds": MEMBER_SECONDS,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        output = self.folder / f"{name}.log"
+        instance = SoakInstance(name, callers, log, ready, path, output)
+        self.instances[name] = instance
+        await callers.start()
+        await log.start()
+        await self.launch(instance)
+
+
+@asynccontextmanager
+async def open_site(
+    folder: Path, *, instances: int, workers: int
+) -> AsyncIterator[SoakSite]:
+    """Start a site, and end all of its processes when the block ends."""
+    site = SoakSite(folder)
+    try:
+        await site.start(instances=instances, workers=workers)
+        yield site
+    finally:
+        await site.close()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -36,6 +36,8 @@
     ----------
     started : list of tuple of str and int
         Every start in order: what the tests judge by.
+    listen : str
+        ``host:port`` to listen on, if a proxy stands before it at ``address``.
     """
 
     name: str
@@ -51,10 +53,12 @@
     barred: dict[str, int] = field(default_factory=dict)
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+    domain: str = "a"
+    listen: str = ""
 
     async def start(self) -> None:
         """Begin to listen, to run and to report to the store."""
-        await HttpServer(self.address, self.handle).start()
+        await HttpServer(self.listen or self.address, self.handle).start()
         self._tasks = [
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._work()),
@@ -92,8 +96,18 @@
         self.runs[(task, attempt)] = WorkerRun(
             task, attempt, time.monotonic(), float(str(body["spec"]))
         )
+        self.on_start(task, attempt)
         return self._reply({})
 
+    def on_start(self, task: str, attempt: int) -> None:
+        """Called after each start."""
+
+    def on_end(self, key: tuple[str, int], cause: str, number: int) -> None:
+        """Called after each end, with the number that it is listed under."""
+
+    def on_forget(self, seen: int) -> None:
+        """Called when ends up to a number need no longer be listed."""
+
     def _stop(self, body: dict[str, object]) -> HttpReply:
         task, attempt = str(body["task"]), int(str(body["attempt"]))
         if (task, attempt) in self.runs:
@@ -104,6 +118,7 @@
     async def _hold(self, body: dict[str, object]) -> HttpReply:
         seen = int(str(body["lastSeen"]))
         self.ended = [row for row in self.ended if int(str(row[0])) > seen]
+        self.on_forget(seen)
         end = time.monotonic() + int(str(body.get("waitMs", 0))) / 1000
         while not self.ended and time.monotonic() < end:
             await asyncio.sleep(TICK_SECONDS)
@@ -121,7 +136,9 @@
     def _end(self, key: tuple[str, int], cause: str) -> None:
         del self.runs[key]
         self.barred[key[0]] = max(key[1], self.barred.get(key[0], 0))
-        self.ended.append([next(self.numbers), *key, cause, ""])
+        number = next(self.numbers)
+        self.ended.append([number, *key, cause, ""])
+        self.on_end(key, cause, number)
 
     async def _work(self) -> None:
         while True:
@@ -138,10 +155,10 @@
             entry = {
                 "service": "archive",
                 "addr": self.address,
-                "zone": "a",
+                "zone": self.domain,
                 "state": "ready",
                 "capacity": {"cpu": self.millicores, "memMb": 64000, "gpu": 0},
-                "labels": ["a", "r1-1"],
+                "labels": [self.domain, "r1-1"],
                 "born": self.born,
                 "seq": sequence,
             }
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,136 @@
+"""The soak judges rightly, its proxy does what it says, and a short play passes."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from soak.__main__ import REGRESSIONS, Regression
+from soak.accounts import Accounts, Answer, JobAccount, RunAccount, TaskName
+from soak.play import Plan, play
+from soak.promises import check_promises, find_unfinished
+from soak.proxy import Proxy, Weather
+from standins.addresses import find_address
+
+SEED = 20261204
+
+
+def make_run(step=0, position=0, *, attempt=1, worker="w", start=0.0, end=None, **more):
+    task = TaskName("j", 0, step, position)
+    run = RunAccount(task, attempt, worker, 1, start, end)
+    for name, value in more.items():
+        setattr(run, name, value)
+    return run
+
+
+def make_accounts(*runs, **changes):
+    job = JobAccount("j", [1, 1], accepted_at=0.0, answers=[Answer.DONE])
+    for name, value in changes.items():
+        setattr(job, name, value)
+    return Accounts({"j": job}, list(runs))
+
+
+DONE = {"end": 1.0, "cause": "done"}
+
+
+@pytest.mark.parametrize(
+    ("accounts", "promise"),
+    [
+        (
+            make_accounts(make_run(end=2.0), make_run(attempt=2, start=1.0)),
+            "one attempt of a task runs at a time",
+        ),
+        (
+            make_accounts(
+                make_run(**DONE, noted_at=1.1), make_run(attempt=2, start=1.5)
+            ),
+            "a task that is done isn't started again",
+        ),
+        (make_accounts(make_run(1, start=1.0)), "steps run in order"),
+        (
+            make_accounts(make_run(), answers=[Answer.REFUSED]),
+            "nothing runs that nobody asked for",
+        ),
+        (
+            make_accounts(make_run(start=20.0), cancel_sent=1.0, cancelled_at=1.0),
+            "nothing runs that nobody asked for",
+        ),
+        (Accounts({}, [make_run()]), "nothing runs that nobody asked for"),
+        (make_accounts(states=[(9.0, "gone")]), "an accepted job is never lost"),
+        (make_accounts(states=[(1.0, "failed")]), "an accepted job is never lost"),
+        (make_accounts(states=[(1.0, "cancelled")]), "an accepted job is never lost"),
+        (
+            make_accounts(make_run(**DONE), states=[(1.5, "completed")]),
+            "a completed job is complete",
+        ),
+    ],
+)
+def test_a_broken_promise_is_found(accounts, promise):
+    assert promise in {row.promise for row in check_promises(accounts, now=30.0)}
+
+
+def test_a_job_that_was_done_in_order_breaks_nothing():
+    second = make_run(1, start=1.2, end=2.0, cause="done")
+    accounts = make_accounts(
+        make_run(**DONE, noted_at=1.1), second, states=[(2.1, "completed")]
+    )
+    assert check_promises(accounts, now=30.0) == []
+    assert find_unfinished(accounts) == []
+
+
+def test_an_end_that_nobody_took_note_of_may_be_followed_by_another_attempt():
+    accounts = make_accounts(make_run(**DONE), make_run(attempt=2, start=1.5, end=2.0))
+    assert check_promises(accounts, now=30.0) == []
+    assert find_unfinished(accounts)
+
+
+@pytest.mark.parametrize(
+    ("weather", "heard", "answered"),
+    [
+        (Weather.CLEAR, True, True),
+        (Weather.SLOW, True, True),
+        (Weather.NO_ANSWERS, True, False),
+        (Weather.SILENT, False, False),
+    ],
+)
+def test_the_proxy_holds_what_its_weather_says(weather, heard, answered):
+    async def scenario():
+        received = asyncio.Event()
+
+        async def echo(reader, writer):
+            writer.write(await reader.read(100))
+            received.set()
+
+        proxy = Proxy(listen=find_address(), target=find_address(), delay=0.01)
+        host, _, port = proxy.target.rpartition(":")
+        await asyncio.start_server(echo, host, int(port))
+        await proxy.start()
+        host, _, port = proxy.listen.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        proxy.change(weather)
+        writer.write(b"hello")
+        try:
+            answer = await asyncio.wait_for(reader.read(100), 0.3)
+        except TimeoutError:
+            answer = b""
+        first = received.is_set(), answer == b"hello"
+        proxy.change(Weather.CLEAR)
+        if not answer:
+            assert await asyncio.wait_for(reader.read(100), 2.0) == b"hello"
+        proxy.close()
+        return first
+
+    assert asyncio.run(scenario()) == (heard, answered)
+
+
+@pytest.mark.processes
+def test_a_short_play_keeps_all_promises(tmp_path):
+    plan = Plan(seed=SEED, seconds=6.0, instances=2, workers=3)
+    outcome = asyncio.run(play(plan, tmp_path))
+    assert outcome.passed, outcome
+    assert outcome.starts > 0
+
+
+def test_the_seeds_that_ever_failed_have_a_cause():
+    rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
+    assert all(row.cause for row in rows)
