Learn what images add to each other by a Kalman filter, and place by its bound

The normalized steps correct 5% of the error an observation at the usual share of 0.05, and go on chasing noise later. Change: dispatch/weights.py keeps a variance a pair; placing uses the weight plus 0.7 deviations, pacing the weight.

--- a/plantainhinge/dispatch/advice.py
+++ b/plantainhinge/dispatch/advice.py
@@ -61,7 +61,7 @@
     needs = count_committed(step.spec)
     return any(
         holds_ticket(step, worker, now=now)
-        and has_room(step, needs, worker)
+        and has_room(step, needs, worker, now=now)
         and may_run(step, worker)
         for worker in workers
     )
@@ -71,6 +71,6 @@
     return (
         worker.accepts(now)
         and worker.entry.service == step.job.record.policy.service
-        and has_room(step, count_committed(step.spec), worker)
+        and has_room(step, count_committed(step.spec), worker, now=now)
         and may_run(step, worker)
     )
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -27,7 +27,7 @@
             placed = _place_gang(cell, step, pool, now=now)
         else:
             placed = _place_step(cell, step, pool, now=now)
-        _log_placing(step, placed, len(pool), wall=wall)
+        _log_placing(step, placed, len(pool), now=now, wall=wall)
 
 
 def list_pools(cell: CellTables, *, now: float) -> dict[ServiceId, list[Worker]]:
@@ -56,10 +56,10 @@
     """Start what fits of a step's tasks and return their attempts."""
     placed: list[Run] = []
     for task in list(step.waiting):
-        worker = choose_worker(task, workers, cell.pairs, now=now)
+        worker = choose_worker(task, workers, cell.weights, now=now)
         if worker is None and task.avoid:
             task.avoid.clear()
-            worker = choose_worker(task, workers, cell.pairs, now=now)
+            worker = choose_worker(task, workers, cell.weights, now=now)
         if worker is None:
             break
         placed.append(start_task(cell, task, worker, task.attempt + 1, now=now))
@@ -76,7 +76,7 @@
     for group in _group_for_gang(step, workers):
         runs: list[Run] = []
         for task in step.tasks:
-            worker = choose_worker(task, group, cell.pairs, now=now)
+            worker = choose_worker(task, group, cell.weights, now=now)
             if worker is None:
                 break
             run = Run(task, Attempt(attempt), worker, RunPhase.ORDERED, now)
@@ -102,7 +102,7 @@
 
 
 def _log_placing(
-    step: StepRun, placed: list[Run], workers: int, *, wall: Seconds
+    step: StepRun, placed: list[Run], workers: int, *, now: float, wall: Seconds
 ) -> None:
     """Write what was placed, and once for each step that something found no room."""
     if placed:
@@ -116,8 +116,8 @@
             waiting=len(step.waiting),
         )
         write_event(logger, event)
-    if step.waiting and not step.wait_noted:
-        step.wait_noted = True
+    if step.waiting and step.waits_since == float("inf"):
+        step.waits_since = now
         request = step.spec.request
         waits = StepWaits(
             about=describe_step(step),
--- a/plantainhinge/dispatch/cell_tables.py
+++ b/plantainhinge/dispatch/cell_tables.py
@@ -3,11 +3,10 @@
 from dataclasses import dataclass, field
 
 from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
-from ..placement.interference import PairTable
 from .leases import LeaseTerms
 from .orders import Command
-from .sharing import PRIOR_WEIGHT
 from .tables import JobRun, Worker
+from .weights import ImageWeights
 
 # nobody can have given leases before it
 FIRST_EPOCH = Epoch(1)
@@ -29,7 +28,7 @@
         Failure domains that take no new work.
     fenced : bool
         Whether a worker has seen a higher epoch.
-    pairs : PairTable
+    weights : ImageWeights
         How much images disturb each other.
     commands : list of Command
         Orders that are to go out.
@@ -58,7 +57,7 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     closed_domains: frozenset[DomainId] = frozenset()
     fenced: bool = False
-    pairs: PairTable = field(default_factory=lambda: PairTable(PRIOR_WEIGHT))
+    weights: ImageWeights = field(default_factory=ImageWeights)
     commands: list[Command] = field(default_factory=list)
     dirty: dict[JobId, JobRun] = field(default_factory=dict)
     unseen: set[WorkerId] = field(default_factory=set)
--- a/plantainhinge/dispatch/copies.py
+++ b/plantainhinge/dispatch/copies.py
@@ -45,7 +45,7 @@
     for run in slow:
         pool = pools.get(run.task.step.job.record.policy.service, [])
         others = [worker for worker in pool if worker is not run.worker]
-        target = choose_worker(run.task, others, cell.pairs, now=now)
+        target = choose_worker(run.task, others, cell.weights, now=now)
         if target is None:
             continue
         event = CopyOrdered(
--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -68,7 +68,7 @@
             and other.entry.domain not in cell.closed_domains
             and other.entry.service == worker.entry.service
         ]
-        target = choose_worker(run.task, others, cell.pairs, now=now)
+        target = choose_worker(run.task, others, cell.weights, now=now)
         if target is not None:
             event = AttemptMoves(
                 about=describe_run(run), pace=run.pace, target=target.name
@@ -99,8 +99,8 @@
     """Learn how the images on a worker disturb each other, and set paces."""
     if not worker.serving:
         return
-    learn_from_report(worker, cell.pairs, now=now)
-    changes = adjust_paces(worker, cell.pairs, now=now)
+    learn_from_report(worker, cell.weights, now=now)
+    changes = adjust_paces(worker, cell.weights, now=now)
     for change in changes:
         send_pace(cell, change.run, change.percent)
     if changes:
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -29,7 +29,7 @@
         ),
         pairs=tuple(
             PairWeight(serving, filling, round(row.weight, WEIGHT_DIGITS))
-            for (serving, filling), row in cell.pairs.rows.items()
+            for (serving, filling), row in cell.weights.rows.items()
         ),
         lease_seconds=max(cell.earlier_lease, cell.terms.length),
     )
@@ -48,7 +48,7 @@
     if handover.lease_seconds:
         cell.earlier_lease = Seconds(handover.lease_seconds)
     for pair in handover.pairs:
-        cell.pairs.set(
+        cell.weights.set(
             KindId(pair.serving), KindId(pair.filling), pair.weight, Seconds(now)
         )
     for entry in handover.workers:
--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -10,14 +10,16 @@
 
 from ..core.registry import Registry
 from ..core.resources import Resources
-from ..placement.interference import PairTable
 from .sharing import predict_harm
 from .tables import StepRun, Task, Worker, count_committed
+from .weights import ImageWeights
 
 NEAR_DATA_BONUS = 1e6
 FILL_SHARE_MIN = 0.7
 # share of each worker that new lasting tasks leave free for work that comes and goes
 HEADROOM_SHARE = 0.10
+# how long they do so while nothing else has room
+HEADROOM_SECONDS = 30.0
 # spare processors that are worth as much as one unit of pressure
 HARM_MILLICORES = 60000.0
 # room that is worth as much as an image more, or the same image, on a worker
@@ -28,7 +30,7 @@
 
 
 def choose_worker(
-    task: Task, workers: Iterable[Worker], pairs: PairTable, *, now: float
+    task: Task, workers: Iterable[Worker], weights: ImageWeights, *, now: float
 ) -> Worker | None:
     """Return the best worker for one more attempt of a task, or None.
 
@@ -43,11 +45,11 @@
     best: Worker | None = None
     best_score = float("-inf")
     for worker in workers:
-        if not has_room(step, needs, worker) or worker.name in task.avoid:
+        if worker.name in task.avoid or not has_room(step, needs, worker, now=now):
             continue
         if not may_run(step, worker) or not holds_ticket(step, worker, now=now):
             continue
-        value = score(step, worker, pairs, now)
+        value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += NEAR_DATA_BONUS
         if value > best_score:
@@ -55,10 +57,10 @@
     return best
 
 
-def has_room(step: StepRun, needs: Resources, worker: Worker) -> bool:
+def has_room(step: StepRun, needs: Resources, worker: Worker, *, now: float) -> bool:
     """Return whether one more task of a step fits on a worker."""
     capacity, committed = worker.entry.capacity, worker.committed
-    if step.spec.lasting and not is_restart(step):
+    if leaves_headroom(step, now=now):
         kept = capacity.millicores * HEADROOM_SHARE
         if needs.millicores + kept > worker.room_now:
             return False
@@ -73,6 +75,15 @@
     )
 
 
+def leaves_headroom(step: StepRun, *, now: float) -> bool:
+    """Return whether a step's tasks keep out of the room for work that comes and goes.
+
+    New lasting tasks do, unless they have waited long for room elsewhere.
+    """
+    waited = now - step.waits_since
+    return step.spec.lasting and not is_restart(step) and waited < HEADROOM_SECONDS
+
+
 def holds_ticket(step: StepRun, worker: Worker, *, now: float) -> bool:
     """Return whether a start there carries a ticket, if the queue asks for one."""
     if not step.job.record.policy.advised:
@@ -106,17 +117,19 @@
 
 @SCORES.register("ordinary")
 def score_ordinary(
-    step: StepRun, worker: Worker, pairs: PairTable, now: float
+    step: StepRun, worker: Worker, weights: ImageWeights, now: float
 ) -> float:
     """Prefer the worker with the most processors that nothing uses."""
     return float(worker.spare_millicores)
 
 
 @SCORES.register("filling")
-def score_filling(step: StepRun, worker: Worker, pairs: PairTable, now: float) -> float:
+def score_filling(
+    step: StepRun, worker: Worker, weights: ImageWeights, now: float
+) -> float:
     """Prefer the most spare processor time where nobody is disturbed."""
     harm = predict_harm(
-        step.spec.image, step.spec.request.millicores, worker, pairs, now=now
+        step.spec.image, step.spec.request.millicores, worker, weights, now=now
     )
     if harm is None:
         return float("-inf")
@@ -124,7 +137,9 @@
 
 
 @SCORES.register("serving")
-def score_serving(step: StepRun, worker: Worker, pairs: PairTable, now: float) -> float:
+def score_serving(
+    step: StepRun, worker: Worker, weights: ImageWeights, now: float
+) -> float:
     """Prefer the fullest worker that serves this image alone, then an empty one.
 
     Images differ in what disturbs them: the fewer a worker serves, the more work
--- a/plantainhinge/dispatch/sharing.py
+++ b/plantainhinge/dispatch/sharing.py
@@ -3,8 +3,7 @@
 Answers the load where both share a worker. A serving task's tail grows like the
 wait in a queue, so its pressure, one minus the ratio of the idle tail to the tail,
 is close to a sum: its own load, and for each image beside it a weight times the
-share of the processors that the image keeps busy. The weights are learned by the
-model of pairs in ``placement.interference``.
+share of the processors that the image keeps busy (``dispatch.weights``).
 """
 
 from collections.abc import Iterable
@@ -12,16 +11,12 @@
 from statistics import median
 
 from ..core.ids import KindId, Seconds
-from ..core.states import TaskClass
-from ..placement.interference import KindLoad, Observation, PairTable, learn
 from .tables import Run, RunPhase, Worker
+from .weights import ImageWeights
 
-# weight of a pair of images that was never seen side by side
-PRIOR_WEIGHT = 0.8
 # tail of an idle serving task against its target
 IDLE_TAIL = 0.22
 USUAL_PRESSURE = 0.45
-LEARNING_STEP = 0.5
 PRESSURE_LIMIT = 0.765
 PRESSURE_AIM = 0.74
 PRESSURE_PLACING = 0.75
@@ -72,7 +67,7 @@
     return max(0.0, 1.0 - IDLE_TAIL / tail)
 
 
-def learn_from_report(worker: Worker, pairs: PairTable, *, now: float) -> None:
+def learn_from_report(worker: Worker, weights: ImageWeights, *, now: float) -> None:
     """Learn from the newest report of a worker what its images do to each other.
 
     The own load of a serving task isn't reported. The tasks of one job have about
@@ -92,18 +87,15 @@
     ]
     for run in serving:
         run.own_load = measure_pressure(run) - sum(
-            load.load * _weigh(run, load.kind, pairs, now) for load in loads
+            share * _weigh(run, image, weights, now) for image, share in loads.items()
         )
         run.measured_at = now
         run.over_since = _note_over(run, now=now)
     if not settled or not loads:
         return
     for run in serving:
-        own = _estimate_own_load(run, now=now)
-        observation = Observation(
-            _name_image(run), 1.0 + measure_pressure(run) - own, loads
-        )
-        learn(pairs, observation, Seconds(now), step=LEARNING_STEP)
+        added = measure_pressure(run) - _estimate_own_load(run, now=now)
+        weights.learn(_name_image(run), added, loads, Seconds(now))
 
 
 def _note_over(run: Run, *, now: float) -> float:
@@ -124,7 +116,9 @@
     return min(OWN_LOAD_MAX, max(OWN_LOAD_MIN, median(known)))
 
 
-def adjust_paces(worker: Worker, pairs: PairTable, *, now: float) -> list[PaceChange]:
+def adjust_paces(
+    worker: Worker, weights: ImageWeights, *, now: float
+) -> list[PaceChange]:
     """Return how the attempts that fill on a worker should change their pace."""
     neighbours = find_neighbours(worker)
     filling = [run for run in neighbours.filling if run.phase is RunPhase.RUNNING]
@@ -134,21 +128,21 @@
         return [PaceChange(run, 0) for run in filling if run.pace > 0]
     excess, victim = _find_excess(neighbours.serving)
     if victim is not None and excess > 0:
-        return _slow_down(victim, excess, filling, pairs, now=now)
+        return _slow_down(victim, excess, filling, weights, now=now)
     paced = [run for run in filling if run.pace < PACE_FULL]
-    return _speed_up(neighbours.serving, paced, pairs, now=now)
+    return _speed_up(neighbours.serving, paced, weights, now=now)
 
 
 def predict_harm(
-    image: str, millicores: int, worker: Worker, pairs: PairTable, *, now: float
+    image: str, millicores: int, worker: Worker, weights: ImageWeights, *, now: float
 ) -> float | None:
     """Return the pressure that one more attempt adds, None if it is too much."""
     if worker.pressures is None:
-        worker.pressures = _measure_pressures(worker, pairs, now=now)
+        worker.pressures = _measure_pressures(worker, weights, now=now)
     share = millicores / worker.entry.capacity.millicores
     added_total = 0.0
     for serving, pressure in worker.pressures.items():
-        added = share * pairs.find(KindId(serving), KindId(image), Seconds(now))
+        added = share * weights.bound(KindId(serving), KindId(image), Seconds(now))
         if pressure + added > PRESSURE_PLACING:
             return None
         added_total += added
@@ -156,7 +150,7 @@
 
 
 def _measure_pressures(
-    worker: Worker, pairs: PairTable, *, now: float
+    worker: Worker, weights: ImageWeights, *, now: float
 ) -> dict[str, float]:
     """Return the worst pressure of each serving image on a worker.
 
@@ -170,7 +164,7 @@
         for other in neighbours.filling:
             if now - other.confirmed_at < SETTLE_SECONDS or not other.gauge:
                 share = other.task.step.spec.request.millicores / capacity
-                pressure += share * _weigh(run, _name_image(other), pairs, now)
+                pressure += share * _weigh(run, _name_image(other), weights, now)
         image = run.task.step.spec.image
         pressures[image] = max(pressure, pressures.get(image, 0.0))
     return pressures
@@ -187,13 +181,13 @@
 
 
 def _slow_down(
-    victim: Run, excess: float, filling: list[Run], pairs: PairTable, *, now: float
+    victim: Run, excess: float, filling: list[Run], weights: ImageWeights, *, now: float
 ) -> list[PaceChange]:
     """Slow the attempts that add most to a pressure until the excess is gone."""
     capacity = victim.worker.entry.capacity.millicores
     changes = []
     parts = [
-        (_share(run, capacity) * _weigh(victim, _name_image(run), pairs, now), run)
+        (_share(run, capacity) * _weigh(victim, _name_image(run), weights, now), run)
         for run in filling
         if run.pace > 0
     ]
@@ -209,7 +203,7 @@
 
 
 def _speed_up(
-    serving: Iterable[Run], paced: list[Run], pairs: PairTable, *, now: float
+    serving: Iterable[Run], paced: list[Run], weights: ImageWeights, *, now: float
 ) -> list[PaceChange]:
     """Give the attempts that were slowed what the pressures leave room for."""
     room = {run: PRESSURE_AIM - measure_pressure(run) for run in serving}
@@ -217,32 +211,31 @@
     for run in sorted(paced, key=lambda run: run.ordered_at):
         full = run.task.step.spec.request.millicores
         share = full / run.worker.entry.capacity.millicores
-        weights = {
-            victim: share * _weigh(victim, _name_image(run), pairs, now)
+        added = {
+            victim: share * _weigh(victim, _name_image(run), weights, now)
             for victim in room
         }
         gain = min(
-            (room[victim] / weight for victim, weight in weights.items() if weight > 0),
+            (room[victim] / part for victim, part in added.items() if part > 0),
             default=1.0,
         )
         percent = min(PACE_FULL, int(run.pace + gain * PACE_FULL))
         if percent - run.pace < min(PACE_CHANGE_MIN, PACE_FULL - run.pace):
             continue
-        for victim, weight in weights.items():
-            room[victim] -= weight * (percent - run.pace) / PACE_FULL
+        for victim, part in added.items():
+            room[victim] -= part * (percent - run.pace) / PACE_FULL
         changes.append(PaceChange(run, percent))
     return changes
 
 
-def _list_loads(worker: Worker, filling: Iterable[Run]) -> tuple[KindLoad, ...]:
+def _list_loads(worker: Worker, filling: Iterable[Run]) -> dict[KindId, float]:
+    """Return the share of the processors that each image keeps busy."""
     capacity = worker.entry.capacity.millicores
     loads: dict[KindId, float] = {}
     for run in filling:
         image = _name_image(run)
         loads[image] = loads.get(image, 0.0) + _share(run, capacity)
-    return tuple(
-        KindLoad(image, TaskClass.BATCH, load) for image, load in loads.items() if load
-    )
+    return {image: share for image, share in loads.items() if share}
 
 
 def _share(run: Run, capacity: int) -> float:
@@ -250,8 +243,8 @@
     return run.gauge * MILLICORES_PER_CORE / capacity
 
 
-def _weigh(victim: Run, image: KindId, pairs: PairTable, now: float) -> float:
-    return pairs.find(_name_image(victim), image, Seconds(now))
+def _weigh(victim: Run, image: KindId, weights: ImageWeights, now: float) -> float:
+    return weights.find(_name_image(victim), image, Seconds(now))
 
 
 def _name_image(run: Run) -> KindId:
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -88,8 +88,8 @@
         Ticket and its last moment by worker, for queues that need them.
     asked, asked_at
         Workers that advice was asked on, and when it was last asked.
-    wait_noted : bool
-        Whether the log tells that tasks of it waited for room.
+    waits_since : float
+        Monotonic seconds at which tasks of it first found no room; infinite before.
     """
 
     job: "JobRun"
@@ -104,7 +104,7 @@
     tickets: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
     asked: set[WorkerId] = field(default_factory=set)
     asked_at: float = float("-inf")
-    wait_noted: bool = False
+    waits_since: float = float("inf")
 
     @property
     def ready(self) -> bool:
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -303,10 +303,10 @@
 
 def test_a_new_owner_knows_what_images_do_to_each_other():
     site = ModelSite(make_entry("w1"))
-    site.cell.pairs.set("front", "index", 2.5, 0.0)
+    site.cell.weights.set("front", "index", 2.5, 0.0)
     site.run(0.2)
     site.take_over([])
-    assert site.cell.pairs.find("front", "index", site.now) == 2.5
+    assert site.cell.weights.find("front", "index", site.now) == 2.5
 
 
 def test_a_job_handed_in_again_before_its_end_is_logged_runs_once():
@@ -462,3 +462,14 @@
     site.take_over([job])
     site.run(0.5)
     assert len(site.workers["w1"].runs) == 10
+
+
+def test_new_lasting_tasks_leave_headroom_but_not_for_ever():
+    site = ModelSite(make_entry("w1"), make_entry("w2"))
+    site.submit(make_job("a", make_step(lasting=True, count=14)))
+    site.run(0.5)
+    site.submit(make_job("b", make_step(lasting=True, count=2)))
+    site.run(29)
+    assert {key.job for _, key, _ in site.list_running()} == {"a"}
+    site.run(3)
+    assert len(site.list_running()) == 16
