--- a/soak/site.py
+++ b/soak/site.py
@@ -110,7 +110,6 @@
 
     async def _launch(self, instance: SoakInstance) -> None:
         instance.starts += 1
-        instance.wanted_down = False
         with instance.output.open("a") as output:
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -121,6 +120,7 @@
                 stdout=output,
                 stderr=output,
             )
+        instance.wanted_down = False
 
     async def stop(self, instance: SoakInstance, how: signal.Signals) -> None:
         """End an instance's process and wait until it is gone."""
