Split the messages of the older daemons by who speaks; say incarnation

Cause: core/messages.py had grown to 601 lines with nine kinds of peers in it; dispatch/lives.py, `begin_life` and OTHER_LIFE said life for what the field calls an incarnation. Also found by the whole suite: since a view whose topic was trimmed waited for its next read before it read anew (tests/test_operator_view.py, red in that run).

--- /dev/null
+++ b/plantainhinge/core/messages/base.py
@@ -0,0 +1,7 @@
+"""What all messages have in common."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of all messages."""
--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -54,7 +54,7 @@
             write_event(logger, event)
             if self.position == start:
                 self.position = None
-            return 0
+            return await self._restart()
         if self.position is None:
             return 0
         # another read may have taken some of them in meanwhile
--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -6,7 +6,7 @@
 from ..fleet.model import OrderAnswer, OrderOutcome
 from . import health
 from .cell_tables import CellTables
-from .lives import lose_touch
+from .incarnations import lose_touch
 from .log_events import StartRefused, describe_run
 from .ordering import RETRY_SECONDS_MAX, retry_later
 from .tables import Run, RunPhase
@@ -42,7 +42,7 @@
 ) -> None:
     """Give an attempt up that surely won't start; its task waits again."""
     write_event(logger, StartRefused(about=describe_run(run), cause=outcome))
-    if outcome is OrderOutcome.OTHER_LIFE:
+    if outcome is OrderOutcome.OTHER_INCARNATION:
         lose_touch(cell, run.worker, now=now)
     elif outcome is OrderOutcome.NO_TICKET:
         run.task.step.tickets.pop(run.worker.name, None)
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -28,7 +28,7 @@
     copies,
     eviction,
     handovers,
-    lives,
+    incarnations,
     ordering,
     reports,
     tasks,
@@ -50,7 +50,7 @@
     Parameters
     ----------
     ends : tuple
-        Worker, its life and the highest number of an end that was taken in.
+        Worker, when it was born and the highest number of an end that was taken in.
     handover : Handover, optional
         What the next owner should know, if it is due.
     """
@@ -133,7 +133,7 @@
         """Take in that a renewal brought no lists."""
         if answer.outcome is OrderOutcome.FENCED:
             self.fenced = True
-        lives.lose_touch(self, worker, now=now)
+        incarnations.lose_touch(self, worker, now=now)
 
     def take_commands(self) -> list[Command]:
         """Return the orders that came due since the last call."""
@@ -142,7 +142,7 @@
 
     def decide(self, *, now: float, wall: Seconds) -> None:
         """Place what waits, repeat what is due and adjust paces."""
-        lives.end_lapsed(self, now=now)
+        incarnations.end_lapsed(self, now=now)
         for job in self.jobs.values():
             if job.record.spec.recurrence is not None:
                 book.open_due_occurrences(job, wall=wall)
@@ -163,7 +163,7 @@
         self, entries: Iterable[WorkerEntry], *, now: float, inherited: bool = False
     ) -> None:
         """Take in the directory of workers."""
-        lives.see_workers(self, entries, now=now, inherited=inherited)
+        incarnations.see_workers(self, entries, now=now, inherited=inherited)
 
     def take_report(
         self, worker: Worker, report: WorkerReport, *, sent: float, now: float
--- a/plantainhinge/dispatch/lives.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -1,4 +1,4 @@
-"""Workers that come, fall silent, begin another life and go."""
+"""Workers that come, fall silent, restart under their id and go."""
 
 import logging
 from collections.abc import Iterable
@@ -46,7 +46,7 @@
                 cell.unseen.add(entry.worker)
             write_event(logger, WorkerListed(about=describe_worker(worker)))
         elif entry.born > worker.born:
-            begin_life(cell, worker, entry.born, now=now)
+            begin_incarnation(cell, worker, entry.born, now=now)
         if entry.state is not worker.entry.state:
             change = WorkerChangedState(
                 about=describe_worker(worker), state=entry.state
@@ -69,7 +69,9 @@
     worker.in_touch = False
 
 
-def begin_life(cell: CellTables, worker: Worker, born: int, *, now: float) -> None:
+def begin_incarnation(
+    cell: CellTables, worker: Worker, born: int, *, now: float
+) -> None:
     """Note that a worker restarted: all that it ran is gone."""
     event = WorkerRestarted(
         about=describe_worker(worker), attempts_lost=len(worker.runs)
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -7,8 +7,8 @@
 from . import health
 from .cell_tables import CellTables
 from .eviction import protect_serving
+from .incarnations import begin_incarnation
 from .leases import learn_clock
-from .lives import begin_life
 from .log_events import AttemptEnded, AttemptGone, describe_run
 from .ordering import stop_run
 from .orders import Stop
@@ -34,7 +34,7 @@
     if report.born < worker.born:
         return
     if report.born > worker.born:
-        begin_life(cell, worker, report.born, now=now)
+        begin_incarnation(cell, worker, report.born, now=now)
     learn_clock(worker, clock=report.clock, sent=sent, received=now)
     for end in report.ended:
         if end.number > worker.seen_number:
--- a/plantainhinge/fleet/model.py
+++ b/plantainhinge/fleet/model.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     born : int
-        Names this life of the worker; a restart brings another.
+        Names this incarnation of the worker; a restart begins another.
     remaining : float
         Seconds that a draining worker surely stays.
     """
@@ -78,7 +78,7 @@
     Parameters
     ----------
     number : int
-        Counts the ends of this life of the worker.
+        Counts the ends of this incarnation of the worker.
     """
 
     number: int
@@ -97,7 +97,7 @@
     clock : float
         Seconds on the worker's clock.
     born : int
-        Which life of the worker answered.
+        Which incarnation of the worker answered.
     """
 
     clock: Seconds
@@ -117,7 +117,7 @@
     NO_TICKET = "no-ticket"
     MALFORMED = "malformed"
     REFUSED = "refused"
-    OTHER_LIFE = "other-life"
+    OTHER_INCARNATION = "other-incarnation"
     UNKNOWN = "unknown"
     NOT_SENT = "not-sent"
 
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -40,7 +40,6 @@
 
 OK = 200
 CONFLICT = 409
-OTHER_LIFE = 421
 ADVICE_SECONDS = Seconds(3.0)
 ORDER_SECONDS = Seconds(0.5)
 RENEWAL_SECONDS = Seconds(0.7)
@@ -284,7 +283,7 @@
         case 409:
             outcome = REFUSALS.get(body.reason, OrderOutcome.REFUSED)
         case 421:
-            outcome = OrderOutcome.OTHER_LIFE
+            outcome = OrderOutcome.OTHER_INCARNATION
         case 400:
             outcome = OrderOutcome.MALFORMED
         case 429 | 503:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -194,7 +194,7 @@
         (409, "late", OrderOutcome.TOO_LATE),
         (409, "room", OrderOutcome.NO_ROOM),
         (409, "other", OrderOutcome.REFUSED),
-        (421, "", OrderOutcome.OTHER_LIFE),
+        (421, "", OrderOutcome.OTHER_INCARNATION),
         (429, "", OrderOutcome.REFUSED),
         (500, "", OrderOutcome.UNKNOWN),
     ],
