Give work last to workers that failed their last attempt, and keep last attempts

Such a worker is always the emptiest, so it drew the next tasks as soon as its pause ended; and a task for which no other worker had room at that moment went back to the worker that had failed it (0.0.7 twice on one worker within 30 ms) and used up its last attempt. Ruled out: setting a worker aside after one failure (poison jobs fail on sound ones). Change: a worker's score falls with the failures since its last success; a task returns to workers that failed it only if no other could ever take it.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -7,9 +7,9 @@
 from ..jobs.model import FINAL_JOB_STATES
 from .cell_tables import CellTables
 from .log_events import StepPlaced, StepWaits, describe_step
-from .placing import choose_worker
+from .placing import choose_worker, may_hold
 from .queueing import order_steps, rank_step
-from .tables import Run, RunPhase, StepRun, Worker, bind, unbind
+from .tables import Run, RunPhase, StepRun, Task, Worker, bind, unbind
 from .tasks import start_task
 
 logger = logging.getLogger(__name__)
@@ -56,16 +56,27 @@
     """Start what fits of a step's tasks and return their attempts."""
     placed: list[Run] = []
     for task in list(step.waiting):
+        _forgive(task, workers)
         worker = choose_worker(task, workers, cell.weights, now=now)
-        if worker is None and task.avoid:
-            task.avoid.clear()
-            worker = choose_worker(task, workers, cell.weights, now=now)
         if worker is None:
             break
-        placed.append(start_task(cell, task, worker, task.attempt + 1, now=now))
+        run = start_task(cell, task, worker, task.attempt + 1, now=now)
+        placed.append(run)
     return placed
 
 
+def _forgive(task: Task, workers: list[Worker]) -> None:
+    """Let a task return to workers that failed it, if no others could take it.
+
+    While another one is merely full it waits: it may have one attempt left.
+    """
+    if not task.avoid:
+        return
+    others = (worker for worker in workers if worker.name not in task.avoid)
+    if not any(may_hold(task.step, worker) for worker in others):
+        task.avoid.clear()
+
+
 def _place_gang(
     cell: CellTables, step: StepRun, workers: list[Worker], *, now: float
 ) -> list[Run]:
--- a/plantainhinge/dispatch/placing.py
+++ b/plantainhinge/dispatch/placing.py
@@ -15,6 +15,8 @@
 from .weights import ImageWeights
 
 NEAR_DATA_BONUS = 1e6
+# one that fails all it gets is always the emptiest
+FAULT_PENALTY = 1e7
 FILL_SHARE_MIN = 0.7
 # share of each worker that new lasting tasks leave free for work that comes and goes
 HEADROOM_SHARE = 0.10
@@ -52,11 +54,23 @@
         value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += NEAR_DATA_BONUS
+        value -= FAULT_PENALTY * worker.faults_in_a_row
         if value > best_score:
             best, best_score = worker, value
     return best
 
 
+def may_hold(step: StepRun, worker: Worker) -> bool:
+    """Return whether a worker could run a task of a step if it were empty."""
+    needs, capacity = count_committed(step.spec), worker.entry.capacity
+    fits = (
+        needs.millicores <= capacity.millicores
+        and needs.memory_mib <= capacity.memory_mib
+        and needs.accelerators <= capacity.accelerators
+    )
+    return fits and (not step.spec.label or step.spec.label in worker.entry.labels)
+
+
 def has_room(step: StepRun, needs: Resources, worker: Worker, *, now: float) -> bool:
     """Return whether one more task of a step fits on a worker."""
     capacity, committed = worker.entry.capacity, worker.committed
--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -94,6 +94,7 @@
     deaf: bool = False
     lose_answers: int = 0
     fails: bool = False
+    fails_at_once: bool = False
     speed: float = 1.0
     fence: int = 0
     lease_end: float = 0.0
@@ -174,6 +175,8 @@
             run.left -= seconds * self.speed * run.pace / 100
             if self.now > self.lease_end:
                 self._end(key, EndCause.LAPSED)
+            elif self.fails_at_once:
+                self._end(key, EndCause.FAILED)
             elif run.left <= 0 and not run.lasting:
                 self._end(key, EndCause.FAILED if self.fails else EndCause.DONE)
 
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -473,3 +473,38 @@
     assert {key.job for _, key, _ in site.list_running()} == {"a"}
     site.run(3)
     assert len(site.list_running()) == 16
+
+
+def test_a_worker_that_fails_all_it_gets_does_not_draw_the_work():
+    site = ModelSite(*(make_entry(f"w{index}") for index in range(4)))
+    site.workers["w0"].fails_at_once = True
+    site.run(0.2)
+    for index in range(60):
+        site.submit(make_job(f"j{index}", make_step(count=6, estimate=1.0)))
+        site.run(0.4)
+    site.run(5)
+    states = [site.state_of(f"j{index}") for index in range(60)]
+    assert states.count("completed") == 60
+    assert len(site.workers["w0"].started) < site.count_starts() / 20
+
+
+def test_a_last_attempt_waits_for_a_worker_that_has_not_failed_the_task():
+    site = ModelSite(make_entry("w1", cores=2), make_entry("w2", cores=1))
+    site.workers["w1"].fails = True
+    site.run(0.2)
+    site.submit(make_job("busy", make_step(estimate=4.0, per_worker_max=1, count=2)))
+    site.run(0.2)
+    site.workers["w1"].runs.clear()
+    site.submit(make_job("j", make_step(estimate=0.2)))
+    site.run_until(lambda: site.state_of("j") in ("completed", "failed"), limit=15)
+    assert site.state_of("j") == "completed"
+
+
+def test_a_task_returns_to_the_only_worker_that_can_take_it():
+    site = ModelSite(make_entry("w1"))
+    site.workers["w1"].fails = True
+    site.run(0.2)
+    site.submit(make_job("j", make_step(estimate=0.2)))
+    site.run(0.4)
+    site.workers["w1"].fails = False
+    site.run_until(lambda: site.state_of("j") == "completed", limit=15)
