Keep a start bound to a restarted worker until a list shows what became of it

Cause: of the soak, the first broken promise it found: attempt 1 of a task was ordered from w0 30 ms after w0 had restarted under its id, and accepted by the new incarnation. The directory's entry with the new `born` came 100 ms later, and the owner gave up all attempts bound to w0, this one as well; attempt 2 started on w4 beside it. A list of w0 that came first would have saved it, so it shows rarely. Ruled out: a stop that bars the start (sent before, but only for orders without an answer, and it lands after the start); clocks (`born` against the time of the order: they may differ by seconds). Change: a restart gives up only the attempts that a list of the worker has shown. The others stay bound: the next list adopts them or the order is repeated there, or they end with their lease. The stop is needless then and goes.

--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -17,8 +17,7 @@
     describe_run,
     describe_worker,
 )
-from .ordering import send_stop
-from .tables import RunPhase, Worker
+from .tables import Worker
 from .tasks import release_run
 
 logger = logging.getLogger(__name__)
@@ -72,20 +71,20 @@
 def begin_incarnation(
     cell: CellTables, worker: Worker, born: int, *, now: float
 ) -> None:
-    """Note that a worker restarted: all that it ran is gone."""
-    event = WorkerRestarted(
-        about=describe_worker(worker), attempts_lost=len(worker.runs)
-    )
+    """Note that a worker restarted: what its lists have shown is gone.
+
+    An order that no list has shown yet may have reached the new incarnation, so its
+    attempt stays bound until a list, a refusal or the end of its lease decides.
+    """
+    lost = [run for run in worker.runs.values() if run.listed]
+    event = WorkerRestarted(about=describe_worker(worker), attempts_lost=len(lost))
     write_event(logger, event)
-    lost = list(worker.runs.values())
     worker.born = born
     worker.seen_number = worker.acknowledged = 0
-    worker.heard_at = worker.lapse_at = float("-inf")
+    worker.heard_at = float("-inf")
     worker.in_touch = False
     worker.set_aside_until = 0.0
     for run in lost:
-        if run.phase is RunPhase.ORDERED:
-            send_stop(cell, worker, run.task, run.attempt, None)
         release_run(cell, run, now=now)
 
 
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -86,6 +86,7 @@
         run.phase = RunPhase.RUNNING
         run.confirmed_at = run.moved_at = now
         run.retry_at = float("inf")
+    run.listed = True
     if row.percent != run.percent:
         run.percent = row.percent
         run.moved_at = now
@@ -103,6 +104,7 @@
     task.attempt = max(task.attempt, row.attempt)
     run = Run(task, row.attempt, worker, RunPhase.RUNNING, now, now)
     run.percent, run.gauge, run.moved_at = row.percent, row.gauge, now
+    run.listed = True
     others = [other for other in task.runs if other.phase is not RunPhase.STOPPING]
     bind(run)
     if task in task.step.waiting:
--- a/plantainhinge/dispatch/tables.py
+++ b/plantainhinge/dispatch/tables.py
@@ -32,6 +32,8 @@
         Monotonic seconds of the first order and of its confirmation.
     retry_at : float
         When an unanswered order goes out again; infinite if none is due.
+    listed : bool
+        Whether a list of its worker has shown it.
     moved_at : float
         When its progress last changed.
     own_load, measured_at : float
@@ -49,6 +51,7 @@
     confirmed_at: float = 0.0
     retry_at: float = float("inf")
     tries: int = 0
+    listed: bool = False
     percent: int = 0
     moved_at: float = 0.0
     gauge: float = 0.0
