Let a list settle a repeated start that is refused

An order without an answer is repeated; if the first one was carried out and the attempt had ended meanwhile, the worker refuses the repeat (`old`, or for want of room, or since it is ill). The owner took that for a start that had not happened and started the task elsewhere; the end that the next list showed was passed over, since the task ran again. Needs a lost answer and a lost list at once, as cuts and lost packets bring them. Ruled out: an answer to the first order or to none of another incarnation (these still give the attempt up at once). Change: after a second try any other refusal leaves the attempt bound until the next list, which shows it running, ended or gone. A line `start unsettled`. Measured: tests/test_dispatch_cell.py, 4 refusals x (done, running), all 8 fail on the code before with two starts.

--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -7,7 +7,7 @@
 from . import health
 from .cell_tables import CellTables
 from .incarnations import lose_touch
-from .log_events import StartRefused, describe_run
+from .log_events import StartRefused, StartUnsettled, describe_run
 from .ordering import RETRY_SECONDS_MAX, retry_later
 from .tables import Run, RunPhase
 from .tasks import release_run
@@ -33,10 +33,25 @@
             retry_later(run, now=now)
         case OrderOutcome.NOT_SENT if run.tries > 1:
             retry_later(run, now=now)
+        case OrderOutcome.OTHER_INCARNATION:
+            _take_refusal(cell, run, answer.outcome, now=now)
+        case _ if run.tries > 1:
+            _await_list(run, answer.outcome, now=now)
         case _:
             _take_refusal(cell, run, answer.outcome, now=now)
 
 
+def _await_list(run: Run, outcome: OrderOutcome, *, now: float) -> None:
+    """Let the next list say what became of an attempt whose first order had no answer.
+
+    That order may have been carried out, and the attempt may even have been done.
+    """
+    write_event(logger, StartUnsettled(about=describe_run(run), cause=outcome))
+    run.phase = RunPhase.RUNNING
+    run.confirmed_at = run.moved_at = now
+    run.retry_at = float("inf")
+
+
 def _take_refusal(
     cell: CellTables, run: Run, outcome: OrderOutcome, *, now: float
 ) -> None:
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -230,6 +230,19 @@
     cause: OrderOutcome
 
 
+@log_event("start unsettled")
+class StartUnsettled(AttemptEvent, frozen=True, kw_only=True):
+    """An order was refused when it was repeated; the next list tells what holds.
+
+    Parameters
+    ----------
+    cause : str
+        The worker's reason.
+    """
+
+    cause: OrderOutcome
+
+
 @log_event("step placed")
 class StepPlaced(StepEvent, frozen=True, kw_only=True):
     """Tasks of a step were given to workers.
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -576,3 +576,35 @@
     site.run_until(lambda: site.state_of("j") == "completed", limit=4)
     assert len(site.list_running()) == 0
     assert site.count_starts() == 1
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        OrderOutcome.SUPERSEDED,
+        OrderOutcome.REFUSED,
+        OrderOutcome.NO_ROOM,
+        OrderOutcome.TOO_LATE,
+    ],
+)
+@pytest.mark.parametrize("done", [True, False])
+def test_a_repeated_start_that_is_refused_may_have_been_carried_out(outcome, done):
+    site = ModelSite(make_entry("w1", cores=9), make_entry("w2"))
+    site.run(0.2)
+    site.submit(make_job("j", make_step(estimate=1.0)))
+    site.cell.decide(now=site.now, wall=site.now)
+    (first,) = site.cell.take_commands()
+    worker = site.workers["w1"]
+    worker.start(first.order, first.run.task.step.spec)
+    unknown = OrderAnswer(outcome=OrderOutcome.UNKNOWN)
+    site.cell.take_start_answer(first.run, unknown, now=site.now)
+    first.run.retry_at = site.now
+    site.cell.decide(now=site.now, wall=site.now)
+    site.cell.take_commands()
+    if done:
+        worker.advance(1.1)
+    refused = OrderAnswer(outcome=outcome)
+    site.cell.take_start_answer(first.run, refused, now=site.now)
+    decide(site)
+    site.run_until(lambda: site.state_of("j") == "completed", limit=4)
+    assert site.count_starts() == 1
