Mark in the log where an owner began, so that the last one starts nothing after it

The new owner took it for one that nobody else could have started and started it; the last owner still read jobs, didn't know yet, and started it as well, on a worker that the new epoch hadn't reached (20 ms apart in both cases). Ruled out: waiting for all workers with new jobs too (a dead worker would hold them up for a lease); reading the owner's record before each start (a call and 4 ms on every job). Change: a new owner appends a mark with its epoch to the jobs' topic before it reads that topic. An owner that reads a higher mark stops at once and opens none of the jobs read with it; jobs before the mark are inherited by the new one and wait, as before. No call is added to a job.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -24,9 +24,10 @@
 from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
+from ..jobs.ownership import EPOCH_KEY, EpochMark, encode_mark
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
-from .job_view import JobView
+from .job_view import JOB_TOPIC, JobView
 from .load_report import report_load
 from .log_events import (
     CellOwned,
@@ -158,6 +159,8 @@
         for attempt in range(START_TRIES_MAX):
             try:
                 await self.progress.begin(epoch)
+                mark = Entry(EPOCH_KEY, encode_mark(EpochMark(epoch)))
+                await self.log.append(JOB_TOPIC, [mark])
                 await asyncio.gather(
                     self.view.job_tail.catch_up(),
                     self.view.progress_tail.catch_up(),
@@ -189,6 +192,9 @@
 
     def _take_fresh(self, cell: Cell) -> None:
         fresh = self.view.take_fresh()
+        if self.view.epoch > cell.epoch:
+            self.report_fenced("the log marks a higher epoch among the jobs")
+            return
         for record in fresh:
             match record:
                 case JobRecord():
--- a/plantainhinge/daemons/job_view.py
+++ b/plantainhinge/daemons/job_view.py
@@ -3,10 +3,11 @@
 import logging
 
 from ..core.errors import CorruptRecordError
-from ..core.ids import JobId
+from ..core.ids import Epoch, JobId
 from ..core.log_events import write_event
 from ..fleet.handover import HANDOVER_KEY, Handover, decode_handover
 from ..fleet.protocols import Entry, KeyedLog
+from ..jobs.ownership import EPOCH_KEY, decode_mark
 from ..jobs.records import Record, decode_record
 from ..jobs.table import JobTable
 from .log_events import HandoverIgnored, RecordIgnored
@@ -19,12 +20,19 @@
 
 
 class JobView:
-    """The table of jobs, fed by the topics of jobs and of progress."""
+    """The table of jobs, fed by the topics of jobs and of progress.
+
+    Attributes
+    ----------
+    epoch : Epoch
+        The highest epoch marked among the jobs that were read.
+    """
 
     def __init__(self, log: KeyedLog) -> None:
         self.table = JobTable()
         self.fresh: list[Record] = []
         self.handover = Handover()
+        self.epoch = Epoch(0)
         self.job_tail = Tail(log, JOB_TOPIC, self._apply_job, _keep)
         self.progress_tail = Tail(log, PROGRESS_TOPIC, self._apply_progress, _keep)
 
@@ -46,10 +54,19 @@
         self.fresh.clear()
 
     def _apply_job(self, entry: Entry) -> None:
+        if entry.key == EPOCH_KEY:
+            self._take_mark(entry.value)
+            return
         record = self._apply(entry)
         if record is not None:
             self.fresh.append(record)
 
+    def _take_mark(self, value: bytes) -> None:
+        try:
+            self.epoch = max(self.epoch, decode_mark(value).epoch)
+        except CorruptRecordError as error:
+            write_event(logger, RecordIgnored(key=EPOCH_KEY, cause=str(error)))
+
     def _apply_progress(self, entry: Entry) -> None:
         if entry.key != HANDOVER_KEY:
             self._apply(entry)
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -13,6 +13,8 @@
 from ..core.packing import unpack_record
 
 OWNER_KEY = "owner"
+# of the mark between jobs in the log, see ``EpochMark``
+EPOCH_KEY = "epoch"
 CENTICORES = 100
 # a hand-over pauses all starts for a moment, so it must be worth that
 HAND_OVER_FACTOR = 1.5
@@ -31,6 +33,32 @@
     member: MemberName
 
 
+class EpochMark(msgspec.Struct, frozen=True):
+    """Stands in the log among the jobs, where an owner began.
+
+    An earlier owner starts nothing of the jobs after it, so the new one needn't wait
+    for workers that the earlier one may still reach.
+    """
+
+    epoch: Epoch
+
+
+def encode_mark(mark: EpochMark) -> bytes:
+    """Return the mark's value in the log."""
+    return msgspec.msgpack.encode(mark)
+
+
+def decode_mark(value: bytes) -> EpochMark:
+    """Return the mark in a value of the log.
+
+    Raises
+    ------
+    CorruptRecordError
+        If it isn't one.
+    """
+    return unpack_record(value, EpochMark, step="ownership.mark")
+
+
 def encode_owner(record: OwnerRecord) -> bytes:
     """Return the record's value in the log."""
     return msgspec.msgpack.encode(record)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -67,6 +68,11 @@
 
 
 async def _play_all(plans: list[Plan], folder: Path, *, at_once: int) -> list[Outcome]:
+    """Play all plans; a signal to stop ends the processes that were started."""
+    playing = asyncio.current_task()
+    assert playing is not None
+    for stop in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(stop, playing.cancel)
     turns = asyncio.Semaphore(at_once)
 
     async def play_one(plan: Plan) -> Outcome:
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -8,6 +8,7 @@
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.fleet.model import OrderAnswer, OrderOutcome, WorkerReport
 from plantainhinge.fleet.protocols import Entry, Fence
+from plantainhinge.jobs.ownership import EPOCH_KEY, EpochMark, encode_mark
 from plantainhinge.jobs.records import decode_record, encode_record, form_key
 
 from .cell_site import TERMS, make_entry, make_job
@@ -184,3 +185,40 @@
         return lost
 
     assert asyncio.run(scenario()) == ["a loop ended by an error"]
+
+
+def test_a_job_logged_after_a_new_owner_began_is_not_opened_by_the_last_one():
+    async def scenario():
+        log, lost = MemoryKeyedLog(), []
+        last, new = make_runner(log, lost), make_runner(log)
+        await last.own(Epoch(1))
+        await accept(log, make_job("before"))
+        await new.own(Epoch(2))
+        await accept(log, make_job("after"))
+        await asyncio.sleep(0.05)
+        opened = set(last.cell.jobs)
+        inherited = {name: job.inherited for name, job in new.cell.jobs.items()}
+        last.disown("test")
+        new.disown("test")
+        return opened, inherited, lost
+
+    opened, inherited, lost = asyncio.run(scenario())
+    assert "after" not in opened
+    assert inherited == {"before": True, "after": False}
+    assert lost
+
+
+def test_a_mark_of_an_earlier_epoch_changes_nothing():
+    async def scenario():
+        log, lost = MemoryKeyedLog(), []
+        runner = make_runner(log, lost)
+        await runner.own(Epoch(3))
+        for value in (encode_mark(EpochMark(Epoch(2))), b"no mark"):
+            await log.append(JOB_TOPIC, [Entry(EPOCH_KEY, value)])
+        await accept(log, make_job("a"))
+        await asyncio.sleep(0.05)
+        opened = set(runner.cell.jobs)
+        runner.disown("test")
+        return opened, lost
+
+    assert asyncio.run(scenario()) == ({"a"}, [])
