--- a/tests/cell_site.py
+++ b/tests/cell_site.py
@@ -31,6 +31,7 @@
 TERMS = LeaseTerms(length=6.0, length_max=6.0)
 LEASE_BOUND = 6.0 / 0.97 + 0.2
 STEP = 0.05
+SMALL = Resources(1000, 100)
 
 
 def make_policy(**changes):
@@ -56,6 +57,11 @@
     )
 
 
+def make_step(**changes):
+    """Return a step of a small task that takes a second."""
+    return Step(**({"request": SMALL, "estimate": 1.0} | changes))
+
+
 def make_entry(name, *, cores=8, **changes):
     values = {
         "worker": WorkerId(name),
