Count the end of an earlier owner's attempt while a copy of it runs

Ruled out: copies under one owner (it knows both attempts). Change: where a step allows copies, such an end of an inherited job counts. Measured: tests/test_copies.py, fails before.

--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -12,7 +12,7 @@
 from .log_events import AttemptEnded, AttemptGone, describe_run
 from .ordering import stop_run
 from .orders import Stop
-from .tables import Run, RunPhase, Worker, bind
+from .tables import Run, RunPhase, Task, Worker, bind
 from .tasks import (
     fail_task,
     find_task,
@@ -66,7 +66,7 @@
             about=describe_run(run), cause=end.cause, failures=len(task.failed)
         )
         write_event(logger, event)
-    if run is None and (task.runs or not task.step.job.inherited):
+    if run is None and not _counts_unknown(task):
         return
     if end.cause is EndCause.DONE and not task.step.spec.lasting:
         health.note_success(worker)
@@ -77,6 +77,15 @@
     requeue_task(cell, task, now=now)
 
 
+def _counts_unknown(task: Task) -> bool:
+    """Return whether an end counts whose attempt this owner never knew.
+
+    It comes from an earlier owner; then a copy of it may be known and still run.
+    """
+    copied = task.step.spec.speculative
+    return task.step.job.inherited and (copied or not task.runs)
+
+
 def _take_row(cell: CellTables, worker: Worker, row: RunningRow, *, now: float) -> None:
     run = worker.runs.get((row.task, row.attempt))
     if run is None:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -3,6 +3,7 @@
 import pytest
 
 from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import EndCause
 from plantainhinge.jobs.model import Step
 
 from .cell_site import ModelSite, make_entry, make_job
@@ -102,3 +103,27 @@
     running = {task.job for _, task, _ in site.list_running()}
     assert running == {"j", "k"}
     assert site.count_starts() == 2
+
+
+def test_a_new_owner_takes_the_end_of_one_copy_while_the_other_runs():
+    """It sees the copy run before it hears that the first attempt was done."""
+    site = make_site()
+    first = start_one(site, estimate=2.0)
+    first.speed = 0.3
+    site.run_until(lambda: site.count_starts() == 2, limit=6)
+    (key,) = first.runs
+    other = next(worker for worker in site.workers.values() if worker is not first)
+    other.speed = 0.01
+    site.log_up = False
+    first._end(key, EndCause.DONE)
+    job = make_job("j", make_step(estimate=2.0))
+    site.take_over([job])
+    first.silent = True
+    site.run(0.2)
+    first.silent = False
+    site.log_up = True
+    site.run_until(lambda: site.state_of("j") == "completed", limit=1.0)
+    site.run(1.0)
+    assert site.count_starts() == 2
+    assert site.list_running() == []
+    assert first.ended == []
