Ignore reload signals until an instance exits, and start it with them ignored

Cause of the known red soak: SIGHUP has its default action before the first line of the program has run, and again after the event loop has closed, which restores it. The instance now installs its own handler and ignores the signal after the loop. The check that no instance ends by itself is unchanged.

New test: signals each millisecond from the start to the exit; without the change of the instance it ends with -1.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -34,6 +34,7 @@
 from .ownership_events import OwnershipNotVerified, StandbyBehind
 from .process_events import LoopFailed, Started, Stopped, Stopping
 from .settings_watch import SettingsWatch
+from .signals import handle_reload_signals
 from .view_events import LogLost, LogRegained
 from .worker_view import WorkerView
 
@@ -139,10 +140,13 @@
 
     async def run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
         """Serve until SIGTERM or SIGINT, then release the cell and drain calls."""
+        with handle_reload_signals(self._reload_settings):
+            await self._run(handle)
+
+    async def _run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         callers = HttpServer(self.settings.callers_address, handle)
         probes = HttpServer(self.settings.ready_address, self._handle_probe)
         await callers.start()
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,6 +15,7 @@
 from plantainhinge.core.ids import Seconds
 from standins.addresses import find_free_address
 from standins.platform_store import StandInStore
+from standins.supervisor import ignore_reload_signals
 
 from .observations import Observations
 from .proxy import Proxy
@@ -110,7 +111,7 @@
 
     async def _launch(self, instance: SoakInstance) -> None:
         instance.starts += 1
-        with instance.output.open("a") as output:
+        with instance.output.open("a") as output, ignore_reload_signals():
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -15,6 +15,7 @@
 from standins.addresses import find_free_address
 from standins.platform_store import StandInStore
 from standins.platform_worker import StandInWorker
+from standins.supervisor import ignore_reload_signals
 
 pytestmark = pytest.mark.processes
 
@@ -288,6 +289,32 @@
     run_site(tmp_path, scenario, workers=1, instances=1)
 
 
+def test_reload_signals_from_the_start_to_the_exit_do_not_end_a_process(tmp_path):
+    """The supervisor starts it with the signal ignored, as the install page asks."""
+
+    async def scenario(site):
+        with ignore_reload_signals():
+            starting = asyncio.create_task(site.start_instance("late"))
+            while "late" not in site.instances:
+                await asyncio.sleep(0)
+        process = site.instances["late"]
+
+        async def send_signals():
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+
+        sending = asyncio.create_task(send_signals())
+        await starting
+        process.terminate()
+        assert await process.wait() == 0
+        await sending
+        del site.instances["late"], site.clients["late"]
+
+    run_site(tmp_path, scenario, workers=1, instances=1)
+
+
 def read_signals(pid, kind):
     """Return the ``SigIgn`` (ignored) or ``SigCgt`` (caught) mask of a process."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
