Place serving steps that arrive together as a batch, grouped by image

Two of three pairs of images are heavy (weights 1 to 3, the rest 0 to 0.4), so a best-effort image fits beside one serving image in three cases of ten, beside two in one. Of 1,160 idle cores 400 to 650 were used, 1,385 waited, 80 % of the refusals by pressure.

New long-running steps that arrive within 0.3 s of each other are now placed in one pass, 0.8 s after their arrival at most; by image, steps with a limit per worker first, widest first. The bonus for the same image exceeds the penalty for another one. Steps that already wait for capacity keep their order, restarts and single arrivals aren't delayed.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -5,6 +5,7 @@
 from ..core.ids import AttemptNumber, Seconds, ServiceId
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES
+from . import batching
 from .log_events import StepPlaced, StepWaits, describe_step
 from .model import (
     Attempt,
@@ -28,8 +29,12 @@
     waiting = list_waiting_steps(cell)
     if not waiting:
         return
+    newest = batching.note_arrivals(waiting, cell.long_running_arrived_at, now=now)
+    cell.long_running_arrived_at = newest
     pools = list_available_workers(cell, now=now)
     for step in order_steps(waiting, wall=wall):
+        if batching.is_delayed(step, newest, now=now):
+            continue
         pool = pools.get(step.job.record.policy.service, [])
         if step.spec.gang:
             placed = _place_gang(cell, step, pool, now=now)
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -3,9 +3,10 @@
 It matters in an overload, when not all waiting tasks fit. Within a priority, jobs that
 can still finish by their due time go first: started jobs before the others, since an
 unfinished job is worth nothing, then by due time. Long-running tasks, which lose
-little by a short wait, follow. Then come jobs that will be late in any case, shortest
-remaining critical path first, and last those so late that their callers hardly gain
-from them.
+little by a short wait, follow: those that wait for capacity in the order of their jobs,
+then new ones grouped by image, so that few images share a worker. Then come jobs that
+will be late in any case, shortest remaining critical path first, and last those so late
+that their callers hardly gain from them.
 """
 
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 
 from ..core.ids import Seconds
 from ..jobs.model import JobState, compute_critical_path
+from .batching import is_new_long_running
 from .model import OpenJob, OpenStep
 
 # a step is overdue after this multiple of the time allowed for its job
@@ -21,6 +23,10 @@
 FIRST_START_FACTOR = 1.6
 
 
+# order within an urgency
+Order = tuple[float] | tuple[float, str, bool, int]
+
+
 class Urgency(IntEnum):
     """Classes of steps within a priority; the lowest goes first.
 
@@ -39,20 +45,33 @@
     return sorted(steps, key=lambda step: rank_step(step, wall=wall))
 
 
-def rank_step(step: OpenStep, *, wall: Seconds) -> tuple[int, Urgency, float]:
+def rank_step(step: OpenStep, *, wall: Seconds) -> tuple[int, Urgency, Order]:
     """Return a step's sort key: priority, urgency and the order within these."""
-    job = step.job
-    priority = job.record.policy.priority
+    priority = step.job.record.policy.priority
     if step.spec.long_running:
-        return (priority, Urgency.LASTING, job.record.accepted_at)
+        return (priority, Urgency.LASTING, _order_long_running(step))
+    urgency, order = _rank_finite(step, wall=wall)
+    return (priority, urgency, (order,))
+
+
+def _order_long_running(step: OpenStep) -> Order:
+    """Order new steps by image, those that must be spread over workers first."""
+    if not is_new_long_running(step):
+        return (step.job.record.accepted_at,)
+    is_packed = step.spec.per_worker_max == 0
+    return (float("inf"), step.spec.image, is_packed, -len(step.waiting))
+
+
+def _rank_finite(step: OpenStep, *, wall: Seconds) -> tuple[Urgency, float]:
+    job = step.job
     remaining = estimate_remaining(job, step.occurrence)
     if job.state is JobState.RUNNING and wall + remaining <= step.due:
-        return (priority, Urgency.BEGUN, step.due)
+        return (Urgency.BEGUN, step.due)
     if wall + FIRST_START_FACTOR * remaining <= step.due:
-        return (priority, Urgency.IN_TIME, step.due)
+        return (Urgency.IN_TIME, step.due)
     if is_overdue(step, wall=wall):
-        return (priority, Urgency.OVERDUE, job.record.accepted_at)
-    return (priority, Urgency.LATE, remaining)
+        return (Urgency.OVERDUE, job.record.accepted_at)
+    return (Urgency.LATE, remaining)
 
 
 def is_overdue(step: OpenStep, *, wall: Seconds) -> bool:
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -44,6 +44,8 @@
         Monotonic seconds at which the record for the next owner was last written.
     moves_checked_at : float
         Monotonic seconds of the last check for throttled attempts to move.
+    long_running_arrived_at : float
+        Monotonic seconds at which a new long-running step was last ready.
     earlier_lease_max : float
         Longest lease in seconds that an earlier owner may have granted.
     speculation_checked_at : float
@@ -66,6 +68,7 @@
     handover_written_at: float = float("-inf")
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
+    long_running_arrived_at: float = float("-inf")
     earlier_lease_max: Seconds = Seconds(0.0)
 
     def __post_init__(self) -> None:
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -29,7 +29,7 @@
 PRESSURE_MILLICORES = 60000.0
 # penalty for each other serving image on a worker, and bonus for the same image
 OTHER_IMAGE_MILLICORES = 1e6
-SAME_IMAGE_MILLICORES = 5e5
+SAME_IMAGE_MILLICORES = 1.5e6
 
 SCORES: Registry = Registry("placement score")
 
