Predict pressures by step, once for each worker

The prediction went over all attempts of a worker for each serving attempt. It is now computed once for each step on the worker; no decision changes.

--- a/plantainhinge/dispatch/interference.py
+++ b/plantainhinge/dispatch/interference.py
@@ -11,10 +11,10 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from statistics import mean
+from statistics import fmean
 
 from ..core.ids import KindId, Seconds
-from .model import Attempt, AttemptPhase, Worker
+from .model import Attempt, AttemptPhase, OpenStep, Worker
 from .weights import ImageWeights
 
 # Tail latency of an idle serving task, relative to its target. An image with another
@@ -83,21 +83,36 @@
     return 1.0 - IDLE_TAIL_LATENCY_RATIO * target / attempt.gauge
 
 
-def predict_pressure(attempt: Attempt, *, now: float, at: float) -> float:
-    """Return the pressure on a serving attempt at a later time, by its own load.
+def measure_step_pressures(serving: Iterable[Attempt]) -> dict[OpenStep, float]:
+    """Return the mean pressure of each step's attempts on a worker.
 
-    Tail latencies are rough, so the mean of the step's attempts on the worker is used.
+    A single tail latency is rough. A step without any has the default pressure.
     """
-    step = attempt.task.step
-    measured = [
-        measure_pressure(other)
-        for other in attempt.worker.attempts.values()
-        if other.task.step is step and _has_tail_latency(other)
-    ]
-    pressure = mean(measured) if measured else DEFAULT_PRESSURE
-    change = step.own_load.predict(at)
-    change -= step.own_load.predict(now - REPORT_AGE_SECONDS)
-    return pressure + change
+    measured: dict[OpenStep, list[float]] = {}
+    for attempt in serving:
+        pressures = measured.setdefault(attempt.task.step, [])
+        if _has_tail_latency(attempt):
+            pressures.append(measure_pressure(attempt))
+    return {
+        step: fmean(pressures) if pressures else DEFAULT_PRESSURE
+        for step, pressures in measured.items()
+    }
+
+
+def predict_step_pressures(
+    serving: Iterable[Attempt], *, now: float
+) -> dict[OpenStep, float]:
+    """Return the pressure on each step at the time when an order takes effect."""
+    at = now + REACTION_SECONDS
+    return {
+        step: pressure + step.own_load.predict(at) - _recall_own_load(step, now)
+        for step, pressure in measure_step_pressures(serving).items()
+    }
+
+
+def _recall_own_load(step: OpenStep, now: float) -> float:
+    """Return the own load that the newest reports cover."""
+    return step.own_load.predict(now - REPORT_AGE_SECONDS)
 
 
 def _has_tail_latency(attempt: Attempt) -> bool:
@@ -178,13 +193,15 @@
             for attempt in best_effort
             if attempt.speed_percent > 0
         ]
-    excess, victim = _compute_excess(neighbours.serving, now=now)
-    if victim is not None and excess > 0:
+    pressures = predict_step_pressures(neighbours.serving, now=now)
+    victim = max(pressures, key=pressures.__getitem__, default=None)
+    if victim is not None and pressures[victim] > PRESSURE_LIMIT:
+        excess = pressures[victim] - PRESSURE_LIMIT
         return _slow_down(victim, excess, best_effort, weights, now=now)
     throttled = [
         attempt for attempt in best_effort if attempt.speed_percent < FULL_SPEED_PERCENT
     ]
-    return _speed_up(neighbours.serving, throttled, weights, now=now)
+    return _speed_up(pressures, throttled, weights, now=now)
 
 
 def predict_added_pressure(
@@ -218,38 +235,24 @@
     """
     neighbours = find_neighbours(worker)
     capacity = worker.entry.capacity.millicores
-    pressures: dict[str, float] = {}
-    for attempt in neighbours.serving:
-        own_load = attempt.task.step.own_load
-        pressure = predict_pressure(attempt, now=now, at=now)
-        pressure += own_load.find_peak(now, now + PLACEMENT_SECONDS)
-        pressure -= own_load.predict(now)
-        for other in neighbours.best_effort:
-            if now - other.confirmed_at < SETTLE_SECONDS or not other.gauge:
-                share = other.task.step.spec.request.millicores / capacity
-                pressure += share * _find_weight(
-                    attempt, _get_image(other), weights, now
-                )
-        image = attempt.task.step.spec.image
-        pressures[image] = max(pressure, pressures.get(image, 0.0))
-    return pressures
-
-
-def _compute_excess(
-    serving: Iterable[Attempt], *, now: float
-) -> tuple[float, Attempt | None]:
-    """Return by how much the highest pressure exceeds the limit, and its attempt."""
-    worst, victim = float("-inf"), None
-    for attempt in serving:
-        pressure = predict_pressure(attempt, now=now, at=now + REACTION_SECONDS)
-        excess = pressure - PRESSURE_LIMIT
-        if excess > worst:
-            worst, victim = excess, attempt
-    return worst, victim
+    unseen = {
+        other: other.task.step.spec.request.millicores / capacity
+        for other in neighbours.best_effort
+        if now - other.confirmed_at < SETTLE_SECONDS or not other.gauge
+    }
+    highest: dict[str, float] = {}
+    for step, measured in measure_step_pressures(neighbours.serving).items():
+        peak = step.own_load.find_peak(now, now + PLACEMENT_SECONDS)
+        pressure = measured + peak - _recall_own_load(step, now)
+        for other, share in unseen.items():
+            pressure += share * _find_weight(step, _get_image(other), weights, now)
+        image = step.spec.image
+        highest[image] = max(pressure, highest.get(image, 0.0))
+    return highest
 
 
 def _slow_down(
-    victim: Attempt,
+    victim: OpenStep,
     excess: float,
     best_effort: list[Attempt],
     weights: ImageWeights,
@@ -257,7 +260,7 @@
     now: float,
 ) -> list[SpeedChange]:
     """Return the throttling that removes the excess, largest contributions first."""
-    capacity = victim.worker.entry.capacity.millicores
+    capacity = best_effort[0].worker.entry.capacity.millicores
     changes = []
     contributions = [
         (
@@ -280,18 +283,14 @@
 
 
 def _speed_up(
-    serving: Iterable[Attempt],
+    pressures: dict[OpenStep, float],
     throttled: list[Attempt],
     weights: ImageWeights,
     *,
     now: float,
 ) -> list[SpeedChange]:
     """Return higher speeds for throttled attempts, oldest first, within the limits."""
-    allowance = {
-        attempt: PRESSURE_GOAL
-        - predict_pressure(attempt, now=now, at=now + REACTION_SECONDS)
-        for attempt in serving
-    }
+    allowance = {step: PRESSURE_GOAL - pressure for step, pressure in pressures.items()}
     changes = []
     for attempt in sorted(throttled, key=lambda attempt: attempt.ordered_at):
         full = attempt.task.step.spec.request.millicores
@@ -337,9 +336,9 @@
 
 
 def _find_weight(
-    victim: Attempt, image: KindId, weights: ImageWeights, now: float
+    victim: OpenStep, image: KindId, weights: ImageWeights, now: float
 ) -> float:
-    return weights.find(_get_image(victim), image, Seconds(now))
+    return weights.find(KindId(victim.spec.image), image, Seconds(now))
 
 
 def _get_image(attempt: Attempt) -> KindId:
