--- a/plantainhinge/core/states.py
+++ b/plantainhinge/core/states.py
@@ -33,15 +33,6 @@
 )
 
 
-class AttemptState(Enum):
-    """State of an attempt in its cell."""
-
-    PLACED = "placed"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    CLOSED = "closed"
-
-
 class AttemptOutcome(Enum):
     """How an attempt ended."""
 
--- a/plantainhinge/daemons/gateway.py
+++ b/plantainhinge/daemons/gateway.py
@@ -73,7 +73,6 @@
         self._may_route = False
         self._pause_detector = PauseDetector()
         self._unroutable_since: Seconds | None = None
-        self._stopping = False
         self._close_idle_due = Seconds(0.0)
         self._dependencies = RunnerDependencies(
             process=node.process,
@@ -122,7 +121,6 @@
 
     def stop(self) -> None:
         """Begin a planned stop: report unready, but keep answering requests."""
-        self._stopping = True
         self.node.leaving = True
 
     def has_stopped(self) -> bool:
--- a/plantainhinge/daemons/node.py
+++ b/plantainhinge/daemons/node.py
@@ -380,8 +380,3 @@
                 self.peer_table.record_no_answer(address, now)
 
         self.executor.add_callback(future, callback=handle_result)
-
-
-def answer_empty(call: Call) -> None:
-    """Acknowledge a call whose response has no content."""
-    call.response.set_result(Empty())
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -35,7 +35,7 @@
     tasks,
 )
 from .leases import grant_lease
-from .model import Attempt, OpenJob, OpenStep, Worker
+from .model import Attempt, OpenStep, Worker
 from .orders import Command
 from .scheduling_state import SchedulingState
 
@@ -56,7 +56,6 @@
         State for the next owner, if it is due to be written.
     """
 
-    jobs: tuple[OpenJob, ...]
     progress: tuple[Progress, ...]
     ends: tuple[tuple[WorkerId, int, int], ...]
     handover: Handover | None = None
@@ -94,8 +93,7 @@
         handover = handovers.prepare_handover(self, now=now)
         if not self.dirty and not self.acks_due and handover is None:
             return None
-        jobs = tuple(self.dirty.values())
-        progress = tuple(open_jobs.describe_progress(job) for job in jobs)
+        progress = tuple(map(open_jobs.describe_progress, self.dirty.values()))
         self.dirty.clear()
         self.acks_due = False
         ends = tuple(
@@ -103,7 +101,7 @@
             for worker in self.workers.values()
             if worker.last_end_sequence > worker.acknowledged
         )
-        return Flush(jobs, progress, ends, handover)
+        return Flush(progress, ends, handover)
 
     def confirm_flush(self, flush: Flush) -> None:
         """Acknowledge the ends of a flush once it has been written to the log."""
--- a/plantainhinge/dispatch/interference.py
+++ b/plantainhinge/dispatch/interference.py
@@ -160,7 +160,7 @@
     interference = 0.0
     variance = REPORT_VARIANCE if settled else REPORT_VARIANCE + UNSETTLED_VARIANCE
     for other, share in loads.items():
-        interference += share * weights.find(image, other, Seconds(now))
+        interference += share * weights.find(image, other)
         variance += share**2 * weights.find_variance(image, other, Seconds(now))
     forecast.observe(reported, pressure - interference, variance)
 
@@ -197,11 +197,11 @@
     victim = max(pressures, key=pressures.__getitem__, default=None)
     if victim is not None and pressures[victim] > PRESSURE_LIMIT:
         excess = pressures[victim] - PRESSURE_LIMIT
-        return _slow_down(victim, excess, best_effort, weights, now=now)
+        return _slow_down(victim, excess, best_effort, weights)
     throttled = [
         attempt for attempt in best_effort if attempt.speed_percent < FULL_SPEED_PERCENT
     ]
-    return _speed_up(pressures, throttled, weights, now=now)
+    return _speed_up(pressures, throttled, weights)
 
 
 def predict_added_pressure(
@@ -245,7 +245,7 @@
         peak = step.own_load.find_peak(now, now + PLACEMENT_SECONDS)
         pressure = measured + peak - _recall_own_load(step, now)
         for other, share in unseen.items():
-            pressure += share * _find_weight(step, _get_image(other), weights, now)
+            pressure += share * _find_weight(step, _get_image(other), weights)
         image = step.spec.image
         highest[image] = max(pressure, highest.get(image, 0.0))
     return highest
@@ -256,8 +256,6 @@
     excess: float,
     best_effort: list[Attempt],
     weights: ImageWeights,
-    *,
-    now: float,
 ) -> list[SpeedChange]:
     """Return the throttling that removes the excess, largest contributions first."""
     capacity = best_effort[0].worker.entry.capacity.millicores
@@ -265,7 +263,7 @@
     contributions = [
         (
             _measure_share(attempt, capacity)
-            * _find_weight(victim, _get_image(attempt), weights, now),
+            * _find_weight(victim, _get_image(attempt), weights),
             attempt,
         )
         for attempt in best_effort
@@ -286,8 +284,6 @@
     pressures: dict[OpenStep, float],
     throttled: list[Attempt],
     weights: ImageWeights,
-    *,
-    now: float,
 ) -> list[SpeedChange]:
     """Return higher speeds for throttled attempts, oldest first, within the limits."""
     allowance = {step: PRESSURE_GOAL - pressure for step, pressure in pressures.items()}
@@ -296,7 +292,7 @@
         full = attempt.task.step.spec.request.millicores
         share = full / attempt.worker.entry.capacity.millicores
         added = {
-            victim: share * _find_weight(victim, _get_image(attempt), weights, now)
+            victim: share * _find_weight(victim, _get_image(attempt), weights)
             for victim in allowance
         }
         gain = min(
@@ -335,10 +331,8 @@
     return attempt.gauge * MILLICORES_PER_CORE / capacity
 
 
-def _find_weight(
-    victim: OpenStep, image: KindId, weights: ImageWeights, now: float
-) -> float:
-    return weights.find(KindId(victim.spec.image), image, Seconds(now))
+def _find_weight(victim: OpenStep, image: KindId, weights: ImageWeights) -> float:
+    return weights.find(KindId(victim.spec.image), image)
 
 
 def _get_image(attempt: Attempt) -> KindId:
--- a/plantainhinge/dispatch/leases.py
+++ b/plantainhinge/dispatch/leases.py
@@ -31,9 +31,7 @@
     length_max: Seconds
 
 
-def record_answer(
-    worker: Worker, *, clock: Seconds, sent: float, received: float
-) -> None:
+def record_answer(worker: Worker, *, clock: Seconds, received: float) -> None:
     """Record that a worker answered, and the clock reading in its answer."""
     if received >= worker.answered_at:
         worker.clock = clock
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -1,7 +1,5 @@
 """Issues orders to workers, and issues unanswered ones again."""
 
-import logging
-
 from ..core.ids import AttemptNumber
 from ..fleet.model import StartOrder, StopOrder, ThrottleOrder
 from .leases import grant_lease
@@ -9,8 +7,6 @@
 from .orders import Start, Stop, Throttle
 from .scheduling_state import SchedulingState
 
-logger = logging.getLogger(__name__)
-
 RETRY_SECONDS_MAX = 1.0
 # doubled with each order sent
 RETRY_BASE_SECONDS = 0.15
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -47,7 +47,7 @@
         return
     if report.incarnation > worker.incarnation:
         begin_incarnation(cell, worker, report.incarnation, now=now)
-    record_answer(worker, clock=report.clock, sent=sent, received=now)
+    record_answer(worker, clock=report.clock, received=now)
     for end in report.ended:
         if end.sequence > worker.last_end_sequence:
             _handle_end(cell, worker, end, now=now)
--- a/plantainhinge/dispatch/weights.py
+++ b/plantainhinge/dispatch/weights.py
@@ -40,7 +40,7 @@
 
     estimates: dict[tuple[KindId, KindId], WeightEstimate] = field(default_factory=dict)
 
-    def find(self, serving: KindId, best_effort: KindId, now: Seconds) -> float:
+    def find(self, serving: KindId, best_effort: KindId) -> float:
         """Return a pair's weight; the prior for an unknown pair."""
         estimate = self.estimates.get((serving, best_effort))
         return PRIOR_WEIGHT if estimate is None else estimate.weight
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -39,7 +39,6 @@
 logger = logging.getLogger(__name__)
 
 OK = 200
-CONFLICT = 409
 ADVICE_TIMEOUT_SECONDS = Seconds(3.0)
 ORDER_TIMEOUT_SECONDS = Seconds(0.5)
 RENEWAL_TIMEOUT_SECONDS = Seconds(0.7)
--- a/plantainhinge/routing/admission.py
+++ b/plantainhinge/routing/admission.py
@@ -155,14 +155,6 @@
     return remaining * QUEUE_WAIT_RATIO_MAX
 
 
-def compute_queue_key(task_class: TaskClass, order: int) -> tuple[bool, int]:
-    """Return the sort key of a waiting request; the lowest gets a permit first.
-
-    Batch requests come after all others, and each class is in the given ``order``.
-    """
-    return (task_class is TaskClass.BATCH, order)
-
-
 # Retry-After times for callers whose request was refused.
 
 
--- a/tests/test_best_effort.py
+++ b/tests/test_best_effort.py
@@ -78,7 +78,7 @@
         site.submit(make_job(f"l{index}", make_best_effort("light", 2)))
         site.run(1)
     weights = {
-        image: site.cell.weights.find(KindId("front"), KindId(image), Seconds(site.now))
+        image: site.cell.weights.find(KindId("front"), KindId(image))
         for image in ("heavy", "light")
     }
     assert weights["heavy"] > 2 * weights["light"]
--- a/tests/test_interference_weights.py
+++ b/tests/test_interference_weights.py
@@ -25,8 +25,8 @@
         weights.update(SERVING, added, beside, Seconds(start + 0.3 * index))
 
 
-def find(weights, image, now=0.0):
-    return weights.find(SERVING, image, Seconds(now))
+def find(weights, image):
+    return weights.find(SERVING, image)
 
 
 def test_the_weight_of_a_new_pair_moves_far_after_few_observations():
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -136,7 +136,7 @@
     site.cell.weights.restore("front", "index", 2.5, 0.0)
     site.run(0.2)
     site.take_over([])
-    assert site.cell.weights.find("front", "index", site.now) == 2.5
+    assert site.cell.weights.find("front", "index") == 2.5
 
 
 def test_a_logged_failure_is_not_counted_again():
