Add resets everywhere and one-way connections to the soak

Both were modes of single proxies; they are now faults of their own, over the workers of a domain and an instance's callers, or over all connections. Seeds that failed earlier exclude the two, so that they draw the faults that they drew then.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
     seed: int
     seconds: float
     cause: str
+    excluded: tuple[str, ...] = ()
 
 
 def main() -> int:
@@ -54,7 +55,10 @@
 def _build_plans(options: argparse.Namespace) -> list[RunPlan]:
     if options.regressions:
         rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
-        return [RunPlan(seed=row.seed, seconds=row.seconds) for row in rows]
+        return [
+            RunPlan(seed=row.seed, seconds=row.seconds, excluded=row.excluded)
+            for row in rows
+        ]
     seeds = options.seed or [random.randrange(1 << 31) for _ in range(options.seeds)]
     return [
         RunPlan(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,13 @@
         """Return the name of a random worker."""
         return self.rng.choice(sorted(self.site.workers))
 
+    def list_proxies(self) -> list[Proxy]:
+        """Return all proxies of the site, in a fixed order."""
+        proxies = [self.site.worker_proxies[name] for name in sorted(self.site.workers)]
+        for instance in self.site.instances.values():
+            proxies += [instance.callers, instance.log]
+        return proxies
+
 
 @FAULTS.register("the log refuses all")
 @asynccontextmanager
@@ -178,6 +185,38 @@
     context.site.store.put("keyed.op", key, b"")
 
 
+@FAULTS.register("connections are reset")
+@asynccontextmanager
+async def reset_connections(context: FaultContext) -> AsyncIterator[None]:
+    """Reset about half of all connections: of callers, to the log and to workers."""
+    for proxy in context.list_proxies():
+        if context.rng.random() < 0.5:
+            proxy.reset()
+    yield
+
+
+@FAULTS.register("packets pass one way only")
+@asynccontextmanager
+async def pass_one_way(context: FaultContext) -> AsyncIterator[None]:
+    """Hold back all answers of the workers of a domain, and to one instance's callers.
+
+    Requests arrive and take effect, so both sides believe something else meanwhile.
+    """
+    domain = context.rng.choice(DOMAINS)
+    site = context.site
+    proxies = [
+        proxy
+        for name, proxy in site.worker_proxies.items()
+        if site.workers[name].domain == domain
+    ]
+    proxies.append(context.choose_instance().callers)
+    for proxy in proxies:
+        proxy.set_mode(ProxyMode.NO_RESPONSES)
+    yield
+    for proxy in proxies:
+        proxy.set_mode(ProxyMode.NORMAL)
+
+
 @asynccontextmanager
 async def _disturb(context: FaultContext, proxy: Proxy) -> AsyncIterator[None]:
     mode = context.rng.choice([*ProxyMode])
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -31,12 +31,16 @@
     ----------
     seconds : float
         Duration of the phase in which faults are injected and jobs submitted.
+    excluded : tuple of str
+        Faults that aren't drawn. A seed draws the same faults again only from the
+        same list.
     """
 
     seed: int
     seconds: float
     instances: int = 3
     workers: int = 6
+    excluded: tuple[str, ...] = ()
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -80,7 +84,10 @@
         async with asyncio.TaskGroup() as group:
             for caller in callers:
                 group.create_task(caller.run(until=until))
-            injecting = group.create_task(_inject_faults(site, rng, started_at, until))
+            names = [name for name in FAULTS if name not in plan.excluded]
+            injecting = group.create_task(
+                _inject_faults(site, rng, names, started_at, until)
+            )
         violations = await _wait_for_jobs(site, callers[0])
         restarting.cancel()
         observations = site.observations
@@ -98,13 +105,17 @@
 
 
 async def _inject_faults(
-    site: SoakSite, rng: random.Random, started_at: float, until: float
+    site: SoakSite,
+    rng: random.Random,
+    names: list[str],
+    started_at: float,
+    until: float,
 ) -> list[str]:
     """Inject random faults, repeated and overlapping; return their descriptions."""
     injected: list[str] = []
     async with asyncio.TaskGroup() as group:
         while read_time() < until:
-            name = rng.choice(list(FAULTS))
+            name = rng.choice(names)
             for _ in range(rng.choice([1, 1, 1, 2, 3])):
                 injected.append(f"{read_time() - started_at:.1f} s {name}")
                 group.create_task(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from soak.__main__ import REGRESSIONS, Regression
+from soak.faults import FAULTS
 from soak.invariants import check_invariants, find_unfinished
 from soak.observations import (
     Observations,
@@ -156,3 +157,8 @@
 def test_regression_seeds_have_a_cause():
     rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
     assert all(row.cause for row in rows)
+
+
+def test_regression_seeds_name_only_faults_that_exist_as_excluded():
+    rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
+    assert {name for row in rows for name in row.excluded} <= set(FAULTS)
