--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -316,3 +316,16 @@
             self.log[progress.job] = progress
         self.handover = flush.handover or self.handover
         self.cell.confirm_flush(flush)
+
+
+def measure_late_share(site, seconds, *, target):
+    """Run a site; return the share of time that serving attempts are over a target."""
+    late = total = 0
+    for _ in range(round(seconds / STEP_SECONDS)):
+        site.run(STEP_SECONDS)
+        for worker in site.workers.values():
+            for attempt in worker.attempts.values():
+                if attempt.serving:
+                    total += 1
+                    late += worker.tail_latency(worker, attempt) > target
+    return late / total
--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -6,7 +6,7 @@
 from plantainhinge.dispatch.batching import DELAY_SECONDS_MAX
 from plantainhinge.jobs.model import Step
 
-from .simulated_cell import SimulatedCell, make_entry, make_job
+from .simulated_cell import SimulatedCell, make_entry, make_job, measure_late_share
 
 ARRIVALS = 0.05
 
@@ -128,19 +128,6 @@
     return IDLE_SECONDS / max(0.05, 1.0 - load)
 
 
-def measure_late_share(site, seconds):
-    """Return the share of time that serving attempts are over their target."""
-    late = total = 0
-    for _ in range(round(seconds / 0.05)):
-        site.run(0.05)
-        for worker in site.workers.values():
-            for attempt in worker.attempts.values():
-                if attempt.serving:
-                    total += 1
-                    late += simulate_pairs(worker, attempt) > TARGET_SECONDS
-    return late / total
-
-
 def test_best_effort_jobs_finish_beside_serving_steps_that_arrived_together():
     """Nine serving steps at once, then best-effort work for most idle processors."""
     site = make_site(9)
@@ -162,7 +149,7 @@
                 best_effort=True,
             )
             site.submit(make_job(f"f{image}{index}", fill))
-        late.append(measure_late_share(site, 0.5))
+        late.append(measure_late_share(site, 0.5, target=TARGET_SECONDS))
     finished = sum(
         site.state_of(f"f{image}{index}") == "completed"
         for index in range(40)
--- a/tests/test_best_effort.py
+++ b/tests/test_best_effort.py
@@ -8,7 +8,7 @@
 from plantainhinge.fleet.model import WorkerState
 from plantainhinge.jobs.model import Step
 
-from .simulated_cell import SimulatedCell, make_entry, make_job
+from .simulated_cell import SimulatedCell, make_entry, make_job, measure_late_share
 
 TARGET = 0.045
 IDLE_TAIL_LATENCY = 0.01
@@ -58,18 +58,6 @@
     return site
 
 
-def measure_late_share(site, seconds):
-    late = total = 0
-    for _ in range(round(seconds / 0.05)):
-        site.run(0.05)
-        for worker in site.workers.values():
-            for attempt in worker.attempts.values():
-                if attempt.serving:
-                    total += 1
-                    late += simulate_tail_latency(worker, attempt) > TARGET
-    return late / total
-
-
 def test_heavy_images_get_larger_weights_than_light_ones():
     site = make_site()
     site.submit(make_job("s", make_serving(6)))
@@ -91,7 +79,7 @@
     for index in range(10):
         site.submit(make_job(f"h{index}", make_best_effort("heavy", 3)))
     site.run(5)
-    assert measure_late_share(site, 20) < 0.05
+    assert measure_late_share(site, 20, target=TARGET) < 0.05
 
 
 def test_light_work_uses_the_idle_processors_beside_serving_tasks():
