Prefer workers that are warm

The directory says how much longer a worker stays slow after its start; nothing read it. A worker that isn't warm yet now takes work only where it has half its capacity more to spare than a warm one. Both new tests; the first fails with the penalty set to 0.

--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -41,7 +41,7 @@
         listed.add(entry.worker)
         worker = cell.workers.get(entry.worker)
         if worker is None:
-            worker = Worker(entry, entry.incarnation)
+            worker = Worker(entry, entry.incarnation, warm_at=now + entry.warming)
             cell.workers[entry.worker] = worker
             if inherited:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
@@ -49,18 +49,22 @@
             write_event(logger, WorkerListed(about=describe_worker(worker)))
         elif entry.incarnation > worker.incarnation:
             begin_incarnation(cell, worker, entry.incarnation, now=now)
-        if entry.state is not worker.entry.state:
-            change = WorkerChangedState(
-                about=describe_worker(worker), state=entry.state
-            )
-            write_event(logger, change)
-        worker.entry = entry
-        worker.listed = True
+        _set_entry(worker, entry, now=now)
     for name, worker in list(cell.workers.items()):
         if name not in listed:
             _handle_unlisted(cell, worker, now=now)
 
 
+def _set_entry(worker: Worker, entry: WorkerEntry, *, now: float) -> None:
+    if entry.state is not worker.entry.state:
+        change = WorkerChangedState(about=describe_worker(worker), state=entry.state)
+        write_event(logger, change)
+    if entry != worker.entry:
+        worker.warm_at = now + entry.warming
+    worker.entry = entry
+    worker.listed = True
+
+
 def mark_unreachable(cell: SchedulingState, worker: Worker, *, now: float) -> None:
     """Mark a worker as unreachable after a call without an answer."""
     if worker.reachable:
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -214,6 +214,8 @@
         that, since a new owner could not know of the attempt.
     best_effort_changed_at : float
         Monotonic seconds at which a best-effort attempt was last removed.
+    warm_at : float
+        Monotonic seconds before which it runs slowly, since it has just started.
     pressures : dict of str to float, optional
         Pressure by serving image; None until it is measured again.
     """
@@ -235,6 +237,7 @@
     serving_millicores: int = 0
     in_handover: bool = False
     best_effort_changed_at: float = 0.0
+    warm_at: float = float("-inf")
     pressures: dict[str, float] | None = None
 
     @property
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -19,6 +19,8 @@
 # per consecutive fault; a worker on which every attempt soon fails stays empty and
 # would otherwise attract more work than the others
 FAULT_PENALTY = 1e7
+# share of its capacity by which a worker that isn't warm yet must have more to spare
+COLD_PENALTY_RATIO = 0.5
 # share of a best-effort task's processor request that must be spare on a worker
 BEST_EFFORT_SHARE_MIN = 0.7
 # share of each worker that new long-running tasks leave free for short-lived work
@@ -62,6 +64,8 @@
         if step.spec.rack and step.spec.rack == worker.rack:
             value += DATA_RACK_BONUS
         value -= FAULT_PENALTY * worker.consecutive_faults
+        if now < worker.warm_at:
+            value -= COLD_PENALTY_RATIO * worker.entry.capacity.millicores
         if value > best_score:
             best, best_score = worker, value
     return best
--- a/plantainhinge/fleet/model.py
+++ b/plantainhinge/fleet/model.py
@@ -26,6 +26,9 @@
         Number of this incarnation of the worker; it increases with each restart.
     remaining : float
         Seconds for which a draining worker is certain to stay available.
+    warming : float
+        Seconds, from when the entry was written, until a worker that has just started
+        runs at full speed.
     """
 
     worker: WorkerId
@@ -37,6 +40,7 @@
     labels: tuple[str, ...] = ()
     state: WorkerState = WorkerState.READY
     remaining: float = 0.0
+    warming: float = 0.0
 
 
 class EndCause(Enum):
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -75,6 +75,8 @@
     # on the wire "born": a number that identifies the start of the worker process
     incarnation: int = msgspec.field(name="born", default=0)
     remaining_ms: float = msgspec.field(name="remainingMs", default=0)
+    # on the wire "coldLeftMs": time until the worker runs at full speed
+    warming_ms: float = msgspec.field(name="coldLeftMs", default=0)
 
 
 class _OrderResponseBody(msgspec.Struct):
@@ -114,6 +116,7 @@
             labels=tuple(entry.labels),
             state=STATES[entry.state],
             remaining=entry.remaining_ms / 1000,
+            warming=entry.warming_ms / 1000,
         )
     except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
         write_event(logger, EntryIgnored(key=key, cause=str(error)))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,6 +24,7 @@
 from plantainhinge.platform.settings import read_platform_settings
 
 ENTRY = {
+    "coldLeftMs": 1500,
     "service": "s1",
     "addr": "10.0.0.1:80",
     "zone": "a",
@@ -67,6 +68,7 @@
     entry = workers.decode_entry("i-1", encode(ENTRY))
     assert (entry.worker, entry.incarnation, entry.domain) == ("i-1", 7, "a")
     assert entry.capacity.millicores == 8000
+    assert entry.warming == 1.5
 
 
 @given(st.binary() | damage(ENTRY).map(encode))
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -126,3 +126,21 @@
     running = site.list_running()
     assert {task.job for _, task, _ in running} == {"j2"}
     assert len(running) == 4
+
+
+def test_a_worker_that_is_not_warm_yet_takes_work_only_when_others_are_fuller():
+    site = SimulatedCell(make_entry("cold", warming=5.0), make_entry("warm"))
+    site.submit(make_job("first", make_step(count=4, estimate=30.0)))
+    site.run(0.5)
+    assert len(site.workers["cold"].attempts) == 0
+    site.submit(make_job("second", make_step(count=6, estimate=30.0)))
+    site.run(0.5)
+    assert len(site.workers["cold"].attempts) > 0
+
+
+def test_a_worker_takes_work_like_others_once_it_is_warm():
+    site = SimulatedCell(make_entry("cold", warming=2.0), make_entry("warm"))
+    site.run(2.5)
+    site.submit(make_job("first", make_step(count=4, estimate=30.0)))
+    site.run(0.5)
+    assert [len(worker.attempts) for worker in site.workers.values()] == [2, 2]
