--- a/plantainhinge/dispatch/forecast.py
+++ b/plantainhinge/dispatch/forecast.py
@@ -32,11 +32,26 @@
 DEVIATION_GAIN = 0.4
 # spacing of the times at which a peak is looked for
 PEAK_STEP_SECONDS = 0.4
+# weight of the prior, in observations of variance NOISE_VARIANCE
+_MEAN_PRECISION = NOISE_VARIANCE / PRIOR_MEAN_DEVIATION**2
+_AMPLITUDE_PRECISION = NOISE_VARIANCE / PRIOR_AMPLITUDE_DEVIATION**2
 
 
 @dataclass(slots=True)
 class HarmonicRegression:
-    """Sums of a weighted regression on a mean, a cosine and a sine of one frequency."""
+    """Weighted sums of a regression on a mean, a cosine and a sine of one frequency.
+
+    Parameters
+    ----------
+    frequency : float
+        Hertz.
+    weights, cosines, sines, cosine_squares, products
+        Sums over the observations: of their weights, and of the weighted cosines,
+        sines, squares of cosines, and products of cosine and sine.
+    values, value_cosines, value_sines, value_squares
+        The same of the observed values, and of their products with cosine, sine and
+        themselves.
+    """
 
     frequency: float
     weights: float = 0.0
@@ -90,11 +105,6 @@
         return self.value_squares - explained
 
 
-# weight of the prior, in observations of NOISE_VARIANCE
-_MEAN_PRECISION = NOISE_VARIANCE / PRIOR_MEAN_DEVIATION**2
-_AMPLITUDE_PRECISION = NOISE_VARIANCE / PRIOR_AMPLITUDE_DEVIATION**2
-
-
 @dataclass(slots=True)
 class LoadForecast:
     """Forecast of one step's own load, from observations of all its tasks.
--- a/plantainhinge/dispatch/interference.py
+++ b/plantainhinge/dispatch/interference.py
@@ -86,7 +86,7 @@
 def measure_step_pressures(serving: Iterable[Attempt]) -> dict[OpenStep, float]:
     """Return the mean pressure of each step's attempts on a worker.
 
-    A single tail latency is rough. A step without any has the default pressure.
+    A single tail latency is noisy. A step without any has the default pressure.
     """
     measured: dict[OpenStep, list[float]] = {}
     for attempt in serving:
@@ -132,10 +132,10 @@
     for attempt in neighbours.serving:
         if _has_tail_latency(attempt):
             attempt.over_target_since = _compute_over_target_since(attempt, now=now)
-            _learn(attempt, loads, weights, settled=settled, now=now)
+            _attribute_pressure(attempt, loads, weights, settled=settled, now=now)
 
 
-def _learn(
+def _attribute_pressure(
     attempt: Attempt,
     loads: dict[KindId, float],
     weights: ImageWeights,
@@ -235,7 +235,7 @@
     """
     neighbours = find_neighbours(worker)
     capacity = worker.entry.capacity.millicores
-    unseen = {
+    unreported = {
         other: other.task.step.spec.request.millicores / capacity
         for other in neighbours.best_effort
         if now - other.confirmed_at < SETTLE_SECONDS or not other.gauge
@@ -244,7 +244,7 @@
     for step, measured in measure_step_pressures(neighbours.serving).items():
         peak = step.own_load.find_peak(now, now + PLACEMENT_SECONDS)
         pressure = measured + peak - _recall_own_load(step, now)
-        for other, share in unseen.items():
+        for other, share in unreported.items():
             pressure += share * _find_weight(step, _get_image(other), weights)
         image = step.spec.image
         highest[image] = max(pressure, highest.get(image, 0.0))
