Signal processes of the event loop without reaping them

Cause: asyncio's Process.send_signal, kill and terminate poll the child. If it has just ended, the poll reaps it, the loop's watcher finds an unknown child and reports 255. The reload-signal test sends signals each millisecond until the exit and failed once by it. Change: standins.supervisor.send_signal signals by pid; used wherever tests and the soak signal such a process. The check (exit code 0) is the same. standins/site.py uses subprocess.Popen, which reaps its own children.

--- a/soak/site.py
+++ b/soak/site.py
@@ -15,7 +15,7 @@
 from plantainhinge.core.ids import Seconds
 from standins.addresses import find_free_address
 from standins.platform_store import StandInStore
-from standins.supervisor import ignore_reload_signals
+from standins.supervisor import ignore_reload_signals, send_signal
 
 from .observations import Observations
 from .proxy import Proxy
@@ -129,7 +129,7 @@
         if process is None or process.returncode is not None:
             return
         instance.stop_requested = True
-        process.send_signal(stop_signal)
+        send_signal(process, stop_signal)
         await process.wait()
 
     async def restart(
@@ -144,7 +144,7 @@
         """Send a signal to the process of an instance if it is running."""
         process = instance.process
         if process is not None and process.returncode is None:
-            process.send_signal(signal_number)
+            send_signal(process, signal_number)
 
     def find_owner(self) -> SoakInstance | None:
         """Return the instance that owns the cell according to the log, if any."""
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import sys
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -15,7 +15,7 @@
 from standins.addresses import find_free_address
 from standins.platform_store import StandInStore
 from standins.platform_worker import StandInWorker
-from standins.supervisor import ignore_reload_signals
+from standins.supervisor import ignore_reload_signals, send_signal
 
 pytestmark = pytest.mark.processes
 
@@ -136,7 +136,7 @@
         return next(name for name in self.instances if name.encode() in record)
 
     async def kill(self, name):
-        self.instances[name].send_signal(signal.SIGKILL)
+        send_signal(self.instances[name], signal.SIGKILL)
         await self.instances.pop(name).wait()
         del self.clients[name]
 
@@ -154,7 +154,7 @@
 
     async def close(self):
         for process in self.instances.values():
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             await process.wait()
 
 
@@ -201,7 +201,7 @@
         for job in jobs[:3]:
             await site.submit(job, seconds=1.5, count=2)
         owner = site.find_owner()
-        site.instances[owner].send_signal(signal.SIGTERM)
+        send_signal(site.instances[owner], signal.SIGTERM)
         for job in jobs[3:]:
             await site.submit(job, seconds=0.3)
         assert await site.instances.pop(owner).wait() == 0
@@ -282,7 +282,7 @@
                     "the handler is already installed"
                 )
                 await asyncio.sleep(0.001)
-        process.send_signal(signal.SIGHUP)
+        send_signal(process, signal.SIGHUP)
         await starting
         assert process.returncode is None
 
@@ -301,13 +301,12 @@
 
         async def send_signals():
             while process.returncode is None:
-                with suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGHUP)
+                send_signal(process, signal.SIGHUP)
                 await asyncio.sleep(0.001)
 
         sending = asyncio.create_task(send_signals())
         await starting
-        process.terminate()
+        send_signal(process, signal.SIGTERM)
         assert await process.wait() == 0
         await sending
         del site.instances["late"], site.clients["late"]
