Renew the membership while a takeover goes on

A takeover reads several topics, 1.3 s then, and no join was sent meanwhile; the membership lapsed after 1 s and the next one claimed, who fell the same way. Around such hand-overs two owners were at work for a moment; the fences held. Change: joining the group and following its changes are two loops. A claim whose answer arrives after the process has left is released at once instead of taken over.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -83,11 +83,12 @@
     owner: MemberName = MemberName("")
     leaving: bool = False
     _generation: int = 0
+    _handled_generation: int = 0
     _is_candidate: bool = False
-    _change_handled: bool = False
     _checked_at: float = float("-inf")
     _position: int | None = None
-    _owner_changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _owner_changed: bool = False
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def is_standby(self) -> bool:
@@ -96,15 +97,14 @@
         return self.epoch is None and choose_candidate(others) == self.member
 
     async def run(self) -> None:
-        """Renew the membership, and claim or hand over the cell as members change."""
-        while not self.leaving:
-            started = read_monotonic()
-            try:
-                await self._renew_membership()
-            except PlantainhingeError as error:
-                self._log_failure(error)
-            pause = JOIN_INTERVAL_SECONDS - (read_monotonic() - started)
-            await self._wait_for_change(max(JOIN_PAUSE_SECONDS_MIN, pause))
+        """Stay in the group, and claim or hand over the cell as members change.
+
+        The membership is renewed beside the changes: a claim reads several topics, and
+        if the log is slow that takes longer than a membership lasts.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._stay_in_group())
+            group.create_task(self._follow_changes())
 
     async def watch(self) -> None:
         """Wake ``run`` as soon as the owner's record changes.
@@ -142,33 +142,65 @@
         self.epoch = None
         self.on_lost(reason)
 
+    async def _stay_in_group(self) -> None:
+        while not self.leaving:
+            started = read_monotonic()
+            try:
+                await self._renew_membership()
+            except PlantainhingeError as error:
+                self._log_failure(error)
+            pause = JOIN_INTERVAL_SECONDS - (read_monotonic() - started)
+            await asyncio.sleep(max(JOIN_PAUSE_SECONDS_MIN, pause))
+
     async def _renew_membership(self) -> None:
         generation = await self.log.join(self.member, generation=self._generation)
         if self.answered_at == float("-inf"):
             write_event(logger, JoinedGroup(member=self.member))
         self.answered_at = read_monotonic()
-        if generation != self._generation or self._owner_changed.is_set():
-            self._change_handled = False
-        self._generation = generation
-        self._owner_changed.clear()
-        is_recheck_due = (
-            self._is_candidate
-            and self.answered_at - self._checked_at > RECHECK_INTERVAL_SECONDS
-        )
-        if self._change_handled and not is_recheck_due:
-            return
-        if self.epoch is None:
-            await self._claim_if_due()
-        else:
-            await self._hand_over_if_due()
-        self._change_handled = True
+        if generation != self._generation:
+            self._generation = generation
+            self._wake.set()
+
+    async def _follow_changes(self) -> None:
+        while not self.leaving:
+            await self._wait_for_change(JOIN_INTERVAL_SECONDS)
+            try:
+                await self._handle_change()
+            except PlantainhingeError as error:
+                self._log_failure(error)
+                await asyncio.sleep(JOIN_INTERVAL_SECONDS)
 
     async def _wait_for_change(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
-                await self._owner_changed.wait()
+                await self._wake.wait()
         except TimeoutError:
             return
+        self._wake.clear()
+
+    async def _handle_change(self) -> None:
+        """Handle a change of the members or of the owner, if there is one.
+
+        If that fails, it is handled again.
+        """
+        generation, owner_changed = self._generation, self._owner_changed
+        is_recheck_due = (
+            self._is_candidate
+            and read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
+        )
+        is_changed = owner_changed or generation != self._handled_generation
+        if not is_changed and not is_recheck_due:
+            return
+        self._owner_changed = False
+        try:
+            if self.epoch is None:
+                await self._claim_if_due()
+            else:
+                await self._hand_over_if_due()
+        except PlantainhingeError:
+            self._owner_changed = self._owner_changed or owner_changed
+            raise
+        self._handled_generation = generation
 
     async def _poll_owner(self) -> None:
         if self._position is None:
@@ -183,7 +215,8 @@
         self._position = page.end
         if page.entries:
             self._decode_owner(page)
-            self._owner_changed.set()
+            self._owner_changed = True
+            self._wake.set()
 
     async def _claim_if_due(self) -> None:
         owner, end = await self._read_owner()
@@ -192,6 +225,8 @@
         if not should_take_over(owner, this_member=self.member, members=members):
             self._checked_at = read_monotonic()
             return
+        if self.leaving:
+            return
         epoch = Epoch(owner.epoch + 1 if owner is not None else 1)
         try:
             await self._write_owner(OwnerRecord(epoch, self.member), end)
@@ -206,6 +241,9 @@
         )
         write_event(logger, event)
         self.epoch = epoch
+        if self.leaving:
+            await self._release("leaving")
+            return
         try:
             await self.on_acquired(epoch)
         except PlantainhingeError as error:
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -24,7 +24,8 @@
 
     ``append_faults`` lists the faults of the next appends: ``"refuse"`` appends nothing
     and raises ``UnavailableError``, ``"lose"`` appends and raises ``UncertainError``,
-    an empty string is no fault.
+    an empty string is no fault. A member that doesn't join again within
+    ``member_seconds`` is removed.
     """
 
     def __init__(self):
@@ -38,6 +39,7 @@
         self.read_calls = 0
         self.page_size = 500
         self.members = {}
+        self.member_seconds = float("inf")
         self.generation = 0
 
     async def append(self, topic, entries, *, fence=None, expected_end=None):
@@ -110,9 +112,10 @@
         self.first_offsets[topic] = len(self.topics[topic])
 
     async def join(self, member, *, generation):
+        self._remove_silent_members()
         if member not in self.members:
             self.generation += 1
-        self.members[member] = True
+        self.members[member] = self._read_time() + self.member_seconds
         return self.generation
 
     async def leave(self, member):
@@ -120,4 +123,14 @@
         self.generation += 1
 
     async def list_members(self):
+        self._remove_silent_members()
         return frozenset(self.members)
+
+    def _remove_silent_members(self):
+        now = self._read_time()
+        for member in [name for name, end in self.members.items() if end < now]:
+            del self.members[member]
+            self.generation += 1
+
+    def _read_time(self):
+        return asyncio.get_running_loop().time()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -25,8 +25,9 @@
 class Member:
     """One instance's ownership, and the callbacks that it made."""
 
-    def __init__(self, log, name):
+    def __init__(self, log, name, *, takeover_seconds=0.0):
         self.events = []
+        self.takeover_seconds = takeover_seconds
         self.ownership = Ownership(
             log=log,
             member=MemberName(name),
@@ -37,6 +38,7 @@
         self.tasks = []
 
     async def _on_acquired(self, epoch):
+        await asyncio.sleep(self.takeover_seconds)
         self.events.append(("acquired", epoch))
 
     async def _before_release(self):
@@ -103,6 +105,47 @@
     assert two == []
 
 
+def test_a_slow_takeover_costs_neither_the_membership_nor_the_cell():
+    """As when the log is slow: the takeover lasts longer than a membership."""
+
+    async def scenario():
+        log = MemoryKeyedLog()
+        log.member_seconds = 0.8
+        one = Member(log, "one/a/200", takeover_seconds=1.6)
+        two = Member(log, "two/b/100")
+        one.start()
+        await wait_for(lambda: read_epochs(log))
+        two.start()
+        await wait_for(lambda: one.events)
+        await asyncio.sleep(0.5)
+        for member in (one, two):
+            member.kill()
+        return one.events, two.events, read_epochs(log)
+
+    one, two, epochs = asyncio.run(scenario())
+    assert one == [("acquired", 1)]
+    assert two == []
+    assert epochs == [1]
+
+
+def test_a_claim_that_ends_after_the_process_has_left_is_released():
+    async def scenario():
+        log = MemoryKeyedLog()
+        log.append_delay = 0.2
+        one = Member(log, "one/a/200")
+        one.start()
+        await wait_for(lambda: log.members)
+        await asyncio.sleep(0.1)
+        await one.ownership.leave()
+        await asyncio.sleep(0.6)
+        one.kill()
+        return one.events, decode_owner(log.topics[OWNER_TOPIC][-1].value)
+
+    events, owner = asyncio.run(scenario())
+    assert ("acquired", 1) not in events
+    assert owner.member == ""
+
+
 def test_a_planned_stop_releases_the_cell_at_once():
     async def scenario(log, one, two):
         await wait_for(lambda: "two/b/100" in log.members)
