Don't leave best-effort work paused for good

Cause, by reading and by a dump of the owner's tables (attempts at full speed by the table, without usage by reports, 20 to 30 of 130 after changes of the owner): a new owner took each attempt to run at full speed, so one that the earlier owner had paused was never sped up again; and a worker whose last serving task had left was skipped, with its attempts throttled as they were. Change: an adopted attempt gets the speed that its usage shows, by an order, and is then sped up as usual; throttled attempts are adjusted without serving tasks too.

--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -6,6 +6,7 @@
 from ..fleet.model import WorkerState
 from . import health
 from .interference import (
+    FULL_SPEED_PERCENT,
     SpeedChange,
     adjust_speeds,
     find_neighbours,
@@ -108,9 +109,10 @@
 def protect_serving(cell: SchedulingState, worker: Worker, *, now: float) -> None:
     """Throttle best-effort attempts on a worker to protect its serving tasks.
 
-    This also updates the learned interference between the worker's images.
+    This also updates the learned interference between the worker's images. Where no
+    serving task is left, the attempts return to full speed.
     """
-    if not worker.serving_millicores:
+    if not worker.serving_millicores and not _has_throttled(worker):
         return
     update_weights(worker, cell.weights, now=now)
     changes = adjust_speeds(worker, cell.weights, now=now)
@@ -120,6 +122,13 @@
         write_event(logger, _describe_throttling(worker, changes, now=now))
 
 
+def _has_throttled(worker: Worker) -> bool:
+    return any(
+        attempt.speed_percent < FULL_SPEED_PERCENT
+        for attempt in worker.attempts.values()
+    )
+
+
 def _describe_throttling(
     worker: Worker, changes: list[SpeedChange], *, now: float
 ) -> AttemptsThrottled:
--- a/plantainhinge/dispatch/interference.py
+++ b/plantainhinge/dispatch/interference.py
@@ -14,6 +14,7 @@
 from statistics import fmean
 
 from ..core.ids import KindId, Seconds
+from ..jobs.model import Step
 from .model import Attempt, AttemptPhase, OpenStep, Worker
 from .weights import ImageWeights
 
@@ -43,6 +44,8 @@
 # additional variance while the neighbours' usage has just changed
 UNSETTLED_VARIANCE = 0.02
 FULL_SPEED_PERCENT = 100
+# an attempt that uses this share of its request surely isn't throttled much
+FULL_SPEED_USAGE_RATIO = 0.6
 SPEED_INCREASE_PERCENT_MIN = 8
 MILLICORES_PER_CORE = 1000
 
@@ -172,6 +175,20 @@
     return min(attempt.over_target_since, now)
 
 
+def infer_speed(spec: Step, gauge: float) -> int:
+    """Return the speed of an attempt that an earlier owner may have throttled.
+
+    Parameters
+    ----------
+    gauge : float
+        Cores that it uses by its newest report.
+    """
+    used = gauge * MILLICORES_PER_CORE / max(1, spec.request.millicores)
+    if used >= FULL_SPEED_USAGE_RATIO:
+        return FULL_SPEED_PERCENT
+    return int(used * FULL_SPEED_PERCENT)
+
+
 def adjust_speeds(
     worker: Worker, weights: ImageWeights, *, now: float
 ) -> list[SpeedChange]:
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -13,10 +13,11 @@
 from . import health
 from .eviction import protect_serving
 from .incarnations import begin_incarnation
+from .interference import infer_speed
 from .leases import record_answer
 from .log_events import AttemptEnded, AttemptGone, describe_attempt
 from .model import Attempt, AttemptPhase, Task, Worker, bind_attempt
-from .ordering import stop_attempt
+from .ordering import send_throttle, stop_attempt
 from .orders import Stop
 from .scheduling_state import SchedulingState
 from .tasks import (
@@ -147,6 +148,8 @@
         other for other in task.attempts if other.phase is not AttemptPhase.STOPPING
     ]
     bind_attempt(attempt)
+    if task.step.spec.best_effort:
+        _restore_speed(cell, attempt)
     if task in task.step.waiting:
         task.step.waiting.remove(task)
     if task.done or (others and not task.step.spec.speculative):
@@ -155,6 +158,17 @@
         task.checkpoint = running.checkpoint
 
 
+def _restore_speed(cell: SchedulingState, attempt: Attempt) -> None:
+    """Order the speed that a best-effort attempt seems to have.
+
+    The earlier owner may have throttled it, and reports don't say so. It could stay
+    paused for good if this owner took it to run at full speed.
+    """
+    percent = infer_speed(attempt.task.step.spec, attempt.gauge)
+    if percent < attempt.speed_percent:
+        send_throttle(cell, attempt, percent)
+
+
 def stop_orphaned_attempt(
     cell: SchedulingState, worker: Worker, running: RunningAttempt
 ) -> None:
--- a/tests/test_best_effort.py
+++ b/tests/test_best_effort.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from plantainhinge.core.ids import KindId, Seconds
+from plantainhinge.core.ids import JobId, KindId, Seconds
 from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.model import WorkerState
 from plantainhinge.jobs.model import Step
@@ -108,6 +108,41 @@
     assert min(speeds) >= 50
 
 
+def start_paused_work(site):
+    """Start best-effort work that is paused soon; return its worker."""
+    site.submit(make_job("s", make_serving(1)))
+    site.run(0.5)
+    site.submit(make_job("h", make_best_effort("heavy", 1, estimate=5.0)))
+    site.run(1)
+    worker = site.workers["w0"]
+    worker.tail_latency = lambda worker, attempt: (
+        0.2 if attempt.serving else 2.0 * attempt.speed_percent / 100
+    )
+    site.run(2)
+    assert min(attempt.speed_percent for attempt in worker.attempts.values()) == 0
+    return worker
+
+
+@pytest.mark.parametrize("serving_stays", [True, False])
+def test_paused_work_goes_on_under_a_new_owner(serving_stays):
+    site = make_site(workers=1)
+    worker = start_paused_work(site)
+    jobs = [job.record for job in site.cell.jobs.values()]
+    worker.tail_latency = simulate_tail_latency
+    if not serving_stays:
+        site.cell.cancel_job(jobs[0].job, now=site.now)
+        site.run(0.1)
+    site.take_over(jobs[0 if serving_stays else 1 :])
+    site.run_until(lambda: site.state_of("h") == "completed", limit=15)
+
+
+def test_paused_work_goes_on_once_the_serving_tasks_have_left():
+    site = make_site(workers=1)
+    start_paused_work(site)
+    site.cell.cancel_job(JobId("s"), now=site.now)
+    site.run_until(lambda: site.state_of("h") == "completed", limit=8)
+
+
 def test_all_best_effort_work_pauses_beside_a_task_that_stays_over_its_target():
     """A latency just over the target, where throttling a little would seem enough."""
     site = make_site(workers=1)
