Let inherited jobs wait only for what may run on workers known to be silent

A new owner binds those attempts to their workers, where a report or the end of the lease frees them; all else starts once the others have answered.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -81,6 +81,8 @@
         job = open_jobs.open_job(record, progress, wall=wall)
         job.inherited = inherited
         self.jobs[record.job] = job
+        if inherited:
+            handovers.bind_silent_attempts(self, job, now=self.started_at)
 
     def cancel_job(self, job_id: JobId, *, now: float) -> None:
         """Stop a job's attempts and start no more of its tasks."""
@@ -153,6 +155,7 @@
         for job in self.jobs.values():
             if job.record.spec.recurrence is not None:
                 open_jobs.open_due_occurrences(job, wall=wall)
+                handovers.bind_silent_attempts(self, job, now=now)
         ordering.resend_orders(self, now=now)
         eviction.evict_from_draining(self, now=now)
         eviction.evict_stuck(self, now=now)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
+from ..core.ids import AttemptNumber, DomainId, Epoch, JobId, Seconds, WorkerId
+from ..jobs.model import TaskKey
 from .leases import LeaseTerms
 from .model import OpenJob, Worker
 from .orders import Command
@@ -46,6 +47,9 @@
         Monotonic seconds of the last check for throttled attempts to move.
     long_running_arrived_at : float
         Monotonic seconds at which a new long-running step was last ready.
+    silent_attempts : dict
+        Worker and number of attempts that aren't bound yet, by task: those on workers
+        that didn't answer the earlier owner.
     earlier_lease_max : float
         Longest lease in seconds that an earlier owner may have granted.
     speculation_checked_at : float
@@ -69,6 +73,9 @@
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
     long_running_arrived_at: float = float("-inf")
+    silent_attempts: dict[TaskKey, list[tuple[Worker, AttemptNumber]]] = field(
+        default_factory=dict
+    )
     earlier_lease_max: Seconds = Seconds(0.0)
 
     def __post_init__(self) -> None:
