Choose the period of own loads by all steps, and hand the forecasts over

Hypothesis: own loads are forecast worst just after a change of the owner, as each step chooses its period alone and from the start. Change: once a second the period with the least error over all steps is chosen for all of them, unless a step's own observations speak clearly for another; the handover holds each step's curve by wall time, and the next owner begins with it.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -123,7 +123,7 @@
             cell.open_job(row.accepted, row.progress, wall=wall, inherited=True)
         self.view.take_new_records()
         inherited = epoch > 1
-        cell.apply_handover(self.view.handover, now=read_monotonic())
+        cell.apply_handover(self.view.handover, now=read_monotonic(), wall=wall)
         cell.update_workers(
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -34,12 +34,14 @@
     reports,
     tasks,
 )
+from .forecast import select_periods
 from .leases import grant_lease
 from .model import Attempt, OpenStep, Worker
 from .orders import Command
 from .scheduling_state import SchedulingState
 
 RENEWAL_WAIT_SECONDS_MAX = Seconds(1.0)
+PERIOD_INTERVAL_SECONDS = Seconds(1.0)
 MOVE_CHECK_INTERVAL_SECONDS = Seconds(0.3)
 SHARED_RENEWAL_WAIT_SECONDS_MAX = Seconds(0.3)
 
@@ -82,7 +84,7 @@
         job.inherited = inherited
         self.jobs[record.job] = job
         if inherited:
-            handovers.bind_silent_attempts(self, job, now=self.started_at)
+            handovers.restore_job(self, job, now=self.started_at)
 
     def cancel_job(self, job_id: JobId, *, now: float) -> None:
         """Stop a job's attempts and start no more of its tasks."""
@@ -151,7 +153,9 @@
         Expired attempts are released, unanswered orders sent again, attempts evicted,
         waiting tasks placed and speculative attempts started, in this order.
         """
+        self.clock_offset = Seconds(wall - now)
         incarnations.release_expired(self, now=now)
+        self._select_periods(now=now)
         for job in self.jobs.values():
             if job.record.spec.recurrence is not None:
                 open_jobs.open_due_occurrences(job, wall=wall)
@@ -165,6 +169,12 @@
         assignment.place_waiting_tasks(self, now=now, wall=wall)
         copies.start_speculative_attempts(self, now=now)
 
+    def _select_periods(self, *, now: float) -> None:
+        if now < self.periods_selected_at + PERIOD_INTERVAL_SECONDS:
+            return
+        self.periods_selected_at = now
+        select_periods([step.own_load for step in handovers.list_serving_steps(self)])
+
     def list_waiting_steps(self) -> list[OpenStep]:
         """Return the steps that are ready and have waiting tasks."""
         return assignment.list_waiting_steps(self)
@@ -193,9 +203,9 @@
         """Handle the answer to a stop order; ``attempt`` is None if it isn't known."""
         answers.handle_stop_answer(self, attempt, answer, now=now)
 
-    def apply_handover(self, handover: Handover, *, now: float) -> None:
+    def apply_handover(self, handover: Handover, *, now: float, wall: Seconds) -> None:
         """Restore the state that the previous owner wrote for its successor."""
-        handovers.apply_handover(self, handover, now=now)
+        handovers.apply_handover(self, handover, now=now, wall=wall)
 
     def find_advice_request(
         self, *, now: float, wall: Seconds
--- a/plantainhinge/dispatch/forecast.py
+++ b/plantainhinge/dispatch/forecast.py
@@ -2,15 +2,18 @@
 
 The load that callers cause often rises and falls with a steady period. For each of
 several periods, a regression on a mean, a cosine and a sine is kept, in which old
-observations lose their weight. The period that explains the observations best makes the
-forecast. What it leaves unexplained is carried forward for a short time, so that a load
-without a period is forecast by its newest value.
+observations lose their weight. The period that explains the observations of all steps
+best makes the forecasts. What it leaves unexplained is carried forward for a short
+time, so that a load without a period is forecast by its newest value.
 """
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from statistics import median
 
+from ..fleet.handover import LoadCurve
+
 # observations lose their weight with this time constant
 MEMORY_SECONDS = 20.0
 # frequencies of the regressions, as close as that memory can tell apart
@@ -18,8 +21,9 @@
 FREQUENCIES_HERTZ = tuple(FREQUENCY_STEP_HERTZ * step for step in range(2, 21))
 # observations within this time count as one, by their median
 INTERVAL_SECONDS = 0.25
-# time after which the period is chosen again
-SELECTION_SECONDS = 1.0
+# a step keeps a period of its own if that lowers the sum of its squared errors by more
+# than so many times the variance of an observation
+OWN_PERIOD_EVIDENCE = 30.0
 # forecast without any observation, and standard deviations of its mean and amplitude
 PRIOR_LOAD = 0.45
 PRIOR_MEAN_DEVIATION = 0.3
@@ -32,6 +36,9 @@
 DEVIATION_GAIN = 0.4
 # spacing of the times at which a peak is looked for
 PEAK_STEP_SECONDS = 0.4
+# observations that stand for the curve of an earlier owner, and their weight
+RESTORED_POINTS = 12
+RESTORED_WEIGHT = 0.6
 # weight of the prior, in observations of variance NOISE_VARIANCE
 _MEAN_PRECISION = NOISE_VARIANCE / PRIOR_MEAN_DEVIATION**2
 _AMPLITUDE_PRECISION = NOISE_VARIANCE / PRIOR_AMPLITUDE_DEVIATION**2
@@ -126,7 +133,6 @@
     regressions: tuple[HarmonicRegression, ...]
     selected: HarmonicRegression
     coefficients: tuple[float, float, float] = (0.0, 0.0, 0.0)
-    selected_at: float = float("-inf")
     deviation: float = 0.0
     observed_at: float = float("-inf")
     pending: list[tuple[float, float, float]] = field(default_factory=list)
@@ -137,6 +143,40 @@
             self._add_interval()
         self.pending.append((at, load, variance))
 
+    def describe(self, clock_offset: float) -> LoadCurve:
+        """Return the curve of the forecast, by wall time.
+
+        Parameters
+        ----------
+        clock_offset : float
+            Wall time less monotonic time, in seconds.
+        """
+        mean, cosine, sine = self.coefficients
+        frequency = self.selected.frequency
+        angle = 2 * math.pi * frequency * clock_offset
+        cosine, sine = _rotate(cosine, sine, angle)
+        return LoadCurve(frequency, PRIOR_LOAD + mean, cosine, sine)
+
+    def restore(self, curve: LoadCurve, *, clock_offset: float, now: float) -> None:
+        """Begin with the curve of an earlier owner, as if one period were observed."""
+        angle = -2 * math.pi * curve.frequency * clock_offset
+        cosine, sine = _rotate(curve.cosine, curve.sine, angle)
+        for point in range(RESTORED_POINTS):
+            before = point / RESTORED_POINTS / curve.frequency
+            phase = 2 * math.pi * curve.frequency * (now - before)
+            load = curve.mean + cosine * math.cos(phase) + sine * math.sin(phase)
+            for regression in self.regressions:
+                regression.add(
+                    now - before, load - PRIOR_LOAD, RESTORED_WEIGHT, kept=1.0
+                )
+        nearest = min(
+            range(len(self.regressions)),
+            key=lambda index: abs(FREQUENCIES_HERTZ[index] - curve.frequency),
+        )
+        self.select(nearest)
+        self.coefficients = self.selected.solve()
+        self.observed_at = now
+
     def predict(self, at: float) -> float:
         """Return the expected load at a time."""
         ahead = max(0.0, at - self.observed_at)
@@ -148,6 +188,12 @@
         length = (end - start) / steps
         return max(self.predict(start + step * length) for step in range(steps + 1))
 
+    def select(self, index: int) -> None:
+        """Use the regression with a given index from now on."""
+        if self.selected is not self.regressions[index]:
+            self.selected = self.regressions[index]
+            self.coefficients = self.selected.solve()
+
     def _evaluate(self, at: float) -> float:
         mean, cosine, sine = self.coefficients
         angle = 2 * math.pi * at * self.selected.frequency
@@ -164,9 +210,6 @@
         kept = math.exp(-elapsed / MEMORY_SECONDS)
         for regression in self.regressions:
             regression.add(at, load - PRIOR_LOAD, weight, kept=kept)
-        if at - self.selected_at > SELECTION_SECONDS:
-            self.selected_at = at
-            self.selected = min(self.regressions, key=HarmonicRegression.compute_error)
         self.coefficients = self.selected.solve()
         carried = self.deviation * _fade(elapsed)
         unexplained = load - self._evaluate(at)
@@ -174,11 +217,45 @@
         self.observed_at = at
 
 
+def _rotate(cosine: float, sine: float, angle: float) -> tuple[float, float]:
+    """Return the coefficients of a curve on a time axis that is shifted by an angle."""
+    return (
+        cosine * math.cos(angle) - sine * math.sin(angle),
+        cosine * math.sin(angle) + sine * math.cos(angle),
+    )
+
+
 def make_forecast() -> LoadForecast:
     """Return a forecast without observations."""
     regressions = tuple(HarmonicRegression(each) for each in FREQUENCIES_HERTZ)
     return LoadForecast(regressions, regressions[0])
 
 
+def select_periods(forecasts: Collection[LoadForecast]) -> None:
+    """Choose the period of each forecast by the observations of all of them.
+
+    Callers often cause the loads of all steps in one rhythm, and a single step has too
+    few observations in its first seconds. A step whose own observations speak clearly
+    for another period gets that one.
+    """
+    errors = {
+        id(forecast): [each.compute_error() for each in forecast.regressions]
+        for forecast in forecasts
+        if forecast.observed_at > float("-inf")
+    }
+    if not errors:
+        return
+    totals = [sum(column) for column in zip(*errors.values(), strict=True)]
+    common = min(range(len(totals)), key=totals.__getitem__)
+    for forecast in forecasts:
+        own = errors.get(id(forecast))
+        if own is None:
+            forecast.select(common)
+            continue
+        best = min(range(len(own)), key=own.__getitem__)
+        is_own = own[common] - own[best] > OWN_PERIOD_EVIDENCE * NOISE_VARIANCE
+        forecast.select(best if is_own else common)
+
+
 def _fade(elapsed: float) -> float:
     return math.exp(-elapsed / DEVIATION_SECONDS)
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -8,9 +8,17 @@
 """
 
 from ..core.ids import KindId, Seconds
-from ..fleet.handover import Handover, PairWeight, SilentWorker
+from ..fleet.handover import Handover, PairWeight, SilentWorker, StepLoad
 from .leases import assume_earlier_leases
-from .model import Attempt, AttemptPhase, HandoverMark, OpenJob, Worker, bind_attempt
+from .model import (
+    Attempt,
+    AttemptPhase,
+    HandoverMark,
+    OpenJob,
+    OpenStep,
+    Worker,
+    bind_attempt,
+)
 from .scheduling_state import SchedulingState
 
 HANDOVER_INTERVAL_SECONDS = 3.0
@@ -44,9 +52,30 @@
         ),
         lease_seconds=max(cell.earlier_lease_max, cell.terms.length),
         silent=silent,
+        loads=tuple(
+            StepLoad(
+                step.job.job_id,
+                step.occurrence,
+                step.index,
+                step.own_load.describe(cell.clock_offset),
+            )
+            for step in list_serving_steps(cell)
+            if step.own_load.observed_at > float("-inf")
+        ),
     )
 
 
+def list_serving_steps(cell: SchedulingState) -> list[OpenStep]:
+    """Return the open steps whose tasks serve requests."""
+    return [
+        step
+        for job in cell.jobs.values()
+        for steps in job.occurrences.values()
+        for step in steps
+        if step.spec.target_seconds
+    ]
+
+
 def _is_any_misnamed(cell: SchedulingState) -> bool:
     """Return whether the logged handover should say something else of a worker."""
     silent = {worker.name for worker in _list_known_silent(cell)}
@@ -103,11 +132,14 @@
             worker.handover = HandoverMark.OPEN
 
 
-def apply_handover(cell: SchedulingState, handover: Handover, *, now: float) -> None:
+def apply_handover(
+    cell: SchedulingState, handover: Handover, *, now: float, wall: Seconds
+) -> None:
     """Restore the previous owner's handover, before the worker directory is read.
 
     Each of its workers may still run attempts under leases of that owner.
     """
+    cell.clock_offset = Seconds(wall - now)
     if handover.lease_seconds:
         cell.earlier_lease_max = Seconds(handover.lease_seconds)
     for pair in handover.pairs:
@@ -125,8 +157,24 @@
             cell.unverified_workers.add(entry.worker)
         for task, number in silent.get(entry.worker, ()):
             cell.silent_attempts.setdefault(task, []).append((worker, number))
+    for load in handover.loads:
+        cell.inherited_loads[load.job, load.occurrence, load.step] = load.curve
     for job in cell.jobs.values():
-        bind_silent_attempts(cell, job, now=now)
+        restore_job(cell, job, now=now)
+
+
+def restore_job(cell: SchedulingState, job: OpenJob, *, now: float) -> None:
+    """Restore what the handover says of an inherited job."""
+    bind_silent_attempts(cell, job, now=now)
+    if not cell.inherited_loads:
+        return
+    for occurrence, steps in job.occurrences.items():
+        for step in steps:
+            key = (job.job_id, occurrence, step.index)
+            curve = cell.inherited_loads.pop(key, None)
+            if curve is not None and step.spec.target_seconds:
+                offset = cell.clock_offset
+                step.own_load.restore(curve, clock_offset=offset, now=now)
 
 
 def bind_silent_attempts(cell: SchedulingState, job: OpenJob, *, now: float) -> None:
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -3,12 +3,15 @@
 from dataclasses import dataclass, field
 
 from ..core.ids import AttemptNumber, DomainId, Epoch, JobId, Seconds, WorkerId
+from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
 from .model import OpenJob, Worker
 from .orders import Command
 from .weights import ImageWeights
 
+# job, occurrence and index of a step
+StepKey = tuple[JobId, int, int]
 # no owner before this epoch can have granted leases
 FIRST_EPOCH = Epoch(1)
 
@@ -50,6 +53,12 @@
     silent_attempts : dict
         Worker and number of attempts that aren't bound yet, by task: those on workers
         that didn't answer the earlier owner.
+    inherited_loads : dict
+        Own loads that the earlier owner learned, of steps that aren't open yet.
+    clock_offset : float
+        Wall time less monotonic time, in seconds.
+    periods_selected_at : float
+        Monotonic seconds at which the periods of own loads were last chosen.
     earlier_lease_max : float
         Longest lease in seconds that an earlier owner may have granted.
     speculation_checked_at : float
@@ -76,7 +85,10 @@
     silent_attempts: dict[TaskKey, list[tuple[Worker, AttemptNumber]]] = field(
         default_factory=dict
     )
+    inherited_loads: dict[StepKey, LoadCurve] = field(default_factory=dict)
+    clock_offset: Seconds = Seconds(0.0)
     earlier_lease_max: Seconds = Seconds(0.0)
+    periods_selected_at: float = float("-inf")
 
     def __post_init__(self) -> None:
         first = self.epoch <= FIRST_EPOCH
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..core.ids import AttemptNumber, WorkerId
+from ..core.ids import AttemptNumber, JobId, WorkerId
 from ..core.packing import decode_record
 from ..jobs.model import TaskKey
 from .model import WorkerEntry
@@ -26,6 +26,32 @@
     weight: float
 
 
+class LoadCurve(msgspec.Struct, frozen=True, array_like=True):
+    """Load that rises and falls with a steady period.
+
+    Parameters
+    ----------
+    frequency : float
+        Hertz.
+    mean, cosine, sine : float
+        Coefficients of the curve, by seconds since the Unix epoch.
+    """
+
+    frequency: float
+    mean: float
+    cosine: float
+    sine: float
+
+
+class StepLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Learned own load of the serving tasks of one step."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    curve: LoadCurve
+
+
 class SilentWorker(msgspec.Struct, frozen=True, array_like=True):
     """A worker that didn't answer the owner, and all that may run there.
 
@@ -54,12 +80,15 @@
         Longest lease that this owner or an earlier one granted; 0 if unknown.
     silent : tuple of SilentWorker
         Those of the workers that didn't answer.
+    loads : tuple of StepLoad
+        Own loads of serving steps learned so far.
     """
 
     workers: tuple[WorkerEntry, ...] = ()
     pairs: tuple[PairWeight, ...] = ()
     lease_seconds: float = 0.0
     silent: tuple[SilentWorker, ...] = ()
+    loads: tuple[StepLoad, ...] = ()
 
 
 def encode_handover(handover: Handover) -> bytes:
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -243,7 +243,7 @@
         """Replace the owner by a new one that knows only the log."""
         self.cell = Cell(Epoch(self.cell.epoch + 1), self.terms, self.now)
         self.pending_flush = None
-        self.cell.apply_handover(self.handover, now=self.now)
+        self.cell.apply_handover(self.handover, now=self.now, wall=self.now)
         for record in records:
             self.submit(record, inherited=True)
         self.update_workers(inherited=True)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,8 @@
 """Takeover of a cell: what a new owner adopts and which leases it waits for."""
 
+import math
+
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from plantainhinge.dispatch.leases import LeaseTerms
@@ -260,6 +263,21 @@
     assert site.cell.weights.find("front", "index") == 2.5
 
 
+def test_a_new_owner_inherits_the_forecasts_of_own_loads():
+    site = SimulatedCell(make_entry("w1"))
+    step = make_step(long_running=True, image="front", target_seconds=0.05)
+    job = make_job("j", step)
+    site.submit(job)
+    site.workers["w1"].tail_latency = lambda worker, attempt: (
+        0.011 / (1 - 0.42 - 0.2 * math.sin(2 * math.pi * worker.now / 10))
+    )
+    site.run(25)
+    site.take_over([job])
+    forecast = site.cell.jobs[job.job].occurrences[0][0].own_load
+    loads = [forecast.predict(at) for at in (27.5, 32.5)]
+    assert loads == pytest.approx([0.22, 0.62], abs=0.08)
+
+
 def test_a_logged_failure_is_not_counted_again():
     site = SimulatedCell(make_entry("w1"))
     site.workers["w1"].fails = True
