Move serving tasks together where that frees processors for best-effort work

Change: dispatch/consolidation.py weighs, for each serving image on a worker, what waiting work could use there without it (dispatch/layouts.py) against what it loses where the group fits; the best group moves if a tenth of all processors is waited for. A stopped task starts on its destination, or anywhere else if that no longer fits. The reported load tells idle cores by cause while best-effort work waits.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -19,7 +19,7 @@
 from .queueing import order_steps, rank_step
 from .scheduling_state import SchedulingState
 from .tasks import start_task
-from .worker_choice import choose_worker, fits_when_empty
+from .worker_choice import choose_destination, choose_worker, fits_when_empty
 
 logger = logging.getLogger(__name__)
 
@@ -76,9 +76,12 @@
     placed: list[Attempt] = []
     for task in list(step.waiting):
         _readmit_avoided_workers(task, workers)
-        worker = choose_worker(task, workers, cell.weights, now=now)
+        worker = choose_destination(task, workers, now=now)
+        if worker is None:
+            worker = choose_worker(task, workers, cell.weights, now=now)
         if worker is None:
             break
+        task.destination = None
         attempt = start_task(cell, task, worker, task.last_attempt + 1, now=now)
         placed.append(attempt)
     return placed
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -25,6 +25,7 @@
     advice,
     answers,
     assignment,
+    consolidation,
     copies,
     eviction,
     handovers,
@@ -150,8 +151,8 @@
     def decide(self, *, now: float, wall: Seconds) -> None:
         """Run one scheduling pass.
 
-        Expired attempts are released, unanswered orders sent again, attempts evicted,
-        waiting tasks placed and speculative attempts started, in this order.
+        Expired attempts are released, unanswered orders sent again, attempts evicted or
+        moved, waiting tasks placed and speculative attempts started, in this order.
         """
         self.clock_offset = Seconds(wall - now)
         incarnations.release_expired(self, now=now)
@@ -166,6 +167,7 @@
         if now >= self.moves_checked_at + MOVE_CHECK_INTERVAL_SECONDS:
             self.moves_checked_at = now
             eviction.move_throttled(self, now=now)
+        consolidation.consolidate(self, now=now)
         assignment.place_waiting_tasks(self, now=now, wall=wall)
         copies.start_speculative_attempts(self, now=now)
 
--- a/plantainhinge/dispatch/forecast.py
+++ b/plantainhinge/dispatch/forecast.py
@@ -143,6 +143,11 @@
             self._add_interval()
         self.pending.append((at, load, variance))
 
+    @property
+    def mean(self) -> float:
+        """Return the expected load over a whole period."""
+        return PRIOR_LOAD + self.coefficients[0]
+
     def describe(self, clock_offset: float) -> LoadCurve:
         """Return the curve of the forecast, by wall time.
 
--- a/plantainhinge/dispatch/load.py
+++ b/plantainhinge/dispatch/load.py
@@ -1,9 +1,12 @@
 """The load of a cell, as a log event."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..core.log_events import LogEvent, log_event
 from .cell import Cell
+from .consolidation import measure_waiting
+from .layouts import estimate_usable, measure_layout
 from .model import Attempt
 
 
@@ -23,6 +26,9 @@
         Cores that best-effort attempts may use at their present speeds.
     filling_use : int
         Cores that best-effort attempts use.
+    idle_usable_cores, idle_disturbing_cores, idle_closed_cores : int
+        Idle cores while best-effort work waits: those that it could use, those where it
+        would disturb serving tasks too much, and those of workers that take no work.
     aside : int
         Workers in quarantine after refusals or failures.
     workers, in_touch : int
@@ -40,16 +46,51 @@
     committed_cores: int
     filling_cores: int
     filling_use: int
+    idle_usable_cores: int
+    idle_disturbing_cores: int
+    idle_closed_cores: int
     workers: int
     in_touch: int
     aside: int
     recovering: bool
 
 
+@dataclass(frozen=True, slots=True)
+class IdleProcessors:
+    """Millicores that stay idle while best-effort work waits, by cause."""
+
+    usable: float = 0.0
+    disturbing: float = 0.0
+    closed: float = 0.0
+
+
+def measure_idle(cell: Cell, *, now: float) -> IdleProcessors:
+    """Return why processors are idle; all zero unless best-effort work waits for long.
+
+    What waits may fit on several workers, so the usable part can exceed it.
+    """
+    waiting = measure_waiting(cell, now=now)
+    if not waiting:
+        return IdleProcessors()
+    usable = disturbing = closed = 0.0
+    for worker in cell.workers.values():
+        idle = max(0, worker.spare_millicores)
+        if not worker.accepts_work(now) or worker.entry.domain in cell.closed_domains:
+            closed += idle
+            continue
+        layout = measure_layout(worker)
+        total = estimate_usable(layout, waiting, cell.weights)
+        here = min(idle, max(0.0, total - worker.best_effort_millicores))
+        usable += here
+        disturbing += idle - here
+    return IdleProcessors(usable, disturbing, closed)
+
+
 def measure_load(cell: Cell, *, now: float) -> CellLoad:
     """Measure the load of a cell."""
     workers = list(cell.workers.values())
     waiting = cell.list_waiting_steps()
+    idle = measure_idle(cell, now=now)
     best_effort = [
         attempt
         for worker in workers
@@ -76,6 +117,9 @@
         committed_cores=_count_cores(worker.committed.millicores for worker in workers),
         filling_cores=_count_cores(worker.best_effort_millicores for worker in workers),
         filling_use=round(sum(attempt.gauge for attempt in best_effort)),
+        idle_usable_cores=_count_cores([idle.usable]),
+        idle_disturbing_cores=_count_cores([idle.disturbing]),
+        idle_closed_cores=_count_cores([idle.closed]),
         workers=len(workers),
         in_touch=sum(worker.reachable for worker in workers),
         aside=sum(now < worker.quarantined_until for worker in workers),
@@ -87,5 +131,5 @@
     return attempt.task.step.spec.best_effort
 
 
-def _count_cores(millicores: Iterable[int]) -> int:
-    return sum(millicores) // 1000
+def _count_cores(millicores: Iterable[float]) -> int:
+    return int(sum(millicores)) // 1000
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -357,3 +357,25 @@
 def name_task(attempt: Attempt) -> str:
     """Return the name of an attempt's task in log events."""
     return ".".join(str(part) for part in attempt.task.key)
+
+
+@log_event("serving tasks move")
+class GroupMoved(LogEvent, frozen=True, kw_only=True):
+    """Serving tasks of one image move, to free processors for waiting best-effort work.
+
+    Parameters
+    ----------
+    worker : str
+        The worker that they leave.
+    image : str
+        Their image.
+    tasks : int
+        How many of them move.
+    gain_millicores : int
+        Thousandths of a core that waiting work is expected to use in addition.
+    """
+
+    worker: WorkerId
+    image: str
+    tasks: int
+    gain_millicores: int
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -90,6 +90,8 @@
         Newest saved progress; empty if there is none.
     avoided_workers : set of WorkerId
         Workers on which attempts of it failed or stalled.
+    destination : WorkerId, optional
+        Worker to which its last attempt was stopped to move.
     """
 
     key: TaskKey
@@ -100,6 +102,7 @@
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoided_workers: set[WorkerId] = field(default_factory=set)
+    destination: WorkerId | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -6,7 +6,7 @@
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
-from .model import OpenJob, Worker
+from .model import OpenJob, Task, Worker
 from .orders import Command
 from .weights import ImageWeights
 
@@ -59,6 +59,10 @@
         Wall time less monotonic time, in seconds.
     periods_selected_at : float
         Monotonic seconds at which the periods of own loads were last chosen.
+    consolidated_at : float
+        Monotonic seconds of the last look for serving tasks to move.
+    moving : set of Task
+        Serving tasks that were stopped to move and don't run again yet.
     earlier_lease_max : float
         Longest lease in seconds that an earlier owner may have granted.
     speculation_checked_at : float
@@ -89,6 +93,8 @@
     clock_offset: Seconds = Seconds(0.0)
     earlier_lease_max: Seconds = Seconds(0.0)
     periods_selected_at: float = float("-inf")
+    consolidated_at: float = float("-inf")
+    moving: set[Task] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         first = self.epoch <= FIRST_EPOCH
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -71,15 +71,30 @@
     return best
 
 
+def choose_destination(
+    task: Task, workers: Iterable[Worker], *, now: float
+) -> Worker | None:
+    """Return the worker that a task was stopped to move to, if it still fits there."""
+    if task.destination is None:
+        return None
+    step = task.step
+    needs = compute_committed_resources(step.spec)
+    for worker in workers:
+        if (
+            worker.name == task.destination
+            and has_capacity(step, needs, worker, now=now)
+            and meets_constraints(step, worker)
+            and holds_ticket(step, worker, now=now)
+        ):
+            return worker
+    return None
+
+
 def fits_when_empty(step: OpenStep, worker: Worker) -> bool:
     """Return whether a worker could run a task of a step if it were empty."""
     needs, capacity = compute_committed_resources(step.spec), worker.entry.capacity
-    fits = (
-        needs.millicores <= capacity.millicores
-        and needs.memory_mib <= capacity.memory_mib
-        and needs.accelerators <= capacity.accelerators
-    )
-    return fits and (not step.spec.label or step.spec.label in worker.entry.labels)
+    is_labelled = not step.spec.label or step.spec.label in worker.entry.labels
+    return is_labelled and needs.fits_within(capacity)
 
 
 def has_capacity(
@@ -89,20 +104,15 @@
 
     Best-effort tasks need spare processors for most of their request.
     """
-    capacity, committed = worker.entry.capacity, worker.committed
     if must_leave_headroom(step, now=now):
-        headroom = capacity.millicores * HEADROOM_RATIO
+        headroom = worker.entry.capacity.millicores * HEADROOM_RATIO
         if needs.millicores + headroom > worker.free_millicores:
             return False
     if step.spec.best_effort:
         needed_millicores = BEST_EFFORT_SHARE_MIN * step.spec.request.millicores
         if worker.spare_millicores < needed_millicores:
             return False
-    return (
-        needs.millicores <= capacity.millicores - committed.millicores
-        and needs.memory_mib <= capacity.memory_mib - committed.memory_mib
-        and needs.accelerators <= capacity.accelerators - committed.accelerators
-    )
+    return needs.fits_within(worker.free)
 
 
 def must_leave_headroom(step: OpenStep, *, now: float) -> bool:
