Await a join under way before leaving the group

Fault, shown by a new test (3 of 3 runs on the code before): a join that was sent before a planned stop arrives after the process has left, and enters the group again until the membership lapses. A process that is gone may then be taken for the candidate, and the released cell waits for it. With a slow log a join is under way most of the time. Change: joining and leaving take turns; nothing joins once leaving has begun. A curve in a handover must have a positive frequency, or the record is rejected as corrupt like any other. A docstring says that the list is empty, not None.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -89,6 +89,7 @@
     _position: int | None = None
     _owner_changed: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _group_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
     def is_standby(self) -> bool:
@@ -125,10 +126,14 @@
             self.drop(f"epoch {owner.epoch if owner else 0} is newer")
 
     async def leave(self) -> None:
-        """Leave the group and release the cell; errors are only logged."""
+        """Leave the group and release the cell; errors are only logged.
+
+        A join under way is awaited first, since it would enter the group again.
+        """
         self.leaving = True
         try:
-            await self.log.leave(self.member)
+            async with self._group_lock:
+                await self.log.leave(self.member)
             if self.epoch is not None:
                 await self._release("leaving")
         except PlantainhingeError as error:
@@ -146,13 +151,16 @@
         while not self.leaving:
             started = read_monotonic()
             try:
-                await self._renew_membership()
+                async with self._group_lock:
+                    await self._renew_membership()
             except PlantainhingeError as error:
                 self._log_failure(error)
             pause = JOIN_INTERVAL_SECONDS - (read_monotonic() - started)
             await asyncio.sleep(max(JOIN_PAUSE_SECONDS_MIN, pause))
 
     async def _renew_membership(self) -> None:
+        if self.leaving:
+            return
         generation = await self.log.join(self.member, generation=self._generation)
         if self.answered_at == float("-inf"):
             write_event(logger, JoinedGroup(member=self.member))
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -90,7 +90,7 @@
 def _list_known_silent(cell: SchedulingState) -> list[Worker]:
     """Return the silent workers of which all that may run there is bound to them.
 
-    None if they are so many that the owner itself is probably cut off.
+    The list is empty if they are so many that the owner itself is probably cut off.
     """
     silent = [
         worker
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -1,5 +1,7 @@
 """State of the cell, apart from job progress, that an owner logs for its successor."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..core.ids import AttemptNumber, JobId, WorkerId
@@ -37,7 +39,7 @@
         Coefficients of the curve, by seconds since the Unix epoch.
     """
 
-    frequency: float
+    frequency: Annotated[float, msgspec.Meta(gt=0)]
     mean: float
     cosine: float
     sine: float
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -36,6 +36,7 @@
         self.recent_appends = defaultdict(lambda: deque(maxlen=REMEMBERED_APPENDS_MAX))
         self.append_faults = []
         self.append_delay = 0.0
+        self.join_delay = 0.0
         self.read_calls = 0
         self.page_size = 500
         self.members = {}
@@ -112,6 +113,7 @@
         self.first_offsets[topic] = len(self.topics[topic])
 
     async def join(self, member, *, generation):
+        await asyncio.sleep(self.join_delay)
         self._remove_silent_members()
         if member not in self.members:
             self.generation += 1
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -146,6 +146,23 @@
     assert owner.member == ""
 
 
+def test_a_process_that_has_left_does_not_join_again_by_a_call_under_way():
+    async def scenario():
+        log = MemoryKeyedLog()
+        log.join_delay = 0.2
+        one = Member(log, "one/a/200")
+        one.start()
+        await wait_for(lambda: one.events)
+        await asyncio.sleep(0.4)
+        await one.ownership.leave()
+        left = set(log.members)
+        await asyncio.sleep(0.5)
+        one.kill()
+        return left, set(log.members)
+
+    assert asyncio.run(scenario()) == (set(), set())
+
+
 def test_a_planned_stop_releases_the_cell_at_once():
     async def scenario(log, one, two):
         await wait_for(lambda: "two/b/100" in log.members)
