--- a/tests/test_best_effort.py
+++ b/tests/test_best_effort.py
@@ -9,11 +9,11 @@
 from plantainhinge.jobs.model import Step
 
 from .simulated_cell import SimulatedCell, make_entry, make_job, measure_late_share
-
-TARGET = 0.045
-IDLE_TAIL_LATENCY = 0.01
-OWN_LOAD = 0.42
-HEAVY, LIGHT = 3.0, 0.2
+from .simulated_interference import (
+    IDLE_TAIL_LATENCY,
+    TARGET,
+    make_tail_latency,
+)
 
 
 def make_serving(count=1):
@@ -37,16 +37,7 @@
     )
 
 
-def simulate_tail_latency(worker, attempt):
-    """Return the tail latency of a queue whose load grows with each neighbour."""
-    if not attempt.serving:
-        return 2.0 * attempt.speed_percent / 100
-    load = OWN_LOAD
-    for other in worker.attempts.values():
-        if not other.serving:
-            weight = HEAVY if other.image == "heavy" else LIGHT
-            load += weight * 2.0 * other.speed_percent / 100 / 16
-    return IDLE_TAIL_LATENCY / max(0.05, 1.0 - load)
+simulate_tail_latency = make_tail_latency({"heavy": 3.0, "light": 0.2})
 
 
 def make_site(workers=3):
--- a/tests/test_consolidation.py
+++ b/tests/test_consolidation.py
@@ -14,13 +14,10 @@
     make_job,
     measure_late_share,
 )
+from .simulated_interference import CORES, TARGET, make_tail_latency
 
-TARGET = 0.045
-IDLE_TAIL_LATENCY = 0.01
-OWN_LOAD = 0.42
 HEAVY_WEIGHT = 4.0
-CORES = 16
-LEARNT_SECONDS = REST_SECONDS + 1.0
+LEARNED_SECONDS = REST_SECONDS + 1.0
 
 
 def make_serving(count, *, millicores=4000, **changes):
@@ -45,14 +42,7 @@
     )
 
 
-def simulate_tail_latency(worker, attempt):
-    if not attempt.serving:
-        return 2.0 * attempt.speed_percent / 100
-    load = OWN_LOAD
-    for other in worker.attempts.values():
-        if not other.serving:
-            load += HEAVY_WEIGHT * 2.0 * other.speed_percent / 100 / CORES
-    return IDLE_TAIL_LATENCY / max(0.05, 1.0 - load)
+simulate_tail_latency = make_tail_latency({"heavy": HEAVY_WEIGHT})
 
 
 def spread_serving(workers=4, **changes):
@@ -77,7 +67,7 @@
     site.cell.weights.restore(
         KindId("front"), KindId("heavy"), HEAVY_WEIGHT, Seconds(site.now)
     )
-    site.run(LEARNT_SECONDS)
+    site.run(LEARNED_SECONDS)
     assert [count_serving(worker) for worker in site.workers.values()] == [1] * workers
     return site, jobs
 
@@ -151,7 +141,7 @@
     for worker in site.workers.values():
         worker.tail_latency = simulate_tail_latency
     site.submit(make_job("s", make_serving(4, per_worker_max=1)))
-    site.run(LEARNT_SECONDS)
+    site.run(LEARNED_SECONDS)
     submit_heavy(site, jobs=30)
     run_checked(site, 6)
     assert [count_serving(worker) for worker in site.workers.values()] == [1] * 4
