--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -322,6 +322,16 @@
         self.cell.confirm_flush(flush)
 
 
+def start_one_task(**step):
+    """Start one task on a site of two workers; return site, job and its worker."""
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(**step))
+    site.submit(job)
+    site.run(0.5)
+    ((worker, _, _),) = site.list_running()
+    return site, job, worker
+
+
 def measure_late_share(site, seconds, *, target):
     """Run a site; return the share of time that serving attempts are over a target."""
     late = total = 0
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -11,6 +11,7 @@
     make_entry,
     make_job,
     make_step,
+    start_one_task,
 )
 
 
@@ -44,11 +45,7 @@
 
 def test_a_later_attempt_runs_on_though_the_handover_names_the_earlier_worker():
     """The handover was logged before the lease of the silent worker ended."""
-    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
-    job = make_job("j", make_step(long_running=True))
-    site.submit(job)
-    site.run(0.5)
-    ((first, _, _),) = site.list_running()
+    site, job, first = start_one_task(long_running=True)
     make_silent(site, first)
     handover = site.handover
     site.run_until(lambda: site.count_starts() == 2)
@@ -62,11 +59,7 @@
 @pytest.mark.parametrize("runs_seconds", [0.1, 1.0])
 def test_the_end_of_a_later_attempt_counts_though_it_was_not_logged(runs_seconds):
     """The owner that started the later one logged neither its start nor its end."""
-    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
-    job = make_job("j", make_step(estimate=20.0))
-    site.submit(job)
-    site.run(0.5)
-    ((first, _, _),) = site.list_running()
+    site, job, first = start_one_task(estimate=20.0)
     make_silent(site, first)
     site.log_up = False
     site.run_until(lambda: site.count_starts() == 2)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -128,17 +128,24 @@
     assert epochs == [1]
 
 
+async def leave_during_a_call(log, *, begun):
+    """Start a member, let it leave once a condition holds, and wait for its calls."""
+    one = Member(log, "one/a/200")
+    one.start()
+    await wait_for(lambda: begun(one))
+    await asyncio.sleep(0.1)
+    await one.ownership.leave()
+    left = set(log.members)
+    await asyncio.sleep(0.6)
+    one.kill()
+    return one, left
+
+
 def test_a_claim_that_ends_after_the_process_has_left_is_released():
     async def scenario():
         log = MemoryKeyedLog()
         log.append_delay = 0.2
-        one = Member(log, "one/a/200")
-        one.start()
-        await wait_for(lambda: log.members)
-        await asyncio.sleep(0.1)
-        await one.ownership.leave()
-        await asyncio.sleep(0.6)
-        one.kill()
+        one, _ = await leave_during_a_call(log, begun=lambda one: log.members)
         return one.events, decode_owner(log.topics[OWNER_TOPIC][-1].value)
 
     events, owner = asyncio.run(scenario())
@@ -150,14 +157,7 @@
     async def scenario():
         log = MemoryKeyedLog()
         log.join_delay = 0.2
-        one = Member(log, "one/a/200")
-        one.start()
-        await wait_for(lambda: one.events)
-        await asyncio.sleep(0.4)
-        await one.ownership.leave()
-        left = set(log.members)
-        await asyncio.sleep(0.5)
-        one.kill()
+        _, left = await leave_during_a_call(log, begun=lambda one: one.events)
         return left, set(log.members)
 
     assert asyncio.run(scenario()) == (set(), set())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -14,6 +14,7 @@
     make_job,
     make_policy,
     make_step,
+    start_one_task,
 )
 
 
@@ -29,11 +30,7 @@
 
 
 def test_a_new_owner_waits_for_the_leases_of_an_unreachable_worker():
-    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
-    job = make_job("j", make_step(long_running=True))
-    site.submit(job)
-    site.run(0.5)
-    ((first, _, _),) = site.list_running()
+    site, job, first = start_one_task(long_running=True)
     site.workers[first].unreachable = True
     site.take_over([job])
     site.run(5.5)
@@ -102,11 +99,7 @@
 
 
 def test_a_new_owner_waits_for_a_worker_that_left_the_directory():
-    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
-    job = make_job("j", make_step(long_running=True))
-    site.submit(job)
-    site.run(0.5)
-    ((first, _, _),) = site.list_running()
+    site, job, first = start_one_task(long_running=True)
     hidden = site.workers.pop(first)
     hidden.unreachable = True
     site.take_over([job])
@@ -118,11 +111,7 @@
 
 
 def test_a_new_owner_reaches_a_worker_that_left_the_directory():
-    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
-    job = make_job("j", make_step(long_running=True))
-    site.submit(job)
-    site.run(0.5)
-    ((first, _, _),) = site.list_running()
+    site, job, first = start_one_task(long_running=True)
     unlisted = site.workers.pop(first)
     site.take_over([job])
     site.workers[first] = unlisted
