Tell why long-running tasks don't run, and how long decisions take

Change: two log events each 2 s, a histogram of rounds and a gauge of the longest idle time. No change of logic.

--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -30,6 +30,7 @@
     JOB_CALL = "plantainhinge.jobs.call.duration"
     LOG_CALL = "plantainhinge.log.call.duration"
     FIRST_START = "plantainhinge.jobs.first_start"
+    DECISION = "plantainhinge.cell.decision.duration"
 
 
 class Level(Enum):
@@ -46,6 +47,7 @@
     RUNNING_ATTEMPTS = "plantainhinge.cell.attempts"
     CELL_CORES = "plantainhinge.cell.cores"
     CELL_WORKERS = "plantainhinge.cell.workers"
+    LONGEST_IDLE = "plantainhinge.cell.longest_idle"
 
 
 class Metrics(Protocol):
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -22,6 +22,7 @@
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NullMetrics
 from ..dispatch.cell import Cell
+from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.leases import LeaseTerms
 from ..dispatch.load import measure_load
 from ..dispatch.model import Worker
@@ -33,7 +34,7 @@
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
 from .job_view import JOB_TOPIC, JobView
-from .load_report import report_load
+from .load_report import report_idle_tasks, report_load
 from .owner_events import (
     DecisionsFailed,
     DirectoryUnreadable,
@@ -45,6 +46,7 @@
 )
 from .ownership_events import CellOwned, TakeoverStepFailed
 from .progress_log import ProgressLog, encode_flush
+from .round_times import RoundTimes
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -99,6 +101,7 @@
     cell: Cell | None = None
     _epoch: Epoch | None = None
     _next_load_at: float = 0.0
+    _idle_tasks: IdleTasks = field(default_factory=IdleTasks)
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
     _renewing: set[str] = field(default_factory=set)
     _flush_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -108,6 +111,7 @@
 
     def __post_init__(self) -> None:
         self.progress = ProgressLog(self.log)
+        self._round_times = RoundTimes(self.metrics)
 
     async def take_over(self, epoch: Epoch) -> None:
         """Fence earlier owners, load the state of the cell and start the loops."""
@@ -128,6 +132,8 @@
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
         cell.closed_domains = self.get_closed_domains()
+        self._idle_tasks = IdleTasks()
+        self._round_times = RoundTimes(self.metrics)
         self.cell = cell
         self.metrics.count(Counter.OWNERSHIPS)
         event = CellOwned(
@@ -252,6 +258,7 @@
             now = read_monotonic()
             if isinstance(answer, WorkerReport):
                 cell.handle_report(worker, answer, sent=sent, now=now)
+                self._round_times.reports += 1
                 self.wake()
                 if worker.last_end_sequence > worker.acknowledged:
                     await self._wait_for_flush()
@@ -289,7 +296,8 @@
                 await self.check_ownership()
                 continue
             try:
-                self._decide_once(cell)
+                with self._round_times.measure():
+                    self._decide_once(cell)
             except Exception as error:
                 write_event(logger, DecisionsFailed(), error=error)
             if cell.fenced:
@@ -302,6 +310,8 @@
         if now >= self._next_load_at:
             self._next_load_at = now + LOAD_INTERVAL_SECONDS
             report_load(self.metrics, cell.epoch, measure_load(cell, now=now))
+            report_idle_tasks(self.metrics, self._idle_tasks, cell, now=now)
+            write_event(logger, self._round_times.take())
         for command in cell.take_commands():
             self._spawn(self._send_command(cell, command))
         self._dirty.set()
--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -5,6 +5,8 @@
 from ..core.ids import Epoch
 from ..core.log_events import write_event
 from ..core.metrics import Level, Metrics
+from ..dispatch.cell import Cell
+from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.load import CellLoad
 
 logger = logging.getLogger(__name__)
@@ -28,3 +30,12 @@
     metrics.set(Level.CELL_WORKERS, load.workers, state="known")
     metrics.set(Level.CELL_WORKERS, load.in_touch, state="in-touch")
     metrics.set(Level.CELL_WORKERS, load.aside, state="set-aside")
+
+
+def report_idle_tasks(
+    metrics: Metrics, idle_tasks: IdleTasks, cell: Cell, *, now: float
+) -> None:
+    """Write a log line for each step with idle long-running tasks; set the gauge."""
+    for event in idle_tasks.observe(cell, now=now):
+        write_event(logger, event)
+    metrics.set(Level.LONGEST_IDLE, idle_tasks.measure_longest(now=now))
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -44,6 +44,31 @@
     slept_s: float
 
 
+@log_event("decision rounds")
+class DecisionRounds(LogEvent, frozen=True, kw_only=True):
+    """Rounds of decisions since the last such line; written by the owner every 2 s.
+
+    Parameters
+    ----------
+    rounds : int
+        How many there were.
+    busy_s : float
+        Seconds that they took in all.
+    longest_s : float
+        Seconds of the longest one.
+    longest_gap_s : float
+        Longest time in seconds from the end of one to the start of the next.
+    reports : int
+        Reports of workers handled.
+    """
+
+    rounds: int
+    busy_s: float
+    longest_s: float
+    longest_gap_s: float
+    reports: int
+
+
 @log_event("decisions failed", level=logging.ERROR)
 class DecisionsFailed(LogEvent, frozen=True, kw_only=True):
     """A programming error in a round of decisions; the next round follows."""
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -295,6 +295,38 @@
     urgency: str
 
 
+@log_event("long-running tasks idle")
+class TasksIdle(StepEvent, frozen=True, kw_only=True):
+    """Tasks of a long-running step haven't run for seconds; written every 2 s.
+
+    Parameters
+    ----------
+    positions : list of int
+        Positions of the tasks in the step.
+    idle_s : float
+        Seconds for which one of them has been seen idle.
+    waiting, ordered, stopping : int
+        How many of them have no worker, an unconfirmed start, or a stop under way.
+    millicores, memory_mib : int
+        Resources that each task needs.
+    obstacles : list of str
+        For the first task that waits: workers on which it has enough free resources, by
+        what keeps it from there, as ``OBSTACLE=WORKERS``.
+    recovering : bool
+        Whether inherited jobs wait until all workers have reported.
+    """
+
+    positions: tuple[int, ...]
+    idle_s: float
+    waiting: int
+    ordered: int
+    stopping: int
+    millicores: int
+    memory_mib: int
+    obstacles: tuple[str, ...]
+    recovering: bool
+
+
 @log_event("copy ordered")
 class SpeculativeAttemptOrdered(AttemptEvent, frozen=True, kw_only=True):
     """A speculative attempt starts beside a slow one; the first to finish counts.
