Let inherited tasks wait only for what may run on workers known to be silent

What callers saw: after a change of the owner no inherited task was started, long-running ones included, while any worker that had been lost before it might still run something. Cause: the new owner knew which workers may run attempts, but not what; so one silent worker withheld all inherited tasks for the takeover plus 6.3 s, from each change anew. Change: the handover names the workers that have been silent and the tasks that may run on each; the owner starts nothing there until it has logged a handover without them. A new owner withholds just these tasks. The list is used only if it is of the owner immediately before.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -4,7 +4,7 @@
 
 from ..core.ids import AttemptNumber, Seconds, ServiceId
 from ..core.log_events import write_event
-from ..jobs.model import FINAL_JOB_STATES
+from ..jobs.model import FINAL_JOB_STATES, TaskKey
 from . import batching
 from .log_events import StepPlaced, StepWaits, describe_step
 from .model import (
@@ -29,6 +29,7 @@
     waiting = list_waiting_steps(cell)
     if not waiting:
         return
+    withheld = cell.list_withheld()
     newest = batching.note_arrivals(waiting, cell.long_running_arrived_at, now=now)
     cell.long_running_arrived_at = newest
     pools = list_available_workers(cell, now=now)
@@ -37,9 +38,9 @@
             continue
         pool = pools.get(step.job.record.policy.service, [])
         if step.spec.gang:
-            placed = _place_gang(cell, step, pool, now=now)
+            placed = _place_gang(cell, step, pool, withheld, now=now)
         else:
-            placed = _place_step(cell, step, pool, now=now)
+            placed = _place_step(cell, step, pool, withheld, now=now)
         _log_placement(step, placed, len(pool), now=now, wall=wall)
 
 
@@ -70,11 +71,18 @@
 
 
 def _place_step(
-    cell: SchedulingState, step: OpenStep, workers: list[Worker], *, now: float
+    cell: SchedulingState,
+    step: OpenStep,
+    workers: list[Worker],
+    withheld: frozenset[TaskKey],
+    *,
+    now: float,
 ) -> list[Attempt]:
     """Start a step's tasks as long as workers have capacity; return the attempts."""
     placed: list[Attempt] = []
     for task in list(step.waiting):
+        if task.key in withheld:
+            continue
         _readmit_avoided_workers(task, workers)
         worker = choose_destination(task, workers, now=now)
         if worker is None:
@@ -101,11 +109,18 @@
 
 
 def _place_gang(
-    cell: SchedulingState, step: OpenStep, workers: list[Worker], *, now: float
+    cell: SchedulingState,
+    step: OpenStep,
+    workers: list[Worker],
+    withheld: frozenset[TaskKey],
+    *,
+    now: float,
 ) -> list[Attempt]:
     """Start all members of a gang or none, and return their attempts."""
     if len(step.waiting) < len(step.tasks):
         return []
+    if any(task.key in withheld for task in step.tasks):
+        return []
     number = max(task.last_attempt for task in step.tasks) + 1
     for group in _list_gang_candidates(step, workers):
         attempts: list[Attempt] = []
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -1,12 +1,26 @@
-"""Handover of state from one owner of the cell to the next, through the log."""
+"""Handover of state from one owner of the cell to the next, through the log.
+
+A new owner starts an inherited task only once it knows that no worker runs it. Workers
+that answer tell it. Of a worker that was silent already, the handover tells it, since
+the earlier owner started nothing more there; only what may run on that worker waits for
+its report or for the end of its lease.
+"""
 
 from ..core.ids import KindId, Seconds
-from ..fleet.handover import Handover, PairWeight, StepLoad
+from ..fleet.handover import Handover, PairWeight, SilentWorker, StepLoad
+from ..jobs.model import TaskKey
 from .leases import assume_earlier_leases
-from .model import OpenJob, OpenStep, Worker
+from .model import HandoverMark, OpenJob, OpenStep, Worker
 from .scheduling_state import SchedulingState
 
 HANDOVER_INTERVAL_SECONDS = 3.0
+# least time between handovers that only differ in which workers are silent
+SILENCE_INTERVAL_SECONDS = 0.3
+# a worker is named as silent this long after a call without an answer, since most
+# answer the next one
+SILENT_SECONDS = 0.3
+# tasks on silent workers in one handover, so that it stays a small record
+SILENT_TASKS_MAX = 1000
 # decimal places of a logged weight
 WEIGHT_DIGITS = 2
 
@@ -14,13 +28,10 @@
 def prepare_handover(cell: SchedulingState, *, now: float) -> Handover | None:
     """Return the handover to log, or None if none is due.
 
-    One is due every ``HANDOVER_INTERVAL_SECONDS``, and at once when there is a new
-    worker, since nothing is started on it until a logged handover names it.
+    The workers that it names as silent are closed to new attempts from here on, since
+    the record may reach the log at any time.
     """
-    any_new = any(not worker.in_handover for worker in cell.workers.values())
-    if not any_new and now - cell.handover_written_at < HANDOVER_INTERVAL_SECONDS:
-        return None
-    if not cell.workers:
+    if not cell.workers or not _is_due(cell, now=now):
         return None
     cell.handover_written_at = now
     return Handover(
@@ -44,9 +55,72 @@
             for step in list_serving_steps(cell)
             if step.own_load.observed_at > float("-inf")
         ),
+        epoch=cell.epoch,
+        silent=_close_silent_workers(cell, now=now),
+    )
+
+
+def _is_due(cell: SchedulingState, *, now: float) -> bool:
+    """Return whether to write a handover.
+
+    One is due every ``HANDOVER_INTERVAL_SECONDS``, at once when there is a new worker,
+    since nothing is started on it before, and soon after a worker falls silent or
+    answers again.
+    """
+    elapsed = now - cell.handover_written_at
+    if elapsed >= HANDOVER_INTERVAL_SECONDS:
+        return True
+    marks = {worker.handover for worker in cell.workers.values()}
+    if HandoverMark.MISSING in marks:
+        return True
+    return elapsed >= SILENCE_INTERVAL_SECONDS and _is_silence_misnamed(cell, now=now)
+
+
+def _is_silence_misnamed(cell: SchedulingState, *, now: float) -> bool:
+    """Return whether the logged handover is wrong about a worker's silence."""
+    silent = {worker.name for worker in _list_silent_workers(cell, now=now)}
+    return any(
+        (worker.handover is HandoverMark.OPEN and worker.name in silent)
+        or (worker.handover is HandoverMark.CLOSED and worker.reachable)
+        for worker in cell.workers.values()
     )
 
 
+def _list_silent_workers(cell: SchedulingState, *, now: float) -> list[Worker]:
+    """Return the silent workers of which it is known what may run there.
+
+    There are none if they run so much that the owner itself is probably cut off.
+    """
+    silent = [
+        worker
+        for worker in cell.workers.values()
+        if not worker.reachable
+        and worker.name not in cell.unverified_workers
+        and now - worker.unreachable_since > SILENT_SECONDS
+    ]
+    total = sum(len(worker.attempts) for worker in silent)
+    return silent if total <= SILENT_TASKS_MAX else []
+
+
+def _close_silent_workers(
+    cell: SchedulingState, *, now: float
+) -> tuple[SilentWorker, ...]:
+    """Close the silent workers to new attempts and return what may run there."""
+    silent = _list_silent_workers(cell, now=now)
+    for worker in silent:
+        worker.handover = HandoverMark.CLOSED
+    return tuple(
+        SilentWorker(worker.name, tuple(_list_possible_tasks(cell, worker)))
+        for worker in silent
+    )
+
+
+def _list_possible_tasks(cell: SchedulingState, worker: Worker) -> list[TaskKey]:
+    """Return the tasks that a silent worker may run, whichever owner started them."""
+    tasks = {attempt.task.key for attempt in worker.attempts.values()}
+    return sorted(tasks | cell.withheld_tasks.get(worker.name, frozenset()))
+
+
 def list_serving_steps(cell: SchedulingState) -> list[OpenStep]:
     """Return the open steps whose tasks serve requests."""
     return [
@@ -59,11 +133,12 @@
 
 
 def confirm_handover(cell: SchedulingState, handover: Handover) -> None:
-    """Allow starts on the workers of a handover that has been logged."""
+    """Allow starts on the workers that a logged handover doesn't name as silent."""
+    silent = {row.worker for row in handover.silent}
     for entry in handover.workers:
         worker = cell.workers.get(entry.worker)
-        if worker is not None:
-            worker.in_handover = True
+        if worker is not None and entry.worker not in silent:
+            worker.handover = HandoverMark.OPEN
 
 
 def apply_handover(
@@ -71,7 +146,9 @@
 ) -> None:
     """Restore the previous owner's handover, before the worker directory is read.
 
-    Each of its workers may still run attempts under leases of that owner.
+    Each of its workers may still run attempts under leases of that owner. What silent
+    workers may run is known only if that owner was the one immediately before: another
+    one may have started more there without logging a handover.
     """
     cell.clock_offset = Seconds(wall - now)
     if handover.lease_seconds:
@@ -80,11 +157,19 @@
         cell.weights.restore(
             KindId(pair.serving), KindId(pair.best_effort), pair.weight, Seconds(now)
         )
+    is_current = handover.epoch == cell.epoch - 1
+    silent = {row.worker: row.tasks for row in handover.silent} if is_current else {}
     for entry in handover.workers:
-        worker = Worker(entry, entry.incarnation, listed=False, in_handover=True)
+        is_silent = entry.worker in silent
+        mark = HandoverMark.CLOSED if is_silent else HandoverMark.OPEN
+        worker = Worker(entry, entry.incarnation, listed=False, handover=mark)
+        worker.unreachable_since = float("-inf") if is_silent else now
         assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
         cell.workers[entry.worker] = worker
-        cell.unverified_workers.add(entry.worker)
+        if is_silent:
+            cell.withheld_tasks[entry.worker] = frozenset(silent[entry.worker])
+        else:
+            cell.unverified_workers.add(entry.worker)
     for load in handover.loads:
         cell.inherited_loads[load.job, load.occurrence, load.step] = load.curve
     for job in cell.jobs.values():
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -14,6 +14,7 @@
 from .log_events import TasksIdle, describe_step
 from .model import (
     AttemptPhase,
+    HandoverMark,
     OpenStep,
     Task,
     Worker,
@@ -113,7 +114,7 @@
         (Obstacle.UNLISTED, worker.listed),
         (Obstacle.UNREACHABLE, worker.reachable),
         (Obstacle.DRAINING, worker.entry.state is WorkerState.READY),
-        (Obstacle.NOT_IN_HANDOVER, worker.in_handover),
+        (Obstacle.NOT_IN_HANDOVER, worker.handover is HandoverMark.OPEN),
         (Obstacle.QUARANTINED, now >= worker.quarantined_until),
         (Obstacle.CLOSED_DOMAIN, worker.entry.domain not in cell.closed_domains),
         (Obstacle.CONSTRAINED, meets_constraints(step, worker)),
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -42,6 +42,7 @@
         worker = cell.workers.get(entry.worker)
         if worker is None:
             worker = Worker(entry, entry.incarnation, warm_at=now + entry.warming)
+            worker.unreachable_since = now
             cell.workers[entry.worker] = worker
             if inherited:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
@@ -72,6 +73,7 @@
             about=describe_worker(worker), silent_s=now - worker.answered_at
         )
         write_event(logger, event)
+        worker.unreachable_since = now
     worker.reachable = False
 
 
@@ -90,6 +92,7 @@
     worker.incarnation = incarnation
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
+    worker.unreachable_since = now
     worker.reachable = False
     worker.quarantined_until = 0.0
     for attempt in lost:
@@ -102,7 +105,7 @@
     worker.listed = False
     unanswered_seconds = now - max(worker.answered_at, cell.started_at)
     if not worker.attempts and unanswered_seconds > UNLISTED_RETENTION_SECONDS:
-        cell.unverified_workers.discard(worker.name)
+        cell.mark_verified(worker.name)
         del cell.workers[worker.name]
 
 
@@ -111,7 +114,7 @@
     for worker in cell.workers.values():
         if worker.reachable or now < worker.latest_expiry:
             continue
-        cell.unverified_workers.discard(worker.name)
+        cell.mark_verified(worker.name)
         for attempt in list(worker.attempts.values()):
             write_event(logger, LeaseExpired(about=describe_attempt(attempt)))
             release_attempt(cell, attempt, now=now)
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -23,6 +23,16 @@
     STOPPING = "stopping"
 
 
+class HandoverMark(Enum):
+    """What the record for the next owner says of a worker."""
+
+    MISSING = "missing"
+    # named as a worker on which more may have been started since
+    OPEN = "open"
+    # named as silent, with all that may run there
+    CLOSED = "closed"
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a task, bound to a worker.
@@ -193,6 +203,9 @@
 
     Parameters
     ----------
+    unreachable_since : float
+        Monotonic seconds at which it was listed, restarted or left a call unanswered;
+        of no meaning while it is reachable.
     answered_at : float
         Monotonic seconds of the newest answer; minus infinity before any.
     clock : float
@@ -212,9 +225,9 @@
         failures.
     serving_millicores : int
         Thousandths of a core that serving tasks requested.
-    in_handover : bool
-        Whether the logged handover names the worker. Nothing is started on it before
-        that, since a new owner could not know of the attempt.
+    handover : HandoverMark
+        What the logged handover says of the worker. Nothing is started on it unless it
+        is open there, since a new owner could not know of the attempt.
     best_effort_changed_at : float
         Monotonic seconds at which a best-effort attempt was last removed.
     warm_at : float
@@ -227,6 +240,7 @@
     incarnation: int
     listed: bool = True
     reachable: bool = False
+    unreachable_since: float = float("-inf")
     answered_at: float = float("-inf")
     clock: float = 0.0
     latest_expiry: float = float("-inf")
@@ -238,7 +252,7 @@
     quarantined_until: float = 0.0
     consecutive_faults: int = 0
     serving_millicores: int = 0
-    in_handover: bool = False
+    handover: HandoverMark = HandoverMark.MISSING
     best_effort_changed_at: float = 0.0
     warm_at: float = float("-inf")
     pressures: dict[str, float] | None = None
@@ -280,7 +294,7 @@
         return (
             self.listed
             and self.reachable
-            and self.in_handover
+            and self.handover is HandoverMark.OPEN
             and self.entry.state is WorkerState.READY
             and now >= self.quarantined_until
         )
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -59,7 +59,7 @@
     worker.pressures = None
     if len(report.ended) < ENDS_PER_REPORT_MAX:
         _release_missing(cell, worker, report, sent=sent, now=now)
-    cell.unverified_workers.discard(worker.name)
+    cell.mark_verified(worker.name)
     protect_serving(cell, worker, now=now)
 
 
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -4,6 +4,7 @@
 
 from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
 from ..fleet.handover import LoadCurve
+from ..jobs.model import TaskKey
 from .leases import LeaseTerms
 from .model import OpenJob, Task, Worker
 from .orders import Command
@@ -38,7 +39,10 @@
     dirty : dict of JobId to OpenJob
         Jobs whose progress isn't in the log yet.
     unverified_workers : set of WorkerId
-        Workers that may run attempts of an earlier owner and haven't reported yet.
+        Workers that may run any attempts of an earlier owner and haven't reported yet.
+    withheld_tasks : dict of WorkerId to frozenset of TaskKey
+        Workers that were silent before this ownership and haven't reported yet, with
+        the tasks that they may run.
     acks_due : bool
         Whether processed ends are still to be acknowledged to workers.
     ended_jobs : set of JobId
@@ -76,6 +80,7 @@
     commands: list[Command] = field(default_factory=list)
     dirty: dict[JobId, OpenJob] = field(default_factory=dict)
     unverified_workers: set[WorkerId] = field(default_factory=set)
+    withheld_tasks: dict[WorkerId, frozenset[TaskKey]] = field(default_factory=dict)
     acks_due: bool = False
     ended_jobs: set[JobId] = field(default_factory=set)
     handover_written_at: float = float("-inf")
@@ -95,5 +100,14 @@
 
     @property
     def recovering(self) -> bool:
-        """Whether a worker may still run attempts of an earlier owner."""
+        """Whether any inherited task may still run under an earlier owner."""
         return bool(self.unverified_workers)
+
+    def mark_verified(self, worker: WorkerId) -> None:
+        """Note that all that a worker runs is known."""
+        self.unverified_workers.discard(worker)
+        self.withheld_tasks.pop(worker, None)
+
+    def list_withheld(self) -> frozenset[TaskKey]:
+        """Return the tasks that may still run on a worker that was silent before."""
+        return frozenset().union(*self.withheld_tasks.values())
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from ..core.ids import JobId
+from ..core.ids import Epoch, JobId, WorkerId
 from ..core.packing import decode_record
+from ..jobs.model import TaskKey
 from .model import WorkerEntry
 
 HANDOVER_KEY = "handover"
@@ -53,6 +54,20 @@
     curve: LoadCurve
 
 
+class SilentWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker that didn't answer the owner, and the tasks that may run there.
+
+    Parameters
+    ----------
+    tasks : tuple of TaskKey
+        All that the worker may run. The owner starts no more there before it has logged
+        a handover that doesn't name the worker as silent.
+    """
+
+    worker: WorkerId
+    tasks: tuple[TaskKey, ...]
+
+
 class Handover(msgspec.Struct, frozen=True, kw_only=True):
     """State that the next owner can obtain nowhere else.
 
@@ -67,12 +82,18 @@
         Longest lease that this owner or an earlier one granted; 0 if unknown.
     loads : tuple of StepLoad
         Own loads of serving steps learned so far.
+    epoch : Epoch
+        Epoch of the owner that wrote it; 0 if unknown.
+    silent : tuple of SilentWorker
+        Those of the workers that didn't answer.
     """
 
     workers: tuple[WorkerEntry, ...] = ()
     pairs: tuple[PairWeight, ...] = ()
     lease_seconds: float = 0.0
     loads: tuple[StepLoad, ...] = ()
+    epoch: Epoch = Epoch(0)
+    silent: tuple[SilentWorker, ...] = ()
 
 
 def encode_handover(handover: Handover) -> bytes:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -8,6 +8,7 @@
 from .simulated_cell import (
     LEASE_SECONDS_MAX,
     SimulatedCell,
+    SimulatedWorker,
     make_entry,
     make_job,
     make_step,
@@ -17,7 +18,7 @@
 
 def make_silent(site, name):
     site.workers[name].unreachable = True
-    site.run(0.3)
+    site.run(0.7)
 
 
 def fill_site():
@@ -31,6 +32,65 @@
     return site, jobs
 
 
+def list_started_jobs(site, name):
+    return {task.job for task, _ in site.workers[name].started}
+
+
+def add_worker(site, name):
+    site.workers[name] = SimulatedWorker(make_entry(name), now=site.now)
+
+
+def test_inherited_tasks_wait_only_for_what_may_run_on_a_silent_worker():
+    site, jobs = fill_site()
+    make_silent(site, "w1")
+    may_run = {task.job for worker, task, _ in site.list_running() if worker == "w1"}
+    add_worker(site, "w3")
+    site.take_over(jobs)
+    site.run(0.5)
+    assert len(list_started_jobs(site, "w3")) == 8
+    assert not list_started_jobs(site, "w3") & may_run
+
+
+def test_tasks_on_a_silent_worker_stay_withheld_over_two_changes_of_the_owner():
+    site, jobs = fill_site()
+    make_silent(site, "w1")
+    may_run = {task.job for worker, task, _ in site.list_running() if worker == "w1"}
+    site.take_over(jobs)
+    site.run(1)
+    add_worker(site, "w3")
+    site.take_over(jobs)
+    site.run(0.5)
+    assert len(list_started_jobs(site, "w3")) == 8
+    assert not list_started_jobs(site, "w3") & may_run
+
+
+def test_a_handover_of_an_owner_before_the_last_one_says_nothing_of_silent_workers():
+    """The owner in between may have started more there without logging a handover."""
+    site, jobs = fill_site()
+    make_silent(site, "w1")
+    handover = site.handover
+    site.take_over(jobs)
+    site.handover = handover
+    add_worker(site, "w3")
+    site.take_over(jobs)
+    site.run(0.5)
+    assert not site.workers["w3"].started
+
+
+def test_a_worker_that_was_silent_gets_no_start_before_the_log_says_that_it_answers():
+    site = SimulatedCell(make_entry("w1"))
+    site.run(0.3)
+    make_silent(site, "w1")
+    site.log_up = False
+    site.workers["w1"].unreachable = False
+    site.submit(make_job("j"))
+    site.run(1)
+    assert site.count_starts() == 0
+    site.log_up = True
+    site.run(0.3)
+    assert site.count_starts() == 1
+
+
 def test_a_silent_worker_that_answers_the_new_owner_keeps_its_attempts():
     site, jobs = fill_site()
     make_silent(site, "w1")
