Don't count ends before a lapsed lease as acknowledged in the simulated worker

By the users' rule an end doesn't count as acknowledged if the lease lapsed between the two, so the task has to run again; the check took these starts for repetitions. Change: ends that a worker still lists when its lease lapses are left out of acknowledged_done. The check of everything else is as strict as before.

--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -99,6 +99,11 @@
         Whether it answers renewals but ignores starts.
     answers_to_lose : int
         How many more answers to starts are lost.
+    acknowledged_done : set of TaskKey
+        Tasks whose end as done was acknowledged, with no lapse of the lease between the
+        two. After a lapse an end counts for nothing.
+    lapsed_ends : set of int
+        Sequence numbers of the ends before the last lapse of the lease.
     tail_latency : callable, optional
         Returns the gauge of an attempt, given the worker and the attempt.
     """
@@ -119,6 +124,7 @@
     started: list = field(default_factory=list)
     stopped: list = field(default_factory=list)
     acknowledged_done: set = field(default_factory=set)
+    lapsed_ends: set = field(default_factory=set)
     end_numbers: object = None
     tail_latency: object = None
 
@@ -170,7 +176,8 @@
         if renewal.lease_end is not None:
             self.lease_end = max(self.lease_end, renewal.lease_end)
         for row in self.ended:
-            if row.sequence <= renewal.acknowledged and row.cause is EndCause.DONE:
+            counts = row.cause is EndCause.DONE and row.sequence not in self.lapsed_ends
+            if counts and row.sequence <= renewal.acknowledged:
                 self.acknowledged_done.add(row.task)
         self.ended = [row for row in self.ended if row.sequence > renewal.acknowledged]
         if self.drops_answers:
@@ -193,6 +200,8 @@
 
     def advance(self, seconds):
         self.now += seconds
+        if self.now > self.lease_end:
+            self.lapsed_ends.update(row.sequence for row in self.ended)
         for key, attempt in list(self.attempts.items()):
             attempt.time_left -= seconds * self.speed * attempt.speed_percent / 100
             if self.now > self.lease_end:
