Forget the longest lease of unknown owners once it has ended

Cause: an owner that finds no handover assumes the longest lease that the site allows, and wrote that into its own handovers for good. That happens when the cell changes its owner before any worker is listed, as when a larger process joins at the start. Change: the assumption ends when the leases that it stands for have surely ended. Runs: the new test fails on the code before (16 s after the takeover) and passes now; test_takeover, test_handovers and test_leases pass.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -9,7 +9,7 @@
 from ..core.ids import KindId, Seconds
 from ..fleet.handover import Handover, PairWeight, SilentWorker, StepLoad
 from ..jobs.model import TaskKey
-from .leases import assume_earlier_leases
+from .leases import assume_earlier_leases, compute_duration_max
 from .model import HandoverMark, OpenJob, OpenStep, Worker
 from .scheduling_state import SchedulingState
 
@@ -44,7 +44,7 @@
             PairWeight(serving, best_effort, round(estimate.weight, WEIGHT_DIGITS))
             for (serving, best_effort), estimate in cell.weights.estimates.items()
         ),
-        lease_seconds=max(cell.earlier_lease_max, cell.terms.length),
+        lease_seconds=_compute_longest_lease(cell, now=now),
         loads=tuple(
             StepLoad(
                 step.job.job_id,
@@ -60,6 +60,13 @@
     )
 
 
+def _compute_longest_lease(cell: SchedulingState, *, now: float) -> Seconds:
+    """Return the longest lease that may still be valid, whichever owner granted it."""
+    if now >= cell.earlier_leases_end:
+        return cell.terms.length
+    return max(cell.earlier_lease_max, cell.terms.length)
+
+
 def _is_due(cell: SchedulingState, *, now: float) -> bool:
     """Return whether to write a handover.
 
@@ -153,6 +160,7 @@
     cell.clock_offset = Seconds(wall - now)
     if handover.lease_seconds:
         cell.earlier_lease_max = Seconds(handover.lease_seconds)
+    cell.earlier_leases_end = now + compute_duration_max(cell.earlier_lease_max)
     for pair in handover.pairs:
         cell.weights.restore(
             KindId(pair.serving), KindId(pair.best_effort), pair.weight, Seconds(now)
--- a/plantainhinge/dispatch/leases.py
+++ b/plantainhinge/dispatch/leases.py
@@ -56,5 +56,10 @@
     longest : float
         Longest lease in seconds that it may have granted.
     """
-    longest = Seconds(longest / SLOWEST_CLOCK_RATIO + MARGIN_SECONDS)
-    worker.latest_expiry = max(worker.latest_expiry, now + longest)
+    expiry = now + compute_duration_max(longest)
+    worker.latest_expiry = max(worker.latest_expiry, expiry)
+
+
+def compute_duration_max(length: Seconds) -> Seconds:
+    """Return the seconds after which a lease has surely ended, on the owner's clock."""
+    return Seconds(length / SLOWEST_CLOCK_RATIO + MARGIN_SECONDS)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -65,6 +65,8 @@
         Serving tasks that were stopped to move and don't run again yet.
     earlier_lease_max : float
         Longest lease in seconds that an earlier owner may have granted.
+    earlier_leases_end : float
+        Monotonic seconds by which all leases of earlier owners have certainly ended.
     speculation_checked_at : float
         Monotonic seconds of the last check for slow attempts.
     """
@@ -90,6 +92,7 @@
     inherited_loads: dict[StepKey, LoadCurve] = field(default_factory=dict)
     clock_offset: Seconds = Seconds(0.0)
     earlier_lease_max: Seconds = Seconds(0.0)
+    earlier_leases_end: float = float("inf")
     periods_selected_at: float = float("-inf")
     consolidated_at: float = float("-inf")
     moving: set[Task] = field(default_factory=set)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """Takeover of a cell: what a new owner adopts and which leases it waits for."""
 
+import pytest
+
 from plantainhinge.dispatch.leases import LeaseTerms
 from plantainhinge.fleet.handover import Handover
 from plantainhinge.fleet.model import (
@@ -69,6 +71,22 @@
     assert site.count_starts() == 2
 
 
+@pytest.mark.parametrize(("seconds", "waits"), [(5, True), (16, False)])
+def test_a_lease_bound_for_lack_of_a_handover_ends_with_those_leases(seconds, waits):
+    """As when the cell changes its owner before any worker is listed."""
+    terms = LeaseTerms(length=6.0, length_max=12.0)
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"), terms=terms)
+    job = make_job("j", make_step(long_running=True))
+    site.handover = Handover()
+    site.take_over([job])
+    site.run(seconds)
+    ((first, _, _),) = site.list_running()
+    site.workers[first].unreachable = True
+    site.take_over([job])
+    site.run(LEASE_SECONDS_MAX + 0.5)
+    assert (site.count_starts() == 1) is waits
+
+
 def test_a_new_owner_starts_new_jobs_while_it_waits_for_a_worker():
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.workers["w1"].unreachable = True
