Don't let tasks avoid workers for good

What callers saw: a long-running task that failed where it had room waited for another worker as long as one was large enough but full, on a large site for ever; the tasks of its step behind it waited as well, and a gang of which one member failed on each worker with room. Cause: avoided workers were kept until no other worker could run the task when empty, as its next failure may be the last one allowed; long-running tasks have no such limit. And a step's tasks were tried in order until one found no worker.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -5,13 +5,12 @@
 from ..core.ids import AttemptNumber, Seconds, ServiceId
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
-from . import batching
+from . import avoidance, batching
 from .log_events import StepPlaced, StepWaits, describe_step
 from .model import (
     Attempt,
     AttemptPhase,
     OpenStep,
-    Task,
     Worker,
     bind_attempt,
     unbind_attempt,
@@ -19,7 +18,7 @@
 from .queueing import order_steps, rank_step
 from .scheduling_state import SchedulingState
 from .tasks import start_task
-from .worker_choice import choose_destination, choose_worker, fits_when_empty
+from .worker_choice import choose_destination, choose_worker
 
 logger = logging.getLogger(__name__)
 
@@ -83,10 +82,12 @@
     for task in list(step.waiting):
         if task.key in withheld:
             continue
-        _readmit_avoided_workers(task, workers)
+        avoidance.readmit_workers(task, workers, now=now)
         worker = choose_destination(task, workers, now=now)
         if worker is None:
             worker = choose_worker(task, workers, cell.weights, now=now)
+        if worker is None and task.avoided_workers:
+            continue
         if worker is None:
             break
         task.destination = None
@@ -95,19 +96,6 @@
     return placed
 
 
-def _readmit_avoided_workers(task: Task, workers: list[Worker]) -> None:
-    """Clear the task's avoided workers if no other worker could ever run it.
-
-    If another worker is large enough but full, the task waits for that one, since its
-    next failure may be the last one allowed.
-    """
-    if not task.avoided_workers:
-        return
-    others = (worker for worker in workers if worker.name not in task.avoided_workers)
-    if not any(fits_when_empty(task.step, worker) for worker in others):
-        task.avoided_workers.clear()
-
-
 def _place_gang(
     cell: SchedulingState,
     step: OpenStep,
@@ -117,10 +105,10 @@
     now: float,
 ) -> list[Attempt]:
     """Start all members of a gang or none, and return their attempts."""
-    if len(step.waiting) < len(step.tasks):
-        return []
-    if any(task.key in withheld for task in step.tasks):
+    if not _all_wait(step, withheld):
         return []
+    for task in step.tasks:
+        avoidance.readmit_workers(task, workers, now=now)
     number = max(task.last_attempt for task in step.tasks) + 1
     for group in _list_gang_candidates(step, workers):
         attempts: list[Attempt] = []
@@ -144,6 +132,12 @@
     return []
 
 
+def _all_wait(step: OpenStep, withheld: frozenset[TaskKey]) -> bool:
+    """Return whether all tasks of a step wait, and none may still run elsewhere."""
+    is_withheld = any(task.key in withheld for task in step.tasks)
+    return len(step.waiting) == len(step.tasks) and not is_withheld
+
+
 def _list_gang_candidates(step: OpenStep, workers: list[Worker]) -> list[list[Worker]]:
     """Return the sets of workers to try in turn, single racks first if preferred."""
     if not step.spec.same_rack:
--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -5,6 +5,7 @@
 from ..core.log_events import write_event
 from ..fleet.model import WorkerState
 from . import health
+from .avoidance import avoid_worker
 from .interference import (
     FULL_SPEED_PERCENT,
     SpeedChange,
@@ -50,7 +51,7 @@
             about=describe_attempt(attempt), still_s=now - attempt.progressed_at
         )
         write_event(logger, event)
-        attempt.task.avoided_workers.add(attempt.worker.name)
+        avoid_worker(attempt.task, attempt.worker)
         stop_attempt(cell, attempt, now=now)
 
 
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -90,6 +90,9 @@
         Newest saved progress; empty if there is none.
     avoided_workers : set of WorkerId
         Workers on which attempts of it failed or stalled.
+    waiting_since : float
+        Monotonic seconds at which it began to wait for its next attempt; minus infinity
+        before its first one.
     destination : WorkerId, optional
         Worker to which its last attempt was stopped to move.
     """
@@ -102,6 +105,7 @@
     checkpoint: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     avoided_workers: set[WorkerId] = field(default_factory=set)
+    waiting_since: float = float("-inf")
     destination: WorkerId | None = None
 
 
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -6,6 +6,7 @@
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, JobState
 from . import open_jobs
+from .avoidance import avoid_worker
 from .log_events import JobEnded
 from .model import (
     Attempt,
@@ -80,7 +81,7 @@
     Long-running tasks may fail any number of times.
     """
     job = task.step.job
-    task.avoided_workers.add(worker.name)
+    avoid_worker(task, worker)
     counted = task.step.tasks[GANG_COUNTER_POSITION] if task.step.spec.gang else task
     if number in counted.failed_attempts:
         return
@@ -117,6 +118,7 @@
         return
     if task.last_attempt > 1 or task.checkpoint:
         cell.dirty[step.job.job_id] = step.job
+    task.waiting_since = now
     step.waiting.append(task)
 
 
