Take workers back within seconds after they stopped failing

What callers saw: after workers had failed what they were given for some seconds and were well again, the capacity on them stayed unused for up to 8 s more, while tasks waited. Simulated cell: four failures at 20 s from each other and the next restart waits 8.1 s. Change: the quarantine lasts 4 s at most; failures while it lasts don't count; faults are forgotten after 15 s without another. In exchange a worker gets a single attempt after a quarantine, and more once that one completes or has run for a second.

--- a/plantainhinge/dispatch/health.py
+++ b/plantainhinge/dispatch/health.py
@@ -2,7 +2,7 @@
 
 Some workers answer as if healthy, yet fail, refuse or stall the attempts given to them.
 So workers are judged by results: after faults they are quarantined with exponential
-backoff and then tried again.
+backoff and then tried again with one attempt.
 """
 
 from collections.abc import Iterable
@@ -15,7 +15,11 @@
 # consecutive faults from which a failed attempt quarantines its worker
 QUARANTINE_FAULTS_MIN = 2
 FAULT_QUARANTINE_SECONDS = 2.0
-QUARANTINE_SECONDS_MAX = 8.0
+QUARANTINE_SECONDS_MAX = 4.0
+# after this time without a fault earlier ones no longer count
+FAULT_MEMORY_SECONDS = 15.0
+# a probe that has run for this long shows that its worker is well
+PROBE_SECONDS = 1.0
 # an attempt is stuck after this time and this multiple of its estimate, added up
 STUCK_SECONDS = 2.5
 STUCK_ESTIMATE_RATIO = 1.0
@@ -24,7 +28,7 @@
 def record_refusal(worker: Worker, outcome: OrderOutcome, *, now: float) -> None:
     """Quarantine a worker that refused a start, briefly if it only lacks capacity."""
     if outcome is OrderOutcome.REFUSED:
-        worker.consecutive_faults += 1
+        _count_fault(worker, now=now)
         quarantine = min(
             QUARANTINE_SECONDS_MAX,
             REFUSAL_QUARANTINE_SECONDS * 2 ** min(worker.consecutive_faults, 5),
@@ -37,8 +41,13 @@
 
 
 def record_failure(worker: Worker, *, now: float) -> None:
-    """Count a failed attempt; several in a row quarantine the worker."""
-    worker.consecutive_faults += 1
+    """Count a failed attempt; several in a row quarantine the worker.
+
+    In quarantine only attempts from before it can fail, and they say nothing new.
+    """
+    if now < worker.quarantined_until:
+        return
+    _count_fault(worker, now=now)
     excess = worker.consecutive_faults - QUARANTINE_FAULTS_MIN
     if excess >= 0:
         quarantine = min(
@@ -47,9 +56,37 @@
         worker.quarantined_until = max(worker.quarantined_until, now + quarantine)
 
 
+def _count_fault(worker: Worker, *, now: float) -> None:
+    worker.consecutive_faults = count_faults(worker, now=now) + 1
+    worker.faulted_at = now
+
+
+def count_faults(worker: Worker, *, now: float) -> int:
+    """Return the faults in a row that still count."""
+    if now - worker.faulted_at > FAULT_MEMORY_SECONDS:
+        return 0
+    return worker.consecutive_faults
+
+
+def note_start(attempt: Attempt, *, now: float) -> None:
+    """Make an attempt the probe of its worker, if that had been in quarantine."""
+    if count_faults(attempt.worker, now=now) >= QUARANTINE_FAULTS_MIN:
+        attempt.worker.probe = attempt
+
+
+def check_probe(worker: Worker, *, now: float) -> None:
+    """Take a worker for well once its probe has run for ``PROBE_SECONDS``."""
+    probe = worker.probe
+    if probe is None or probe.phase is not AttemptPhase.RUNNING:
+        return
+    if probe.reported and now - probe.confirmed_at >= PROBE_SECONDS:
+        record_success(worker)
+
+
 def record_success(worker: Worker) -> None:
     """Reset a worker's consecutive faults after an attempt that finished."""
     worker.consecutive_faults = 0
+    worker.probe = None
 
 
 def find_stuck(workers: Iterable[Worker], *, now: float) -> list[Attempt]:
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -227,6 +227,12 @@
     quarantined_until : float
         Monotonic seconds before which nothing is started there, after refusals or
         failures.
+    consecutive_faults, faulted_at
+        Failures and refusals since the last success, and the monotonic seconds of the
+        newest one (see ``dispatch.health``).
+    probe : Attempt, optional
+        The attempt that shows whether the worker is well again after a quarantine;
+        nothing else is started there meanwhile.
     serving_millicores : int
         Thousandths of a core that serving tasks requested.
     handover : HandoverMark
@@ -255,6 +261,8 @@
     best_effort_millicores: int = 0
     quarantined_until: float = 0.0
     consecutive_faults: int = 0
+    faulted_at: float = float("-inf")
+    probe: Attempt | None = None
     serving_millicores: int = 0
     handover: HandoverMark = HandoverMark.MISSING
     best_effort_changed_at: float = 0.0
@@ -326,6 +334,8 @@
     if worker.attempts.pop((attempt.task.key, attempt.number), None) is None:
         return
     attempt.task.attempts.remove(attempt)
+    if worker.probe is attempt:
+        worker.probe = None
     step.attempts_per_worker[worker.name] -= 1
     worker.committed -= compute_committed_resources(step.spec)
     worker.pressures = None
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -56,6 +56,7 @@
             cell.acks_due = True
     for running in report.running:
         _handle_running(cell, worker, running, now=now)
+    health.check_probe(worker, now=now)
     worker.pressures = None
     if len(report.ended) < ENDS_PER_REPORT_MAX:
         _release_missing(cell, worker, report, sent=sent, now=now)
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -5,7 +5,7 @@
 from ..core.ids import AttemptNumber, JobId
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, JobState
-from . import open_jobs
+from . import health, open_jobs
 from .avoidance import avoid_worker
 from .log_events import JobEnded
 from .model import (
@@ -35,6 +35,7 @@
         task.step.waiting.remove(task)
     attempt = Attempt(task, AttemptNumber(number), worker, AttemptPhase.ORDERED, now)
     bind_attempt(attempt)
+    health.note_start(attempt, now=now)
     job = task.step.job
     if job.state is JobState.QUEUED:
         job.state = JobState.RUNNING
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -10,6 +10,7 @@
 
 from ..core.registry import Registry
 from ..core.resources import Resources
+from .health import count_faults
 from .interference import predict_added_pressure
 from .model import OpenStep, Task, Worker, compute_committed_resources
 from .weights import ImageWeights
@@ -52,9 +53,9 @@
     best: Worker | None = None
     best_score = float("-inf")
     for worker in workers:
-        if worker.name in task.avoided_workers or not has_capacity(
-            step, needs, worker, now=now
-        ):
+        if worker.probe is not None or worker.name in task.avoided_workers:
+            continue
+        if not has_capacity(step, needs, worker, now=now):
             continue
         if not meets_constraints(step, worker) or not holds_ticket(
             step, worker, now=now
@@ -63,7 +64,7 @@
         value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += DATA_RACK_BONUS
-        value -= FAULT_PENALTY * worker.consecutive_faults
+        value -= FAULT_PENALTY * count_faults(worker, now=now)
         if now < worker.warm_at:
             value -= COLD_PENALTY_RATIO * worker.entry.capacity.millicores
         if value > best_score:
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -144,3 +144,52 @@
     site.submit(make_job("first", make_step(count=4, estimate=30.0)))
     site.run(0.5)
     assert [len(worker.attempts) for worker in site.workers.values()] == [2, 2]
+
+
+def fail_all(worker, count=None):
+    for key in list(worker.attempts)[:count]:
+        worker._end(key, EndCause.FAILED)
+
+
+@pytest.mark.parametrize("failing_seconds", [8, 10, 12, 14, 16, 18])
+def test_a_worker_takes_work_again_soon_after_it_stopped_failing(failing_seconds):
+    site = SimulatedCell(make_entry("w1"))
+    worker = site.workers["w1"]
+    worker.fails_at_once = True
+    site.submit(make_job("watch", make_step(count=8, long_running=True)))
+    site.run(failing_seconds)
+    worker.fails_at_once = False
+    site.run(5)
+    assert len(worker.attempts) == 8
+
+
+def test_failures_far_apart_do_not_add_up_to_a_long_quarantine():
+    site = SimulatedCell(make_entry("w1"))
+    worker = site.workers["w1"]
+    site.submit(make_job("watch", make_step(count=4, long_running=True)))
+    for _ in range(4):
+        site.run(20)
+        fail_all(worker, 1)
+    site.run(0.5)
+    assert len(worker.attempts) == 4
+
+
+def test_failures_in_one_report_do_not_add_up_to_a_long_quarantine():
+    site = SimulatedCell(make_entry("w1"))
+    worker = site.workers["w1"]
+    site.submit(make_job("watch", make_step(count=8, long_running=True)))
+    site.run(0.5)
+    fail_all(worker)
+    site.run(6)
+    assert len(worker.attempts) == 8
+
+
+def test_a_worker_gets_one_attempt_at_a_time_until_it_is_well_again():
+    site = SimulatedCell(make_entry("w1"))
+    worker = site.workers["w1"]
+    worker.fails_at_once = True
+    site.submit(make_job("watch", make_step(count=8, long_running=True)))
+    site.run(0.5)
+    failed = len(worker.started)
+    site.run(9)
+    assert len(worker.started) <= failed + 3
