--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -6,7 +6,6 @@
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
 from . import avoidance, batching
-from .log_events import StepPlaced, StepWaits, describe_step
 from .model import (
     Attempt,
     AttemptPhase,
@@ -17,6 +16,7 @@
 )
 from .queueing import order_steps, rank_step
 from .scheduling_state import SchedulingState
+from .step_events import StepPlaced, StepWaits, describe_step
 from .tasks import start_task
 from .worker_choice import choose_destination, choose_worker
 
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -11,7 +11,6 @@
 from ..core.resources import Resources
 from ..fleet.model import WorkerState
 from .cell import Cell
-from .log_events import TasksIdle, describe_step
 from .model import (
     AttemptPhase,
     HandoverMark,
@@ -20,6 +19,7 @@
     Worker,
     compute_committed_resources,
 )
+from .step_events import TasksIdle, describe_step
 from .worker_choice import has_capacity, holds_ticket, meets_constraints
 
 IDLE_SECONDS_MIN = 2.0
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -6,19 +6,18 @@
 from ..core.log_events import write_event
 from ..fleet.model import WorkerEntry
 from .leases import assume_earlier_leases
-from .log_events import (
-    LeaseExpired,
+from .log_events import LeaseExpired, describe_attempt
+from .model import Worker
+from .scheduling_state import SchedulingState
+from .tasks import release_attempt
+from .worker_events import (
     WorkerChangedState,
     WorkerListed,
     WorkerRestarted,
     WorkerUnlisted,
     WorkerUnreachable,
-    describe_attempt,
     describe_worker,
 )
-from .model import Worker
-from .scheduling_state import SchedulingState
-from .tasks import release_attempt
 
 logger = logging.getLogger(__name__)
 
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -1,30 +1,12 @@
-"""Log events about the workers, attempts and jobs of an owned cell."""
+"""Log events about the attempts and jobs of an owned cell."""
 
 import logging
 
 from ..core.ids import JobId, WorkerId
 from ..core.log_events import LogEvent, LogFields, log_event
-from ..fleet.model import EndCause, OrderOutcome, WorkerState
+from ..fleet.model import EndCause, OrderOutcome
 from ..jobs.model import JobState
-from .model import Attempt, AttemptPhase, OpenStep, Worker
-
-
-class WorkerFields(LogFields, frozen=True, kw_only=True):
-    """A worker.
-
-    Parameters
-    ----------
-    worker : str
-        Its id.
-    worker_domain : str
-        Its failure domain.
-    born : int
-        Its incarnation: when it started, in milliseconds since the Unix epoch.
-    """
-
-    worker: WorkerId
-    worker_domain: str
-    born: int
+from .model import Attempt, AttemptPhase
 
 
 class AttemptFields(LogFields, frozen=True, kw_only=True):
@@ -54,89 +36,12 @@
     tries: int
 
 
-class StepFields(LogFields, frozen=True, kw_only=True):
-    """A step of one occurrence of a job.
-
-    Parameters
-    ----------
-    job : str
-        Its job's id.
-    occurrence, step : int
-        Numbers of the occurrence, and of the step in it.
-    """
-
-    job: JobId
-    occurrence: int
-    step: int
-
-
-class WorkerEvent(LogEvent, frozen=True, kw_only=True):
-    """An event about one worker."""
-
-    about: WorkerFields
-
-
 class AttemptEvent(LogEvent, frozen=True, kw_only=True):
     """An event about one attempt."""
 
     about: AttemptFields
 
 
-class StepEvent(LogEvent, frozen=True, kw_only=True):
-    """An event about one step."""
-
-    about: StepFields
-
-
-@log_event("worker listed")
-class WorkerListed(WorkerEvent, frozen=True, kw_only=True):
-    """A worker appeared in the directory."""
-
-
-@log_event("worker left the list")
-class WorkerUnlisted(WorkerEvent, frozen=True, kw_only=True):
-    """A worker's entry was removed from the directory; nothing is started there."""
-
-
-@log_event("worker changed state")
-class WorkerChangedState(WorkerEvent, frozen=True, kw_only=True):
-    """A worker became ready, or began to drain.
-
-    Parameters
-    ----------
-    state : str
-        Its new state.
-    """
-
-    state: WorkerState
-
-
-@log_event("worker out of touch", level=logging.WARNING)
-class WorkerUnreachable(WorkerEvent, frozen=True, kw_only=True):
-    """A worker didn't answer; nothing is started there until it does.
-
-    Parameters
-    ----------
-    silent_s : float
-        Seconds since its last answer.
-    """
-
-    silent_s: float
-
-
-@log_event("worker restarted")
-class WorkerRestarted(WorkerEvent, frozen=True, kw_only=True):
-    """A worker restarted under its id; the attempts that it had reported are lost.
-
-    Parameters
-    ----------
-    attempts_lost : int
-        Attempts that its reports had listed.
-    """
-
-    attempts_lost: int
-
-
 @log_event("lease lapsed")
 class LeaseExpired(AttemptEvent, frozen=True, kw_only=True):
     """The lease of an unreachable worker has certainly ended; the task waits again."""
@@ -244,89 +149,6 @@
     cause: OrderOutcome
 
 
-@log_event("step placed")
-class StepPlaced(StepEvent, frozen=True, kw_only=True):
-    """Tasks of a step were assigned to workers.
-
-    Parameters
-    ----------
-    positions : list of int
-        Positions of the tasks in the step.
-    attempts : list of int
-        Number of each new attempt.
-    workers : list of str
-        Worker of each attempt.
-    urgency : str
-        Urgency class of the step.
-    late_s : float
-        Seconds since the step's due time; negative before it.
-    waiting : int
-        Tasks of the step that found no worker.
-    """
-
-    positions: tuple[int, ...]
-    attempts: tuple[int, ...]
-    workers: tuple[WorkerId, ...]
-    urgency: str
-    late_s: float
-    waiting: int
-
-
-@log_event("step waits")
-class StepWaits(StepEvent, frozen=True, kw_only=True):
-    """Not all tasks of a ready step found a worker; written once per step.
-
-    Parameters
-    ----------
-    waiting : int
-        Tasks without a worker.
-    millicores, memory_mib : int
-        Resources that each task needs.
-    workers : int
-        Workers of its service that accept new work.
-    urgency : str
-        Urgency class of the step.
-    """
-
-    waiting: int
-    millicores: int
-    memory_mib: int
-    workers: int
-    urgency: str
-
-
-@log_event("long-running tasks idle")
-class TasksIdle(StepEvent, frozen=True, kw_only=True):
-    """Tasks of a long-running step haven't run for seconds; written every 2 s.
-
-    Parameters
-    ----------
-    positions : list of int
-        Positions of the tasks in the step.
-    idle_s : float
-        Seconds for which one of them has been seen idle.
-    waiting, ordered, stopping : int
-        How many of them have no worker, an unconfirmed start, or a stop under way.
-    millicores, memory_mib : int
-        Resources that each task needs.
-    obstacles : list of str
-        For the first task that waits: workers on which it has enough free resources, by
-        what keeps it from there, as ``OBSTACLE=WORKERS``.
-    recovering : bool
-        Whether inherited jobs wait until all workers have reported.
-    """
-
-    positions: tuple[int, ...]
-    idle_s: float
-    waiting: int
-    ordered: int
-    stopping: int
-    millicores: int
-    memory_mib: int
-    obstacles: tuple[str, ...]
-    recovering: bool
-
-
 @log_event("copy ordered")
 class SpeculativeAttemptOrdered(AttemptEvent, frozen=True, kw_only=True):
     """A speculative attempt starts beside a slow one; the first to finish counts.
@@ -362,13 +184,6 @@
     state: JobState
 
 
-def describe_worker(worker: Worker) -> WorkerFields:
-    """Return the fields that identify a worker in log events."""
-    return WorkerFields(
-        worker=worker.name, worker_domain=worker.entry.domain, born=worker.incarnation
-    )
-
-
 def describe_attempt(attempt: Attempt) -> AttemptFields:
     """Return the fields that identify an attempt in log events."""
     return AttemptFields(
@@ -381,11 +196,6 @@
     )
 
 
-def describe_step(step: OpenStep) -> StepFields:
-    """Return the fields that identify a step in log events."""
-    return StepFields(job=step.job.job_id, occurrence=step.occurrence, step=step.index)
-
-
 def name_task(attempt: Attempt) -> str:
     """Return the name of an attempt's task in log events."""
     return ".".join(str(part) for part in attempt.task.key)
--- /dev/null
+++ b/plantainhinge/dispatch/step_events.py
@@ -0,0 +1,115 @@
+"""Log events about the steps of jobs: placed, waiting or idle tasks."""
+
+from ..core.ids import JobId, WorkerId
+from ..core.log_events import LogEvent, LogFields, log_event
+from .model import OpenStep
+
+
+class StepFields(LogFields, frozen=True, kw_only=True):
+    """A step of one occurrence of a job.
+
+    Parameters
+    ----------
+    job : str
+        Its job's id.
+    occurrence, step : int
+        Numbers of the occurrence, and of the step in it.
+    """
+
+    job: JobId
+    occurrence: int
+    step: int
+
+
+class StepEvent(LogEvent, frozen=True, kw_only=True):
+    """An event about one step."""
+
+    about: StepFields
+
+
+@log_event("step placed")
+class StepPlaced(StepEvent, frozen=True, kw_only=True):
+    """Tasks of a step were assigned to workers.
+
+    Parameters
+    ----------
+    positions : list of int
+        Positions of the tasks in the step.
+    attempts : list of int
+        Number of each new attempt.
+    workers : list of str
+        Worker of each attempt.
+    urgency : str
+        Urgency class of the step.
+    late_s : float
+        Seconds since the step's due time; negative before it.
+    waiting : int
+        Tasks of the step that found no worker.
+    """
+
+    positions: tuple[int, ...]
+    attempts: tuple[int, ...]
+    workers: tuple[WorkerId, ...]
+    urgency: str
+    late_s: float
+    waiting: int
+
+
+@log_event("step waits")
+class StepWaits(StepEvent, frozen=True, kw_only=True):
+    """Not all tasks of a ready step found a worker; written once per step.
+
+    Parameters
+    ----------
+    waiting : int
+        Tasks without a worker.
+    millicores, memory_mib : int
+        Resources that each task needs.
+    workers : int
+        Workers of its service that accept new work.
+    urgency : str
+        Urgency class of the step.
+    """
+
+    waiting: int
+    millicores: int
+    memory_mib: int
+    workers: int
+    urgency: str
+
+
+@log_event("long-running tasks idle")
+class TasksIdle(StepEvent, frozen=True, kw_only=True):
+    """Tasks of a long-running step haven't run for seconds; written every 2 s.
+
+    Parameters
+    ----------
+    positions : list of int
+        Positions of the tasks in the step.
+    idle_s : float
+        Seconds for which one of them has been seen idle.
+    waiting, ordered, stopping : int
+        How many of them have no worker, an unconfirmed start, or a stop under way.
+    millicores, memory_mib : int
+        Resources that each task needs.
+    obstacles : list of str
+        For the first task that waits: workers on which it has enough free resources, by
+        what keeps it from there, as ``OBSTACLE=WORKERS``.
+    recovering : bool
+        Whether inherited jobs wait until all workers have reported.
+    """
+
+    positions: tuple[int, ...]
+    idle_s: float
+    waiting: int
+    ordered: int
+    stopping: int
+    millicores: int
+    memory_mib: int
+    obstacles: tuple[str, ...]
+    recovering: bool
+
+
+def describe_step(step: OpenStep) -> StepFields:
+    """Return the fields that identify a step in log events."""
+    return StepFields(job=step.job.job_id, occurrence=step.occurrence, step=step.index)
--- a/tools/log_page.py
+++ b/tools/log_page.py
@@ -16,7 +16,12 @@
     process_events,
     view_events,
 )
-from plantainhinge.dispatch import load, log_events as dispatch_events
+from plantainhinge.dispatch import (
+    load,
+    log_events as dispatch_events,
+    step_events,
+    worker_events,
+)
 from plantainhinge.fleet import log_events as fleet_events
 
 from .descriptions import read_descriptions
@@ -30,7 +35,9 @@
     owner_events,
     ownership_events,
     process_events,
+    step_events,
     view_events,
+    worker_events,
 )
 PAGE = Path(__file__).parent.parent / "docs" / "operators" / "logs.md"
 HEADER = """# Lines of the log
