Decide directly after a check of the ownership

Risk: an owner whose rounds or whose checks of the ownership are slow decides nothing for seconds, so jobs wait, while it keeps the cell. Cause: the time since the last round was taken before the check, so that a slow check asked for the next one, and a pass with a check made no decision. Change: it is measured from the start of the last round, after any check, and the decision follows its check directly, unless the check drops the cell. A suspension in the middle of a round still leads to a check.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -63,7 +63,8 @@
 # how long a worker's next renewal waits for the flush that acknowledges its ended
 # attempts
 FLUSH_WAIT_SECONDS = Seconds(0.25)
-# after a longer gap between two rounds of decisions, another owner may have taken over
+# after a longer gap between the starts of two rounds of decisions, another owner may
+# have taken over
 PROCESS_PAUSE_SECONDS = Seconds(0.7)
 ADVICE_INTERVAL_SECONDS = Seconds(0.1)
 DELETION_INTERVAL_SECONDS = Seconds(5.0)
@@ -284,17 +285,15 @@
     async def _decide(self, cell: Cell) -> None:
         decided_at = read_uptime()
         while self.cell is cell:
-            try:
-                async with asyncio.timeout(DECISION_INTERVAL_SECONDS):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
-            elapsed, decided_at = read_uptime() - decided_at, read_uptime()
+            await self._wait_for_round()
+            elapsed = Seconds(read_uptime() - decided_at)
             if elapsed > PROCESS_PAUSE_SECONDS:
                 write_event(logger, ProcessStoodStill(slept_s=elapsed))
                 await self.check_ownership()
-                continue
+                if self.cell is not cell:
+                    return
+            # the time of the check is no pause, but one during the round may be
+            decided_at = read_uptime()
             try:
                 with self._round_times.measure():
                     self._decide_once(cell)
@@ -303,6 +302,14 @@
             if cell.fenced:
                 self.report_fenced("a worker has seen a higher epoch")
 
+    async def _wait_for_round(self) -> None:
+        try:
+            async with asyncio.timeout(DECISION_INTERVAL_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
     def _decide_once(self, cell: Cell) -> None:
         now = read_monotonic()
         cell.closed_domains = self.get_closed_domains()
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -33,12 +33,12 @@
 
 @log_event("process stood still", level=logging.WARNING)
 class ProcessStoodStill(LogEvent, frozen=True, kw_only=True):
-    """The owner's process was paused; it checks whether another one took over.
+    """The owner's process was paused or slow; it checks whether another one took over.
 
     Parameters
     ----------
     slept_s : float
-        Seconds since it last ran.
+        Seconds since the last round of decisions began.
     """
 
     slept_s: float
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -1,8 +1,12 @@
 """Tests of the owner's appends to the log and of when it stops acting."""
 
 import asyncio
+import time
+
+import pytest
 
 from plantainhinge.core.ids import Epoch
+from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import CellRunner
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.daemons.worker_view import WorkerView
@@ -222,3 +226,93 @@
         return opened, lost
 
     assert asyncio.run(scenario()) == ({"a"}, [])
+
+
+class RecordedRounds:
+    """Records the rounds of decisions and the checks of a runner.
+
+    Parameters
+    ----------
+    round_seconds, check_seconds : float
+        Seconds that each round blocks the process, and that each check waits.
+    """
+
+    def __init__(self, runner, *, round_seconds=0.0, check_seconds=0.0):
+        self.events = []
+        self.round_seconds = round_seconds
+        self.check_seconds = check_seconds
+        runner._decide_once = self._decide_once
+        runner.check_ownership = self._check
+
+    def _decide_once(self, cell):
+        self.events.append("round")
+        time.sleep(self.round_seconds)
+
+    async def _check(self):
+        self.events.append("check")
+        await asyncio.sleep(self.check_seconds)
+
+    async def wait_for(self, event):
+        """Wait for the next event of this kind; return all events up to it."""
+        self.events.clear()
+        async with asyncio.timeout(3):
+            while event not in self.events:
+                await asyncio.sleep(0.005)
+        return self.events[: self.events.index(event) + 1]
+
+
+@pytest.mark.parametrize(("pause", "round_seconds"), [(0.3, 0.0), (0.0, 0.3)])
+def test_a_slow_check_of_the_ownership_does_not_stop_the_decisions(
+    monkeypatch, pause, round_seconds
+):
+    monkeypatch.setattr(cell_runner, "PROCESS_PAUSE_SECONDS", 0.2)
+
+    async def scenario():
+        runner = make_runner(MemoryKeyedLog())
+        rounds = RecordedRounds(runner, round_seconds=round_seconds, check_seconds=0.25)
+        await runner.take_over(Epoch(1))
+        await rounds.wait_for("round")
+        time.sleep(pause)
+        await rounds.wait_for("check")
+        for _ in range(3):
+            await rounds.wait_for("round")
+        runner.stop("test")
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("pause", "round_seconds"), [(0.9, 0.0), (0.0, 0.9)])
+def test_a_pause_leads_to_a_check_before_the_next_round(pause, round_seconds):
+    async def scenario():
+        runner = make_runner(MemoryKeyedLog())
+        rounds = RecordedRounds(runner)
+        await runner.take_over(Epoch(1))
+        await rounds.wait_for("round")
+        rounds.round_seconds = round_seconds
+        if round_seconds:
+            await rounds.wait_for("round")
+        time.sleep(pause)
+        events = await rounds.wait_for("round")
+        runner.stop("test")
+        return events
+
+    assert asyncio.run(scenario()) == ["check", "round"]
+
+
+def test_an_owner_replaced_during_a_pause_decides_nothing_more():
+    async def scenario():
+        runner = make_runner(MemoryKeyedLog())
+        rounds = RecordedRounds(runner)
+
+        async def check():
+            runner.stop("replaced")
+
+        runner.check_ownership = check
+        await runner.take_over(Epoch(1))
+        await rounds.wait_for("round")
+        rounds.events.clear()
+        time.sleep(0.9)
+        await asyncio.sleep(0.3)
+        return rounds.events
+
+    assert asyncio.run(scenario()) == []
