Keep a change of the owner due after any failure, and recheck as the recorded owner

Risk: a cell stays without an owner until a process joins or leaves, so no job starts. Cause: a recorded owner that dropped the cell looked again only as the candidate. Its claim cleared _is_candidate where a member of equal cores and a higher name was there; if the claim was refused, or the cell was dropped a second time, nothing was due any more, and the others waited for the living member that the record named. An error of another kind (the loop is started again after it) lost the change too. Change: any exception leaves the change due; a process that the record names, but that doesn't own the cell, rechecks every 2 s as the candidate does. Tests: failed before: a refused claim, two drops in a row, an unexpected error. The cases of members, the owner's record and the takeover passed before and are kept as guards.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -191,13 +191,9 @@
 
         If that fails, it is handled again.
         """
-        generation, owner_changed = self._generation, self._owner_changed
-        is_recheck_due = (
-            self._is_candidate
-            and read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
-        )
-        is_changed = owner_changed or generation != self._handled_generation
-        if not is_changed and not is_recheck_due:
+        generation = self._generation
+        is_changed = self._owner_changed or generation != self._handled_generation
+        if not is_changed and not self._is_recheck_due():
             return
         self._owner_changed = False
         try:
@@ -205,11 +201,18 @@
                 await self._claim_if_due()
             else:
                 await self._hand_over_if_due()
-        except PlantainhingeError:
-            self._owner_changed = self._owner_changed or owner_changed
+        except Exception:
+            self._owner_changed = True
             raise
         self._handled_generation = generation
 
+    def _is_recheck_due(self) -> bool:
+        # the others wait for the member that the record names, so that one rechecks too
+        is_only_recorded = self.epoch is None and self.owner == self.member
+        return (self._is_candidate or is_only_recorded) and (
+            read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
+        )
+
     async def _poll_owner(self) -> None:
         if self._position is None:
             self._position = (await self.log.read_newest(OWNER_TOPIC)).end
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -311,3 +311,82 @@
         return two.events
 
     assert run_members(scenario) == [("acquired", 2)]
+
+
+async def run_recorded_owner(scenario):
+    """Run a scenario with an owner and a member that ranks higher by its name."""
+    log = MemoryKeyedLog()
+    one, two = Member(log, "one/a/100"), Member(log, "two/b/100")
+    one.start()
+    await wait_for(lambda: one.events)
+    two.start()
+    await wait_for(lambda: two.ownership.member in one.ownership.members)
+    try:
+        return await scenario(log, one, two)
+    finally:
+        for member in (one, two):
+            member.kill()
+
+
+def fail_once(call):
+    """Return a call that is refused the first time."""
+    refusals = [UnavailableError("refused", step="log.members")]
+
+    async def call_or_fail(*args):
+        if refusals:
+            raise refusals.pop()
+        return await call(*args)
+
+    return call_or_fail
+
+
+@pytest.mark.parametrize("fault", ["claim", "members", "owner", "takeover"])
+def test_a_cell_that_its_recorded_owner_dropped_is_claimed_although_a_call_fails(fault):
+    async def scenario(log, one, two):
+        match fault:
+            case "claim":
+                log.append_faults = ["refuse"]
+            case "members":
+                log.list_members = fail_once(log.list_members)
+            case "owner":
+                log.read_newest = fail_once(log.read_newest)
+            case "takeover":
+                one.ownership.on_acquired = fail_once(one.ownership.on_acquired)
+        one.ownership.drop("a worker has seen a higher epoch")
+        await wait_for(lambda: one.events[-1][0] == "acquired")
+        return [event for event in one.events if event[0] == "acquired"], two.events
+
+    acquired, others = asyncio.run(run_recorded_owner(scenario))
+    assert len(acquired) == 2
+    assert others == []
+
+
+def test_a_recorded_owner_that_drops_the_cell_twice_claims_it_again():
+    async def scenario(log, one, two):
+        for _ in range(2):
+            one.ownership.drop("a worker has seen a higher epoch")
+            await wait_for(lambda: one.events[-1][0] == "acquired")
+            await asyncio.sleep(0.7)
+        return [event for event in one.events if event[0] == "acquired"]
+
+    assert len(asyncio.run(run_recorded_owner(scenario))) == 3
+
+
+def test_a_change_is_still_due_after_an_unexpected_error():
+    async def scenario():
+        one = Member(MemoryKeyedLog(), "one/a/100").ownership
+        one._owner_changed = True
+        claim = one._claim_if_due
+
+        async def fail():
+            raise RuntimeError("a programming error")
+
+        one._claim_if_due = fail
+        with pytest.raises(RuntimeError):
+            await one._handle_change()
+        one._claim_if_due = claim
+        await one.log.join(one.member, generation=0)
+        await one._handle_change()
+        return one.epoch
+
+    assert asyncio.run(scenario()) == 1
