Reject directory entries without born or labels, and numbers that the log can't hold

Risk: an entry of another writer became a worker that never answers, and each new owner waited the whole lease for it. One with larger numbers made writing the handover raise OverflowError, and one nested deeply raised RecursionError; either ends a loop, and the owner gives up the cell. Cause: born and labels had defaults, integers had no upper bound, and RecursionError isn't an error of msgspec. Change: both fields are required; born, cpu, memMb and gpu are from 0 to 2^63 - 1, born in reports too; RecursionError counts as a malformed entry, report, answer or advice. Left: an entry that only lacks version, slots, coldLeftMs or seq is still accepted. The protocol lists them as well, but no entry of a real worker was at hand to show that they are always written, and requiring one that isn't would leave the cell without workers. Tests: 14 new cases failed before (two fields, five integers, five of nesting, two of born in reports); the new cases of fields that were required already passed before. No existing test was changed, and the stand-ins already write both fields.

--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -38,6 +38,9 @@
 
 logger = logging.getLogger(__name__)
 
+# what decoding raises; RecursionError if a message is nested too deeply
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 OK = 200
 ADVICE_TIMEOUT_SECONDS = Seconds(3.0)
 ORDER_TIMEOUT_SECONDS = Seconds(0.5)
@@ -45,7 +48,10 @@
 CONNECTIONS_MAX = 6
 GAUGE_COLUMN = 4
 
-Amount = Annotated[int, msgspec.Meta(ge=0)]
+# the log's records hold no larger integers
+INTEGER_MAX = 2**63 - 1
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
 
 OUTCOMES_BY_REASON = {
@@ -71,9 +77,9 @@
     domain: str = msgspec.field(name="zone")
     state: str
     capacity: _Capacity
-    labels: list[str] = []
+    labels: list[str]
     # on the wire "born": a number that identifies the start of the worker process
-    incarnation: int = msgspec.field(name="born", default=0)
+    incarnation: Amount = msgspec.field(name="born")
     remaining_ms: float = msgspec.field(name="remainingMs", default=0)
     # on the wire "coldLeftMs": time until the worker runs at full speed
     warming_ms: float = msgspec.field(name="coldLeftMs", default=0)
@@ -89,7 +95,7 @@
     running: list[list[Any]]
     ended: list[list[Any]]
     # on the wire "born": a number that identifies the start of the worker process
-    incarnation: int = msgspec.field(name="born", default=0)
+    incarnation: Amount = msgspec.field(name="born", default=0)
 
 
 class _Advice(msgspec.Struct):
@@ -118,7 +124,7 @@
             remaining=entry.remaining_ms / 1000,
             warming=entry.warming_ms / 1000,
         )
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+    except (*DECODING_ERRORS, KeyError) as error:
         write_event(logger, EntryIgnored(key=key, cause=str(error)))
         return None
 
@@ -202,7 +208,7 @@
         try:
             report = msgspec.json.decode(response.body, type=_Report)
             return _decode_report(report)
-        except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
+        except (*DECODING_ERRORS, ValueError, TypeError, IndexError) as error:
             event = ReportMalformed(worker=entry.worker, cause=str(error))
             write_event(logger, event)
             return OrderResponse(outcome=OrderOutcome.UNKNOWN)
@@ -224,7 +230,7 @@
                 write_event(logger, event)
                 return None
             advice = msgspec.json.decode(response.body, type=_Advice)
-        except (PlantainhingeError, msgspec.MsgspecError) as error:
+        except (PlantainhingeError, *DECODING_ERRORS) as error:
             write_event(logger, AdviceFailed(advised_step=step, cause=str(error)))
             return None
         rows = tuple((WorkerId(worker), ticket) for worker, ticket in advice.tickets)
@@ -284,7 +290,7 @@
     """Map the status and reason of a worker's response to an outcome."""
     try:
         body = msgspec.json.decode(response.body, type=_OrderResponseBody)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         body = _OrderResponseBody()
     clock = None if body.clock_ms is None else Seconds(body.clock_ms / 1000)
     match response.status:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Messages of the platform are decoded, or rejected without unexpected errors."""
 
+import asyncio
 import json
 import struct
 
@@ -17,7 +18,8 @@
     TrimmedError,
     UnavailableError,
 )
-from plantainhinge.fleet.model import OrderOutcome
+from plantainhinge.fleet.handover import Handover, decode_handover, encode_handover
+from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
 from plantainhinge.platform import ingress, operator, store, workers
@@ -77,6 +79,69 @@
     assert entry is None or entry.worker == "i-1"
 
 
+def without(original, *names):
+    return {name: value for name, value in original.items() if name not in names}
+
+
+@pytest.mark.parametrize("field", sorted(without(ENTRY, "coldLeftMs", "seq")))
+def test_an_entry_that_lacks_a_field_of_every_worker_names_none(field):
+    assert workers.decode_entry("i-1", encode(without(ENTRY, field))) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"born": 2**63},
+        {"born": -1},
+        {"capacity": {"cpu": 2**63, "memMb": 100, "gpu": 0}},
+        {"capacity": {"cpu": 8000, "memMb": 10**30, "gpu": 0}},
+        {"capacity": {"cpu": 8000, "memMb": 100, "gpu": 2**64}},
+    ],
+)
+def test_an_entry_with_an_integer_that_the_log_cannot_hold_names_no_worker(change):
+    assert workers.decode_entry("i-1", encode(ENTRY | change)) is None
+
+
+def test_the_largest_integers_of_an_entry_fit_into_the_handover():
+    largest = 2**63 - 1
+    capacity = {"cpu": largest, "memMb": largest, "gpu": largest}
+    value = encode(ENTRY | {"born": largest, "capacity": capacity})
+    handover = Handover(workers=(workers.decode_entry("i-1", value),))
+    assert decode_handover(encode_handover(handover)) == handover
+
+
+DEEPLY_NESTED = b'{"x":' + b"[" * 100_000
+
+
+def test_a_deeply_nested_entry_names_no_worker():
+    assert workers.decode_entry("i-1", DEEPLY_NESTED) is None
+
+
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize("call", ["renew", "stop"])
+def test_a_deeply_nested_answer_of_a_worker_ends_no_loop(monkeypatch, call, status):
+    async def answer(*args):
+        return HttpResponse(status, {}, DEEPLY_NESTED)
+
+    monkeypatch.setattr(workers.PlatformWorkerClient, "_call", answer)
+    client = workers.PlatformWorkerClient()
+    entry = workers.decode_entry("i-1", encode(ENTRY))
+    task = workers.parse_task("j.0.0.0")
+    order = {
+        "renew": Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None),
+        "stop": StopOrder(task=task, attempt=1, epoch=1),
+    }[call]
+    response = asyncio.run(getattr(client, call)(entry, order))
+    assert isinstance(response, OrderResponse)
+
+
+@pytest.mark.parametrize("born", [2**63, -1])
+def test_a_report_of_an_incarnation_that_the_log_cannot_hold_is_malformed(born):
+    report = encode({"clockMs": 1, "running": [], "ended": [], "born": born})
+    with pytest.raises(msgspec.MsgspecError):
+        msgspec.json.decode(report, type=workers._Report)
+
+
 def test_a_job_is_decoded():
     spec = ingress.decode_spec(encode(JOB))
     assert [step.count for step in spec.steps] == [4, 2]
