Keep the cell while inherited work waits for silent workers

What callers saw: where instances have different numbers of cores, a returning large one took the cell over from a small one that had just claimed it, and the wait for silent workers began anew, up to 6.3 s more without any trouble. Cause: the handover to a larger process didn't ask whether the owner still waits for workers that may run attempts of an earlier owner; leases are counted from each takeover. Runs: the new test fails on the code before and passes now; test_ownership, test_instance and test_cell_runner pass (51).

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -162,6 +162,11 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def is_recovering(self) -> bool:
+        """Return whether the cell waits for workers that an earlier owner used."""
+        cell = self.cell
+        return cell is not None and bool(cell.recovering or cell.withheld_tasks)
+
     async def flush(self) -> None:
         """Log the pending progress; called before the cell is released."""
         if self.cell is not None:
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -126,6 +126,7 @@
             on_acquired=self.runner.take_over,
             on_lost=self.runner.stop,
             before_release=self.runner.flush,
+            is_recovering=self.runner.is_recovering,
         )
         self.service = JobService(
             log=self.log,
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -64,6 +64,9 @@
         Called with the reason once this process no longer owns the cell.
     before_release : callable
         Called before the cell is handed over to another process.
+    is_recovering : callable
+        Returns whether this process, as the owner, still waits for workers that may run
+        attempts of an earlier owner.
     answered_at : float
         Monotonic time of the group's last answer, in seconds.
     members : frozenset of MemberName
@@ -77,6 +80,7 @@
     on_acquired: Callable[[Epoch], Awaitable[None]]
     on_lost: Callable[[str], None]
     before_release: Callable[[], Awaitable[None]]
+    is_recovering: Callable[[], bool] = lambda: False
     epoch: Epoch | None = None
     answered_at: float = float("-inf")
     members: frozenset[MemberName] = frozenset()
@@ -261,12 +265,18 @@
             self.drop(f"takeover failed: {error}")
 
     async def _hand_over_if_due(self) -> None:
-        """Release the cell if a member with many more cores has joined."""
+        """Release the cell if a member with many more cores has joined.
+
+        Not while this owner waits for workers: the next one would begin to wait anew.
+        """
         self._checked_at = read_monotonic()
         members = self.members = await self.log.list_members()
         candidate = choose_candidate(members)
         if candidate is None or not should_hand_over(self.member, members):
             return
+        if self.is_recovering():
+            self._owner_changed = True
+            return
         write_event(logger, CellHandedOver(to=candidate))
         await self.before_release()
         await self._release("a larger process is there")
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -286,6 +286,26 @@
     assert should_hand_over(me, [me, MemberName(other)]) is expected
 
 
+def test_an_owner_keeps_the_cell_while_it_waits_for_workers_of_an_earlier_one():
+    async def scenario():
+        log = MemoryKeyedLog()
+        small, large = (Member(log, name) for name in ("a/1/h:1/50", "b/2/h:2/200"))
+        waiting = [True]
+        small.ownership.is_recovering = lambda: waiting[0]
+        small.start()
+        await wait_for(lambda: small.events)
+        large.start()
+        await asyncio.sleep(1)
+        before = list(large.events)
+        waiting[0] = False
+        await wait_for(lambda: large.events)
+        for member in (small, large):
+            member.kill()
+        return before, large.events
+
+    assert asyncio.run(scenario()) == ([], [("acquired", 2)])
+
+
 def test_an_owner_never_hands_over_to_itself():
     me = MemberName("odd")
     assert not should_hand_over(me, [me])
