--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -19,6 +19,7 @@
 from .step_events import StepPlaced, StepWaits, describe_step
 from .tasks import start_task
 from .worker_choice import choose_destination, choose_worker
+from .worker_pool import WorkerPool
 
 logger = logging.getLogger(__name__)
 
@@ -31,11 +32,12 @@
     withheld = cell.list_withheld()
     newest = batching.note_arrivals(waiting, cell.long_running_arrived_at, now=now)
     cell.long_running_arrived_at = newest
-    pools = list_available_workers(cell, now=now)
+    pools = _open_pools(cell, now=now)
+    empty_pool = WorkerPool([], cell.weights, now=now)
     for step in order_steps(waiting, wall=wall):
         if batching.is_delayed(step, newest, now=now):
             continue
-        pool = pools.get(step.job.record.policy.service, [])
+        pool = pools.get(step.job.record.policy.service, empty_pool)
         if step.spec.gang:
             placed = _place_gang(cell, step, pool, withheld, now=now)
         else:
@@ -43,6 +45,14 @@
         _log_placement(step, placed, len(pool), now=now, wall=wall)
 
 
+def _open_pools(cell: SchedulingState, *, now: float) -> dict[ServiceId, WorkerPool]:
+    """Return the workers that accept new work in this pass, by service."""
+    return {
+        service: WorkerPool(workers, cell.weights, now=now)
+        for service, workers in list_available_workers(cell, now=now).items()
+    }
+
+
 def list_available_workers(
     cell: SchedulingState, *, now: float
 ) -> dict[ServiceId, list[Worker]]:
@@ -72,12 +82,13 @@
 def _place_step(
     cell: SchedulingState,
     step: OpenStep,
-    workers: list[Worker],
+    pool: WorkerPool,
     withheld: frozenset[TaskKey],
     *,
     now: float,
 ) -> list[Attempt]:
     """Start a step's tasks as long as workers have capacity; return the attempts."""
+    workers = pool.workers
     placed: list[Attempt] = []
     for task in list(step.waiting):
         if task.key in withheld:
@@ -85,13 +96,14 @@
         avoidance.readmit_workers(task, workers, now=now)
         worker = choose_destination(task, workers, now=now)
         if worker is None:
-            worker = choose_worker(task, workers, cell.weights, now=now)
+            worker = pool.choose(task)
         if worker is None and task.avoided_workers:
             continue
         if worker is None:
             break
         task.destination = None
         attempt = start_task(cell, task, worker, task.last_attempt + 1, now=now)
+        pool.note_change(worker)
         placed.append(attempt)
     return placed
 
@@ -99,7 +111,7 @@
 def _place_gang(
     cell: SchedulingState,
     step: OpenStep,
-    workers: list[Worker],
+    pool: WorkerPool,
     withheld: frozenset[TaskKey],
     *,
     now: float,
@@ -108,9 +120,9 @@
     if not _all_wait(step, withheld):
         return []
     for task in step.tasks:
-        avoidance.readmit_workers(task, workers, now=now)
+        avoidance.readmit_workers(task, pool.workers, now=now)
     number = max(task.last_attempt for task in step.tasks) + 1
-    for group in _list_gang_candidates(step, workers):
+    for group in _list_gang_candidates(step, pool.workers):
         attempts: list[Attempt] = []
         for task in step.tasks:
             worker = choose_worker(task, group, cell.weights, now=now)
@@ -121,6 +133,7 @@
             )
             # bound for the trial only, so that the next choice sees less free capacity
             bind_attempt(attempt)
+            pool.note_change(worker)
             attempts.append(attempt)
         for attempt in attempts:
             unbind_attempt(attempt)
