Check workers for a task with fewer calls and no throw-away objects

Cause: choosing a worker called three functions for each worker and built a Resources each time, and asked for each worker whether the step must leave headroom. Change: what a step demands is computed once per choice and compared in one loop; avoided workers, label, limit and tickets are checked afterwards, only for tasks that have them. The scores see the same workers in the same order, so the choices are the same.

--- a/plantainhinge/dispatch/advice.py
+++ b/plantainhinge/dispatch/advice.py
@@ -10,7 +10,7 @@
 
 from ..core.ids import Seconds
 from ..fleet.model import Advice, AdviceRequest
-from .model import OpenStep, Worker, compute_committed_resources
+from .model import OpenStep, Worker
 from .queueing import order_steps
 from .worker_choice import has_capacity, holds_ticket, meets_constraints
 
@@ -67,10 +67,9 @@
 
 def has_usable_ticket(step: OpenStep, workers: Iterable[Worker], *, now: float) -> bool:
     """Return whether a step has a valid ticket for a worker with free capacity."""
-    needs = compute_committed_resources(step.spec)
     return any(
         holds_ticket(step, worker, now=now)
-        and has_capacity(step, needs, worker, now=now)
+        and has_capacity(step, worker, now=now)
         and meets_constraints(step, worker)
         for worker in workers
     )
@@ -80,6 +79,6 @@
     return (
         worker.accepts_work(now)
         and worker.entry.service == step.job.record.policy.service
-        and has_capacity(step, compute_committed_resources(step.spec), worker, now=now)
+        and has_capacity(step, worker, now=now)
         and meets_constraints(step, worker)
     )
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..core.resources import Resources
 from ..fleet.model import WorkerState
 from .cell import Cell
 from .model import (
@@ -36,6 +35,7 @@
     DRAINING = "draining"
     NOT_IN_HANDOVER = "not-in-handover"
     QUARANTINED = "quarantined"
+    PROBED = "probed"
     CLOSED_DOMAIN = "closed-domain"
     CONSTRAINED = "constrained"
     NO_TICKET = "no-ticket"
@@ -88,10 +88,16 @@
             millicores=request.millicores,
             memory_mib=request.memory_mib,
             obstacles=_count_obstacles(cell, waiting[0], now=now) if waiting else (),
-            recovering=step.job.inherited and cell.recovering,
+            recovering=_is_recovering(cell, tasks),
         )
 
 
+def _is_recovering(cell: Cell, tasks: list[Task]) -> bool:
+    withheld = cell.list_withheld()
+    inherited = tasks[0].step.job.inherited
+    return inherited and (cell.recovering or any(t.key in withheld for t in tasks))
+
+
 def list_idle_tasks(cell: Cell) -> list[Task]:
     """Return the tasks of ready long-running steps that have no running attempt."""
     return [
@@ -105,9 +111,7 @@
     ]
 
 
-def find_obstacle(
-    cell: Cell, task: Task, worker: Worker, needs: Resources, *, now: float
-) -> Obstacle:
+def find_obstacle(cell: Cell, task: Task, worker: Worker, *, now: float) -> Obstacle:
     """Return the first reason why a task isn't started on a worker."""
     step = task.step
     checks: Iterable[tuple[Obstacle, bool]] = (
@@ -116,11 +120,12 @@
         (Obstacle.DRAINING, worker.entry.state is WorkerState.READY),
         (Obstacle.NOT_IN_HANDOVER, worker.handover is HandoverMark.OPEN),
         (Obstacle.QUARANTINED, now >= worker.quarantined_until),
+        (Obstacle.PROBED, worker.probe is None),
         (Obstacle.CLOSED_DOMAIN, worker.entry.domain not in cell.closed_domains),
         (Obstacle.CONSTRAINED, meets_constraints(step, worker)),
         (Obstacle.NO_TICKET, holds_ticket(step, worker, now=now)),
         (Obstacle.AVOIDED, worker.name not in task.avoided_workers),
-        (Obstacle.RESERVED, has_capacity(step, needs, worker, now=now)),
+        (Obstacle.RESERVED, has_capacity(step, worker, now=now)),
     )
     return next((obstacle for obstacle, ok in checks if not ok), Obstacle.NONE)
 
@@ -129,7 +134,7 @@
     """Count the workers with enough free resources for a task, by obstacle."""
     needs = compute_committed_resources(task.step.spec)
     counts = Counter(
-        find_obstacle(cell, task, worker, needs, now=now)
+        find_obstacle(cell, task, worker, now=now)
         for worker in cell.workers.values()
         if worker.entry.service == task.step.job.record.policy.service
         and needs.fits_within(worker.free)
--- a/plantainhinge/dispatch/step_events.py
+++ b/plantainhinge/dispatch/step_events.py
@@ -96,7 +96,7 @@
         For the first task that waits: workers on which it has enough free resources, by
         what keeps it from there, as ``OBSTACLE=WORKERS``.
     recovering : bool
-        Whether inherited jobs wait until all workers have reported.
+        Whether a task waits for workers that may run it under an earlier owner.
     """
 
     positions: tuple[int, ...]
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..core.registry import Registry
 from ..core.resources import Resources
@@ -48,19 +49,10 @@
         Workers of the task's service that accept new work.
     """
     step = task.step
-    needs = compute_committed_resources(step.spec)
     score = SCORES.find(select_score(step))
     best: Worker | None = None
     best_score = float("-inf")
-    for worker in workers:
-        if worker.probe is not None or worker.name in task.avoided_workers:
-            continue
-        if not has_capacity(step, needs, worker, now=now):
-            continue
-        if not meets_constraints(step, worker) or not holds_ticket(
-            step, worker, now=now
-        ):
-            continue
+    for worker in list_candidates(task, workers, now=now):
         value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += DATA_RACK_BONUS
@@ -72,6 +64,27 @@
     return best
 
 
+def list_candidates(
+    task: Task, workers: Iterable[Worker], *, now: float
+) -> list[Worker]:
+    """Return the workers on which one more attempt of a task may start.
+
+    The conditions that most tasks don't have are checked last, and only for those tasks
+    that have them.
+    """
+    step = task.step
+    demand = measure_demand(step, now=now)
+    candidates = [each for each in demand.list_fitting(workers) if each.probe is None]
+    if task.avoided_workers:
+        avoided = task.avoided_workers
+        candidates = [each for each in candidates if each.name not in avoided]
+    if step.spec.label or step.spec.per_worker_max:
+        candidates = [each for each in candidates if meets_constraints(step, each)]
+    if step.job.record.policy.advised:
+        candidates = [each for each in candidates if holds_ticket(step, each, now=now)]
+    return candidates
+
+
 def choose_destination(
     task: Task, workers: Iterable[Worker], *, now: float
 ) -> Worker | None:
@@ -79,11 +92,10 @@
     if task.destination is None:
         return None
     step = task.step
-    needs = compute_committed_resources(step.spec)
     for worker in workers:
         if (
             worker.name == task.destination
-            and has_capacity(step, needs, worker, now=now)
+            and has_capacity(step, worker, now=now)
             and meets_constraints(step, worker)
             and holds_ticket(step, worker, now=now)
         ):
@@ -98,22 +110,62 @@
     return is_labelled and needs.fits_within(capacity)
 
 
-def has_capacity(
-    step: OpenStep, needs: Resources, worker: Worker, *, now: float
-) -> bool:
-    """Return whether a worker has capacity for one more task of a step.
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a worker must have for one more task of a step.
+
+    Parameters
+    ----------
+    needs : Resources
+        Resources that the attempt commits.
+    headroom_ratio : float
+        Share of the worker's processors that must stay free.
+    spare_millicores : float, optional
+        Processors that must be spare for a best-effort task, in thousandths of a core;
+        None for other tasks.
+    """
+
+    needs: Resources
+    headroom_ratio: float
+    spare_millicores: float | None
+
+    def list_fitting(self, workers: Iterable[Worker]) -> list[Worker]:
+        """Return the workers that have the capacity.
+
+        Each decision compares many workers, so this calls nothing for most of them.
+        """
+        needs, spare, headroom = self.needs, self.spare_millicores, self.headroom_ratio
+        millicores, memory_mib = needs.millicores, needs.memory_mib
+        fitting = []
+        for worker in workers:
+            capacity, committed = worker.entry.capacity, worker.committed
+            total = capacity.millicores
+            if (
+                millicores + total * headroom <= total - committed.millicores
+                and memory_mib <= capacity.memory_mib - committed.memory_mib
+                and needs.accelerators <= capacity.accelerators - committed.accelerators
+                and (spare is None or spare <= worker.spare_millicores)
+            ):
+                fitting.append(worker)
+        return fitting
+
+
+def measure_demand(step: OpenStep, *, now: float) -> Demand:
+    """Return what a worker must have for one more task of a step.
 
     Best-effort tasks need spare processors for most of their request.
     """
-    if must_leave_headroom(step, now=now):
-        headroom = worker.entry.capacity.millicores * HEADROOM_RATIO
-        if needs.millicores + headroom > worker.free_millicores:
-            return False
+    headroom_ratio = HEADROOM_RATIO if must_leave_headroom(step, now=now) else 0.0
+    spare_millicores = None
     if step.spec.best_effort:
-        needed_millicores = BEST_EFFORT_SHARE_MIN * step.spec.request.millicores
-        if worker.spare_millicores < needed_millicores:
-            return False
-    return needs.fits_within(worker.free)
+        spare_millicores = BEST_EFFORT_SHARE_MIN * step.spec.request.millicores
+    needs = compute_committed_resources(step.spec)
+    return Demand(needs, headroom_ratio, spare_millicores)
+
+
+def has_capacity(step: OpenStep, worker: Worker, *, now: float) -> bool:
+    """Return whether a worker has capacity for one more task of a step."""
+    return bool(measure_demand(step, now=now).list_fitting([worker]))
 
 
 def must_leave_headroom(step: OpenStep, *, now: float) -> bool:
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -2,7 +2,19 @@
 
 import msgspec
 import pytest
-
+from hypothesis import given, settings, strategies as st
+
+from plantainhinge.core.ids import AttemptNumber, Seconds, WorkerId
+from plantainhinge.core.resources import Resources
+from plantainhinge.dispatch.model import (
+    Attempt,
+    AttemptPhase,
+    OpenStep,
+    Worker,
+    bind_attempt,
+)
+from plantainhinge.dispatch.open_jobs import open_job
+from plantainhinge.dispatch.worker_choice import list_candidates
 from plantainhinge.fleet.model import (
     EndCause,
     WorkerState,
@@ -12,9 +24,19 @@
     SimulatedCell,
     make_entry,
     make_job,
+    make_policy,
     make_step,
 )
 
+NOW = 100.0
+
+amounts = st.builds(
+    Resources,
+    st.sampled_from([0, 900, 1000, 1001, 3000]),
+    st.sampled_from([0, 100, 400]),
+    st.sampled_from([0, 0, 1]),
+)
+
 
 def test_new_long_running_tasks_leave_headroom_for_short_lived_work():
     site = SimulatedCell(make_entry("w1", cores=10), make_entry("w2", cores=10))
@@ -110,6 +132,66 @@
     assert per_worker == [3, 2]
 
 
+def open_step(spec, *, advised=False) -> OpenStep:
+    record = make_job("j", spec, policy=make_policy(advised=advised))
+    return open_job(record, None, wall=Seconds(0.0)).occurrences[0][0]
+
+
+def may_start(task, worker: Worker) -> bool:
+    """Return whether a worker meets each condition, one after the other."""
+    step, spec, name = task.step, task.step.spec, worker.name
+    millicores = 0 if spec.best_effort else spec.request.millicores
+    needs = msgspec.structs.replace(spec.request, millicores=millicores)
+    must_leave = spec.long_running and NOW - step.unplaced_since < 30.0
+    headroom = 0.1 * worker.entry.capacity.millicores if must_leave else 0.0
+    spare = 0.7 * spec.request.millicores if spec.best_effort else float("-inf")
+    limit = spec.per_worker_max or float("inf")
+    return (
+        needs.fits_within(worker.free)
+        and millicores + headroom <= worker.free_millicores
+        and spare <= worker.spare_millicores
+        and name not in task.avoided_workers
+        and (not spec.label or spec.label in worker.entry.labels)
+        and step.attempts_per_worker.get(name, 0) < limit
+        and (not step.job.record.policy.advised or name in step.tickets)
+    )
+
+
+@settings(max_examples=300)
+@given(
+    spec=st.builds(
+        make_step,
+        request=amounts,
+        count=st.just(2),
+        best_effort=st.booleans(),
+        long_running=st.booleans(),
+        label=st.sampled_from(["", "ssd"]),
+        per_worker_max=st.sampled_from([0, 1, 2]),
+    ),
+    taken=st.lists(st.tuples(amounts, st.booleans()), min_size=2, max_size=3),
+    advised=st.booleans(),
+    waited=st.sampled_from([0.0, 29.0, 31.0]),
+    avoided=st.sampled_from([set(), {"w0"}]),
+)
+def test_candidates_meet_every_condition(spec, taken, advised, waited, avoided):
+    task, other = (step := open_step(spec, advised=advised)).tasks
+    step.unplaced_since = NOW - waited
+    step.tickets[WorkerId("w1")] = ("ticket", NOW + 1.0)
+    task.avoided_workers = set(map(WorkerId, avoided))
+    workers = []
+    for number, (request, labelled) in enumerate(taken):
+        labels = ("ssd",) if labelled else ()
+        capacity = Resources(3000, 500, 1)
+        entry = make_entry(f"w{number}", capacity=capacity, labels=labels)
+        workers.append(Worker(entry, entry.incarnation))
+        serving = open_step(make_step(request=request, target_seconds=0.05))
+        for bound in (serving.tasks[0], other) if number == 0 else serving.tasks:
+            phase, attempt = AttemptPhase.RUNNING, AttemptNumber(1)
+            bind_attempt(Attempt(bound, attempt, workers[-1], phase, NOW))
+    expected = [worker for worker in workers if may_start(task, worker)]
+    assert list_candidates(task, workers, now=NOW) == expected
+
+
 @pytest.mark.parametrize("limit", [1, 2])
 def test_the_limit_of_tasks_per_worker_is_kept(limit):
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
