Look for stuck attempts only on workers that may have one

Cause: each decision looked at every running attempt, although an attempt that has just started or progressed can't be stuck for 2.5 s. With 2,940 attempts on 245 workers and nothing waiting, find_stuck took most of a decision. Change: each worker remembers before when none of its attempts can be stuck.

--- a/plantainhinge/dispatch/health.py
+++ b/plantainhinge/dispatch/health.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from ..fleet.model import OrderOutcome
+from ..jobs.model import Step
 from .model import Attempt, AttemptPhase, Worker
 
 REFUSAL_QUARANTINE_SECONDS = 0.5
@@ -23,6 +24,8 @@
 # an attempt is stuck after this time and this multiple of its estimate, added up
 STUCK_SECONDS = 2.5
 STUCK_ESTIMATE_RATIO = 1.0
+# the next check is earlier by this time, so that rounding doesn't delay it
+CHECK_MARGIN_SECONDS = 0.001
 
 
 def record_refusal(worker: Worker, outcome: OrderOutcome, *, now: float) -> None:
@@ -90,25 +93,49 @@
 
 
 def find_stuck(workers: Iterable[Worker], *, now: float) -> list[Attempt]:
-    """Return the attempts on reachable workers that make no progress."""
-    return [
-        attempt
-        for worker in workers
-        if worker.reachable
-        for attempt in worker.attempts.values()
-        if attempt.phase is AttemptPhase.RUNNING and is_stuck(attempt, now=now)
-    ]
+    """Return the attempts on reachable workers that make no progress.
+
+    A worker is checked again only when one of its attempts may be stuck. So ``now``
+    must never decrease, neither between calls nor from a call to a later report.
+    """
+    stuck: list[Attempt] = []
+    for worker in workers:
+        if not worker.reachable or now < worker.stuck_check_at:
+            continue
+        running = [
+            attempt
+            for attempt in worker.attempts.values()
+            if attempt.phase is AttemptPhase.RUNNING
+        ]
+        stuck.extend(attempt for attempt in running if is_stuck(attempt, now=now))
+        worker.stuck_check_at = _compute_next_check(running, now=now)
+    return stuck
+
+
+def _compute_next_check(running: list[Attempt], *, now: float) -> float:
+    """Return the earliest time at which an attempt on a worker may be stuck.
+
+    Attempts that start or progress from now on aren't stuck before ``STUCK_SECONDS``.
+    """
+    limits = [now + STUCK_SECONDS]
+    limits.extend(
+        attempt.progressed_at + _compute_still_max(attempt.task.step.spec)
+        for attempt in running
+    )
+    return min(limits) - CHECK_MARGIN_SECONDS
 
 
 def is_stuck(attempt: Attempt, *, now: float) -> bool:
-    """Return whether an attempt has made no progress for longer than allowed.
+    """Return whether an attempt has made no progress for longer than allowed."""
+    still_seconds = now - attempt.progressed_at
+    return still_seconds > _compute_still_max(attempt.task.step.spec)
+
+
+def _compute_still_max(spec: Step) -> float:
+    """Return the seconds for which an attempt may make no progress.
 
     Long-running tasks report no progress, and best-effort ones may be throttled.
     """
-    spec = attempt.task.step.spec
     if spec.long_running or spec.best_effort:
-        return False
-    return (
-        now - attempt.progressed_at
-        > STUCK_SECONDS + STUCK_ESTIMATE_RATIO * spec.estimate
-    )
+        return float("inf")
+    return STUCK_SECONDS + STUCK_ESTIMATE_RATIO * spec.estimate
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -248,6 +248,8 @@
         Monotonic seconds before which it runs slowly, since it has just started.
     pressures : dict of str to float, optional
         Pressure by serving image; None until it is measured again.
+    stuck_check_at : float
+        Monotonic seconds before which none of its attempts can be stuck.
     """
 
     entry: WorkerEntry
@@ -272,6 +274,7 @@
     best_effort_changed_at: float = 0.0
     warm_at: float = float("-inf")
     pressures: dict[str, float] | None = None
+    stuck_check_at: float = float("-inf")
 
     @property
     def name(self) -> WorkerId:
