Move the owner's reports and the start of a takeover out of the cell runner

Change: LoadReports in load_report.py writes what is due each 2 s; fence_and_load in takeover.py reads the state. No behaviour changes.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -16,25 +16,21 @@
     ConflictError,
     NotOwnerError,
     PlantainhingeError,
-    UnavailableError,
 )
 from ..core.ids import DomainId, Epoch, JobId, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NullMetrics
 from ..dispatch.cell import Cell
-from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.leases import LeaseTerms
-from ..dispatch.load import measure_load
 from ..dispatch.model import Worker
 from ..dispatch.orders import Command, Start, Stop, Throttle
 from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
-from ..jobs.ownership import EPOCH_KEY, EpochMarker, encode_marker
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
-from .job_view import JOB_TOPIC, JobView
-from .load_report import report_idle_tasks, report_load
+from .job_view import JobView
+from .load_report import LoadReports
 from .owner_events import (
     DecisionsFailed,
     DirectoryUnreadable,
@@ -44,9 +40,9 @@
     RecordsDeleted,
     RecordsNotDeleted,
 )
-from .ownership_events import CellOwned, TakeoverStepFailed
+from .ownership_events import CellOwned
 from .progress_log import ProgressLog, encode_flush
-from .round_times import RoundTimes
+from .takeover import fence_and_load
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -70,8 +66,6 @@
 DELETION_INTERVAL_SECONDS = Seconds(5.0)
 # how long the records of a finished job stay in the log
 RETENTION_SECONDS = Seconds(300.0)
-LOAD_INTERVAL_SECONDS = Seconds(2.0)
-TAKEOVER_TRIES_MAX = 20
 
 
 @dataclass
@@ -101,8 +95,6 @@
     metrics: Metrics = field(default_factory=NullMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
-    _next_load_at: float = 0.0
-    _idle_tasks: IdleTasks = field(default_factory=IdleTasks)
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
     _renewing: set[str] = field(default_factory=set)
     _flush_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -112,14 +104,15 @@
 
     def __post_init__(self) -> None:
         self.progress = ProgressLog(self.log)
-        self._round_times = RoundTimes(self.metrics)
+        self._reports = LoadReports(self.metrics)
 
     async def take_over(self, epoch: Epoch) -> None:
         """Fence earlier owners, load the state of the cell and start the loops."""
         started = read_monotonic()
         self._epoch = epoch
         cell = Cell(epoch, self.terms, started)
-        await self._fence_and_load(epoch)
+        tails = (self.view.job_tail, self.view.progress_tail, self.workers.tail)
+        await fence_and_load(self.log, self.progress, tails, epoch)
         if self._epoch != epoch:
             return
         wall = read_wall()
@@ -133,8 +126,7 @@
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
         cell.closed_domains = self.get_closed_domains()
-        self._idle_tasks = IdleTasks()
-        self._round_times = RoundTimes(self.metrics)
+        self._reports = LoadReports(self.metrics)
         self.cell = cell
         self.metrics.count(Counter.OWNERSHIPS)
         event = CellOwned(
@@ -178,35 +170,6 @@
         if self.cell is not None:
             self.cell.terms = terms
 
-    async def _fence_and_load(self, epoch: Epoch) -> None:
-        """Fence earlier owners, then read all topics to their ends.
-
-        The epoch marker in the job topic keeps an earlier owner from opening jobs
-        that were accepted after it.
-        """
-        for attempt in range(TAKEOVER_TRIES_MAX):
-            try:
-                await self.progress.begin_epoch(epoch)
-                marker = Entry(EPOCH_KEY, encode_marker(EpochMarker(epoch)))
-                await self.log.append(JOB_TOPIC, [marker])
-                await asyncio.gather(
-                    self.view.job_tail.catch_up(),
-                    self.view.progress_tail.catch_up(),
-                    self.workers.tail.catch_up(),
-                )
-                return
-            except NotOwnerError:
-                raise
-            except PlantainhingeError as error:
-                event = TakeoverStepFailed(
-                    epoch=epoch, attempt=attempt, cause=str(error)
-                )
-                write_event(logger, event)
-                await asyncio.sleep(FAILURE_PAUSE_SECONDS)
-        raise UnavailableError(
-            f"the log could not be read in {TAKEOVER_TRIES_MAX} tries", step="cell.own"
-        )
-
     # Loops
 
     async def _tail_jobs(self, cell: Cell) -> None:
@@ -264,7 +227,7 @@
             now = read_monotonic()
             if isinstance(answer, WorkerReport):
                 cell.handle_report(worker, answer, sent=sent, now=now)
-                self._round_times.reports += 1
+                self._reports.round_times.reports += 1
                 self.wake()
                 if worker.last_end_sequence > worker.acknowledged:
                     await self._wait_for_flush()
@@ -300,7 +263,7 @@
             # the time of the check is no pause, but one during the round may be
             decided_at = read_uptime()
             try:
-                with self._round_times.measure():
+                with self._reports.round_times.measure():
                     self._decide_once(cell)
             except Exception as error:
                 write_event(logger, DecisionsFailed(), error=error)
@@ -319,11 +282,7 @@
         now = read_monotonic()
         cell.closed_domains = self.get_closed_domains()
         cell.decide(now=now, wall=read_wall())
-        if now >= self._next_load_at:
-            self._next_load_at = now + LOAD_INTERVAL_SECONDS
-            report_load(self.metrics, cell.epoch, measure_load(cell, now=now))
-            report_idle_tasks(self.metrics, self._idle_tasks, cell, now=now)
-            write_event(logger, self._round_times.take())
+        self._reports.write_due(cell, now=now)
         for command in cell.take_commands():
             self._spawn(self._send_command(cell, command))
         self._dirty.set()
--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -1,16 +1,51 @@
-"""Reports the load of an owned cell as a log event and as metrics."""
+"""Reports the load of an owned cell as log events and as metrics."""
 
 import logging
+from dataclasses import dataclass, field
 
-from ..core.ids import Epoch
+from ..core.ids import Epoch, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Level, Metrics
 from ..dispatch.cell import Cell
 from ..dispatch.idle_tasks import IdleTasks
-from ..dispatch.load import CellLoad
+from ..dispatch.load import CellLoad, measure_load
+from .round_times import RoundTimes
 
 logger = logging.getLogger(__name__)
 
+INTERVAL_SECONDS = Seconds(2.0)
+
+
+@dataclass
+class LoadReports:
+    """Writes each ``INTERVAL_SECONDS`` how the cell and its owner do.
+
+    Parameters
+    ----------
+    round_times : RoundTimes
+        Durations of the owner's rounds of decisions.
+    """
+
+    metrics: Metrics
+    round_times: RoundTimes = field(init=False)
+    _idle_tasks: IdleTasks = field(default_factory=IdleTasks)
+    _next_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.round_times = RoundTimes(self.metrics)
+
+    def write_due(self, cell: Cell, *, now: float) -> None:
+        """Write the log lines and set the gauges, if it is time."""
+        if now < self._next_at:
+            return
+        self._next_at = now + INTERVAL_SECONDS
+        report_load(self.metrics, cell.epoch, measure_load(cell, now=now))
+        for event in self._idle_tasks.observe(cell, now=now):
+            write_event(logger, event)
+        longest = self._idle_tasks.measure_longest(now=now)
+        self.metrics.set(Level.LONGEST_IDLE, longest)
+        write_event(logger, self.round_times.take())
+
 
 def report_load(metrics: Metrics, epoch: Epoch, load: CellLoad) -> None:
     """Write one log line and set the gauges of the cell."""
@@ -30,12 +65,3 @@
     metrics.set(Level.CELL_WORKERS, load.workers, state="known")
     metrics.set(Level.CELL_WORKERS, load.in_touch, state="in-touch")
     metrics.set(Level.CELL_WORKERS, load.aside, state="set-aside")
-
-
-def report_idle_tasks(
-    metrics: Metrics, idle_tasks: IdleTasks, cell: Cell, *, now: float
-) -> None:
-    """Write a log line for each step with idle long-running tasks; set the gauge."""
-    for event in idle_tasks.observe(cell, now=now):
-        write_event(logger, event)
-    metrics.set(Level.LONGEST_IDLE, idle_tasks.measure_longest(now=now))
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -28,7 +28,7 @@
 DAEMONS = [
     "cell_runner", "instance", "instance_peers", "job_service", "job_view",
     "job_writer", "load_report", "operator_view", "ownership", "progress_log",
-    "round_times", "settings_watch", "tail", "worker_view",
+    "round_times", "settings_watch", "tail", "takeover", "worker_view",
 ]  # fmt: skip
 MODULES = [
     path
