Free the capacity of a stopped attempt that its worker doesn't have

What callers saw: tasks wait although a worker has room for them, since the owner counts an attempt there that never ran. Cause: an attempt whose start was lost, or was under way when its job was cancelled or its copy finished, is stopped; the stop is confirmed, and a report to a renewal sent after that would free its capacity. But the stop was repeated each second and each repetition forgot the confirmation, while a worker without anything to tell answers a renewal after 1.0 s: no report fitted in between. Class: a precaution outlives its cause. Change: the first confirmation counts, since a worker refuses the start from then on. A worker that restarted forgets that, so the stop of an attempt still bound to it is to be confirmed anew.

--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -88,5 +88,6 @@
     if answer.outcome in UNCONFIRMED_STOPS:
         schedule_retry(attempt, now=now)
     else:
-        attempt.confirmed_at = now
+        # the first confirmation counts: the worker refuses the start from then on
+        attempt.confirmed_at = min(attempt.confirmed_at, now)
         attempt.retry_at = now + RETRY_SECONDS_MAX
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -7,7 +7,7 @@
 from ..fleet.model import WorkerEntry
 from .leases import assume_earlier_leases
 from .log_events import LeaseExpired, describe_attempt
-from .model import Worker
+from .model import AttemptPhase, Worker
 from .scheduling_state import SchedulingState
 from .tasks import release_attempt
 from .worker_events import (
@@ -96,6 +96,11 @@
     worker.quarantined_until = 0.0
     for attempt in lost:
         release_attempt(cell, attempt, now=now)
+    for attempt in worker.attempts.values():
+        if attempt.phase is AttemptPhase.STOPPING:
+            # the new incarnation hasn't seen the stop
+            attempt.confirmed_at = float("inf")
+            attempt.retry_at = now
 
 
 def _handle_unlisted(cell: SchedulingState, worker: Worker, *, now: float) -> None:
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -42,11 +42,12 @@
 
 def stop_attempt(cell: SchedulingState, attempt: Attempt, *, now: float) -> None:
     """Stop an attempt; its resources are free once the worker reports the end."""
+    if attempt.phase is not AttemptPhase.STOPPING:
+        # a report without the attempt releases it only after a stop was confirmed
+        attempt.confirmed_at = float("inf")
     attempt.phase = AttemptPhase.STOPPING
     attempt.orders_sent += 1
     attempt.retry_at = float("inf")
-    # a report without the attempt releases it only after the stop was confirmed
-    attempt.confirmed_at = float("inf")
     send_stop(cell, attempt.worker, attempt.task, attempt.number, attempt)
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,12 +3,14 @@
 import msgspec
 import pytest
 
+from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.model import (
     OrderOutcome,
     OrderResponse,
 )
 
 from .simulated_cell import (
+    STEP_SECONDS,
     SimulatedCell,
     make_entry,
     make_job,
@@ -227,3 +229,36 @@
     site.run(3.0)
     assert [attempt for *_, attempt in site.list_running()] == [1]
     assert site.workers["w1"].stopped == []
+
+
+class PolledCell(SimulatedCell):
+    """A site whose workers answer a renewal only after ``poll_seconds``."""
+
+    poll_seconds = 1.05
+
+    def __init__(self, *entries):
+        self.polls_sent = {}
+        super().__init__(*entries)
+
+    def _renew(self, row):
+        sent = self.polls_sent.setdefault(row.name, self.now)
+        if row.reachable and self.now - sent < self.poll_seconds - STEP_SECONDS / 2:
+            return
+        self.polls_sent[row.name] = self.now
+        renewal = self.cell.prepare_renewal(row, now=self.now)
+        report = self.workers[row.name].renew(renewal)
+        self.cell.handle_report(row, report, sent=sent, now=self.now)
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_a_stopped_attempt_that_never_ran_gives_its_capacity_back(delay):
+    site = PolledCell(make_entry("w1", cores=4))
+    site.run(2 + delay)
+    site.workers["w1"].ignores_starts = True
+    site.submit(make_job("gone", make_step(request=Resources(3000, 100))))
+    site.run(0.2)
+    site.cell.cancel_job("gone", now=site.now)
+    site.workers["w1"].ignores_starts = False
+    site.submit(make_job("next", make_step(request=Resources(3000, 100))))
+    site.run(3)
+    assert [key.job for key, _ in site.workers["w1"].started] == ["next"]
