Don't close workers when most of them are silent at once

Risk: an owner that is cut off from its workers for a moment while the log is down starts nothing on them after they answer again, until the log answers. Cause: the handover that names silent workers closes them before it is logged. The cap of 1,000 tasks doesn't help where workers run few. Change: with more than half of the workers silent none is named: the owner is then probably the one that is cut off. Runs: the new test fails without the change and passes with it. The test of a worker that was silent now has a second worker, since one of one is all of them; it still checks that the silent one gets nothing before the log says that it answers, and in addition that the other works meanwhile.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -21,6 +21,7 @@
 SILENT_SECONDS = 0.3
 # tasks on silent workers in one handover, so that it stays a small record
 SILENT_TASKS_MAX = 1000
+SILENT_SHARE_MAX = 0.5
 # decimal places of a logged weight
 WEIGHT_DIGITS = 2
 
@@ -96,7 +97,8 @@
 def _list_silent_workers(cell: SchedulingState, *, now: float) -> list[Worker]:
     """Return the silent workers of which it is known what may run there.
 
-    There are none if they run so much that the owner itself is probably cut off.
+    There are none if they are most of all, or run so much, that the owner itself is
+    probably cut off: it must not close them until the log answers.
     """
     silent = [
         worker
@@ -106,7 +108,8 @@
         and now - worker.unreachable_since > SILENT_SECONDS
     ]
     total = sum(len(worker.attempts) for worker in silent)
-    return silent if total <= SILENT_TASKS_MAX else []
+    is_cut_off = len(silent) > SILENT_SHARE_MAX * len(cell.workers)
+    return [] if is_cut_off or total > SILENT_TASKS_MAX else silent
 
 
 def _close_silent_workers(
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -78,16 +78,31 @@
 
 
 def test_a_worker_that_was_silent_gets_no_start_before_the_log_says_that_it_answers():
-    site = SimulatedCell(make_entry("w1"))
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.run(0.3)
     make_silent(site, "w1")
     site.log_up = False
     site.workers["w1"].unreachable = False
-    site.submit(make_job("j"))
+    site.submit(make_job("j", make_step(count=16, estimate=9.0)))
     site.run(1)
-    assert site.count_starts() == 0
+    assert not site.workers["w1"].started
+    assert len(site.workers["w2"].started) == 8
     site.log_up = True
+    site.run(0.5)
+    assert len(site.workers["w1"].started) == 8
+
+
+def test_workers_that_were_all_silent_at_once_get_starts_while_the_log_is_down():
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.run(0.3)
+    site.log_up = False
+    for worker in site.workers.values():
+        worker.unreachable = True
+    site.run(0.7)
+    for worker in site.workers.values():
+        worker.unreachable = False
+    site.submit(make_job("j"))
+    site.run(0.5)
     assert site.count_starts() == 1
 
 
