Don't risk a task's last attempt on a worker on which it failed

Cause: with the bound of 6 s on avoidance a short-lived task with one attempt left went back to the worker that had failed it, while another was only full for a while. Change: the bound holds while more than one attempt is left.

--- a/plantainhinge/dispatch/avoidance.py
+++ b/plantainhinge/dispatch/avoidance.py
@@ -10,8 +10,8 @@
 from .model import Task, Worker
 from .worker_choice import fits_when_empty
 
-# how long a task waits for capacity on workers on which it hasn't failed; its next
-# failure may be the last one allowed
+# how long a task waits for capacity on workers on which it hasn't failed, unless its
+# next failure is the last one allowed
 AVOIDANCE_SECONDS = 6.0
 # the same for long-running tasks, which may fail any number of times
 LONG_RUNNING_AVOIDANCE_SECONDS = 1.0
@@ -37,9 +37,16 @@
 
 
 def _has_waited(task: Task, *, now: float) -> bool:
-    long_running = task.step.spec.long_running
-    limit = LONG_RUNNING_AVOIDANCE_SECONDS if long_running else AVOIDANCE_SECONDS
-    return now - task.waiting_since >= limit
+    """Return whether a task has waited for others for as long as it should."""
+    waited = now - task.waiting_since
+    if task.step.spec.long_running:
+        return waited >= LONG_RUNNING_AVOIDANCE_SECONDS
+    return waited >= AVOIDANCE_SECONDS and not _has_one_attempt_left(task)
+
+
+def _has_one_attempt_left(task: Task) -> bool:
+    policy = task.step.job.record.policy
+    return len(task.failed_attempts) >= policy.attempts - 1
 
 
 def _fits_elsewhere(task: Task, workers: Iterable[Worker]) -> bool:
