Ask for advice again if a ticket's worker takes no work

What callers saw: a job of an advised queue waits although workers have room, as long as it holds a ticket for a worker that drains, is silent, or has left. Cause: whether a ticket is usable was judged by free capacity alone, over all workers. Change: only workers that accept work count. Runs: the new test fails without the change and passes with it; test_advice passes.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -212,11 +212,8 @@
         self, *, now: float, wall: Seconds
     ) -> tuple[OpenStep, AdviceRequest] | None:
         """Return the most urgent step that needs advice, and the request for it."""
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.entry.domain not in self.closed_domains
-        ]
+        pools = assignment.list_available_workers(self, now=now)
+        workers = [worker for pool in pools.values() for worker in pool]
         return advice.find_advice_request(
             self.list_waiting_steps(), workers, now=now, wall=wall
         )
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -1,7 +1,9 @@
 """Queues that need advice: requests, and the tickets that starts carry."""
 
+import msgspec
+
 from plantainhinge.core.resources import Resources
-from plantainhinge.fleet.model import Advice
+from plantainhinge.fleet.model import Advice, WorkerState
 from plantainhinge.jobs.model import Step
 
 from .simulated_cell import SimulatedCell, make_entry, make_job, make_policy
@@ -73,3 +75,16 @@
     site = make_site(jobs=3)
     assert ask(site).task.job == "j0"
     assert ask(site).task.job == "j1"
+
+
+def test_a_ticket_for_a_worker_that_takes_no_work_prevents_no_further_request():
+    site = make_site()
+    leaving = site.workers["w3"]
+    leaving.entry = msgspec.structs.replace(leaving.entry, state=WorkerState.DRAINING)
+    ask(site, "w3", valid=60.0)
+    site.update_workers()
+    site.run(1.1)
+    assert site.count_starts() == 0
+    ask(site, "w4")
+    site.run(0.2)
+    assert {worker for worker, _, _ in site.list_running()} == {"w4"}
