--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -5,6 +5,7 @@
 
 from ..core.log_events import write_event
 from ..fleet.model import WorkerEntry
+from .health import record_success
 from .leases import assume_earlier_leases
 from .log_events import LeaseExpired, describe_attempt
 from .model import AttemptPhase, Worker
@@ -94,6 +95,7 @@
     worker.unreachable_since = now
     worker.reachable = False
     worker.quarantined_until = 0.0
+    record_success(worker)
     for attempt in lost:
         release_attempt(cell, attempt, now=now)
     for attempt in worker.attempts.values():
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -2,6 +2,7 @@
 
 from ..core.ids import AttemptNumber
 from ..fleet.model import StartOrder, StopOrder, ThrottleOrder
+from .health import note_stop
 from .leases import grant_lease
 from .model import Attempt, AttemptPhase, Task, Worker, set_speed
 from .orders import Start, Stop, Throttle
@@ -42,6 +43,7 @@
 
 def stop_attempt(cell: SchedulingState, attempt: Attempt, *, now: float) -> None:
     """Stop an attempt; its resources are free once the worker reports the end."""
+    note_stop(attempt)
     if attempt.phase is not AttemptPhase.STOPPING:
         # a report without the attempt releases it only after a stop was confirmed
         attempt.confirmed_at = float("inf")
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.model import (
+    EndCause,
     OrderOutcome,
     OrderResponse,
 )
@@ -262,3 +263,19 @@
     site.submit(make_job("next", make_step(request=Resources(3000, 100))))
     site.run(3)
     assert [key.job for key, _ in site.workers["w1"].started] == ["next"]
+
+
+def test_a_stopped_probe_does_not_close_its_worker():
+    site = PolledCell(make_entry("w1"))
+    worker = site.workers["w1"]
+    site.submit(make_job("watch", make_step(count=2, long_running=True)))
+    site.run(2)
+    for key in list(worker.attempts):
+        worker._end(key, EndCause.FAILED)
+    worker.ignores_starts = True
+    site.run_until(lambda: site.cell.workers["w1"].probe is not None)
+    site.cell.cancel_job("watch", now=site.now)
+    worker.ignores_starts = False
+    site.submit(make_job("next"))
+    site.run(0.5)
+    assert [key.job for key, _ in worker.started][2:] == ["next"]
