Read the records of a resumed worker only once it answers

Trace: a worker's recorder never drops an attempt, and the first one had been read from it before the suspension; so the resumed worker's report was missing from the second reading, which leaves out workers that don't answer within 2 s. Change: the test waits until that worker reports before it counts. A worker that is gone still fails it, and exactly two attempts are asked for as before.

--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -247,6 +247,10 @@
     )
     site.send_signal(worker, signal.SIGCONT)
     wait_until("the job finishes", lambda: read_state(site, "audit-w") == "finished")
+    wait_until(
+        "the resumed worker reports",
+        lambda: worker in {report.worker for report in site.read_reports()},
+    )
     attempts = list_job_attempts(site, "audit-w")
     assert len(attempts) == 2
     assert find_overlaps(site.read_reports()) == []
