--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -21,6 +21,7 @@
 SILENT_SECONDS = 0.3
 # tasks on silent workers in one handover, so that it stays a small record
 SILENT_TASKS_MAX = 1000
+# with a larger share of all workers silent, the owner itself is probably cut off
 SILENT_SHARE_MAX = 0.5
 # decimal places of a logged weight
 WEIGHT_DIGITS = 2
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -21,6 +21,7 @@
 from .step_events import TasksIdle, describe_step
 from .worker_choice import has_capacity, holds_ticket, meets_constraints
 
+# tasks that have been idle for less are about to be started
 IDLE_SECONDS_MIN = 2.0
 # lines written at a time
 STEPS_MAX = 10
@@ -93,9 +94,11 @@
 
 
 def _is_recovering(cell: Cell, tasks: list[Task]) -> bool:
+    """Return whether tasks of a step wait for workers of an earlier owner."""
+    if not tasks[0].step.job.inherited:
+        return False
     withheld = cell.list_withheld()
-    inherited = tasks[0].step.job.inherited
-    return inherited and (cell.recovering or any(t.key in withheld for t in tasks))
+    return cell.recovering or any(task.key in withheld for task in tasks)
 
 
 def list_idle_tasks(cell: Cell) -> list[Task]:
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -103,7 +103,7 @@
 
     @property
     def recovering(self) -> bool:
-        """Whether any inherited task may still run under an earlier owner."""
+        """Whether each inherited task may still run under an earlier owner."""
         return bool(self.unverified_workers)
 
     def mark_verified(self, worker: WorkerId) -> None:
--- a/plantainhinge/dispatch/worker_pool.py
+++ b/plantainhinge/dispatch/worker_pool.py
@@ -1,4 +1,4 @@
-"""Choice of workers within one placement pass, without repeating vain searches.
+"""Choice of workers within one placement pass, without repeating failed searches.
 
 In an overload most waiting steps fit on no worker, and many of them are alike. Within a
 pass workers only gain attempts, so a request that found no worker finds none later
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class VainSearch:
+class FailedSearch:
     """A search through all workers that found none.
 
     Parameters
@@ -64,7 +64,7 @@
         self.workers = workers
         self._weights = weights
         self._now = now
-        self._vain: dict[SearchKind, list[VainSearch]] = {}
+        self._failed: dict[SearchKind, list[FailedSearch]] = {}
         self._changed: list[Worker] = []
 
     def __len__(self) -> int:
@@ -75,32 +75,32 @@
         step = task.step
         kind = describe_kind(step)
         headroom = must_leave_headroom(step, now=self._now)
-        vain = self._find_vain(kind, step.spec.request, headroom)
-        workers = self.workers if vain is None else self._list_changed(kind, vain)
+        failed = self._find_failed(kind, step.spec.request, headroom)
+        workers = self.workers if failed is None else self._list_changed(kind, failed)
         worker = choose_worker(task, workers, self._weights, now=self._now)
-        if worker is None and (vain is None or workers) and not is_restricted(task):
-            search = VainSearch(step.spec.request, headroom, len(self._changed))
-            self._vain.setdefault(kind, []).append(search)
+        if worker is None and (failed is None or workers) and not is_restricted(task):
+            search = FailedSearch(step.spec.request, headroom, len(self._changed))
+            self._failed.setdefault(kind, []).append(search)
         return worker
 
     def note_change(self, worker: Worker) -> None:
         """Note that attempts were bound to a worker, even if only for a trial."""
         self._changed.append(worker)
 
-    def _find_vain(
+    def _find_failed(
         self, kind: SearchKind, request: Resources, headroom: bool
-    ) -> VainSearch | None:
-        """Return the newest vain search for a request that is as small or smaller."""
-        for search in reversed(self._vain.get(kind, ())):
+    ) -> FailedSearch | None:
+        """Return the newest failed search for a request that is as small or smaller."""
+        for search in reversed(self._failed.get(kind, ())):
             if search.headroom <= headroom and search.request.fits_within(request):
                 return search
         return None
 
-    def _list_changed(self, kind: SearchKind, vain: VainSearch) -> list[Worker]:
-        """Return the workers on which a search may succeed after a vain one."""
-        if not kind.best_effort or vain.changes == len(self._changed):
+    def _list_changed(self, kind: SearchKind, failed: FailedSearch) -> list[Worker]:
+        """Return the workers on which a search may succeed after a failed one."""
+        if not kind.best_effort or failed.changes == len(self._changed):
             return []
-        changed = set(self._changed[vain.changes :])
+        changed = set(self._changed[failed.changes :])
         return [worker for worker in self.workers if worker in changed]
 
 
