--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -1,14 +1,16 @@
 """Reports the load of an owned cell as log events and as metrics."""
 
 import logging
+from collections import Counter as Totals
 from dataclasses import dataclass, field
 
 from ..core.ids import Epoch, Seconds
 from ..core.log_events import write_event
-from ..core.metrics import Level, Metrics
+from ..core.metrics import Counter, Level, Metrics
 from ..dispatch.cell import Cell
 from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.load import CellLoad, measure_load
+from ..dispatch.model import LossCause
 from .round_times import RoundTimes
 
 logger = logging.getLogger(__name__)
@@ -29,6 +31,7 @@
     metrics: Metrics
     round_times: RoundTimes = field(init=False)
     _idle_tasks: IdleTasks = field(default_factory=IdleTasks)
+    _losses_counted: Totals[LossCause] = field(default_factory=Totals)
     _next_at: float = 0.0
 
     def __post_init__(self) -> None:
@@ -44,8 +47,15 @@
             write_event(logger, event)
         longest = self._idle_tasks.measure_longest(now=now)
         self.metrics.set(Level.LONGEST_IDLE, longest)
+        self._count_losses(cell)
         write_event(logger, self.round_times.take())
 
+    def _count_losses(self, cell: Cell) -> None:
+        """Add the losses since the last report to the counter."""
+        for cause, lost in (cell.losses - self._losses_counted).items():
+            self.metrics.count(Counter.LOST_ATTEMPTS, lost, cause=cause.value)
+        self._losses_counted = Totals(cell.losses)
+
 
 def report_load(metrics: Metrics, epoch: Epoch, load: CellLoad) -> None:
     """Write one log line and set the gauges of the cell."""
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -7,8 +7,9 @@
 from ..fleet.model import WorkerEntry
 from .health import record_success
 from .leases import assume_earlier_leases
-from .log_events import LeaseExpired, describe_attempt
-from .model import AttemptPhase, Worker
+from .log_events import AttemptLost, LeaseExpired, describe_attempt
+from .losses import record_loss
+from .model import AttemptPhase, LossCause, Worker
 from .scheduling_state import SchedulingState
 from .tasks import release_attempt
 from .worker_events import (
@@ -47,7 +48,7 @@
             if inherited:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
                 cell.unverified_workers.add(entry.worker)
-            write_event(logger, WorkerListed(about=describe_worker(worker)))
+            _log_listed(cell, worker)
         elif entry.incarnation > worker.incarnation:
             begin_incarnation(cell, worker, entry.incarnation, now=now)
         _set_entry(worker, entry, now=now)
@@ -56,6 +57,19 @@
             _handle_unlisted(cell, worker, now=now)
 
 
+def _log_listed(cell: SchedulingState, worker: Worker) -> None:
+    event = WorkerListed(
+        about=describe_worker(worker),
+        address=worker.entry.address,
+        predecessors=tuple(
+            other.name
+            for other in cell.workers.values()
+            if other is not worker and other.entry.address == worker.entry.address
+        ),
+    )
+    write_event(logger, event)
+
+
 def _set_entry(worker: Worker, entry: WorkerEntry, *, now: float) -> None:
     if entry.state is not worker.entry.state:
         change = WorkerChangedState(about=describe_worker(worker), state=entry.state)
@@ -89,6 +103,9 @@
     lost = [attempt for attempt in worker.attempts.values() if attempt.reported]
     event = WorkerRestarted(about=describe_worker(worker), attempts_lost=len(lost))
     write_event(logger, event)
+    for attempt in lost:
+        loss = record_loss(cell, attempt, LossCause.RESTARTED, now=now)
+        write_event(logger, AttemptLost(about=describe_attempt(attempt), loss=loss))
     worker.incarnation = incarnation
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
@@ -122,5 +139,7 @@
             continue
         cell.mark_verified(worker.name)
         for attempt in list(worker.attempts.values()):
-            write_event(logger, LeaseExpired(about=describe_attempt(attempt)))
+            loss = record_loss(cell, attempt, LossCause.SILENT, now=now)
+            event = LeaseExpired(about=describe_attempt(attempt), loss=loss)
+            write_event(logger, event)
             release_attempt(cell, attempt, now=now)
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -42,10 +42,37 @@
     about: AttemptFields
 
 
+class LossFields(LogFields, frozen=True, kw_only=True):
+    """The loss of an attempt together with its worker.
+
+    Parameters
+    ----------
+    ran_s : float
+        Seconds from its first order until the worker fell silent.
+    beside : int
+        Other attempts that were bound to the worker.
+    losses : int
+        Attempts of its task that were lost so far, as far as this owner knows.
+    """
+
+    ran_s: float
+    beside: int
+    losses: int
+
+
 @log_event("lease lapsed")
 class LeaseExpired(AttemptEvent, frozen=True, kw_only=True):
     """The lease of an unreachable worker has certainly ended; the task waits again."""
 
+    loss: LossFields
+
+
+@log_event("attempt lost with its worker")
+class AttemptLost(AttemptEvent, frozen=True, kw_only=True):
+    """A worker restarted; the task of an attempt that it ran waits again."""
+
+    loss: LossFields
+
 
 @log_event("attempt is gone")
 class AttemptGone(AttemptEvent, frozen=True, kw_only=True):
@@ -136,6 +163,11 @@
     cause: OrderOutcome
 
 
+@log_event("start repeated")
+class StartRepeated(AttemptEvent, frozen=True, kw_only=True):
+    """A start without an answer is ordered again on the same worker."""
+
+
 @log_event("start unsettled")
 class StartUnsettled(AttemptEvent, frozen=True, kw_only=True):
     """A repeated start was refused, and the first one had no answer.
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -23,6 +23,14 @@
     STOPPING = "stopping"
 
 
+class LossCause(Enum):
+    """How it is known that an attempt ended with its worker."""
+
+    RESTARTED = "restarted"
+    # its lease has certainly ended; the worker may have crashed or be cut off
+    SILENT = "silent"
+
+
 class HandoverMark(Enum):
     """What the record for the next owner says of a worker."""
 
@@ -99,6 +107,8 @@
         before its first one.
     destination : WorkerId, optional
         Worker to which its last attempt was stopped to move.
+    losses : int
+        Attempts that were lost with their workers, as far as this owner knows.
     """
 
     key: TaskKey
@@ -111,6 +121,7 @@
     avoided_workers: set[WorkerId] = field(default_factory=set)
     waiting_since: float = float("-inf")
     destination: WorkerId | None = None
+    losses: int = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -1,13 +1,19 @@
 """Issues orders to workers, and issues unanswered ones again."""
 
+import logging
+
 from ..core.ids import AttemptNumber
+from ..core.log_events import write_event
 from ..fleet.model import StartOrder, StopOrder, ThrottleOrder
 from .health import note_stop
 from .leases import grant_lease
+from .log_events import StartRepeated, describe_attempt
 from .model import Attempt, AttemptPhase, Task, Worker, set_speed
 from .orders import Start, Stop, Throttle
 from .scheduling_state import SchedulingState
 
+logger = logging.getLogger(__name__)
+
 RETRY_SECONDS_MAX = 1.0
 # doubled with each order sent
 RETRY_BASE_SECONDS = 0.15
@@ -74,6 +80,7 @@
             if attempt.retry_at > now:
                 continue
             if attempt.phase is AttemptPhase.ORDERED:
+                write_event(logger, StartRepeated(about=describe_attempt(attempt)))
                 send_start(cell, attempt, now=now)
             elif attempt.phase is AttemptPhase.STOPPING:
                 stop_attempt(cell, attempt, now=now)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -1,12 +1,13 @@
 """The state that a cell's owner bases its decisions on."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
-from .model import OpenJob, Task, Worker
+from .model import LossCause, OpenJob, Task, Worker
 from .orders import Command
 from .weights import ImageWeights
 
@@ -69,6 +70,8 @@
         Monotonic seconds by which all leases of earlier owners have certainly ended.
     speculation_checked_at : float
         Monotonic seconds of the last check for slow attempts.
+    losses : Counter of LossCause
+        Attempts that were lost with their workers, by cause.
     """
 
     epoch: Epoch
@@ -96,6 +99,7 @@
     periods_selected_at: float = float("-inf")
     consolidated_at: float = float("-inf")
     moving: set[Task] = field(default_factory=set)
+    losses: Counter[LossCause] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         first = self.epoch <= FIRST_EPOCH
--- a/plantainhinge/dispatch/worker_events.py
+++ b/plantainhinge/dispatch/worker_events.py
@@ -34,7 +34,18 @@
 
 @log_event("worker listed")
 class WorkerListed(WorkerEvent, frozen=True, kw_only=True):
-    """A worker appeared in the directory."""
+    """A worker appeared in the directory.
+
+    Parameters
+    ----------
+    address : str
+        Its address.
+    predecessors : list of str
+        Other known workers with that address; they have ended.
+    """
+
+    address: str
+    predecessors: tuple[WorkerId, ...] = ()
 
 
 @log_event("worker left the list")
