Test that a task that crashes its workers is given up, failing as yet

Cause shown: attempts that are lost with their workers count for nothing, so a task that crashes each worker is started for as long as its job is open, whether the workers come back under their id or another, and under each owner anew.

The simulated site has workers that crash and come back, and tasks that crash them.

--- /dev/null
+++ b/tests/test_deadly_tasks.py
@@ -0,0 +1,70 @@
+"""Tasks that crash each worker that starts them, and what becomes of the others."""
+
+import pytest
+
+from plantainhinge.core.ids import JobId
+from plantainhinge.jobs.model import TaskKey
+
+from .simulated_cell import make_job, make_step
+from .simulated_crashes import open_crashing_site
+
+DEADLY = TaskKey(JobId("deadly"), 0, 0, 0)
+# starts of a task that the rules allow: until three workers have crashed, and two more
+STARTS_MAX = 5
+RETURNS = [
+    pytest.param(False, id="another-id"),
+    pytest.param(True, id="same-id"),
+]
+
+
+def submit_deadly(site, **step):
+    record = make_job("deadly", make_step(**step))
+    site.submit(record)
+    return record
+
+
+def submit_neighbours(site, count=24, **step):
+    records = [make_job(f"n{index}", make_step(**step)) for index in range(count)]
+    for record in records:
+        site.submit(record)
+    return records
+
+
+def list_states(site, records):
+    return {site.state_of(record.job) for record in records}
+
+
+@pytest.mark.parametrize("keeps_id", RETURNS)
+def test_a_task_that_crashes_its_workers_is_given_up(keeps_id):
+    site = open_crashing_site(deadly=[DEADLY], keeps_id=keeps_id)
+    site.run(0.5)
+    submit_deadly(site)
+    site.run(60)
+    assert site.state_of("deadly") == "failed"
+    assert 2 <= site.count_task_starts(DEADLY) <= STARTS_MAX
+
+
+@pytest.mark.parametrize("keeps_id", RETURNS)
+def test_neighbours_of_a_task_that_crashes_its_workers_all_complete(keeps_id):
+    site = open_crashing_site(deadly=[DEADLY], keeps_id=keeps_id)
+    site.run(0.5)
+    records = submit_neighbours(site, estimate=8.0)
+    submit_deadly(site)
+    site.run(60)
+    assert list_states(site, records) == {"completed"}
+    assert site.state_of("deadly") == "failed"
+
+
+@pytest.mark.parametrize("keeps_id", RETURNS)
+def test_crashes_of_a_task_are_remembered_by_the_next_owners(keeps_id):
+    site = open_crashing_site(deadly=[DEADLY], keeps_id=keeps_id)
+    site.run(0.5)
+    records = [submit_deadly(site), *submit_neighbours(site, estimate=8.0)]
+    for _ in range(10):
+        site.run(4)
+        unfinished = [each for each in records if site.state_of(each.job) != "failed"]
+        site.take_over(unfinished)
+    site.run(60)
+    assert site.state_of("deadly") == "failed"
+    assert site.count_task_starts(DEADLY) <= STARTS_MAX
+    assert list_states(site, records[1:]) == {"completed"}
