Take a worker for ended once another one answers at its address

Callers saw: what ran on a crashed worker went on 6.3 s later, when its lease had surely ended, although the worker was back after 3.4 s, under another id. Cause: only a restart under the same id was taken as proof of an end. A renewal that names the old id is refused by whoever listens at its address now; that was taken for silence. Change: such a refusal ends the worker: nothing else can run at its address, and orders to it that are still under way are refused there as well. Its attempts are released and their tasks wait again at once.

--- a/plantainhinge/cli/log_lines.py
+++ b/plantainhinge/cli/log_lines.py
@@ -43,6 +43,7 @@
         "worker left the list",
         "worker listed",
         "worker out of touch",
+        "worker replaced",
         "worker restarted",
     }
 )
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -142,6 +142,8 @@
         if answer.outcome is OrderOutcome.FENCED:
             self.fenced = True
         incarnations.mark_unreachable(self, worker, now=now)
+        if answer.outcome is OrderOutcome.OTHER_INCARNATION:
+            incarnations.end_worker(self, worker, now=now)
 
     def take_commands(self) -> list[Command]:
         """Return the commands issued since the last call."""
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -9,12 +9,13 @@
 from .leases import assume_earlier_leases
 from .log_events import AttemptLost, LeaseExpired, describe_attempt
 from .losses import record_loss
-from .model import AttemptPhase, LossCause, Worker
+from .model import Attempt, AttemptPhase, LossCause, Worker
 from .scheduling_state import SchedulingState
 from .tasks import release_attempt
 from .worker_events import (
     WorkerChangedState,
     WorkerListed,
+    WorkerReplaced,
     WorkerRestarted,
     WorkerUnlisted,
     WorkerUnreachable,
@@ -104,8 +105,7 @@
     event = WorkerRestarted(about=describe_worker(worker), attempts_lost=len(lost))
     write_event(logger, event)
     for attempt in lost:
-        loss = record_loss(cell, attempt, LossCause.RESTARTED, now=now)
-        write_event(logger, AttemptLost(about=describe_attempt(attempt), loss=loss))
+        _log_loss(cell, attempt, LossCause.RESTARTED, now=now)
     worker.incarnation = incarnation
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
@@ -122,6 +122,32 @@
             attempt.retry_at = now
 
 
+def end_worker(cell: SchedulingState, worker: Worker, *, now: float) -> None:
+    """Release all attempts of a worker at whose address another one answers.
+
+    Orders to it that are still under way reach the other worker, which refuses them.
+    """
+    lost = list(worker.attempts.values())
+    if not lost and now >= worker.latest_expiry:
+        return
+    event = WorkerReplaced(about=describe_worker(worker), attempts_lost=len(lost))
+    write_event(logger, event)
+    for attempt in lost:
+        _log_loss(cell, attempt, LossCause.REPLACED, now=now)
+    worker.latest_expiry = now
+    cell.mark_verified(worker.name)
+    for attempt in lost:
+        release_attempt(cell, attempt, now=now)
+
+
+def _log_loss(
+    cell: SchedulingState, attempt: Attempt, cause: LossCause, *, now: float
+) -> None:
+    loss = record_loss(cell, attempt, cause, now=now)
+    event = AttemptLost(about=describe_attempt(attempt), loss=loss, cause=cause)
+    write_event(logger, event)
+
+
 def _handle_unlisted(cell: SchedulingState, worker: Worker, *, now: float) -> None:
     if worker.listed:
         write_event(logger, WorkerUnlisted(about=describe_worker(worker)))
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -6,7 +6,7 @@
 from ..core.log_events import LogEvent, LogFields, log_event
 from ..fleet.model import EndCause, OrderOutcome
 from ..jobs.model import JobState
-from .model import Attempt, AttemptPhase
+from .model import Attempt, AttemptPhase, LossCause
 
 
 class AttemptFields(LogFields, frozen=True, kw_only=True):
@@ -69,7 +69,15 @@
 
 @log_event("attempt lost with its worker")
 class AttemptLost(AttemptEvent, frozen=True, kw_only=True):
-    """A worker restarted; the task of an attempt that it ran waits again."""
+    """A worker restarted or was replaced; the task of an attempt waits again.
+
+    Parameters
+    ----------
+    cause : str
+        How it is known that the attempt ended.
+    """
+
+    cause: LossCause
 
     loss: LossFields
 
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -27,6 +27,8 @@
     """How it is known that an attempt ended with its worker."""
 
     RESTARTED = "restarted"
+    # another worker answers at its address
+    REPLACED = "replaced"
     # its lease has certainly ended; the worker may have crashed or be cut off
     SILENT = "silent"
 
--- a/plantainhinge/dispatch/worker_events.py
+++ b/plantainhinge/dispatch/worker_events.py
@@ -92,6 +92,19 @@
     attempts_lost: int
 
 
+@log_event("worker replaced")
+class WorkerReplaced(WorkerEvent, frozen=True, kw_only=True):
+    """Another worker answers at a worker's address; all that it ran has ended.
+
+    Parameters
+    ----------
+    attempts_lost : int
+        Attempts that were bound to it.
+    """
+
+    attempts_lost: int
+
+
 def describe_worker(worker: Worker) -> WorkerFields:
     """Return the fields that identify a worker in log events."""
     return WorkerFields(
--- a/tests/simulated_crashes.py
+++ b/tests/simulated_crashes.py
@@ -98,6 +98,13 @@
                 self._bring_back(name)
         self.update_workers()
 
+    def _renew(self, row):
+        if row.name not in self._replaced:
+            super()._renew(row)
+            return
+        answer = OrderResponse(outcome=OrderOutcome.OTHER_INCARNATION)
+        self.cell.handle_failed_renewal(row, answer, now=self.now)
+
     def _is_fatal(self, key, attempt):
         return key[0] in self.deadly and self.now >= attempt.started + self.delay
 
