Count attempts that are lost with their workers, and give up a task that crashes them

Callers saw: a job of which a task crashes each worker that starts it never ended; each crash threw away what else ran there. Cause: only ends that a worker lists as failed counted. A loss that nobody counts is repeated for ever, and under each owner anew. Change: dispatch/losses.py records each loss with its attempt, worker and incarnation, and whether the worker is known to have crashed: it restarted, or another one answers at its address. One that was silent until its leases ended may have been cut off; the loss is taken back if it answers as the same incarnation, and confirmed if it is learnt later that it had restarted. A worker that left as announced counts for nothing. The losses are part of the job's progress. Tasks that an earlier owner's silent worker may have run count, too. After four losses, two of them crashes, the job fails and its other tasks are stopped. A start that a restarted worker hasn't listed is stopped first instead of being sent again under the same number. A task with a loss gets no speculative attempt.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -30,6 +30,7 @@
     eviction,
     handovers,
     incarnations,
+    losses,
     open_jobs,
     ordering,
     reports,
@@ -86,6 +87,8 @@
         self.jobs[record.job] = job
         if inherited:
             handovers.restore_loads(self, job, now=self.started_at)
+            for task in job.list_tasks():
+                losses.watch_unconfirmed(self, task)
 
     def cancel_job(self, job_id: JobId, *, now: float) -> None:
         """Stop a job's attempts and start no more of its tasks."""
--- a/plantainhinge/dispatch/copies.py
+++ b/plantainhinge/dispatch/copies.py
@@ -61,12 +61,17 @@
 
 
 def allows_speculation(attempt: Attempt) -> bool:
-    """Return whether an attempt's task may have a second attempt and has none."""
+    """Return whether an attempt's task may have a second attempt and has none.
+
+    A task of which attempts were lost with their workers may be what crashes them, so
+    it runs in one place at a time.
+    """
     spec = attempt.task.step.spec
     return (
         spec.speculative
         and not spec.long_running
         and not spec.gang
+        and not attempt.task.losses
         and len(attempt.task.attempts) == 1
         and attempt.phase is not AttemptPhase.STOPPING
     )
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -7,11 +7,9 @@
 from ..fleet.model import WorkerEntry
 from .health import record_success
 from .leases import assume_earlier_leases
-from .log_events import AttemptLost, LeaseExpired, describe_attempt
-from .losses import record_loss
-from .model import Attempt, AttemptPhase, LossCause, Worker
+from .losses import explain_losses, lose_attempts, lose_withheld, note_outage
+from .model import AttemptPhase, LossCause, Worker
 from .scheduling_state import SchedulingState
-from .tasks import release_attempt
 from .worker_events import (
     WorkerChangedState,
     WorkerListed,
@@ -88,6 +86,7 @@
             about=describe_worker(worker), silent_s=now - worker.answered_at
         )
         write_event(logger, event)
+        note_outage(cell, worker, now=now)
         worker.unreachable_since = now
     worker.reachable = False
 
@@ -104,8 +103,9 @@
     lost = [attempt for attempt in worker.attempts.values() if attempt.reported]
     event = WorkerRestarted(about=describe_worker(worker), attempts_lost=len(lost))
     write_event(logger, event)
-    for attempt in lost:
-        _log_loss(cell, attempt, LossCause.RESTARTED, now=now)
+    lose_attempts(cell, worker, lost, LossCause.RESTARTED, now=now)
+    lose_withheld(cell, worker, LossCause.RESTARTED, now=now)
+    explain_losses(cell, worker.name, survivor=incarnation, now=now)
     worker.incarnation = incarnation
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
@@ -113,8 +113,6 @@
     worker.reachable = False
     worker.quarantined_until = 0.0
     record_success(worker)
-    for attempt in lost:
-        release_attempt(cell, attempt, now=now)
     for attempt in worker.attempts.values():
         if attempt.phase is AttemptPhase.STOPPING:
             # the new incarnation hasn't seen the stop
@@ -127,25 +125,16 @@
 
     Orders to it that are still under way reach the other worker, which refuses them.
     """
-    lost = list(worker.attempts.values())
-    if not lost and now >= worker.latest_expiry:
-        return
-    event = WorkerReplaced(about=describe_worker(worker), attempts_lost=len(lost))
-    write_event(logger, event)
-    for attempt in lost:
-        _log_loss(cell, attempt, LossCause.REPLACED, now=now)
-    worker.latest_expiry = now
+    if now < worker.latest_expiry:
+        event = WorkerReplaced(
+            about=describe_worker(worker), attempts_lost=len(worker.attempts)
+        )
+        write_event(logger, event)
+    lose_attempts(cell, worker, worker.attempts.values(), LossCause.REPLACED, now=now)
+    lose_withheld(cell, worker, LossCause.REPLACED, now=now)
+    explain_losses(cell, worker.name, survivor=None, now=now)
+    worker.latest_expiry = min(worker.latest_expiry, now)
     cell.mark_verified(worker.name)
-    for attempt in lost:
-        release_attempt(cell, attempt, now=now)
-
-
-def _log_loss(
-    cell: SchedulingState, attempt: Attempt, cause: LossCause, *, now: float
-) -> None:
-    loss = record_loss(cell, attempt, cause, now=now)
-    event = AttemptLost(about=describe_attempt(attempt), loss=loss, cause=cause)
-    write_event(logger, event)
 
 
 def _handle_unlisted(cell: SchedulingState, worker: Worker, *, now: float) -> None:
@@ -155,6 +144,8 @@
     unanswered_seconds = now - max(worker.answered_at, cell.started_at)
     if not worker.attempts and unanswered_seconds > UNLISTED_RETENTION_SECONDS:
         cell.mark_verified(worker.name)
+        cell.unconfirmed_losses.pop(worker.name, None)
+        cell.outages.pop(worker.name, None)
         del cell.workers[worker.name]
 
 
@@ -163,9 +154,6 @@
     for worker in cell.workers.values():
         if worker.reachable or now < worker.latest_expiry:
             continue
+        lose_attempts(cell, worker, worker.attempts.values(), LossCause.SILENT, now=now)
+        lose_withheld(cell, worker, LossCause.SILENT, now=now)
         cell.mark_verified(worker.name)
-        for attempt in list(worker.attempts.values()):
-            loss = record_loss(cell, attempt, LossCause.SILENT, now=now)
-            event = LeaseExpired(about=describe_attempt(attempt), loss=loss)
-            write_event(logger, event)
-            release_attempt(cell, attempt, now=now)
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -5,7 +5,7 @@
 from ..core.ids import JobId, WorkerId
 from ..core.log_events import LogEvent, LogFields, log_event
 from ..fleet.model import EndCause, OrderOutcome
-from ..jobs.model import JobState
+from ..jobs.model import JobState, TaskKey
 from .model import Attempt, AttemptPhase, LossCause
 
 
@@ -69,7 +69,7 @@
 
 @log_event("attempt lost with its worker")
 class AttemptLost(AttemptEvent, frozen=True, kw_only=True):
-    """A worker restarted or was replaced; the task of an attempt waits again.
+    """A worker crashed or has left; the task of an attempt that it ran waits again.
 
     Parameters
     ----------
@@ -210,6 +210,29 @@
     fresh_s: float
 
 
+@log_event("task given up", level=logging.WARNING)
+class TaskGivenUp(LogEvent, frozen=True, kw_only=True):
+    """A task crashes the workers that start it, so its job fails.
+
+    Parameters
+    ----------
+    job, task : str
+        The job's id; job, occurrence, step and position of the task.
+    attempts : list of int
+        Numbers of the attempts that were lost with their workers.
+    workers : list of str
+        These workers, in the same order.
+    crashes : int
+        How many of them are known to have crashed.
+    """
+
+    job: JobId
+    task: str
+    attempts: tuple[int, ...]
+    workers: tuple[WorkerId, ...]
+    crashes: int
+
+
 @log_event("job ended")
 class JobEnded(LogEvent, frozen=True, kw_only=True):
     """A job completed, failed or was cancelled.
@@ -240,7 +263,12 @@
 
 def name_task(attempt: Attempt) -> str:
     """Return the name of an attempt's task in log events."""
-    return ".".join(str(part) for part in attempt.task.key)
+    return name_key(attempt.task.key)
+
+
+def name_key(key: TaskKey) -> str:
+    """Return the name of a task in log events."""
+    return ".".join(str(part) for part in key)
 
 
 @log_event("serving tasks move")
--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -1,24 +1,210 @@
-"""Counts attempts that are lost with their workers."""
+"""Attempts that end with their workers, and tasks that are given up for them.
 
-from .log_events import LossFields
-from .model import Attempt, LossCause
+A crash takes along all that ran on a worker, and at most one of these tasks caused it.
+So a lost attempt makes its task a suspect, no more. The losses are part of a job's
+progress and live as long as the task.
+"""
+
+import logging
+from collections.abc import Iterable
+
+import msgspec
+
+from ..core.ids import AttemptNumber, WorkerId
+from ..core.log_events import write_event
+from ..fleet.model import WorkerState
+from ..jobs.model import FINAL_JOB_STATES, JobState
+from ..jobs.records import LostAttempt
+from .log_events import (
+    AttemptLost,
+    LeaseExpired,
+    LossFields,
+    TaskGivenUp,
+    describe_attempt,
+    name_key,
+)
+from .model import Attempt, LossCause, Outage, Task, Worker
 from .scheduling_state import SchedulingState
+from .tasks import end_job, find_task, release_attempt
+
+logger = logging.getLogger(__name__)
+
+CRASH_CAUSES = frozenset({LossCause.RESTARTED, LossCause.REPLACED})
+# workers that are lost within this time of each other probably have one cause
+SHARED_SECONDS = 1.0
+# at least so many of them, and such a share of all workers
+SHARED_WORKERS_MIN = 3
+SHARED_RATIO_MIN = 0.08
+# a task is given up after this many losses, of which so many are known to be crashes
+LOSSES_MAX = 4
+CRASHES_MIN = 2
+# after running for this long, a long-running task is no longer suspected
+CLEARING_SECONDS = 600.0
+
+
+def lose_attempts(
+    cell: SchedulingState,
+    worker: Worker,
+    attempts: Iterable[Attempt],
+    cause: LossCause,
+    *,
+    now: float,
+) -> None:
+    """Release attempts that ended with their worker, and count the losses."""
+    if worker.entry.state is WorkerState.DRAINING:
+        cause = LossCause.LEFT
+    note_outage(cell, worker, now=now)
+    lost = list(attempts)
+    for attempt in lost:
+        cell.losses[cause] += 1
+        if cause is not LossCause.LEFT:
+            record = _describe_loss(cell, worker, attempt.number, cause)
+            record = msgspec.structs.replace(record, incarnation=attempt.incarnation)
+            add_loss(cell, attempt.task, record)
+        _log_loss(attempt, cause, now=now)
+    for attempt in lost:
+        release_attempt(cell, attempt, now=now)
+    for attempt in lost:
+        give_up(cell, attempt.task, now=now)
+
+
+def lose_withheld(
+    cell: SchedulingState, worker: Worker, cause: LossCause, *, now: float
+) -> None:
+    """Count the losses of tasks that an earlier owner's silent worker may have run."""
+    if worker.entry.state is WorkerState.DRAINING:
+        return
+    note_outage(cell, worker, now=now)
+    for key in cell.withheld_tasks.get(worker.name, frozenset()):
+        task = find_task(cell, key)
+        if task is None or task.attempts:
+            continue
+        task.last_attempt = max(task.last_attempt, 1)
+        number = AttemptNumber(task.last_attempt)
+        add_loss(cell, task, _describe_loss(cell, worker, number, cause))
+        give_up(cell, task, now=now)
+
+
+def note_outage(cell: SchedulingState, worker: Worker, *, now: float) -> None:
+    """Note that a worker fell silent or restarted, unless that is known."""
+    known = cell.outages.get(worker.name)
+    if known is None or known.incarnation != worker.incarnation:
+        cell.outages[worker.name] = Outage(now, worker.incarnation)
+
+
+def _describe_loss(
+    cell: SchedulingState, worker: Worker, number: AttemptNumber, cause: LossCause
+) -> LostAttempt:
+    return LostAttempt(
+        attempt=number,
+        worker=worker.name,
+        incarnation=worker.incarnation,
+        confirmed=cause in CRASH_CAUSES,
+        shared=is_shared(cell, worker.name),
+    )
+
+
+def add_loss(cell: SchedulingState, task: Task, record: LostAttempt) -> None:
+    """Add a loss to its task, unless it is known already or no longer matters."""
+    job = task.step.job
+    if task.done or job.state in FINAL_JOB_STATES:
+        return
+    known = {(loss.attempt, loss.worker) for loss in task.losses}
+    if (record.attempt, record.worker) not in known:
+        task.losses.append(record)
+        watch_unconfirmed(cell, task)
+        cell.dirty[job.job_id] = job
+
 
+def watch_unconfirmed(cell: SchedulingState, task: Task) -> None:
+    """Remember the workers of which it isn't known whether they crashed."""
+    for loss in task.losses:
+        if not loss.confirmed:
+            cell.unconfirmed_losses.setdefault(loss.worker, set()).add(task)
 
-def record_loss(
-    cell: SchedulingState, attempt: Attempt, cause: LossCause, *, now: float
-) -> LossFields:
-    """Count an attempt that ended with its worker; return what to log about it.
 
-    Called before the attempt is released.
+def explain_losses(
+    cell: SchedulingState, worker: WorkerId, *, survivor: int | None, now: float
+) -> None:
+    """Judge the unconfirmed losses on a worker, which answers or was replaced.
+
+    Parameters
+    ----------
+    survivor : int, optional
+        The incarnation that answers: what it ran was stopped by the end of its lease.
+        None if the worker was replaced.
     """
-    attempt.task.losses += 1
-    cell.losses[cause] += 1
-    return LossFields(
+    for task in cell.unconfirmed_losses.pop(worker, ()):
+        losses = [_explain(loss, worker, survivor) for loss in task.losses]
+        task.losses = [loss for loss in losses if loss is not None]
+        if task.step.job.state not in FINAL_JOB_STATES:
+            cell.dirty[task.step.job.job_id] = task.step.job
+            give_up(cell, task, now=now)
+
+
+def _explain(
+    loss: LostAttempt, worker: WorkerId, survivor: int | None
+) -> LostAttempt | None:
+    if loss.worker != worker or loss.confirmed:
+        return loss
+    if survivor is not None and loss.incarnation >= survivor:
+        return None
+    return msgspec.structs.replace(loss, confirmed=True)
+
+
+def is_shared(cell: SchedulingState, worker: WorkerId) -> bool:
+    """Return whether many workers were lost at about the same time as this one.
+
+    They probably have a cause in common, so it says little about what each of them ran.
+    """
+    at = cell.outages[worker].at
+    lost = sum(
+        abs(outage.at - at) <= SHARED_SECONDS for outage in cell.outages.values()
+    )
+    return lost >= max(SHARED_WORKERS_MIN, SHARED_RATIO_MIN * len(cell.workers))
+
+
+def give_up(cell: SchedulingState, task: Task, *, now: float) -> None:
+    """Fail the job of a task that is shown to crash its workers."""
+    job = task.step.job
+    if job.state in FINAL_JOB_STATES or task.done or not is_convicted(task.losses):
+        return
+    event = TaskGivenUp(
+        job=job.job_id,
+        task=name_key(task.key),
+        attempts=tuple(loss.attempt for loss in task.losses),
+        workers=tuple(loss.worker for loss in task.losses),
+        crashes=sum(loss.confirmed for loss in task.losses),
+    )
+    write_event(logger, event)
+    end_job(cell, job, JobState.FAILED, now=now)
+
+
+def is_convicted(losses: list[LostAttempt]) -> bool:
+    """Return whether the losses show that the task itself crashes its workers."""
+    crashes = sum(loss.confirmed for loss in losses)
+    return crashes >= CRASHES_MIN and len(losses) >= LOSSES_MAX
+
+
+def clear_task(cell: SchedulingState, attempt: Attempt, *, now: float) -> None:
+    """Forget the losses of a long-running task that has run for long enough."""
+    task = attempt.task
+    if task.losses and now - attempt.confirmed_at >= CLEARING_SECONDS:
+        task.losses.clear()
+        cell.dirty[task.step.job.job_id] = task.step.job
+
+
+def _log_loss(attempt: Attempt, cause: LossCause, *, now: float) -> None:
+    about = describe_attempt(attempt)
+    loss = LossFields(
         ran_s=round(measure_run(attempt, now=now), 3),
         beside=len(attempt.worker.attempts) - 1,
-        losses=attempt.task.losses,
+        losses=len(attempt.task.losses),
     )
+    if cause is LossCause.SILENT:
+        write_event(logger, LeaseExpired(about=about, loss=loss))
+    else:
+        write_event(logger, AttemptLost(about=about, loss=loss, cause=cause))
 
 
 def measure_run(attempt: Attempt, *, now: float) -> float:
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -8,6 +8,7 @@
 from ..core.resources import Resources
 from ..fleet.model import WorkerEntry, WorkerState
 from ..jobs.model import JobRecord, JobState, Step, TaskKey
+from ..jobs.records import LostAttempt
 from .forecast import LoadForecast, make_forecast
 
 RACK_LABEL_PREFIX = "r"
@@ -31,6 +32,24 @@
     REPLACED = "replaced"
     # its lease has certainly ended; the worker may have crashed or be cut off
     SILENT = "silent"
+    # an announced end; nothing crashed
+    LEFT = "left"
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A worker fell silent, or was found to have restarted.
+
+    Parameters
+    ----------
+    at : float
+        Monotonic seconds.
+    incarnation : int
+        The worker's incarnation until then.
+    """
+
+    at: float
+    incarnation: int
 
 
 class HandoverMark(Enum):
@@ -54,6 +73,8 @@
     confirmed_at : float
         Monotonic seconds at which the start or the stop was confirmed; 0 while a start
         and infinite while a stop is unconfirmed.
+    incarnation : int
+        Incarnation of the worker, as far as it was known, when the start was ordered.
     retry_at : float
         Monotonic seconds at which an unanswered order is sent again; infinite if
         none is due.
@@ -79,6 +100,7 @@
     phase: AttemptPhase
     ordered_at: float
     confirmed_at: float = 0.0
+    incarnation: int = 0
     retry_at: float = float("inf")
     orders_sent: int = 0
     reported: bool = False
@@ -109,8 +131,8 @@
         before its first one.
     destination : WorkerId, optional
         Worker to which its last attempt was stopped to move.
-    losses : int
-        Attempts that were lost with their workers, as far as this owner knows.
+    losses : list of LostAttempt
+        Attempts that ended with their workers (see ``dispatch.losses``).
     """
 
     key: TaskKey
@@ -123,7 +145,7 @@
     avoided_workers: set[WorkerId] = field(default_factory=set)
     waiting_since: float = float("-inf")
     destination: WorkerId | None = None
-    losses: int = 0
+    losses: list[LostAttempt] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -121,6 +121,7 @@
             task.last_attempt = task_progress.last_attempt
             task.failed_attempts = set(task_progress.failed_attempts)
             task.checkpoint = task_progress.checkpoint
+            task.losses = list(task_progress.losses)
 
 
 def _describe_step(step: OpenStep) -> StepProgress:
@@ -131,11 +132,16 @@
 def _list_task_progress(step: OpenStep) -> Iterator[tuple[int, TaskProgress]]:
     for task in step.tasks:
         if task.done or not (
-            task.failed_attempts or task.checkpoint or task.last_attempt > 1
+            task.failed_attempts
+            or task.checkpoint
+            or task.losses
+            or task.last_attempt > 1
         ):
             continue
-        failed = tuple(sorted(task.failed_attempts))
-        yield (
-            task.key.position,
-            TaskProgress(task.last_attempt, failed, task.checkpoint),
+        progress = TaskProgress(
+            task.last_attempt,
+            tuple(sorted(task.failed_attempts)),
+            task.checkpoint,
+            tuple(task.losses),
         )
+        yield task.key.position, progress
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -23,6 +23,7 @@
     """Order the start of an attempt, for the first time or again."""
     attempt.orders_sent += 1
     attempt.retry_at = float("inf")
+    attempt.incarnation = attempt.worker.incarnation
     order = StartOrder(
         task=attempt.task.key,
         attempt=attempt.number,
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -16,7 +16,15 @@
 from .interference import infer_speed
 from .leases import record_answer
 from .log_events import AttemptEnded, AttemptGone, describe_attempt
-from .model import Attempt, AttemptPhase, Task, Worker, bind_attempt
+from .losses import clear_task, explain_losses, lose_attempts
+from .model import (
+    Attempt,
+    AttemptPhase,
+    LossCause,
+    Task,
+    Worker,
+    bind_attempt,
+)
 from .ordering import send_throttle, stop_attempt
 from .orders import Stop
 from .scheduling_state import SchedulingState
@@ -48,6 +56,7 @@
         return
     if report.incarnation > worker.incarnation:
         begin_incarnation(cell, worker, report.incarnation, now=now)
+    _note_survival(cell, worker, now=now)
     record_answer(worker, clock=report.clock, received=now)
     for end in report.ended:
         if end.sequence > worker.last_end_sequence:
@@ -64,6 +73,14 @@
     protect_serving(cell, worker, now=now)
 
 
+def _note_survival(cell: SchedulingState, worker: Worker, *, now: float) -> None:
+    """Note that a worker answers, which may have been taken for crashed."""
+    outage = cell.outages.get(worker.name)
+    if outage is not None and outage.incarnation == worker.incarnation:
+        del cell.outages[worker.name]
+    explain_losses(cell, worker.name, survivor=worker.incarnation, now=now)
+
+
 def _handle_end(
     cell: SchedulingState, worker: Worker, end: EndedAttempt, *, now: float
 ) -> None:
@@ -117,6 +134,8 @@
         attempt.confirmed_at = attempt.progressed_at = now
         attempt.retry_at = float("inf")
     attempt.reported = True
+    attempt.incarnation = worker.incarnation
+    clear_task(cell, attempt, now=now)
     if running.progress_percent != attempt.progress_percent:
         attempt.progress_percent = running.progress_percent
         attempt.progressed_at = now
@@ -138,7 +157,15 @@
         stop_orphaned_attempt(cell, worker, running)
         return
     task.last_attempt = max(task.last_attempt, running.attempt)
-    attempt = Attempt(task, running.attempt, worker, AttemptPhase.RUNNING, now, now)
+    attempt = Attempt(
+        task,
+        running.attempt,
+        worker,
+        AttemptPhase.RUNNING,
+        now,
+        now,
+        incarnation=worker.incarnation,
+    )
     attempt.progress_percent, attempt.gauge, attempt.progressed_at = (
         running.progress_percent,
         running.gauge,
@@ -190,15 +217,23 @@
 
     Attempts confirmed after the renewal was sent may be too new for the report. One
     whose start may still be carried out is stopped first: the worker then refuses it.
+    So is one that was ordered before the worker restarted; it may be what crashed it.
     """
     present = {(running.task, running.attempt) for running in report.running}
     for key, attempt in list(worker.attempts.items()):
-        if key in present or attempt.phase is AttemptPhase.ORDERED:
+        if key in present:
+            continue
+        is_older = attempt.incarnation < worker.incarnation
+        if attempt.phase is AttemptPhase.ORDERED:
+            if is_older:
+                stop_attempt(cell, attempt, now=now)
             continue
         if attempt.confirmed_at >= sent:
             continue
         if _may_start_late(attempt):
             stop_attempt(cell, attempt, now=now)
+        elif is_older:
+            lose_attempts(cell, worker, [attempt], LossCause.RESTARTED, now=now)
         else:
             write_event(logger, AttemptGone(about=describe_attempt(attempt)))
             release_attempt(cell, attempt, now=now)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -7,7 +7,7 @@
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
-from .model import LossCause, OpenJob, Task, Worker
+from .model import LossCause, OpenJob, Outage, Task, Worker
 from .orders import Command
 from .weights import ImageWeights
 
@@ -72,6 +72,10 @@
         Monotonic seconds of the last check for slow attempts.
     losses : Counter of LossCause
         Attempts that were lost with their workers, by cause.
+    unconfirmed_losses : dict of WorkerId to set of Task
+        Tasks of which attempts ended with workers that may have been cut off.
+    outages : dict of WorkerId to Outage
+        Newest outage of each worker, unless it turned out that it hadn't crashed.
     """
 
     epoch: Epoch
@@ -100,6 +104,8 @@
     consolidated_at: float = float("-inf")
     moving: set[Task] = field(default_factory=set)
     losses: Counter[LossCause] = field(default_factory=Counter)
+    unconfirmed_losses: dict[WorkerId, set[Task]] = field(default_factory=dict)
+    outages: dict[WorkerId, Outage] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         first = self.epoch <= FIRST_EPOCH
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -33,7 +33,14 @@
     task.last_attempt = number
     if task in task.step.waiting:
         task.step.waiting.remove(task)
-    attempt = Attempt(task, AttemptNumber(number), worker, AttemptPhase.ORDERED, now)
+    attempt = Attempt(
+        task,
+        AttemptNumber(number),
+        worker,
+        AttemptPhase.ORDERED,
+        now,
+        incarnation=worker.incarnation,
+    )
     bind_attempt(attempt)
     health.note_start(attempt, now=now)
     job = task.step.job
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..core.errors import CorruptRecordError
-from ..core.ids import JobId, QueueName
+from ..core.ids import AttemptNumber, JobId, QueueName, WorkerId
 from .model import JobRecord, JobState
 
 DECODE_STEP = "jobs.decode"
@@ -23,6 +23,27 @@
     PROGRESS = "p"
 
 
+class LostAttempt(msgspec.Struct, array_like=True, frozen=True):
+    """An attempt that ended with its worker.
+
+    Parameters
+    ----------
+    incarnation : int
+        Incarnation of the worker that was ordered to start it.
+    confirmed : bool
+        Whether the worker is known to have crashed. Otherwise it was silent until its
+        leases had ended, and may have been cut off.
+    shared : bool
+        Whether many other workers were lost at the same moment.
+    """
+
+    attempt: AttemptNumber
+    worker: WorkerId
+    incarnation: int
+    confirmed: bool = False
+    shared: bool = False
+
+
 class TaskProgress(msgspec.Struct, array_like=True, frozen=True):
     """State of an unfinished task that a later owner needs.
 
@@ -36,11 +57,14 @@
         of it from the log.
     checkpoint : str
         Newest checkpoint; empty if there is none.
+    losses : tuple of LostAttempt
+        Attempts that ended with their workers.
     """
 
     last_attempt: int
     failed_attempts: tuple[int, ...] = ()
     checkpoint: str = ""
+    losses: tuple[LostAttempt, ...] = ()
 
 
 class StepProgress(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -15,6 +15,10 @@
     pytest.param(False, id="another-id"),
     pytest.param(True, id="same-id"),
 ]
+ANSWERS = [
+    pytest.param(False, id="answered"),
+    pytest.param(True, id="answer-lost"),
+]
 
 
 def submit_deadly(site, **step):
@@ -35,10 +39,17 @@
 
 
 @pytest.mark.parametrize("keeps_id", RETURNS)
-def test_a_task_that_crashes_its_workers_is_given_up(keeps_id):
-    site = open_crashing_site(deadly=[DEADLY], keeps_id=keeps_id)
+@pytest.mark.parametrize("loses_answer", ANSWERS)
+@pytest.mark.parametrize("speculative", [False, True])
+@pytest.mark.parametrize("long_running", [False, True])
+def test_a_task_that_crashes_its_workers_is_given_up(
+    keeps_id, loses_answer, speculative, long_running
+):
+    site = open_crashing_site(
+        deadly=[DEADLY], keeps_id=keeps_id, loses_answer=loses_answer
+    )
     site.run(0.5)
-    submit_deadly(site)
+    submit_deadly(site, speculative=speculative, long_running=long_running)
     site.run(60)
     assert site.state_of("deadly") == "failed"
     assert 2 <= site.count_task_starts(DEADLY) <= STARTS_MAX
@@ -56,12 +67,13 @@
 
 
 @pytest.mark.parametrize("keeps_id", RETURNS)
-def test_crashes_of_a_task_are_remembered_by_the_next_owners(keeps_id):
+@pytest.mark.parametrize("period", [1.0, 2.0, 4.0, 6.5, 9.0])
+def test_crashes_of_a_task_are_remembered_by_the_next_owners(keeps_id, period):
     site = open_crashing_site(deadly=[DEADLY], keeps_id=keeps_id)
     site.run(0.5)
     records = [submit_deadly(site), *submit_neighbours(site, estimate=8.0)]
-    for _ in range(10):
-        site.run(4)
+    for _ in range(round(40 / period)):
+        site.run(period)
         unfinished = [each for each in records if site.state_of(each.job) != "failed"]
         site.take_over(unfinished)
     site.run(60)
