Log what may be lost before it is known, and try suspects apart from all others

Cause: between a crash and its proof lie 3 to 6 s, in which only the owner knew of it; and nothing kept suspects off each other, or new work off a worker that a suspect was about to crash. Change: when a worker falls silent, the progress of what it ran is logged with its attempts as pending; a later owner counts them as lost until the worker says otherwise. A task with two losses is tried (dispatch/trials.py): a worker is kept for it, without other suspects, up for five seconds and with the fewest long-running tasks; nothing else starts there; its attempt is in the log before the order goes out. A crash in a trial convicts the task at three losses; without one at four. Losses that many workers share count half, unless the attempt had only just started. Suspects avoid each other's workers. A trial gives its worker free after two seconds, a reservation after ten or when its task no longer waits. All tests passed.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -38,7 +38,7 @@
 )
 from .forecast import select_periods
 from .leases import grant_lease
-from .model import Attempt, OpenStep, Worker
+from .model import Attempt, OpenStep, Trial, Worker
 from .orders import Command
 from .scheduling_state import SchedulingState
 
@@ -58,11 +58,14 @@
         Worker, its incarnation and the highest sequence number of a processed end.
     handover : Handover, optional
         State for the next owner, if it is due to be written.
+    trials : tuple of Trial
+        Trials that the progress tells of.
     """
 
     progress: tuple[Progress, ...]
     ends: tuple[tuple[WorkerId, int, int], ...]
     handover: Handover | None = None
+    trials: tuple[Trial, ...] = ()
 
 
 @dataclass
@@ -109,12 +112,16 @@
             for worker in self.workers.values()
             if worker.last_end_sequence > worker.acknowledged
         )
-        return Flush(progress, ends, handover)
+        trials = tuple(self.unlogged_trials)
+        self.unlogged_trials.clear()
+        return Flush(progress, ends, handover, trials)
 
     def confirm_flush(self, flush: Flush) -> None:
         """Acknowledge the ends of a flush once it has been written to the log."""
         if flush.handover is not None:
             handovers.confirm_handover(self, flush.handover)
+        for trial in flush.trials:
+            trial.logged = True
         for name, incarnation, sequence in flush.ends:
             worker = self.workers.get(name)
             if worker is not None and worker.incarnation == incarnation:
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -42,7 +42,7 @@
         worker = cell.workers.get(entry.worker)
         if worker is None:
             worker = Worker(entry, entry.incarnation, warm_at=now + entry.warming)
-            worker.unreachable_since = now
+            worker.unreachable_since = worker.listed_at = now
             cell.workers[entry.worker] = worker
             if inherited:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
@@ -107,6 +107,7 @@
     lose_withheld(cell, worker, LossCause.RESTARTED, now=now)
     explain_losses(cell, worker.name, survivor=incarnation, now=now)
     worker.incarnation = incarnation
+    worker.listed_at = now
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
     worker.unreachable_since = now
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -36,6 +36,7 @@
     remove_attempt,
     requeue_task,
 )
+from .trials import check_trial
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +67,7 @@
     for running in report.running:
         _handle_running(cell, worker, running, now=now)
     health.check_probe(worker, now=now)
+    check_trial(worker, now=now)
     worker.pressures = None
     if len(report.ended) < ENDS_PER_REPORT_MAX:
         _release_missing(cell, worker, report, sent=sent, now=now)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -7,7 +7,7 @@
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
-from .model import LossCause, OpenJob, Outage, Task, Worker
+from .model import LossCause, OpenJob, Outage, Task, Trial, Worker
 from .orders import Command
 from .weights import ImageWeights
 
@@ -74,6 +74,8 @@
         Attempts that were lost with their workers, by cause.
     unconfirmed_losses : dict of WorkerId to set of Task
         Tasks of which attempts ended with workers that may have been cut off.
+    unlogged_trials : list of Trial
+        Trials that the log doesn't tell of yet.
     outages : dict of WorkerId to Outage
         Newest outage of each worker, unless it turned out that it hadn't crashed.
     """
@@ -105,6 +107,7 @@
     moving: set[Task] = field(default_factory=set)
     losses: Counter[LossCause] = field(default_factory=Counter)
     unconfirmed_losses: dict[WorkerId, set[Task]] = field(default_factory=dict)
+    unlogged_trials: list[Trial] = field(default_factory=list)
     outages: dict[WorkerId, Outage] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -44,7 +44,7 @@
     bind_attempt(attempt)
     health.note_start(attempt, now=now)
     job = task.step.job
-    if job.state is JobState.QUEUED:
+    if job.state is JobState.QUEUED or task.losses:
         job.state = JobState.RUNNING
         cell.dirty[job.job_id] = job
     send_start(cell, attempt, now=now)
--- a/plantainhinge/dispatch/worker_pool.py
+++ b/plantainhinge/dispatch/worker_pool.py
@@ -116,6 +116,7 @@
     """Return whether a task may find no worker although another one like it would."""
     return bool(
         task.avoided_workers
+        or task.losses
         or task.step.spec.per_worker_max
         or task.step.job.record.policy.advised
     )
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -34,7 +34,10 @@
         Whether the worker is known to have crashed. Otherwise it was silent until its
         leases had ended, and may have been cut off.
     shared : bool
-        Whether many other workers were lost at the same moment.
+        Whether many other workers were lost at the same moment, and the attempt had run
+        well until then.
+    on_trial : bool
+        Whether nothing else had just started on the worker (see ``dispatch.trials``).
     """
 
     attempt: AttemptNumber
@@ -42,6 +45,7 @@
     incarnation: int
     confirmed: bool = False
     shared: bool = False
+    on_trial: bool = False
 
 
 class TaskProgress(msgspec.Struct, array_like=True, frozen=True):
@@ -59,12 +63,17 @@
         Newest checkpoint; empty if there is none.
     losses : tuple of LostAttempt
         Attempts that ended with their workers.
+    pending : tuple of LostAttempt
+        Attempts on silent workers, and those of a task with losses that were ordered or
+        are about to be. Each counts as lost unless its worker tells a later owner what
+        became of it.
     """
 
     last_attempt: int
     failed_attempts: tuple[int, ...] = ()
     checkpoint: str = ""
     losses: tuple[LostAttempt, ...] = ()
+    pending: tuple[LostAttempt, ...] = ()
 
 
 class StepProgress(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,219 @@
+"""Suspects run apart from all others until runs clear or convict them."""
+
+import pytest
+
+from plantainhinge.core.ids import JobId
+from plantainhinge.core.resources import Resources
+from plantainhinge.dispatch.losses import CLEARING_SECONDS
+from plantainhinge.fleet.model import WorkerState
+from plantainhinge.jobs.model import TaskKey
+
+from .simulated_cell import STEP_SECONDS, make_job, make_policy, make_step
+from .simulated_crashes import DOWN_SECONDS, open_crashing_site
+from .test_crashed_workers import crash_worker_of
+from .test_deadly_tasks import DEADLY, STARTS_MAX, submit_deadly, submit_neighbours
+
+
+def find_task(site, job):
+    return site.cell.jobs[job].occurrences[0][0].tasks[0]
+
+
+def crash_repeatedly(site, job, times, *, run_seconds):
+    """Crash the worker of a job's only task each time it has run for some seconds."""
+    for _ in range(times):
+        site.run_until(lambda: any(key.job == job for _, key, _ in site.list_running()))
+        site.run(run_seconds)
+        crash_worker_of(site, job)
+
+
+def open_suspect_site(losses=2, **step):
+    """Return a site with a task that lost attempts to crashes that it didn't cause."""
+    site = open_crashing_site()
+    site.run(0.5)
+    site.submit(make_job("unlucky", make_step(estimate=9.0, **step)))
+    crash_repeatedly(site, "unlucky", losses, run_seconds=3.0)
+    return site
+
+
+def test_nothing_else_starts_on_a_worker_around_a_trial():
+    site = open_suspect_site()
+    submit_neighbours(site, count=200, estimate=0.5)
+    site.run_until(
+        lambda: (
+            len(find_task(site, "unlucky").attempts) == 1
+            and any(key.job == "unlucky" for _, key, _ in site.list_running())
+        )
+    )
+    (name,) = (name for name, key, _ in site.list_running() if key.job == "unlucky")
+    site.run(1.5)
+    worker = site.workers[name]
+    at = worker.start_times[[key.job for key, _ in worker.started].index("unlucky")]
+    others = [
+        started
+        for (key, _), started in zip(worker.started, worker.start_times, strict=True)
+        if key.job != "unlucky" and at - 0.3 < started < at + 1.5
+    ]
+    assert others == []
+
+
+def test_a_trial_starts_only_once_the_log_tells_of_it():
+    site = open_suspect_site()
+    site.run(3.0)
+    site.log_up = False
+    site.run(5)
+    assert [number for _, number in site.starts] == [1, 2]
+    site.log_up = True
+    site.run(1)
+    assert [number for _, number in site.starts] == [1, 2, 3]
+
+
+def test_a_worker_kept_for_a_trial_is_freed_if_the_job_is_cancelled():
+    site = open_suspect_site()
+    site.run(3.0)
+    site.log_up = False
+    site.run(1.0)
+    assert any(worker.trial for worker in site.cell.workers.values())
+    site.cell.cancel_job("unlucky", now=site.now)
+    site.run(0.1)
+    assert not any(worker.trial for worker in site.cell.workers.values())
+
+
+def test_a_task_whose_workers_crash_by_chance_is_not_given_up():
+    site = open_suspect_site(losses=3)
+    site.run_until(lambda: site.state_of("unlucky") == "completed", limit=30)
+
+
+def test_a_long_running_task_that_runs_well_is_no_longer_suspected():
+    site = open_suspect_site(long_running=True)
+    site.run(CLEARING_SECONDS + 10)
+    assert find_task(site, "unlucky").losses == []
+    crash_repeatedly(site, "unlucky", 2, run_seconds=3.0)
+    site.run(10)
+    assert [key.job for _, key, _ in site.list_running()] == ["unlucky"]
+
+
+def test_tasks_of_a_domain_that_goes_dark_again_and_again_all_complete():
+    site = open_crashing_site(12)
+    site.run(0.5)
+    records = submit_neighbours(site, count=60, estimate=6.0)
+    for _ in range(4):
+        site.run(1.5)
+        for name in [row.name for row in site.cell.workers.values() if row.attempts][
+            :4
+        ]:
+            if not site.workers[name].unreachable:
+                site.crash(name)
+        site.run(DOWN_SECONDS + 0.5)
+    site.run(60)
+    assert {site.state_of(record.job) for record in records} == {"completed"}
+
+
+def test_a_loss_to_a_cut_is_taken_back_once_the_worker_answers():
+    site = open_crashing_site()
+    site.run(0.5)
+    site.submit(make_job("j", make_step(long_running=True)))
+    site.run(1)
+    ((name, _, _),) = site.list_running()
+    site.workers[name].unreachable = True
+    site.run(7)
+    assert len(find_task(site, "j").losses) == 1
+    site.workers[name].unreachable = False
+    site.run(1)
+    assert find_task(site, "j").losses == []
+    assert site.log["j"].occurrences[0].steps[0].tasks[0].losses == ()
+
+
+def test_a_worker_that_left_as_announced_counts_for_nothing():
+    site = open_crashing_site()
+    site.run(0.5)
+    site.submit(make_job("j", make_step(long_running=True)))
+    site.run(1)
+    ((name, _, _),) = site.list_running()
+    worker = site.workers[name]
+    worker.stop_outcomes = []
+    worker.entry = worker.entry.__class__(
+        **{f: getattr(worker.entry, f) for f in worker.entry.__struct_fields__}
+        | {"state": WorkerState.DRAINING}
+    )
+    worker.unreachable = True
+    site.run(8)
+    assert find_task(site, "j").losses == []
+    assert len(site.list_running()) == 1
+
+
+@pytest.mark.parametrize("keeps_id", [False, True])
+def test_crashes_count_that_are_learnt_only_after_the_lease(keeps_id):
+    site = open_crashing_site(12, deadly=[DEADLY], keeps_id=keeps_id, down_seconds=8.0)
+    site.run(0.5)
+    submit_deadly(site)
+    site.run(80)
+    assert site.state_of("deadly") == "failed"
+    assert site.count_task_starts(DEADLY) <= STARTS_MAX
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.3, 1.5, 4.0])
+@pytest.mark.parametrize("keeps_id", [False, True])
+@pytest.mark.parametrize(
+    "step",
+    [
+        {"best_effort": True},
+        {"gang": True, "count": 4},
+        {"speculative": True, "per_worker_max": 1},
+        {"checkpoints": True, "long_running": True},
+    ],
+    ids=["best-effort", "gang", "speculative", "long-running"],
+)
+def test_each_kind_of_task_that_crashes_its_workers_is_given_up(step, keeps_id, delay):
+    site = open_crashing_site(12, deadly=[DEADLY], keeps_id=keeps_id, delay=delay)
+    site.run(0.5)
+    records = submit_neighbours(site, count=30, estimate=5.0)
+    submit_deadly(site, **({"estimate": 9.0} | step))
+    site.run(120)
+    assert site.state_of("deadly") == "failed"
+    assert site.count_task_starts(DEADLY) <= STARTS_MAX
+    assert {site.state_of(record.job) for record in records} == {"completed"}
+
+
+@pytest.mark.parametrize("count", [2, 6, 12])
+def test_neighbours_of_many_deadly_tasks_all_complete(count):
+    deadly = [TaskKey(JobId(f"d{index}"), 0, 0, 0) for index in range(count)]
+    site = open_crashing_site(24, cores=16, deadly=deadly)
+    site.run(0.5)
+    records = []
+    for index in range(20):
+        records += [make_job(f"n{index}-{each}", make_step()) for each in range(6)]
+        for record in records[-6:]:
+            site.submit(record)
+        if index < count:
+            site.submit(make_job(f"d{index}", make_step()))
+        site.run(0.5)
+    site.run(90)
+    assert {site.state_of(record.job) for record in records} == {"completed"}
+    assert {site.state_of(key.job) for key in deadly} == {"failed"}
+    assert max(site.count_task_starts(key) for key in deadly) <= STARTS_MAX
+
+
+def test_a_job_with_a_deadly_task_is_stopped_as_a_whole():
+    site = open_crashing_site(deadly=[DEADLY])
+    site.run(0.5)
+    submit_deadly(site, count=5, long_running=True)
+    site.run_until(lambda: site.state_of("deadly") == "failed", limit=40)
+    site.run(1)
+    assert site.list_running() == []
+
+
+def test_a_trial_of_a_task_larger_than_all_free_pieces_waits_for_one():
+    site = open_crashing_site(4, cores=8)
+    site.run(0.5)
+    request = Resources(7000, 100)
+    site.submit(make_job("unlucky", make_step(estimate=9.0, request=request)))
+    crash_repeatedly(site, "unlucky", 2, run_seconds=3.0)
+    site.submit(
+        make_job(
+            "urgent",
+            make_step(count=12, estimate=4.0, request=Resources(4000, 100)),
+            policy=make_policy(priority=0),
+        )
+    )
+    site.run_until(lambda: site.state_of("unlucky") == "completed", limit=60)
+    assert site.now > STEP_SECONDS
