Repeat a start only where it could be ordered now

Workers saw: a start whose answer was lost was sent again for as long as it went without an answer, also after the worker had shrunk, begun to drain or its failure domain had been closed; one that doesn't guard its capacity then runs more than it has (LIMIT). Cause: the repetition took the decision of the first order for still valid. Change: before it is sent again, the worker must be listed and ready, its domain open and what is bound to it within its capacity; otherwise the start is stopped, since the first order may still be carried out, and its task goes elsewhere. New log event: start withdrawn.

--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -176,6 +176,11 @@
     """A start without an answer is ordered again on the same worker."""
 
 
+@log_event("start withdrawn")
+class StartWithdrawn(AttemptEvent, frozen=True, kw_only=True):
+    """A start without an answer is stopped, as its worker may start nothing now."""
+
+
 @log_event("start unsettled")
 class StartUnsettled(AttemptEvent, frozen=True, kw_only=True):
     """A repeated start was refused, and the first one had no answer.
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -4,10 +4,10 @@
 
 from ..core.ids import AttemptNumber
 from ..core.log_events import write_event
-from ..fleet.model import StartOrder, StopOrder, ThrottleOrder
+from ..fleet.model import StartOrder, StopOrder, ThrottleOrder, WorkerState
 from .health import note_stop
 from .leases import grant_lease
-from .log_events import StartRepeated, describe_attempt
+from .log_events import StartRepeated, StartWithdrawn, describe_attempt
 from .model import Attempt, AttemptPhase, Task, Worker, set_speed
 from .orders import Start, Stop, Throttle
 from .scheduling_state import SchedulingState
@@ -73,18 +73,42 @@
 
 
 def resend_orders(cell: SchedulingState, *, now: float) -> None:
-    """Send orders again whose answers are overdue, to reachable workers only."""
+    """Send orders again whose answers are overdue, to reachable workers only.
+
+    A start is repeated only if it could be ordered now: since it was decided the worker
+    may have begun to drain or shrunk, or its failure domain may have been closed.
+    Otherwise it is stopped, as the first order may still be carried out.
+    """
     for worker in cell.workers.values():
         if not worker.reachable:
             continue
         for attempt in list(worker.attempts.values()):
             if attempt.retry_at > now:
                 continue
-            if attempt.phase is AttemptPhase.ORDERED:
-                write_event(logger, StartRepeated(about=describe_attempt(attempt)))
-                send_start(cell, attempt, now=now)
-            elif attempt.phase is AttemptPhase.STOPPING:
+            if attempt.phase is AttemptPhase.STOPPING:
                 stop_attempt(cell, attempt, now=now)
+            elif attempt.phase is AttemptPhase.ORDERED:
+                _repeat_start(cell, attempt, now=now)
+
+
+def _repeat_start(cell: SchedulingState, attempt: Attempt, *, now: float) -> None:
+    if may_run(cell, attempt.worker):
+        write_event(logger, StartRepeated(about=describe_attempt(attempt)))
+        send_start(cell, attempt, now=now)
+    else:
+        write_event(logger, StartWithdrawn(about=describe_attempt(attempt)))
+        stop_attempt(cell, attempt, now=now)
+
+
+def may_run(cell: SchedulingState, worker: Worker) -> bool:
+    """Return whether a worker may still start what is bound to it."""
+    entry = worker.entry
+    return (
+        worker.listed
+        and entry.state is WorkerState.READY
+        and entry.domain not in cell.closed_domains
+        and worker.committed.fits_within(entry.capacity)
+    )
 
 
 def schedule_retry(attempt: Attempt, *, now: float) -> None:
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -3,6 +3,8 @@
 import itertools
 from dataclasses import dataclass, field
 
+import msgspec
+
 from plantainhinge.core.ids import (
     DomainId,
     Epoch,
@@ -82,6 +84,7 @@
     image: str
     started: float
     serving: bool
+    millicores: int
     speed_percent: int = 100
 
 
@@ -112,6 +115,12 @@
         Outcomes of the next stops, which do nothing.
     closed : dict
         Highest number of a stopped or ended attempt, by task; none up to it starts.
+    overloads : list
+        Starts that brought it over its capacity, which it doesn't guard.
+    stopping : dict
+        Attempts that are being stopped, with the seconds at which they end.
+    stop_seconds : float
+        How long a stop takes.
     tail_latency : callable, optional
         Returns the gauge of an attempt, given the worker and the attempt.
     """
@@ -138,6 +147,9 @@
     start_times: list = field(default_factory=list)
     end_times: dict = field(default_factory=dict)
     done_times: dict = field(default_factory=dict)
+    overloads: list = field(default_factory=list)
+    stopping: dict = field(default_factory=dict)
+    stop_seconds: float = 0.0
     end_numbers: object = None
     tail_latency: object = None
 
@@ -164,20 +176,34 @@
                 step.image,
                 self.now,
                 bool(step.target_seconds),
+                0 if step.best_effort else step.request.millicores,
             )
+            if self.count_millicores() > self.entry.capacity.millicores:
+                self.overloads.append(key)
         if self.drops_answers or self.answers_to_lose:
             self.answers_to_lose = max(0, self.answers_to_lose - 1)
             return OrderResponse(outcome=OrderOutcome.UNKNOWN)
         return OrderResponse(outcome=OrderOutcome.ACCEPTED)
 
+    def count_millicores(self):
+        return sum(attempt.millicores for attempt in self.attempts.values())
+
+    def set_millicores(self, millicores):
+        """Shrink or grow; the directory shows it once it is read."""
+        capacity = Resources(millicores, self.entry.capacity.memory_mib)
+        self.entry = msgspec.structs.replace(self.entry, capacity=capacity)
+
     def stop(self, order):
         self.stopped.append((order.task, order.attempt))
         if self.unreachable:
             return OrderResponse(outcome=OrderOutcome.UNKNOWN)
         if self.stop_outcomes:
             return OrderResponse(outcome=self.stop_outcomes.pop(0))
-        if (order.task, order.attempt) in self.attempts:
-            self._end((order.task, order.attempt), EndCause.STOPPED)
+        key = (order.task, order.attempt)
+        if key in self.attempts and self.stop_seconds:
+            self.stopping.setdefault(key, self.now + self.stop_seconds)
+        elif key in self.attempts:
+            self._end(key, EndCause.STOPPED)
         self._close(order.task, order.attempt)
         return OrderResponse(outcome=OrderOutcome.ACCEPTED)
 
@@ -222,6 +248,10 @@
         self.now += seconds
         if self.now > self.lease_end:
             self.lapsed_ends.update(row.sequence for row in self.ended)
+        for key in [key for key, at in self.stopping.items() if self.now >= at]:
+            del self.stopping[key]
+            if key in self.attempts:
+                self._end(key, EndCause.STOPPED)
         for key, attempt in list(self.attempts.items()):
             attempt.time_left -= seconds * self.speed * attempt.speed_percent / 100
             if self.now > self.lease_end:
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,112 @@
+"""Workers whose capacity shrinks and grows while they run."""
+
+import msgspec
+import pytest
+
+from plantainhinge.core.ids import DomainId
+from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import OrderOutcome, OrderResponse, WorkerState
+
+from .simulated_cell import SimulatedCell, make_entry, make_job, make_step
+from .test_trials import find_task, open_suspect_site
+
+HALF = Resources(4000, 100)
+UNKNOWN = OrderResponse(outcome=OrderOutcome.UNKNOWN)
+
+
+def open_site(*names, **options):
+    site = SimulatedCell(*(make_entry(name) for name in names or ("w1",)), **options)
+    site.run(0.5)
+    return site
+
+
+def set_millicores(site, name, millicores):
+    site.workers[name].set_millicores(millicores)
+    site.update_workers()
+
+
+def list_overloads(site):
+    return [key for worker in site.workers.values() for key in worker.overloads]
+
+
+def order_without_answer(site, **step):
+    """Order a start whose answer is lost, carried out or not; return its command."""
+    site.submit(make_job("j", make_step(**step)))
+    site.cell.decide(now=site.now, wall=site.now)
+    (start,) = site.cell.take_commands()
+    site.cell.handle_start_answer(start.attempt, UNKNOWN, now=site.now)
+    return start
+
+
+def test_nothing_starts_on_a_worker_that_holds_more_than_its_capacity():
+    site = open_site()
+    site.submit(make_job("first", make_step(count=2, request=HALF, estimate=3.0)))
+    site.run(0.2)
+    set_millicores(site, "w1", 5000)
+    site.submit(make_job("next", make_step(request=Resources(1000, 100))))
+    site.run(2)
+    assert len(site.list_running()) == 2
+    site.run_until(lambda: site.state_of("next") == "completed", limit=4)
+    assert site.workers["w1"].stopped == []
+    assert list_overloads(site) == []
+
+
+def test_work_goes_on_at_once_when_capacity_grows_again():
+    site = open_site()
+    set_millicores(site, "w1", 0)
+    site.submit(make_job("j", make_step(request=Resources(8000, 100))))
+    site.run(10)
+    assert site.count_starts() == 0
+    set_millicores(site, "w1", 8000)
+    site.run(0.2)
+    assert len(site.list_running()) == 1
+
+
+def test_what_is_being_stopped_still_counts():
+    site = open_site()
+    site.workers["w1"].stop_seconds = 1.0
+    site.submit(make_job("first", make_step(count=2, request=HALF, estimate=9.0)))
+    site.run(0.2)
+    site.cell.cancel_job("first", now=site.now)
+    site.submit(make_job("next", make_step(request=HALF)))
+    site.run(0.7)
+    assert len(site.list_running()) == 2
+    site.run(0.8)
+    assert [key.job for _, key, _ in site.list_running()] == ["next"]
+    assert list_overloads(site) == []
+
+
+def test_a_start_without_an_answer_is_not_repeated_on_a_worker_that_has_shrunk():
+    site = open_site("w1", "w2")
+    start = order_without_answer(site, request=HALF, estimate=3.0)
+    name = start.attempt.worker.name
+    set_millicores(site, name, 3000)
+    site.run(1.0)
+    assert list_overloads(site) == []
+    site.run_until(lambda: site.state_of("j") == "completed", limit=6)
+    assert site.workers[name].started == []
+
+
+@pytest.mark.parametrize("obstacle", ["draining", "closed domain"])
+def test_a_start_without_an_answer_is_not_repeated_where_nothing_may_start(obstacle):
+    site = SimulatedCell(make_entry("w1"), make_entry("w2", domain=DomainId("b")))
+    site.run(0.5)
+    start = order_without_answer(site, estimate=1.0)
+    worker = site.workers[start.attempt.worker.name]
+    if obstacle == "draining":
+        changes = {"state": WorkerState.DRAINING}
+        worker.entry = msgspec.structs.replace(worker.entry, **changes)
+        site.update_workers()
+    else:
+        site.cell.closed_domains = frozenset({worker.entry.domain})
+    site.run_until(lambda: site.state_of("j") == "completed", limit=4)
+    assert worker.started == []
+
+
+def test_a_trial_moves_if_its_reserved_worker_shrinks():
+    site = open_suspect_site()
+    site.run_until(lambda: find_task(site, "unlucky").trial is not None)
+    name = find_task(site, "unlucky").trial.worker.name
+    set_millicores(site, name, 500)
+    site.run_until(lambda: site.state_of("unlucky") == "completed", limit=20)
+    assert list_overloads(site) == []
