Start nothing on unguarded workers whose free capacity isn't known

Workers that don't guard their capacity could be brought over it (LIMIT) in two ways: a new owner counted nothing for attempts whose tasks aren't open any more, although they run on until they are stopped; and an owner that couldn't read the directory went on with the capacity it knew, however long ago a worker had shrunk. Cause: what seems free was taken for free. Change: the configuration says which services guard their capacity. Guarded services go on as before. Idle long-running tasks are logged with capacity-unknown as the obstacle.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -17,7 +17,7 @@
     NotOwnerError,
     PlantainhingeError,
 )
-from ..core.ids import DomainId, Epoch, JobId, Seconds
+from ..core.ids import Epoch, JobId, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NullMetrics
 from ..dispatch.cell import Cell
@@ -31,6 +31,7 @@
 from ..jobs.retention import Retention
 from .job_view import JobView
 from .load_report import LoadReports
+from .operator_view import OperatorView
 from .owner_events import (
     DecisionsFailed,
     DirectoryUnreadable,
@@ -74,8 +75,8 @@
 
     Parameters
     ----------
-    get_closed_domains : callable
-        Returns the failure domains that take no new work.
+    operator : OperatorView
+        Tells the failure domains that take no new work.
     report_fenced : callable
         Called with the reason when a worker or the log has seen a higher epoch, or
         when a loop fails.
@@ -89,7 +90,7 @@
     view: JobView
     workers: WorkerView
     terms: LeaseTerms
-    get_closed_domains: Callable[[], frozenset[DomainId]]
+    operator: OperatorView
     report_fenced: Callable[[str], None]
     check_ownership: Callable[[], Coroutine[Any, Any, None]]
     metrics: Metrics = field(default_factory=NullMetrics)
@@ -125,7 +126,7 @@
         cell.update_workers(
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
-        cell.closed_domains = self.get_closed_domains()
+        self._update_constraints(cell)
         self._reports = LoadReports(self.metrics)
         self.cell = cell
         self.metrics.count(Counter.OWNERSHIPS)
@@ -280,13 +281,19 @@
 
     def _decide_once(self, cell: Cell) -> None:
         now = read_monotonic()
-        cell.closed_domains = self.get_closed_domains()
+        self._update_constraints(cell)
         cell.decide(now=now, wall=read_wall())
         self._reports.write_due(cell, now=now)
         for command in cell.take_commands():
             self._spawn(self._send_command(cell, command))
         self._dirty.set()
 
+    def _update_constraints(self, cell: Cell) -> None:
+        """Tell the cell what limits where work may start."""
+        cell.closed_domains = self.operator.closed_domains
+        cell.guarded_services = self.operator.guarded_services
+        cell.directory_synced_at = self.workers.tail.synced_at
+
     async def _flush(self, cell: Cell) -> None:
         while self.cell is cell:
             await self._dirty.wait()
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -110,7 +110,7 @@
             view=self.view,
             workers=self.workers,
             terms=self.settings.terms,
-            get_closed_domains=lambda: self.operator.closed_domains,
+            operator=self.operator,
             report_fenced=self._drop_ownership,
             check_ownership=self._verify_ownership,
             metrics=self.metrics,
--- a/plantainhinge/daemons/operator_view.py
+++ b/plantainhinge/daemons/operator_view.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from ..core.ids import DomainId
+from ..core.ids import DomainId, ServiceId
 from ..core.log_events import write_event
 from ..fleet.operator import DomainClosure, OperatorRecord, SchedulingConfiguration
 from ..fleet.protocols import Entry, KeyedLog
@@ -35,6 +35,13 @@
         """Return the failure domains in which nothing new starts."""
         return frozenset(self._closures.values())
 
+    @property
+    def guarded_services(self) -> frozenset[ServiceId]:
+        """Return the services whose workers refuse what doesn't fit."""
+        if self.configuration is None:
+            return frozenset()
+        return self.configuration.guarded_services
+
     def _apply(self, entry: Entry) -> None:
         if not entry.value:
             domain = self._closures.pop(entry.key, None)
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -24,6 +24,10 @@
 
 logger = logging.getLogger(__name__)
 
+# a worker's smaller capacity must be respected within the time in which instances learn
+# of it; the directory shows it a heartbeat after the worker knew
+DIRECTORY_AGE_SECONDS_MAX = 2.0
+
 
 def place_waiting_tasks(cell: SchedulingState, *, now: float, wall: Seconds) -> None:
     """Start all waiting tasks for which there is a worker."""
@@ -61,11 +65,27 @@
     """Return the workers that accept new work, by service."""
     pools: dict[ServiceId, list[Worker]] = {}
     for worker in cell.workers.values():
-        if worker.accepts_work(now) and worker.entry.domain not in cell.closed_domains:
+        if (
+            worker.accepts_work(now)
+            and worker.entry.domain not in cell.closed_domains
+            and is_capacity_known(cell, worker, now=now)
+        ):
             pools.setdefault(worker.entry.service, []).append(worker)
     return pools
 
 
+def is_capacity_known(cell: SchedulingState, worker: Worker, *, now: float) -> bool:
+    """Return whether it is sure that a worker has the capacity that seems free.
+
+    One that refuses what doesn't fit need not be sure of. Any other may have shrunk
+    since the directory was read, or run attempts of which only their names are known.
+    """
+    if worker.entry.service in cell.guarded_services:
+        return True
+    directory_age = now - cell.directory_synced_at
+    return directory_age <= DIRECTORY_AGE_SECONDS_MAX and not worker.has_orphans
+
+
 def list_waiting_steps(cell: SchedulingState) -> list[OpenStep]:
     """Return the steps that are ready and have waiting tasks.
 
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from ..fleet.model import WorkerState
+from .assignment import is_capacity_known
 from .cell import Cell
 from .model import (
     AttemptPhase,
@@ -37,6 +38,8 @@
     NOT_IN_HANDOVER = "not-in-handover"
     QUARANTINED = "quarantined"
     PROBED = "probed"
+    CAPACITY_UNKNOWN = "capacity-unknown"
+    TRIED = "tried"
     CLOSED_DOMAIN = "closed-domain"
     CONSTRAINED = "constrained"
     NO_TICKET = "no-ticket"
@@ -124,6 +127,8 @@
         (Obstacle.NOT_IN_HANDOVER, worker.handover is HandoverMark.OPEN),
         (Obstacle.QUARANTINED, now >= worker.quarantined_until),
         (Obstacle.PROBED, worker.probe is None),
+        (Obstacle.CAPACITY_UNKNOWN, is_capacity_known(cell, worker, now=now)),
+        (Obstacle.TRIED, worker.trial is None),
         (Obstacle.CLOSED_DOMAIN, worker.entry.domain not in cell.closed_domains),
         (Obstacle.CONSTRAINED, meets_constraints(step, worker)),
         (Obstacle.NO_TICKET, holds_ticket(step, worker, now=now)),
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -319,6 +319,9 @@
         The attempt for which it is kept; nothing else is started there meanwhile.
     suspects : int
         Attempts on it of tasks that may have crashed other workers.
+    has_orphans : bool
+        Whether its last report listed attempts whose tasks aren't open. They are being
+        stopped, and nobody knows how much of its capacity they take up.
     """
 
     entry: WorkerEntry
@@ -347,6 +350,7 @@
     listed_at: float = float("-inf")
     trial: Trial | None = None
     suspects: int = 0
+    has_orphans: bool = False
 
     @property
     def name(self) -> WorkerId:
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from ..core.ids import DomainId, Epoch, JobId, Seconds, WorkerId
+from ..core.ids import DomainId, Epoch, JobId, Seconds, ServiceId, WorkerId
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
@@ -31,6 +31,10 @@
         Monotonic seconds at which this ownership began.
     closed_domains : frozenset of DomainId
         Failure domains that take no new work.
+    guarded_services : frozenset of ServiceId
+        Services whose workers refuse what doesn't fit into their capacity.
+    directory_synced_at : float
+        Monotonic seconds; all directory entries written before it are known.
     fenced : bool
         Whether a worker has seen a higher epoch.
     weights : ImageWeights
@@ -86,6 +90,8 @@
     jobs: dict[JobId, OpenJob] = field(default_factory=dict)
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     closed_domains: frozenset[DomainId] = frozenset()
+    guarded_services: frozenset[ServiceId] = frozenset()
+    directory_synced_at: float = float("inf")
     fenced: bool = False
     weights: ImageWeights = field(default_factory=ImageWeights)
     commands: list[Command] = field(default_factory=list)
--- a/plantainhinge/fleet/operator.py
+++ b/plantainhinge/fleet/operator.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..core.ids import DomainId, Revision
+from ..core.ids import DomainId, Revision, ServiceId
 from ..jobs.model import QueuePolicy
 
 
@@ -27,11 +27,14 @@
     ----------
     body_bytes_max : int
         Maximum size in bytes of a request body from a caller.
+    guarded_services : frozenset of ServiceId
+        Services whose workers refuse what doesn't fit into their capacity.
     """
 
     revision: Revision
     routes: tuple[QueueRoute, ...]
     body_bytes_max: int
+    guarded_services: frozenset[ServiceId] = frozenset()
 
     def find_route(self, host: str, path: str) -> QueueRoute | None:
         """Return the route of a request, or None if no route matches.
--- a/plantainhinge/platform/operator.py
+++ b/plantainhinge/platform/operator.py
@@ -35,6 +35,12 @@
     advice: Any = msgspec.field(name="hint", default=None)
 
 
+class _Service(msgspec.Struct, kw_only=True):
+    name: str
+    # on the wire "enforceCapacity": whether workers refuse what doesn't fit
+    guarded: bool = msgspec.field(name="enforceCapacity", default=False)
+
+
 class _Limits(msgspec.Struct):
     body_bytes_max: int = msgspec.field(name="maxBodyBytes", default=262144)
 
@@ -42,6 +48,7 @@
 class _Config(msgspec.Struct, kw_only=True):
     version: int
     routes: list[_Route]
+    services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -60,6 +67,9 @@
         revision=Revision(config.version),
         routes=tuple(_decode_route(route) for route in config.routes),
         body_bytes_max=config.limits.body_bytes_max,
+        guarded_services=frozenset(
+            ServiceId(service.name) for service in config.services if service.guarded
+        ),
     )
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,11 +3,12 @@
 import msgspec
 import pytest
 
-from plantainhinge.core.ids import DomainId
+from plantainhinge.core.ids import DomainId, ServiceId
 from plantainhinge.core.resources import Resources
+from plantainhinge.dispatch.assignment import DIRECTORY_AGE_SECONDS_MAX
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, WorkerState
 
-from .simulated_cell import SimulatedCell, make_entry, make_job, make_step
+from .simulated_cell import SERVICE, SimulatedCell, make_entry, make_job, make_step
 from .test_trials import find_task, open_suspect_site
 
 HALF = Resources(4000, 100)
@@ -103,6 +104,39 @@
     assert worker.started == []
 
 
+def test_nothing_starts_beside_what_an_earlier_owner_left_until_it_is_stopped():
+    site = open_site()
+    site.workers["w1"].stop_seconds = 1.0
+    site.submit(make_job("gone", make_step(request=Resources(8000, 100), estimate=9.0)))
+    site.run(0.2)
+    site.take_over([])
+    site.submit(make_job("next", make_step(request=HALF)))
+    site.run(0.8)
+    assert [key.job for _, key, _ in site.list_running()] == ["gone"]
+    site.run(1.0)
+    assert [key.job for _, key, _ in site.list_running()] == ["next"]
+    assert list_overloads(site) == []
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_workers_without_a_guard_get_nothing_while_the_directory_is_unreadable(guarded):
+    site = open_site()
+    site.cell.guarded_services = frozenset({SERVICE} if guarded else {ServiceId("x")})
+    site.cell.directory_synced_at = site.now
+    site.submit(make_job("first"))
+    site.run(DIRECTORY_AGE_SECONDS_MAX - 0.5)
+    site.submit(make_job("second"))
+    site.run(0.2)
+    assert site.count_starts() == 2
+    site.run(1)
+    site.submit(make_job("third"))
+    site.run(1)
+    assert (site.count_starts() == 3) is guarded
+    site.cell.directory_synced_at = site.now
+    site.run(0.2)
+    assert site.count_starts() == 3
+
+
 def test_a_trial_moves_if_its_reserved_worker_shrinks():
     site = open_suspect_site()
     site.run_until(lambda: find_task(site, "unlucky").trial is not None)
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -9,6 +9,7 @@
 from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import CellRunner
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
+from plantainhinge.daemons.operator_view import OperatorView
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, WorkerReport
 from plantainhinge.fleet.protocols import Entry, Fence
@@ -33,7 +34,7 @@
         view=JobView(log),
         workers=WorkerView(log, "workers", lambda key, value: None),
         terms=TERMS,
-        get_closed_domains=frozenset,
+        operator=OperatorView(log, "operator", lambda key, value: None),
         report_fenced=lambda reason: lost is not None and lost.append(reason),
         check_ownership=check,
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -199,13 +199,18 @@
                 "targetLatencyMs": 250,
             }
         ],
-        "services": [],
+        "services": [
+            {"name": "s", "enforceCapacity": True},
+            {"name": "t", "enforceCapacity": False},
+            {"name": "u"},
+        ],
         "limits": {"maxBodyBytes": 100},
     }
     config = operator.decode_operator_record("config", encode(value))
     assert config.revision == 7
     assert config.find_route("h.example", "/p/1").policy.target_latency == 0.25
     assert config.find_route("h.example", "/q/1") is None
+    assert config.guarded_services == {"s"}
 
 
 def frame(*entries):
