Start nothing on a restarted worker before its entry of that incarnation is read

Cause: a report tells of a restart before the directory does, and the worker took work at once, by the capacity, labels and service of its earlier incarnation. Change: a worker takes work only if its entry is of the incarnation that answers, or newer. Test: failed before, with a worker that comes back with a quarter of its capacity.

--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -33,6 +33,7 @@
 
     NONE = "none"
     UNLISTED = "unlisted"
+    ENTRY_OUTDATED = "entry-outdated"
     UNREACHABLE = "unreachable"
     DRAINING = "draining"
     NOT_IN_HANDOVER = "not-in-handover"
@@ -122,6 +123,7 @@
     step = task.step
     checks: Iterable[tuple[Obstacle, bool]] = (
         (Obstacle.UNLISTED, worker.listed),
+        (Obstacle.ENTRY_OUTDATED, worker.entry.incarnation >= worker.incarnation),
         (Obstacle.UNREACHABLE, worker.reachable),
         (Obstacle.DRAINING, worker.entry.state is WorkerState.READY),
         (Obstacle.NOT_IN_HANDOVER, worker.handover is HandoverMark.OPEN),
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -385,9 +385,14 @@
         return self.free_millicores + unused - self.best_effort_millicores
 
     def accepts_work(self, now: float) -> bool:
-        """Return whether new attempts may be started on the worker."""
+        """Return whether new attempts may be started on the worker.
+
+        A restarted worker may be of another kind, so its entry must be of this
+        incarnation.
+        """
         return (
             self.listed
+            and self.entry.incarnation >= self.incarnation
             and self.reachable
             and self.handover is HandoverMark.OPEN
             and self.entry.state is WorkerState.READY
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,6 +9,7 @@
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, WorkerState
 
 from .simulated_cell import SERVICE, SimulatedCell, make_entry, make_job, make_step
+from .test_orders import restart
 from .test_trials import find_task, open_suspect_site
 
 HALF = Resources(4000, 100)
@@ -137,6 +138,18 @@
     assert site.count_starts() == 3
 
 
+def test_a_restarted_worker_gets_nothing_before_its_new_entry_is_read():
+    """It may be of another kind now, with less capacity."""
+    site = open_site()
+    restart(site, "w1").set_millicores(2000)
+    site.submit(make_job("j", make_step(request=HALF)))
+    site.run(1)
+    assert site.count_starts() == 0
+    site.update_workers()
+    site.run(1)
+    assert site.count_starts() == 0
+
+
 def test_a_trial_moves_if_its_reserved_worker_shrinks():
     site = open_suspect_site()
     site.run_until(lambda: find_task(site, "unlucky").trial is not None)
