Soak: workers that shrink, come back under another id, or are crashed by a task

The soak had no fault for the two new rules. New faults: a worker's capacity changes until it changes again; a worker is away for some seconds and comes back under its id or another; a job is submitted whose first task crashes each worker that starts it. New invariants: no more than five starts of such a task, its job fails; no start brings a worker, none of which guards its capacity, over each capacity that instances may still know. Regressions keep their draws: they exclude the new faults.

That LIMIT is caught by the soak isn't shown by a run yet.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 
 from .observations import ObservedJob, SubmitResult, read_time
 from .site import HOST_NAME, SoakSite
+from .workers import DEADLY, TASK_MILLICORES
 
 CALL_TIMEOUT_SECONDS = Seconds(2.0)
 RETRY_DELAY_SECONDS = 0.2
@@ -65,6 +66,12 @@
         elif response.status == STATUS_GONE:
             job.states.append((read_time(), "gone"))
 
+    async def submit_deadly(self) -> None:
+        """Submit a job whose first task crashes each worker that starts it."""
+        job = self._generate_job()
+        job.long_running, job.deadly = False, True
+        await self._submit(job)
+
     async def _follow(self, job: ObservedJob, *, until: float) -> None:
         await self._submit(job)
         if job.accepted_at is None:
@@ -80,7 +87,8 @@
 
     async def _submit(self, job: ObservedJob) -> None:
         steps: list[dict[str, object]] = [
-            {"count": count, "cpu": 1000, "estRuntimeMs": 500} for count in job.steps
+            {"count": count, "cpu": TASK_MILLICORES, "estRuntimeMs": 500}
+            for count in job.steps
         ]
         for index, step in enumerate(steps):
             if job.long_running:
@@ -88,7 +96,8 @@
             if index > 0:
                 step["dependsOn"] = [index - 1]
         seconds = 0 if job.long_running else round(self.rng.uniform(0.1, 1.5), 2)
-        body = json.dumps({"spec": str(seconds), "steps": steps}).encode()
+        payload = f"{seconds}{DEADLY}" if job.deadly else str(seconds)
+        body = json.dumps({"spec": payload, "steps": steps}).encode()
         for _ in range(SUBMIT_TRIES_MAX):
             response = await self._call("POST", job.job, body)
             if response is not None and response.status == STATUS_OK:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,11 +12,14 @@
 
 from plantainhinge.core.registry import Registry
 
+from .callers import Caller
 from .proxy import Proxy, ProxyMode
 from .site import DOMAINS, SoakInstance, SoakSite
 
 Fault = Callable[["FaultContext"], AbstractAsyncContextManager[None]]
 FAULTS: Registry[Fault] = Registry("fault")
+# numbers of callers from here on submit one deadly job each
+DEADLY_CALLER = 1 << 20
 
 
 @dataclass
@@ -115,6 +118,33 @@
     yield
 
 
+@FAULTS.register("a worker is away for a while")
+@asynccontextmanager
+async def take_worker_away(context: FaultContext) -> AsyncIterator[None]:
+    """Crash one worker; it comes back after some seconds, maybe under another id."""
+    await context.site.crash_worker(context.choose_worker(), context.rng.uniform(1, 4))
+    yield
+
+
+@FAULTS.register("a worker shrinks")
+@asynccontextmanager
+async def shrink_worker(context: FaultContext) -> AsyncIterator[None]:
+    """Change the capacity of one worker, until it changes again."""
+    worker = context.site.workers[context.choose_worker()]
+    worker.set_capacity(context.rng.choice([0, 1000, 2000, 4000, 8000]))
+    yield
+
+
+@FAULTS.register("a task crashes its workers")
+@asynccontextmanager
+async def submit_deadly_job(context: FaultContext) -> AsyncIterator[None]:
+    """Submit a job whose first task crashes each worker that starts it."""
+    number = DEADLY_CALLER + context.rng.randrange(1 << 20)
+    caller = Caller(context.site, context.rng, number)
+    await caller.submit_deadly()
+    yield
+
+
 @FAULTS.register("an instance is killed")
 @asynccontextmanager
 async def kill_instance(context: FaultContext) -> AsyncIterator[None]:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -38,6 +38,8 @@
         When its cancellation was first sent, and when it was acknowledged.
     states : list of tuple of float and str
         Each reported state with the time of the response.
+    deadly : bool
+        Whether its first task crashes each worker that starts it.
     """
 
     job: str
@@ -48,6 +50,7 @@
     cancel_sent_at: float | None = None
     cancelled_at: float | None = None
     states: list[tuple[float, str]] = field(default_factory=list)
+    deadly: bool = False
 
     @property
     def refused(self) -> bool:
@@ -76,6 +79,8 @@
         Number of the worker start in which the attempt ran, counted from 1.
     acknowledged_at : float, optional
         When the owner acknowledged the end of the attempt.
+    excess_millicores : int
+        By how much its start brought the worker over its capacity.
     """
 
     task: TaskName
@@ -86,6 +91,7 @@
     ended_at: float | None = None
     cause: str = ""
     acknowledged_at: float | None = None
+    excess_millicores: int = 0
 
 
 @dataclass
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -28,12 +28,15 @@
         ``host:port``.
     delay : float
         Seconds by which each chunk is delayed in mode ``SLOW``.
+    refusing : bool
+        Whether new connections are reset, as if nothing listened there.
     """
 
     listen: str
     upstream: str
     mode: ProxyMode = ProxyMode.NORMAL
     delay: float = 0.2
+    refusing: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _unblocked: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
@@ -67,6 +70,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         host, _, port = self.upstream.rpartition(":")
+        if self.refusing:
+            writer.transport.abort()
+            return
         if self.mode is ProxyMode.BLOCKED:
             await self._unblocked.wait()
         try:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -88,6 +88,7 @@
             injecting = group.create_task(
                 _inject_faults(site, rng, names, started_at, until)
             )
+        site.restore_capacities()
         violations = await _wait_for_jobs(site, callers[0])
         restarting.cancel()
         observations = site.observations
--- a/soak/site.py
+++ b/soak/site.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
@@ -28,6 +29,9 @@
 LEASE_SECONDS = 4.0
 READY_TIMEOUT_SECONDS = 20.0
 RESTART_DELAY_SECONDS = 0.3
+WORKER_MILLICORES = 8000
+DEADLY_DELAY_SECONDS = 0.01
+DEADLY_DOWN_SECONDS = 1.7
 
 
 @dataclass
@@ -71,6 +75,7 @@
     worker_proxies: dict[str, Proxy] = field(default_factory=dict)
     config_version: int = 0
     unexpected_exits: list[str] = field(default_factory=list)
+    _crashes: "set[asyncio.Task[None]]" = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.store = StandInStore(find_free_address())
@@ -181,6 +186,36 @@
         finally:
             client.close()
 
+    async def crash_worker(self, name: str, down_seconds: float) -> None:
+        """Crash a worker; it comes back under its id or, each other time, a new one."""
+        worker, proxy = self.workers[name], self.worker_proxies[name]
+        if worker.down:
+            return
+        worker.down = proxy.refusing = True
+        proxy.reset()
+        worker.crash()
+        await asyncio.sleep(down_seconds)
+        if worker.start_count % 2:
+            self.store.put("keyed.servers", worker.name, b"")
+            worker.name = f"{name}-{worker.start_count}"
+        worker.down = proxy.refusing = False
+
+    def restore_capacities(self) -> None:
+        """Let all workers grow to the capacity that they had at first."""
+        for worker in self.workers.values():
+            worker.set_capacity(WORKER_MILLICORES)
+
+    def crash_soon(self, name: str) -> None:
+        """Crash a worker by what it has just started."""
+
+        async def crash() -> None:
+            await asyncio.sleep(DEADLY_DELAY_SECONDS)
+            await self.crash_worker(name, DEADLY_DOWN_SECONDS)
+
+        task = asyncio.create_task(crash())
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
     async def close(self) -> None:
         """Kill all processes that this site started."""
         for instance in self.instances.values():
@@ -197,6 +232,8 @@
             domain=domain,
             observations=self.observations,
         )
+        worker.on_deadly = partial(self.crash_soon, name)
+        worker.set_capacity(WORKER_MILLICORES)
         self.workers[name], self.worker_proxies[name] = worker, proxy
         await worker.start()
         await proxy.start()
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -41,6 +41,8 @@
         Task and attempt number of every start, in order; tests check it.
     unresponsive : bool
         Whether requests get no timely response.
+    down : bool
+        Whether it publishes no entries.
     closed_up_to : dict of str to int
         Highest attempt number of each task that is never started again.
     ended : list
@@ -54,6 +56,7 @@
     store: StandInStore
     millicores: int = 8000
     unresponsive: bool = False
+    down: bool = False
     fence: int = 0
     lease_end: float = 0.0
     attempts: dict[tuple[str, int], WorkerAttempt] = field(default_factory=dict)
@@ -105,12 +108,17 @@
             return self._reply({"reason": "late"}, 409)
         self.started.append((task, attempt))
         self.attempts[(task, attempt)] = WorkerAttempt(
-            task, attempt, time.monotonic(), float(str(body["spec"]))
+            task, attempt, time.monotonic(), self.parse_payload(str(body["spec"]))
         )
-        self.on_start(task, attempt)
+        self.on_start(task, attempt, str(body["spec"]))
         return self._reply({})
 
-    def on_start(self, task: str, attempt: int) -> None:
+    @staticmethod
+    def parse_payload(payload: str) -> float:
+        """Return the duration of a task in seconds."""
+        return float(payload)
+
+    def on_start(self, task: str, attempt: int, payload: str) -> None:
         """Hook that is called after each start."""
 
     def on_end(self, key: tuple[str, int], cause: str, sequence: int) -> None:
@@ -179,5 +187,6 @@
                 "born": self.incarnation,
                 "seq": sequence,
             }
-            self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+            if not self.down:
+                self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,9 @@
 )
 from soak.proxy import Proxy, ProxyMode
 from soak.runner import RunPlan, run_plan
+from soak.workers import SHRINK_SECONDS_MAX, SoakWorker
 from standins.addresses import find_free_address
+from standins.platform_store import StandInStore
 
 SEED = 20261204
 
@@ -80,6 +82,20 @@
             make_observations(make_attempt(**DONE), states=[(1.5, "completed")]),
             "a completed job is complete",
         ),
+        (
+            make_observations(
+                *(
+                    make_attempt(attempt=n, start=n, end=n + 0.1, cause="crashed")
+                    for n in range(1, 7)
+                ),
+                deadly=True,
+            ),
+            "a task that crashes its workers is given up",
+        ),
+        (
+            make_observations(make_attempt(excess_millicores=500)),
+            "no start brings a worker over its capacity",
+        ),
     ],
 )
 def test_violation_is_detected(observations, invariant):
@@ -97,6 +113,27 @@
     assert find_unfinished(observations) == []
 
 
+def test_a_job_is_given_up_whose_task_crashed_five_workers():
+    attempts = [
+        make_attempt(attempt=n, start=n, end=n + 0.1, cause="crashed")
+        for n in range(1, 6)
+    ]
+    observations = make_observations(*attempts, deadly=True, states=[(9.0, "failed")])
+    assert check_invariants(observations, now=30.0) == []
+    assert find_unfinished(observations) == []
+
+
+def test_a_worker_that_shrank_may_be_filled_until_instances_must_know_of_it():
+    worker = SoakWorker("w", "h:1", StandInStore("h:2"))
+    worker.set_capacity(2000)
+    worker.attempts = {("j.0.0.0", 1): None, ("j.0.0.1", 1): None}
+    worker.set_capacity(1000)
+    assert worker._measure_excess() == 0
+    at, millicores = worker.capacities[-1]
+    worker.capacities[-1] = (at - SHRINK_SECONDS_MAX - 0.1, millicores)
+    assert worker._measure_excess() == 1000
+
+
 def test_unacknowledged_end_may_be_followed_by_another_attempt():
     observations = make_observations(
         make_attempt(**DONE), make_attempt(attempt=2, start=1.5, end=2.0)
