Refuse or ignore messages that are nested too deeply, wherever they are decoded

Cause: decoding raises RecursionError for deep nesting, which isn't among the library's own errors; it ended the tail of the operator's records, and a job's body ended in 500 instead of 400. A job with an amount beyond 64 bits was accepted for an append that can't be made. Change: core/packing.py names once what decoding may raise, and each decoder of foreign bytes uses it; amounts have one range, in platform/amounts.py.

--- a/plantainhinge/adapters/callers_http.py
+++ b/plantainhinge/adapters/callers_http.py
@@ -14,6 +14,7 @@
 from ..core.errors import BadInputError, PlantainhingeError
 from ..core.ids import KindId, RequestId, RequestKey, TaskId
 from ..core.messages import JobStatus
+from ..core.packing import DECODING_ERRORS
 from ..core.states import Outcome
 from ..routing.responses import build_error_response
 
@@ -177,7 +178,7 @@
 def _read_job(environ: Environ) -> JobRequest:
     try:
         return msgspec.json.decode(environ["wsgi.input"].read(), type=JobRequest)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise BadInputError(str(error), step="job.read") from error
 
 
--- a/plantainhinge/adapters/http_calls.py
+++ b/plantainhinge/adapters/http_calls.py
@@ -12,6 +12,7 @@
     UnavailableError,
     UncertainError,
 )
+from ..core.packing import DECODING_ERRORS
 from .http_pool import HttpPool, HttpResponse
 
 T = TypeVar("T")
@@ -75,7 +76,7 @@
     """
     try:
         return msgspec.json.decode(data, type=response_type)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise UncertainError(f"bad response: {error}", step=step, peer=peer) from error
 
 
@@ -102,7 +103,7 @@
 def _read_problem(body: bytes) -> Problem:
     try:
         return msgspec.json.decode(body, type=Problem)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return Problem()
 
 
--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -53,6 +53,7 @@
     SubmitJob,
     TargetList,
 )
+from ..core.packing import DECODING_ERRORS
 
 SERVICE = "plantainhinge.Peers"
 STAMP_HEADER = "plantainhinge-stamp"
@@ -276,7 +277,7 @@
     TimeoutError,
     StreamTerminatedError,
     ProtocolError,
-    msgspec.MsgspecError,
+    *DECODING_ERRORS,
 )
 
 
@@ -328,7 +329,7 @@
 async def _receive(stream: Stream[Any, Any]) -> Any:
     try:
         request = await stream.recv_message()
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
     if request is None:
         raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
--- a/plantainhinge/core/documents.py
+++ b/plantainhinge/core/documents.py
@@ -5,6 +5,7 @@
 from .configuration import SCHEMA, Configuration
 from .errors import BadInputError, UnknownVersionError
 from .faults import find_type_faults, make_fault_error, parse_json
+from .packing import DECODING_ERRORS
 from .rules import find_reference_faults
 
 STEP = "configuration.check"
@@ -51,7 +52,7 @@
     try:
         _check_schema_version(msgspec.json.decode(data), source)
         configuration = msgspec.json.decode(data, type=Configuration)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise BadInputError(str(error), step=STEP, peer=source) from error
     faults = list(find_reference_faults(configuration))
     if faults:
--- a/plantainhinge/core/packing.py
+++ b/plantainhinge/core/packing.py
@@ -8,6 +8,9 @@
 
 T = TypeVar("T")
 
+# what decoding raises for malformed bytes; RecursionError for deeply nested ones
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 
 def decode_record(value: bytes, type_: type[T], *, step: str) -> T:
     """Decode a record of a given type.
@@ -19,5 +22,5 @@
     """
     try:
         return msgspec.msgpack.decode(value, type=type_)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise CorruptRecordError(str(error), step=step) from error
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -29,6 +29,7 @@
     WorkerId,
     WriterId,
 )
+from .packing import DECODING_ERRORS
 from .resources import Resources
 from .states import AttemptOutcome, TaskClass
 
@@ -362,7 +363,7 @@
         version = _header_decoder.decode(body).version
         if version <= RECORD_VERSION:
             return _batch_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise CorruptRecordError(
             f"not a batch of records: {error}", step="record.decode"
         ) from error
--- a/plantainhinge/jobs/forwarding.py
+++ b/plantainhinge/jobs/forwarding.py
@@ -9,7 +9,7 @@
 
 from ..core.errors import CorruptRecordError
 from ..core.ids import JobId, QueueName
-from ..core.packing import decode_record
+from ..core.packing import DECODING_ERRORS, decode_record
 from .model import JobRecord, JobState
 from .outcomes import CallOutcome
 
@@ -80,7 +80,7 @@
     """
     try:
         call: PassedCall = _CALL_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise CorruptRecordError(str(error), step=DECODE_STEP) from error
     return call
 
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -10,6 +10,7 @@
 
 from ..core.errors import CorruptRecordError
 from ..core.ids import AttemptNumber, JobId, QueueName, WorkerId
+from ..core.packing import DECODING_ERRORS
 from .model import JobRecord, JobState
 
 DECODE_STEP = "jobs.decode"
@@ -160,7 +161,7 @@
     """
     try:
         record: Record = _DECODERS[RecordKind(key[:1])].decode(value)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (ValueError, *DECODING_ERRORS) as error:
         raise CorruptRecordError(
             f"record {key!r}: {error}", step=DECODE_STEP
         ) from error
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -11,12 +11,14 @@
 from ..core.errors import BadInputError
 from ..core.ids import JobId, Seconds
 from ..core.log_events import write_event
+from ..core.packing import DECODING_ERRORS
 from ..core.resources import Resources
 from ..daemons.job_service import JobService
 from ..fleet.log_events import JobMalformed
 from ..fleet.operator import QueueRoute
 from ..jobs.model import JobSpec, Recurrence, Step
 from ..jobs.outcomes import CallOutcome
+from .amounts import Amount
 
 logger = logging.getLogger(__name__)
 
@@ -37,7 +39,6 @@
 }
 
 
-Amount = Annotated[int, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=TASKS_MAX)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
@@ -57,14 +58,14 @@
     # on the wire "affinity": the rack that holds the data
     rack: str = msgspec.field(name="affinity", default="")
     # on the wire "antiAffinity": maximum number of the step's tasks on a worker
-    per_worker_max: int = msgspec.field(name="antiAffinity", default=0)
+    per_worker_max: Amount = msgspec.field(name="antiAffinity", default=0)
     speculative: bool = False
     long_running: bool = msgspec.field(name="longRunning", default=False)
     image: str = ""
     target_ms: float = msgspec.field(name="targetMs", default=0)
     # on the wire "fills": runs on otherwise idle capacity
     best_effort: bool = msgspec.field(name="fills", default=False)
-    unavailable_max: int = msgspec.field(name="maxUnavailable", default=0)
+    unavailable_max: Amount = msgspec.field(name="maxUnavailable", default=0)
 
 
 class _Job(msgspec.Struct, kw_only=True):
@@ -160,7 +161,7 @@
     """
     try:
         job = msgspec.json.decode(body, type=_Job)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise BadInputError(str(error), step="ingress.job") from error
     steps = tuple(_decode_step(step) for step in job.steps)
     for index, step in enumerate(steps):
--- a/plantainhinge/platform/operator.py
+++ b/plantainhinge/platform/operator.py
@@ -7,6 +7,7 @@
 
 from ..core.ids import DomainId, QueueName, Revision, ServiceId
 from ..core.log_events import write_event
+from ..core.packing import DECODING_ERRORS
 from ..fleet.log_events import ConfigurationUnreadable
 from ..fleet.operator import (
     DomainClosure,
@@ -60,7 +61,7 @@
         return None
     try:
         config = msgspec.json.decode(value, type=_Config)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         write_event(logger, ConfigurationUnreadable(cause=str(error)))
         return None
     return SchedulingConfiguration(
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -21,6 +21,7 @@
     UncertainError,
 )
 from ..core.ids import MemberName, Seconds
+from ..core.packing import DECODING_ERRORS
 from ..fleet.protocols import Entry, Fence, Page
 
 T = TypeVar("T")
@@ -223,7 +224,7 @@
 def _decode(response: HttpResponse, type_: type[T], step: str, peer: str) -> T:
     try:
         return msgspec.json.decode(response.body, type=type_)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise UncertainError(f"bad response: {error}", step=step, peer=peer) from error
 
 
@@ -233,7 +234,7 @@
         return
     try:
         refusal = msgspec.json.decode(response.body, type=_Refusal)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         refusal = _Refusal()
     message = f"status {response.status} {refusal.reason}".strip()
     if response.status == GONE:
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -10,6 +10,7 @@
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import AttemptNumber, DomainId, JobId, Seconds, ServiceId, WorkerId
 from ..core.log_events import write_event
+from ..core.packing import DECODING_ERRORS
 from ..core.resources import Resources
 from ..fleet.log_events import (
     AdviceFailed,
@@ -35,12 +36,10 @@
     WorkerState,
 )
 from ..jobs.model import TaskKey
+from .amounts import Amount
 
 logger = logging.getLogger(__name__)
 
-# what decoding raises; RecursionError if a message is nested too deeply
-DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-
 OK = 200
 ADVICE_TIMEOUT_SECONDS = Seconds(3.0)
 ORDER_TIMEOUT_SECONDS = Seconds(0.5)
@@ -48,10 +47,6 @@
 CONNECTIONS_MAX = 6
 GAUGE_COLUMN = 4
 
-# the log's records hold no larger integers
-INTEGER_MAX = 2**63 - 1
-
-Amount = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
 
 OUTCOMES_BY_REASON = {
--- a/plantainhinge/streams/snapshots.py
+++ b/plantainhinge/streams/snapshots.py
@@ -13,6 +13,7 @@
 from ..core.errors import CorruptRecordError, UnknownVersionError
 from ..core.ids import Offset, Seconds, Sequence, WriterId
 from ..core.messages import Entry, Page
+from ..core.packing import DECODING_ERRORS
 from ..core.records import SnapshotTaken, decode_batch
 
 PART_BYTES = 128 * 1024
@@ -68,7 +69,7 @@
     """Decode a snapshot; return None if ``data`` is not a valid one."""
     try:
         return msgspec.msgpack.decode(data, type=Snapshot)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
+from plantainhinge.jobs.records import RecordKind, decode_record
 from plantainhinge.platform import ingress, operator, store, workers
 from plantainhinge.platform.settings import read_platform_settings
 
@@ -117,6 +118,26 @@
     assert workers.decode_entry("i-1", DEEPLY_NESTED) is None
 
 
+def test_a_deeply_nested_configuration_is_ignored():
+    assert operator.decode_operator_record("config", DEEPLY_NESTED) is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [DEEPLY_NESTED, encode({"spec": "", "steps": [{"cpu": 2**64}]})],
+    ids=["nested", "huge number"],
+)
+def test_a_job_that_no_record_can_hold_is_refused(body):
+    with pytest.raises(BadInputError):
+        ingress.decode_spec(body)
+
+
+@pytest.mark.parametrize("kind", RecordKind)
+def test_a_deeply_nested_record_of_a_job_is_reported_as_corrupt(kind):
+    with pytest.raises(CorruptRecordError):
+        decode_record(kind.value + "j", b"\x81\xa1x" + b"\x91" * 100_000)
+
+
 @pytest.mark.parametrize("status", [200, 503])
 @pytest.mark.parametrize("call", ["renew", "stop"])
 def test_a_deeply_nested_answer_of_a_worker_ends_no_loop(monkeypatch, call, status):
