Leave out a record that can't be applied instead of reading it for ever

Cause, of the same class as the deadly tasks: an error while a record was applied ended the read before its position moved on, so each instance read it again and again and saw nothing after it. Change: the tail logs the error and goes on with the next record. Test: failed before.

--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -14,7 +14,7 @@
 from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.protocols import Entry, KeyedLog
-from .view_events import TopicTrimmed
+from .view_events import RecordFailed, TopicTrimmed
 
 logger = logging.getLogger(__name__)
 
@@ -72,7 +72,7 @@
         # skip records that a concurrent read has applied
         entries = page.entries[max(0, self.position - start) :]
         for entry in entries:
-            self.apply(entry)
+            self._apply(entry)
         self.position = max(page.end, self.position)
         if page.complete:
             self.synced_at = max(self.synced_at, asked_at)
@@ -101,6 +101,17 @@
         self.synced_at = float("-inf")
         self.reset()
 
+    def _apply(self, entry: Entry) -> None:
+        """Apply a record; one that can't be applied is left out.
+
+        Otherwise it would be read again and again, by each instance.
+        """
+        try:
+            self.apply(entry)
+        except Exception as error:
+            event = RecordFailed(topic=self.topic, key=entry.key)
+            write_event(logger, event, error=error)
+
     async def _restart(self) -> int:
         """Read one page of the newest records; the next call continues after it."""
         async with self._restart_lock:
@@ -111,7 +122,7 @@
                 self.reset()
                 self._restart_end = page.end
             for entry in page.entries:
-                self.apply(entry)
+                self._apply(entry)
             self._next_key = page.next_key
             if not page.next_key:
                 self.position, self._restart_end = self._restart_end, None
--- a/plantainhinge/daemons/view_events.py
+++ b/plantainhinge/daemons/view_events.py
@@ -77,6 +77,20 @@
     opened_domain: DomainId
 
 
+@log_event("record failed", level=logging.ERROR)
+class RecordFailed(LogEvent, frozen=True, kw_only=True):
+    """A programming error while a record was applied; the record is left out.
+
+    Parameters
+    ----------
+    topic, key : str
+        Where the record is.
+    """
+
+    topic: str
+    key: str
+
+
 @log_event("topic trimmed")
 class TopicTrimmed(LogEvent, frozen=True, kw_only=True):
     """The log trimmed records before they were read; reading starts over.
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -122,3 +122,23 @@
 
     asyncio.run(play())
     assert len(topic.seen) == 5
+
+
+def test_a_record_that_cannot_be_applied_is_left_out():
+    async def scenario():
+        topic = TailedTopic(3, page_size=2)
+        apply = topic.tail.apply
+
+        def apply_or_fail(entry):
+            if entry.key in ("k001", "bad"):
+                raise ValueError(entry.key)
+            apply(entry)
+
+        topic.tail.apply = apply_or_fail
+        await topic.tail.catch_up()
+        await topic.append("bad")
+        await topic.append("good")
+        await topic.tail.catch_up()
+        return [entry.key for entry in topic.seen], topic.resets
+
+    assert asyncio.run(scenario()) == (["k000", "k002", "good"], 1)
