Set a job aside that can't be opened, so that it doesn't stop each owner in turn

Change: the job is logged and left out; the others are opened. Test: jobs whose step depends on a step that doesn't exist; failed before.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -27,7 +27,7 @@
 from ..fleet.model import OrderOutcome, WorkerReport
 from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
-from ..jobs.records import Cancellation
+from ..jobs.records import Cancellation, Progress
 from ..jobs.retention import Retention
 from .job_view import JobView
 from .load_report import LoadReports
@@ -35,6 +35,7 @@
 from .owner_events import (
     DecisionsFailed,
     DirectoryUnreadable,
+    JobNotOpened,
     JobsUnreadable,
     LoopEnded,
     ProcessStoodStill,
@@ -119,7 +120,7 @@
         wall = read_wall()
         for row in list(self.view.table.select_open()):
             assert row.accepted is not None
-            cell.open_job(row.accepted, row.progress, wall=wall, inherited=True)
+            _open_job(cell, row.accepted, row.progress, wall=wall, inherited=True)
         self.view.take_new_records()
         inherited = epoch > 1
         cell.apply_handover(self.view.handover, now=read_monotonic(), wall=wall)
@@ -191,8 +192,8 @@
             match record:
                 case JobRecord():
                     row = self.view.table.rows[record.job]
-                    cell.open_job(
-                        record, row.progress, wall=read_wall(), inherited=False
+                    _open_job(
+                        cell, record, row.progress, wall=read_wall(), inherited=False
                     )
                     if row.cancelled:
                         cell.cancel_job(record.job, now=read_monotonic())
@@ -398,3 +399,18 @@
         if not task.cancelled() and task.exception() is not None:
             write_event(logger, LoopEnded(), error=task.exception())
             self.report_fenced("a loop ended by an error")
+
+
+def _open_job(
+    cell: Cell,
+    record: JobRecord,
+    progress: Progress | None,
+    *,
+    wall: Seconds,
+    inherited: bool,
+) -> None:
+    """Open a job; one that can't be opened must not stop each owner in turn."""
+    try:
+        cell.open_job(record, progress, wall=wall, inherited=inherited)
+    except Exception as error:
+        write_event(logger, JobNotOpened(job=record.job), error=error)
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from ..core.ids import JobId
 from ..core.log_events import LogEvent, log_event
 
 
@@ -69,6 +70,19 @@
     reports: int
 
 
+@log_event("job not opened", level=logging.ERROR)
+class JobNotOpened(LogEvent, frozen=True, kw_only=True):
+    """A programming error while a logged job was opened; none of its tasks starts.
+
+    Parameters
+    ----------
+    job : str
+        Its id.
+    """
+
+    job: JobId
+
+
 @log_event("decisions failed", level=logging.ERROR)
 class DecisionsFailed(LogEvent, frozen=True, kw_only=True):
     """A programming error in a round of decisions; the next round follows."""
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -17,7 +17,7 @@
 from plantainhinge.jobs.records import build_key, decode_record, encode_record
 
 from .keyed_log import MemoryKeyedLog
-from .simulated_cell import TERMS, make_entry, make_job
+from .simulated_cell import TERMS, make_entry, make_job, make_step
 
 
 class NoWorkers:
@@ -124,6 +124,24 @@
     assert asyncio.run(scenario()) == {"a", "b"}
 
 
+def test_a_job_that_cannot_be_opened_stops_no_takeover_and_no_other_job():
+    broken = make_step(depends_on=(7,))
+
+    async def scenario():
+        log = MemoryKeyedLog()
+        await accept(log, make_job("a"), make_job("b", broken), make_job("c"))
+        runner = make_runner(log)
+        await runner.take_over(Epoch(3))
+        await accept(log, make_job("d", broken), make_job("e"))
+        await runner.view.job_tail.catch_up()
+        runner._apply_new_records(runner.cell)
+        jobs = set(runner.cell.jobs)
+        runner.stop("test")
+        return jobs
+
+    assert asyncio.run(scenario()) == {"a", "c", "e"}
+
+
 def test_an_owner_stopped_during_its_takeover_never_acts():
     async def scenario():
         log = MemoryKeyedLog()
