Let no single step or job hold up all decisions of the owner

Cause, of the same class: an error in the placement of one step ended the round, and each later round at the same step, under each owner; and a recurring job with a billion occurrences due at once (no start time, no interval) made each owner create them all. Change: a step whose placement fails is logged and left out for five seconds. Of a recurring job no more than 2000 tasks are open at a time, unless one occurrence has more. Test: both failed before (the second ran out of time). Tests of these modules passed.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -17,7 +17,7 @@
 )
 from .queueing import order_steps, rank_step
 from .scheduling_state import SchedulingState
-from .step_events import StepPlaced, StepWaits, describe_step
+from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
 from .tasks import start_task
 from .worker_choice import choose_destination, choose_worker
 from .worker_pool import WorkerPool
@@ -27,6 +27,8 @@
 # a worker's smaller capacity must be respected within the time in which instances learn
 # of it; the directory shows it a heartbeat after the worker knew
 DIRECTORY_AGE_SECONDS_MAX = 2.0
+# how long a step waits after an error in its placement
+FAILED_STEP_SECONDS = 5.0
 
 
 def place_waiting_tasks(cell: SchedulingState, *, now: float, wall: Seconds) -> None:
@@ -41,16 +43,32 @@
     pools = _open_pools(cell, now=now)
     empty_pool = WorkerPool([], cell.weights, now=now)
     for step in order_steps(waiting, wall=wall):
-        if batching.is_delayed(step, newest, now=now):
+        if batching.is_delayed(step, newest, now=now) or now < step.failed_until:
             continue
         pool = pools.get(step.job.record.policy.service, empty_pool)
-        if step.spec.gang:
-            placed = _place_gang(cell, step, pool, withheld, now=now)
-        else:
-            placed = _place_step(cell, step, pool, withheld, now=now)
+        try:
+            placed = _place(cell, step, pool, withheld, now=now)
+        except Exception as error:
+            # one step must not keep all others from being placed, in each round
+            step.failed_until = now + FAILED_STEP_SECONDS
+            event = StepFailed(about=describe_step(step))
+            write_event(logger, event, error=error)
+            continue
         _log_placement(step, placed, len(pool), now=now, wall=wall)
 
 
+def _place(
+    cell: SchedulingState,
+    step: OpenStep,
+    pool: WorkerPool,
+    withheld: frozenset[TaskKey],
+    *,
+    now: float,
+) -> list[Attempt]:
+    place = _place_gang if step.spec.gang else _place_step
+    return place(cell, step, pool, withheld, now=now)
+
+
 def _open_pools(cell: SchedulingState, *, now: float) -> dict[ServiceId, WorkerPool]:
     """Return the workers that accept new work in this pass, by service."""
     return {
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -200,6 +200,8 @@
     waiting_since, arrived_with_others
         Monotonic seconds at which a long-running step was first ready, infinite before
         that, and whether other such steps were at that time.
+    failed_until : float
+        Monotonic seconds until which it isn't placed, after an error.
     own_load : LoadForecast
         Forecast of the pressure that a serving task of the step has without neighbours
         (see ``dispatch.interference``); all tasks of a step share it.
@@ -220,6 +222,7 @@
     unplaced_since: float = float("inf")
     waiting_since: float = float("inf")
     arrived_with_others: bool = False
+    failed_until: float = float("-inf")
     own_load: LoadForecast = field(default_factory=make_forecast)
 
     @property
--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -21,6 +21,8 @@
 )
 from .model import OpenJob, OpenStep, Task, is_on_trial
 
+# tasks of a recurring job that are open at a time, unless one occurrence has more
+OPEN_TASKS_MAX = 2000
 SINGLE_OCCURRENCE = Recurrence(1, 0.0, 0.0)
 
 
@@ -45,17 +47,37 @@
 
 
 def open_due_occurrences(job: OpenJob, *, wall: Seconds) -> list[OpenStep]:
-    """Create the steps of each occurrence that is due, and return the new ones."""
+    """Create the steps of each occurrence that is due, and return the new ones.
+
+    Of a job with many occurrences due at once, most wait until others have finished.
+    """
     recurrence = job.record.spec.recurrence or SINGLE_OCCURRENCE
     opened: list[OpenStep] = []
-    while job.created_below < recurrence.times and (
-        recurrence.first + job.created_below * recurrence.interval <= wall
+    while (
+        job.created_below < recurrence.times
+        and _may_open_another(job)
+        and recurrence.first + job.created_below * recurrence.interval <= wall
     ):
         opened.extend(_open_occurrence(job, job.created_below))
         job.created_below += 1
     return opened
 
 
+def _may_open_another(job: OpenJob) -> bool:
+    """Return whether a recurring job has few enough open tasks for one occurrence more.
+
+    Finished occurrences stay until all before them have finished.
+    """
+    tasks = sum(step.count for step in job.record.spec.steps)
+    open_max = max(1, OPEN_TASKS_MAX // max(1, tasks))
+    if len(job.occurrences) < open_max:
+        return True
+    unfinished = sum(
+        any(step.unfinished for step in steps) for steps in job.occurrences.values()
+    )
+    return unfinished < open_max
+
+
 def close_occurrences(job: OpenJob) -> bool:
     """Drop the finished occurrences, and return whether the whole job is done."""
     for number in sorted(job.occurrences):
--- a/plantainhinge/dispatch/step_events.py
+++ b/plantainhinge/dispatch/step_events.py
@@ -1,5 +1,7 @@
 """Log events about the steps of jobs: placed, waiting or idle tasks."""
 
+import logging
+
 from ..core.ids import JobId, WorkerId
 from ..core.log_events import LogEvent, LogFields, log_event
 from .model import OpenStep
@@ -27,6 +29,11 @@
     about: StepFields
 
 
+@log_event("step failed", level=logging.ERROR)
+class StepFailed(StepEvent, frozen=True, kw_only=True):
+    """A programming error while a step was placed; it is tried again later."""
+
+
 @log_event("step placed")
 class StepPlaced(StepEvent, frozen=True, kw_only=True):
     """Tasks of a step were assigned to workers.
--- a/tests/test_dispatch_cell.py
+++ b/tests/test_dispatch_cell.py
@@ -1,8 +1,11 @@
 """Scheduling of a cell's jobs while workers, answers and the log fail."""
 
 import msgspec
+import pytest
 
-from plantainhinge.dispatch.open_jobs import open_job
+from plantainhinge.dispatch import open_jobs
+from plantainhinge.dispatch.open_jobs import OPEN_TASKS_MAX, open_job
+from plantainhinge.dispatch.worker_pool import WorkerPool
 from plantainhinge.fleet.model import (
     EndCause,
     WorkerState,
@@ -206,3 +209,46 @@
     assert len(site.list_running()) == 2
     site.run_until(lambda: site.state_of("j") == "completed", limit=10)
     assert site.count_starts() == 3
+
+
+@pytest.mark.parametrize("interval", [0.0, 0.001])
+def test_a_job_with_very_many_occurrences_due_at_once_opens_few_at_a_time(interval):
+    """As of one whose caller left out the time of the first."""
+    site = SimulatedCell(make_entry("w1"))
+    spec = JobSpec(
+        payload="work",
+        steps=(make_step(count=500, estimate=0.1),),
+        recurrence=Recurrence(10**9, 0.0, interval),
+    )
+    record = msgspec.structs.replace(make_job("j"), spec=spec)
+    site.now = 1e9
+    site.submit(record)
+    assert len(site.cell.jobs["j"].occurrences) == OPEN_TASKS_MAX // 500
+    site.cell.jobs["j"].occurrences[0][0].unfinished = 0
+    open_jobs.close_occurrences(site.cell.jobs["j"])
+    open_jobs.open_due_occurrences(site.cell.jobs["j"], wall=site.now)
+    assert set(site.cell.jobs["j"].occurrences) == {1, 2, 3, 4}
+
+
+def test_an_error_in_the_placement_of_one_step_keeps_no_other_from_being_placed(
+    monkeypatch,
+):
+    choose = WorkerPool.choose
+
+    def choose_or_fail(pool, task):
+        if task.key.job == "broken":
+            raise ZeroDivisionError
+        return choose(pool, task)
+
+    monkeypatch.setattr(WorkerPool, "choose", choose_or_fail)
+    site = SimulatedCell(make_entry("w1"))
+    for name in ("a", "broken", "z"):
+        site.submit(make_job(name))
+    site.run(2)
+    assert {name: site.state_of(name) for name in ("a", "broken", "z")} == {
+        "a": "completed",
+        "broken": "queued",
+        "z": "completed",
+    }
+    monkeypatch.undo()
+    site.run_until(lambda: site.state_of("broken") == "completed", limit=8)
