Count crashes in the ledger as well, and reject a task under which five workers crashed

Cause, of the same class in the product's own batch path: an attempt that was lost because its worker restarted was closed as lost, and lost attempts counted for nothing, so a task that crashes its workers went round for ever. Change: closures say whether the worker restarted; the ledger counts these, keeps the task away from the workers that it crashed on, and rejects it at the limit of failed attempts (attempts_per_task, 5). What is lost with a silent worker doesn't count. The field is the last one of its records and messages, so older processes pass over it. Declared services are started again without a limit, as before. Test: failed before (8 starts in 8 rounds), 5 now; the neighbour finishes.

--- a/plantainhinge/core/messages/offers.py
+++ b/plantainhinge/core/messages/offers.py
@@ -58,7 +58,13 @@
 
 
 class Closure(Message, frozen=True, array_like=True):
-    """The end of an attempt, as recorded by its cell."""
+    """The end of an attempt, as recorded by its cell.
+
+    Parameters
+    ----------
+    crashed : bool
+        Whether the attempt was lost because its worker restarted.
+    """
 
     task: TaskId
     attempt: AttemptNumber
@@ -66,6 +72,7 @@
     checkpoint: str = ""
     reason: str = ""
     worker: WorkerId = WorkerId("")
+    crashed: bool = False
 
 
 class ReportClosures(Message, frozen=True):
--- a/plantainhinge/core/records.py
+++ b/plantainhinge/core/records.py
@@ -120,7 +120,13 @@
 
 
 class AttemptEnded(Record, frozen=True, tag="end"):
-    """The ledger records that a cell has closed an attempt."""
+    """The ledger records that a cell has closed an attempt.
+
+    Parameters
+    ----------
+    crashed : bool
+        Whether the attempt was lost because its worker restarted.
+    """
 
     task: TaskId
     attempt: AttemptNumber
@@ -128,6 +134,7 @@
     checkpoint: str
     reason: str = ""
     worker: WorkerId = WorkerId("")
+    crashed: bool = False
 
 
 class RequestClaimed(Record, frozen=True, tag="clm"):
@@ -192,7 +199,13 @@
 
 
 class AttemptClosed(Record, frozen=True, tag="cls"):
-    """The attempt is certainly not running and never will run again."""
+    """The attempt is certainly not running and never will run again.
+
+    Parameters
+    ----------
+    crashed : bool
+        Whether the attempt was lost because its worker restarted.
+    """
 
     task: TaskId
     attempt: AttemptNumber
@@ -200,6 +213,7 @@
     checkpoint: str
     ledger: int
     reason: str = ""
+    crashed: bool = False
 
 
 class ClosureAcknowledged(Record, frozen=True, tag="ack"):
--- a/plantainhinge/daemons/cell_workers.py
+++ b/plantainhinge/daemons/cell_workers.py
@@ -268,12 +268,16 @@
         row = self.state.workers.get(worker)
         for task in row.attempts if row else ():
             self._add_lost_closure(
-                self.state.open_attempts[task], f"worker {worker} stayed silent"
+                self.state.open_attempts[task],
+                f"worker {worker} stayed silent",
+                crashed=False,
             )
 
-    def _add_lost_closure(self, placed: AttemptPlaced, reason: str) -> None:
+    def _add_lost_closure(
+        self, placed: AttemptPlaced, reason: str, *, crashed: bool
+    ) -> None:
         self._pending_closures.setdefault(
-            placed.task, build_lost_closure(placed, reason)
+            placed.task, build_lost_closure(placed, reason, crashed=crashed)
         )
 
     def _renew(self, worker: WorkerId, now: Seconds) -> None:
@@ -368,7 +372,9 @@
             self.schedule_stop(task, now)
         elif action is AttemptAction.LOST:
             self._add_lost_closure(
-                self.state.open_attempts[task], f"worker {report.worker} restarted"
+                self.state.open_attempts[task],
+                f"worker {report.worker} restarted",
+                crashed=True,
             )
         elif action is AttemptAction.START and not self.is_stopping(task):
             self._starts.add(task, now)
--- a/plantainhinge/ledgers/cell_decisions.py
+++ b/plantainhinge/ledgers/cell_decisions.py
@@ -3,6 +3,8 @@
 from collections.abc import Container, Iterable, Mapping
 from itertools import islice
 
+import msgspec
+
 from ..core.ids import Seconds, ServiceId, TaskId, WorkerId
 from ..core.messages import (
     AttemptRef,
@@ -75,12 +77,15 @@
     )
 
 
-def build_lost_closure(placed: AttemptPlaced, reason: str) -> AttemptClosed:
+def build_lost_closure(
+    placed: AttemptPlaced, reason: str, *, crashed: bool
+) -> AttemptClosed:
     """Build the closure of an attempt that must have ended, with outcome unknown.
 
-    Its lease has expired, or its worker process was restarted.
+    Its lease has expired, or its worker process was restarted: it ``crashed``.
     """
-    return _build_unfinished_closure(placed, AttemptOutcome.LOST, reason)
+    closure = _build_unfinished_closure(placed, AttemptOutcome.LOST, reason)
+    return msgspec.structs.replace(closure, crashed=crashed)
 
 
 def build_unstarted_closure(placed: AttemptPlaced, reason: str) -> AttemptClosed:
@@ -166,6 +171,7 @@
             checkpoint=record.checkpoint,
             reason=record.reason,
             worker=_find_worker(state, record),
+            crashed=record.crashed,
         )
         for record in closed
         if record is not None
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -75,6 +75,10 @@
         since the Unix epoch.
     failed_on : list of WorkerId
         The distinct workers on which an attempt failed.
+    crashes : int
+        Attempts that were lost because their workers restarted.
+    crashed_on : list of WorkerId
+        These distinct workers.
     """
 
     accepted: TaskAccepted
@@ -88,6 +92,8 @@
     ended_at: float = 0.0
     accepted_at: float = 0.0
     failed_on: list[WorkerId] = []
+    crashes: int = 0
+    crashed_on: list[WorkerId] = []
 
 
 class ClaimRow(msgspec.Struct):
@@ -327,6 +333,8 @@
         row.reason = record.reason
         if record.outcome is AttemptOutcome.FAILED:
             self._record_failure(row, record.worker)
+        if record.crashed:
+            self._record_crash(row, record.worker)
         self._apply_outcome(record, row)
         return None
 
@@ -335,6 +343,11 @@
         if worker and worker not in row.failed_on:
             row.failed_on = [*row.failed_on, worker]
 
+    def _record_crash(self, row: TaskRow, worker: WorkerId) -> None:
+        row.crashes += 1
+        if worker and worker not in row.crashed_on:
+            row.crashed_on = [*row.crashed_on, worker]
+
     def _apply_outcome(self, record: AttemptEnded, row: TaskRow) -> None:
         if record.outcome is AttemptOutcome.FINISHED:
             self._finish(record.task, TaskState.FINISHED, record.reason)
--- a/plantainhinge/ledgers/ledger_decisions.py
+++ b/plantainhinge/ledgers/ledger_decisions.py
@@ -176,7 +176,7 @@
         cancelled=row.cancelling,
         priority=accepted.priority,
         urgent=accepted.urgent,
-        avoid=row.failed_on,
+        avoid=[*row.failed_on, *row.crashed_on],
     )
 
 
@@ -197,6 +197,7 @@
         closure.checkpoint,
         closure.reason,
         closure.worker,
+        closure.crashed,
     )
 
 
@@ -358,6 +359,8 @@
         return ""
     if row.failures >= configuration.limits.attempts_per_task:
         return f"failed {row.failures} times; last: {row.reason or 'no reason given'}"
+    if row.crashes >= configuration.limits.attempts_per_task:
+        return f"{row.crashes} workers crashed under it"
     fault = explain_faulty_job(frozenset(row.failed_on), HealthLimits())
     if fault:
         return f"{fault}; last: {row.reason or 'no reason given'}"
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -461,3 +461,25 @@
             for cell in process.scheduler.cells.values():
                 assert not cell.state.attempts
         assert not any(worker._tombstones for worker in site.workers.values())
+
+
+def test_a_task_under_which_worker_after_worker_restarts_is_given_up():
+    with run_site() as site:
+        site.submit("deadly", run_seconds=500.0)
+        site.submit("neighbour", run_seconds=500.0)
+        starts = 0
+        for _ in range(8):
+            site.advance(40.0)
+            running = [
+                name
+                for name, worker in site.workers.items()
+                if any(ref[0] == "deadly" for ref in worker.list_running())
+            ]
+            starts += len(running)
+            for name in running:
+                site.restart_worker(name)
+        assert starts == 5
+        site.await_state(lambda: site.is_final("deadly"))
+        status = site.query("deadly")
+        assert "5 workers crashed under it" in status.reason
+        site.await_state(lambda: site.is_final("neighbour"), 2000.0)
