Place nothing by the capacity that a worker had before it shrank

Change: a worker that is listed otherwise than it is recorded gets nothing new; it is recorded anew once it is empty, or used again once it is listed as before. Test: failed before (two tasks of four cores on a worker of five), passed. Tests of the cell and of recovery passed.

--- a/plantainhinge/daemons/cell_owner.py
+++ b/plantainhinge/daemons/cell_owner.py
@@ -30,6 +30,7 @@
 from ..ledgers.cell_decisions import (
     build_closures,
     digest_cell,
+    list_changed_workers,
     list_targets,
     reconcile_workers,
 )
@@ -218,12 +219,13 @@
         self._urgent = {offer.task for offer in offers if offer.urgent}
         if not self._is_domain_in():
             return decline_offers(self.state, offers, "the failure domain is out")
+        changed = list_changed_workers(self.state, self.node.instances)
         plan = place_offers(
             self.state,
             offers,
             self.learning.tables,
             self.learning.policy,
-            usable=self.workers.list_usable(now),
+            usable=self.workers.list_usable(now) - changed,
             now=now,
         )
         for task in plan.evictions:
--- a/plantainhinge/ledgers/cell_decisions.py
+++ b/plantainhinge/ledgers/cell_decisions.py
@@ -56,6 +56,21 @@
     return records
 
 
+def list_changed_workers(
+    state: CellState, instances: Iterable[Instance]
+) -> set[WorkerId]:
+    """Return the workers that the platform lists otherwise than the cell has them.
+
+    They get nothing new: a smaller capacity is recorded only once they are empty.
+    """
+    listed = {WorkerId(row.instance): row for row in instances}
+    return {
+        name
+        for name, worker in state.workers.items()
+        if name in listed and not _is_same(worker, listed[name])
+    }
+
+
 def _is_same(worker: WorkerRow, listed: Instance | None) -> bool:
     return listed is not None and (
         worker.address == listed.address
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -283,6 +283,7 @@
     partitions: int = 1
     jobs_urgent: bool = False
     declared: dict = field(default_factory=dict)
+    capacities: dict = field(default_factory=dict)
     kill_after: int = 0
     effects: int = 0
     _stepping: Process | None = None
@@ -345,7 +346,7 @@
                 address=name,
                 domain=worker.domain,
                 region="r",
-                capacity=CAPACITY,
+                capacity=self.capacities.get(name, CAPACITY),
             )
             for name, worker in self.workers.items()
         ]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -11,6 +11,7 @@
 from plantainhinge.adapters.peers_grpc import CANCEL
 from plantainhinge.core.errors import UncertainError
 from plantainhinge.core.messages import CancelJob
+from plantainhinge.core.resources import Resources
 from plantainhinge.core.states import AttemptOutcome, TaskState
 from plantainhinge.ledgers.leases import (
     CLOCK_DRIFT_RATIO,
@@ -483,3 +484,24 @@
         status = site.query("deadly")
         assert "5 workers crashed under it" in status.reason
         site.await_state(lambda: site.is_final("neighbour"), 2000.0)
+
+
+def test_a_worker_that_shrinks_gets_nothing_by_the_capacity_that_it_had():
+    with run_site(domains={"d1": "in"}, workers_per_domain=2) as site:
+        site.submit("first", run_seconds=400.0)
+        site.advance(10.0)
+        (name,) = (
+            name for name, worker in site.workers.items() if worker.list_running()
+        )
+        site.capacities[name] = Resources(5000, 4096)
+        site.advance(30.0)
+        for index in range(12):
+            site.submit(f"j{index}", run_seconds=20.0)
+        site.advance(30.0)
+        assert len(site.workers[name].list_running()) == 1
+        del site.capacities[name]
+        site.advance(30.0)
+        for index in range(12, 24):
+            site.submit(f"j{index}", run_seconds=20.0)
+        site.advance(10.0)
+        assert len(site.workers[name].list_running()) > 1
