--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -10,7 +10,7 @@
 from ..dispatch.cell import Cell
 from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.load import CellLoad, measure_load
-from ..dispatch.model import LossCause
+from ..dispatch.outages import LossCause
 from .round_times import RoundTimes
 
 logger = logging.getLogger(__name__)
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -6,15 +6,8 @@
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
 from . import avoidance, batching, trials
-from .model import (
-    Attempt,
-    AttemptPhase,
-    OpenStep,
-    Task,
-    Worker,
-    bind_attempt,
-    unbind_attempt,
-)
+from .bindings import bind_attempt, unbind_attempt
+from .model import Attempt, AttemptPhase, OpenStep, Task, Worker
 from .queueing import order_steps, rank_step
 from .scheduling_state import SchedulingState
 from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -10,15 +10,9 @@
 
 from ..fleet.model import WorkerState
 from .assignment import is_capacity_known
+from .bindings import compute_committed_resources
 from .cell import Cell
-from .model import (
-    AttemptPhase,
-    HandoverMark,
-    OpenStep,
-    Task,
-    Worker,
-    compute_committed_resources,
-)
+from .model import AttemptPhase, HandoverMark, OpenStep, Task, Worker
 from .step_events import TasksIdle, describe_step
 from .worker_choice import has_capacity, holds_ticket, meets_constraints
 
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -8,7 +8,8 @@
 from .health import record_success
 from .leases import assume_earlier_leases
 from .losses import explain_losses, lose_attempts, lose_withheld, note_outage
-from .model import AttemptPhase, LossCause, Worker
+from .model import AttemptPhase, Worker
+from .outages import LossCause
 from .scheduling_state import SchedulingState
 from .worker_events import (
     WorkerChangedState,
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -6,7 +6,8 @@
 from ..core.log_events import LogEvent, LogFields, log_event
 from ..fleet.model import EndCause, OrderOutcome
 from ..jobs.model import JobState, TaskKey
-from .model import Attempt, AttemptPhase, LossCause
+from .model import Attempt, AttemptPhase
+from .outages import LossCause
 
 
 class AttemptFields(LogFields, frozen=True, kw_only=True):
--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -23,16 +23,10 @@
     describe_attempt,
     name_key,
 )
-from .model import (
-    Attempt,
-    LossCause,
-    Outage,
-    Task,
-    Worker,
-    is_on_trial,
-    measure_suspicion,
-)
+from .model import Attempt, Task, Worker
+from .outages import LossCause, Outage
 from .scheduling_state import SchedulingState
+from .suspicion import is_on_trial, measure_suspicion
 from .tasks import end_job, find_task, release_attempt
 
 logger = logging.getLogger(__name__)
--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -19,7 +19,8 @@
     pack_bits,
     unpack_bits,
 )
-from .model import OpenJob, OpenStep, Task, is_on_trial
+from .model import OpenJob, OpenStep, Task
+from .suspicion import is_on_trial
 
 # tasks of a recurring job that are open at a time, unless one occurrence has more
 OPEN_TASKS_MAX = 2000
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -5,10 +5,11 @@
 from ..core.ids import AttemptNumber
 from ..core.log_events import write_event
 from ..fleet.model import StartOrder, StopOrder, ThrottleOrder, WorkerState
+from .bindings import set_speed
 from .health import note_stop
 from .leases import grant_lease
 from .log_events import StartRepeated, StartWithdrawn, describe_attempt
-from .model import Attempt, AttemptPhase, Task, Worker, set_speed
+from .model import Attempt, AttemptPhase, Task, Worker
 from .orders import Start, Stop, Throttle
 from .scheduling_state import SchedulingState
 
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -11,22 +11,17 @@
     WorkerReport,
 )
 from . import health
+from .bindings import bind_attempt
 from .eviction import protect_serving
 from .incarnations import begin_incarnation
 from .interference import infer_speed
 from .leases import record_answer
 from .log_events import AttemptEnded, AttemptGone, describe_attempt
 from .losses import clear_task, explain_losses, lose_attempts
-from .model import (
-    Attempt,
-    AttemptPhase,
-    LossCause,
-    Task,
-    Worker,
-    bind_attempt,
-)
+from .model import Attempt, AttemptPhase, Task, Worker
 from .ordering import send_throttle, stop_attempt
 from .orders import Stop
+from .outages import LossCause
 from .scheduling_state import SchedulingState
 from .tasks import (
     fail_task,
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -7,8 +7,9 @@
 from ..fleet.handover import LoadCurve
 from ..jobs.model import TaskKey
 from .leases import LeaseTerms
-from .model import LossCause, OpenJob, Outage, Task, Trial, Worker
+from .model import OpenJob, Task, Trial, Worker
 from .orders import Command
+from .outages import LossCause, Outage
 from .weights import ImageWeights
 
 # job, occurrence and index of a step
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -7,16 +7,9 @@
 from ..jobs.model import FINAL_JOB_STATES, JobState
 from . import health, open_jobs
 from .avoidance import avoid_worker
+from .bindings import bind_attempt, unbind_attempt
 from .log_events import JobEnded
-from .model import (
-    Attempt,
-    AttemptPhase,
-    OpenJob,
-    Task,
-    Worker,
-    bind_attempt,
-    unbind_attempt,
-)
+from .model import Attempt, AttemptPhase, OpenJob, Task, Worker
 from .ordering import send_start, stop_attempt
 from .scheduling_state import SchedulingState
 
--- a/plantainhinge/dispatch/trials.py
+++ b/plantainhinge/dispatch/trials.py
@@ -9,16 +9,10 @@
 from collections.abc import Iterable
 
 from ..jobs.model import FINAL_JOB_STATES
-from .model import (
-    Attempt,
-    AttemptPhase,
-    Task,
-    Trial,
-    Worker,
-    close_trial,
-    measure_suspicion,
-)
+from .bindings import close_trial
+from .model import Attempt, AttemptPhase, Task, Trial, Worker
 from .scheduling_state import SchedulingState
+from .suspicion import measure_suspicion
 from .tasks import start_task
 from .worker_choice import has_capacity, list_candidates
 
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -11,9 +11,11 @@
 
 from ..core.registry import Registry
 from ..core.resources import Resources
+from .bindings import compute_committed_resources
 from .health import count_faults
 from .interference import predict_added_pressure
-from .model import OpenStep, Task, Worker, compute_committed_resources, is_suspect
+from .model import OpenStep, Task, Worker
+from .suspicion import is_suspect
 from .weights import ImageWeights
 
 # scores are in millicores
--- a/tests/test_dispatch_health.py
+++ b/tests/test_dispatch_health.py
@@ -3,14 +3,9 @@
 from hypothesis import given, settings, strategies as st
 
 from plantainhinge.core.ids import AttemptNumber, Seconds
+from plantainhinge.dispatch.bindings import bind_attempt, unbind_attempt
 from plantainhinge.dispatch.health import find_stuck, is_stuck
-from plantainhinge.dispatch.model import (
-    Attempt,
-    AttemptPhase,
-    Worker,
-    bind_attempt,
-    unbind_attempt,
-)
+from plantainhinge.dispatch.model import Attempt, AttemptPhase, Worker
 from plantainhinge.dispatch.open_jobs import open_job
 
 from .simulated_cell import make_entry, make_job, make_step
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -6,13 +6,8 @@
 
 from plantainhinge.core.ids import AttemptNumber, Seconds, WorkerId
 from plantainhinge.core.resources import Resources
-from plantainhinge.dispatch.model import (
-    Attempt,
-    AttemptPhase,
-    OpenStep,
-    Worker,
-    bind_attempt,
-)
+from plantainhinge.dispatch.bindings import bind_attempt
+from plantainhinge.dispatch.model import Attempt, AttemptPhase, OpenStep, Worker
 from plantainhinge.dispatch.open_jobs import open_job
 from plantainhinge.dispatch.worker_choice import list_candidates
 from plantainhinge.fleet.model import (
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -8,15 +8,8 @@
 from plantainhinge.core.ids import AttemptNumber, JobId, KindId, Seconds, WorkerId
 from plantainhinge.core.resources import Resources
 from plantainhinge.dispatch import worker_pool
-from plantainhinge.dispatch.model import (
-    Attempt,
-    AttemptPhase,
-    OpenStep,
-    Task,
-    Worker,
-    bind_attempt,
-    unbind_attempt,
-)
+from plantainhinge.dispatch.bindings import bind_attempt, unbind_attempt
+from plantainhinge.dispatch.model import Attempt, AttemptPhase, OpenStep, Task, Worker
 from plantainhinge.dispatch.open_jobs import open_job
 from plantainhinge.dispatch.weights import ImageWeights
 from plantainhinge.dispatch.worker_choice import choose_worker
