--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -23,19 +23,19 @@
 from ..dispatch.cell import Cell
 from ..dispatch.leases import LeaseTerms
 from ..dispatch.model import Worker
-from ..dispatch.orders import Command, Start, Stop, Throttle
-from ..fleet.model import OrderOutcome, WorkerReport
+from ..dispatch.orders import Command
+from ..fleet.model import WorkerReport
 from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
-from ..jobs.records import Cancellation, Progress
+from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
 from .job_view import JobView
 from .load_report import LoadReports
+from .logged_jobs import open_logged_job
 from .operator_view import OperatorView
 from .owner_events import (
     DecisionsFailed,
     DirectoryUnreadable,
-    JobNotOpened,
     JobsUnreadable,
     LoopEnded,
     ProcessStoodStill,
@@ -45,6 +45,7 @@
 from .ownership_events import CellOwned
 from .progress_log import ProgressLog, encode_flush
 from .takeover import fence_and_load
+from .worker_orders import send_command
 from .worker_view import WorkerView
 
 logger = logging.getLogger(__name__)
@@ -120,7 +121,7 @@
         wall = read_wall()
         for row in list(self.view.table.select_open()):
             assert row.accepted is not None
-            _open_job(cell, row.accepted, row.progress, wall=wall, inherited=True)
+            open_logged_job(cell, row.accepted, row.progress, wall=wall, inherited=True)
         self.view.take_new_records()
         inherited = epoch > 1
         cell.apply_handover(self.view.handover, now=read_monotonic(), wall=wall)
@@ -192,7 +193,7 @@
             match record:
                 case JobRecord():
                     row = self.view.table.rows[record.job]
-                    _open_job(
+                    open_logged_job(
                         cell, record, row.progress, wall=read_wall(), inherited=False
                     )
                     if row.cancelled:
@@ -365,25 +366,15 @@
         write_event(logger, RecordsDeleted(jobs=len(jobs)))
 
     async def _send_command(self, cell: Cell, command: Command) -> None:
-        match command:
-            case Start(attempt=attempt, order=order):
-                answer = await self.calls.start(attempt.worker.entry, order)
-                self.metrics.count(
-                    Counter.WORKER_CALLS, call="start", outcome=answer.outcome.value
-                )
-                if self.cell is cell:
-                    cell.handle_start_answer(attempt, answer, now=read_monotonic())
-                    if answer.outcome is not OrderOutcome.ACCEPTED:
-                        self.wake()
-            case Stop(worker=worker, order=order, attempt=stopped):
-                answer = await self.calls.stop(worker.entry, order)
-                self.metrics.count(
-                    Counter.WORKER_CALLS, call="stop", outcome=answer.outcome.value
-                )
-                if self.cell is cell:
-                    cell.handle_stop_answer(stopped, answer, now=read_monotonic())
-            case Throttle(attempt=attempt, order=order):
-                await self.calls.throttle(attempt.worker.entry, order)
+        is_refused = await send_command(
+            self.calls,
+            cell,
+            command,
+            is_owner=lambda: self.cell is cell,
+            metrics=self.metrics,
+        )
+        if is_refused:
+            self.wake()
 
     def wake(self) -> None:
         """Trigger the next round of decisions without waiting for the interval."""
@@ -399,18 +390,3 @@
         if not task.cancelled() and task.exception() is not None:
             write_event(logger, LoopEnded(), error=task.exception())
             self.report_fenced("a loop ended by an error")
-
-
-def _open_job(
-    cell: Cell,
-    record: JobRecord,
-    progress: Progress | None,
-    *,
-    wall: Seconds,
-    inherited: bool,
-) -> None:
-    """Open a job; one that can't be opened must not stop each owner in turn."""
-    try:
-        cell.open_job(record, progress, wall=wall, inherited=inherited)
-    except Exception as error:
-        write_event(logger, JobNotOpened(job=record.job), error=error)
