Don't move suspects, and let one that failed on all workers be tried on one of them

Cause: a move would start a task with two losses anew, in a trial, although it ran well; and a trial kept to the workers that the task avoids since it failed there without the bound that holds for other tasks, so on a small site it never started. Test: both cases failed before. Tests of trials, moves and best-effort work passed.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -126,11 +126,11 @@
     for task in list(step.waiting):
         if task.key in withheld:
             continue
+        avoidance.readmit_workers(task, workers, now=now)
         if trials.needs_trial(task):
             trial = trials.advance_trial(cell, task, workers, now=now)
             placed.extend([trial] if trial is not None else [])
             continue
-        avoidance.readmit_workers(task, workers, now=now)
         worker = choose_destination(task, workers, now=now)
         if worker is None:
             worker = pool.choose(task)
--- a/plantainhinge/dispatch/consolidation.py
+++ b/plantainhinge/dispatch/consolidation.py
@@ -24,6 +24,7 @@
 from .model import Attempt, AttemptPhase, Worker
 from .ordering import stop_attempt
 from .scheduling_state import SchedulingState
+from .trials import needs_trial
 from .weights import ImageWeights
 from .worker_choice import meets_constraints
 
@@ -204,6 +205,7 @@
         and attempt.phase is AttemptPhase.RUNNING
         and now - attempt.confirmed_at > REST_SECONDS
         and len(attempt.task.attempts) == 1
+        and not needs_trial(attempt.task)
     )
 
 
--- a/plantainhinge/dispatch/eviction.py
+++ b/plantainhinge/dispatch/eviction.py
@@ -24,6 +24,7 @@
 from .model import Attempt, AttemptPhase, Worker
 from .ordering import send_throttle, stop_attempt
 from .scheduling_state import SchedulingState
+from .trials import needs_trial
 from .worker_choice import choose_worker
 
 logger = logging.getLogger(__name__)
@@ -98,6 +99,7 @@
         and attempt.phase is AttemptPhase.RUNNING
         and now - attempt.confirmed_at > MOVE_RUNTIME_SECONDS_MIN
         and estimate_throttle_delay(attempt) > MOVE_COST_SECONDS
+        and not needs_trial(attempt.task)
     )
 
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -4,6 +4,7 @@
 
 from plantainhinge.core.ids import JobId
 from plantainhinge.core.resources import Resources
+from plantainhinge.dispatch.eviction import is_worth_moving
 from plantainhinge.dispatch.losses import CLEARING_SECONDS
 from plantainhinge.fleet.model import WorkerState
 from plantainhinge.jobs.model import TaskKey
@@ -217,3 +218,21 @@
     )
     site.run_until(lambda: site.state_of("unlucky") == "completed", limit=60)
     assert site.now > STEP_SECONDS
+
+
+def test_a_suspect_is_not_moved_as_it_would_be_tried_anew():
+    site = open_suspect_site(best_effort=True, checkpoints=True)
+    site.run_until(site.list_running)
+    site.run(3)
+    (attempt,) = find_task(site, "unlucky").attempts
+    attempt.speed_percent = 1
+    assert not is_worth_moving(attempt, now=site.now)
+    attempt.task.losses.clear()
+    assert is_worth_moving(attempt, now=site.now)
+
+
+def test_a_suspect_that_failed_on_all_workers_is_tried_on_one_of_them():
+    site = open_suspect_site(long_running=True)
+    task = find_task(site, "unlucky")
+    task.avoided_workers.update(site.cell.workers, ["new-0", "new-1"])
+    site.run_until(site.list_running, limit=15)
