Don't suspect what a worker ran that left as announced, across owners either

Cause: when a draining worker fell silent, what it ran was logged as pending, and the next owner took it for a loss that is never explained. Change: silence after a drain neither logs nor suspects anything. The records of losses are built in one place each; an earlier release reads them and is read. Test: the draining case failed before (one loss); the record's case is new. Tests of trials, deadly tasks, sequences, takeovers and handovers passed.

--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -62,15 +62,17 @@
     if worker.entry.state is WorkerState.DRAINING:
         cause = LossCause.LEFT
     note_outage(cell, worker, now=now)
+    shared = is_shared(cell, worker.name)
     lost = list(attempts)
     for attempt in lost:
         cell.losses[cause] += 1
         if cause is not LossCause.LEFT:
-            record = _describe_loss(cell, worker, attempt.number, cause)
-            record = msgspec.structs.replace(
-                record,
+            record = LostAttempt(
+                attempt=attempt.number,
+                worker=worker.name,
                 incarnation=attempt.incarnation,
-                shared=record.shared and not is_fresh(attempt, now=now),
+                confirmed=cause in CRASH_CAUSES,
+                shared=shared and not is_fresh(attempt, now=now),
                 on_trial=is_on_trial(attempt),
             )
             add_loss(cell, attempt.task, record)
@@ -93,8 +95,14 @@
         if task is None or task.attempts or _is_counted(task, worker):
             continue
         task.last_attempt = max(task.last_attempt, 1)
-        number = AttemptNumber(task.last_attempt)
-        add_loss(cell, task, _describe_loss(cell, worker, number, cause))
+        record = LostAttempt(
+            attempt=AttemptNumber(task.last_attempt),
+            worker=worker.name,
+            incarnation=worker.incarnation,
+            confirmed=cause in CRASH_CAUSES,
+            shared=is_shared(cell, worker.name),
+        )
+        add_loss(cell, task, record)
         give_up(cell, task, now=now)
 
 
@@ -114,6 +122,8 @@
 
 def _log_pending(cell: SchedulingState, worker: Worker, *, now: float) -> None:
     """Let the log tell which suspects may be lost with a worker that fell silent."""
+    if worker.entry.state is WorkerState.DRAINING:
+        return
     shared = is_shared(cell, worker.name)
     for attempt in worker.attempts.values():
         job = attempt.task.step.job
@@ -127,18 +137,6 @@
     return measure_run(attempt, now=now) < FRESH_SECONDS
 
 
-def _describe_loss(
-    cell: SchedulingState, worker: Worker, number: AttemptNumber, cause: LossCause
-) -> LostAttempt:
-    return LostAttempt(
-        attempt=number,
-        worker=worker.name,
-        incarnation=worker.incarnation,
-        confirmed=cause in CRASH_CAUSES,
-        shared=is_shared(cell, worker.name),
-    )
-
-
 def add_loss(cell: SchedulingState, task: Task, record: LostAttempt) -> None:
     """Add a loss to its task, unless it is known already or no longer matters."""
     job = task.step.job
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -359,6 +359,11 @@
         unused = int(self.serving_millicores * (1 - SERVING_USAGE_RATIO))
         return self.free_millicores + unused - self.best_effort_millicores
 
+    @property
+    def may_have_crashed(self) -> bool:
+        """Return whether it is silent without having announced that it leaves."""
+        return not self.reachable and self.entry.state is not WorkerState.DRAINING
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new attempts may be started on the worker.
 
--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -181,7 +181,7 @@
             on_trial=is_on_trial(attempt),
         )
         for attempt in task.attempts
-        if task.losses or not attempt.worker.reachable
+        if task.losses or attempt.worker.may_have_crashed
     ]
     if task.trial is not None and task.trial.attempt is None:
         reserved = LostAttempt(
--- a/plantainhinge/dispatch/suspicion.py
+++ b/plantainhinge/dispatch/suspicion.py
@@ -13,7 +13,7 @@
 def is_suspect(task: Task) -> bool:
     """Return whether a task may have crashed a worker, or the one that fell silent."""
     return measure_suspicion(task.losses) > 0 or any(
-        not attempt.worker.reachable for attempt in task.attempts
+        attempt.worker.may_have_crashed for attempt in task.attempts
     )
 
 
--- a/tests/test_deadly_tasks.py
+++ b/tests/test_deadly_tasks.py
@@ -1,9 +1,11 @@
 """Tasks that crash each worker that starts them, and what becomes of the others."""
 
+import msgspec
 import pytest
 
 from plantainhinge.core.ids import JobId
 from plantainhinge.jobs.model import TaskKey
+from plantainhinge.jobs.records import LostAttempt, TaskProgress
 
 from .simulated_cell import make_job, make_step
 from .simulated_crashes import DOWN_SECONDS, open_crashing_site
@@ -93,3 +95,21 @@
     site.run(DOWN_SECONDS)
     (step,) = site.cell.jobs["deadly"].occurrences[0]
     assert len(step.tasks[0].losses) == 2
+
+
+class EarlierTaskProgress(msgspec.Struct, array_like=True, frozen=True):
+    """As earlier releases stored it."""
+
+    last_attempt: int
+    failed_attempts: tuple[int, ...] = ()
+    checkpoint: str = ""
+
+
+def test_progress_of_tasks_can_be_read_by_earlier_releases_and_from_them():
+    loss = LostAttempt(attempt=2, worker="w", incarnation=7, confirmed=True)
+    progress = TaskProgress(3, (1,), "c", (loss,), (loss,))
+    earlier = EarlierTaskProgress(3, (1,), "c")
+    encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+    assert decode(encode(progress), type=TaskProgress) == progress
+    assert decode(encode(progress), type=EarlierTaskProgress) == earlier
+    assert decode(encode(earlier), type=TaskProgress) == TaskProgress(3, (1,), "c")
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,5 +1,6 @@
 """Suspects run apart from all others until runs clear or convict them."""
 
+import msgspec
 import pytest
 
 from plantainhinge.core.ids import JobId
@@ -131,11 +132,7 @@
     site.run(1)
     ((name, _, _),) = site.list_running()
     worker = site.workers[name]
-    worker.stop_outcomes = []
-    worker.entry = worker.entry.__class__(
-        **{f: getattr(worker.entry, f) for f in worker.entry.__struct_fields__}
-        | {"state": WorkerState.DRAINING}
-    )
+    worker.entry = msgspec.structs.replace(worker.entry, state=WorkerState.DRAINING)
     worker.unreachable = True
     site.run(8)
     assert find_task(site, "j").losses == []
@@ -236,3 +233,21 @@
     task = find_task(site, "unlucky")
     task.avoided_workers.update(site.cell.workers, ["new-0", "new-1"])
     site.run_until(site.list_running, limit=15)
+
+
+def test_what_a_worker_ran_that_left_as_announced_is_not_suspected_by_the_next_owner():
+    site = open_crashing_site()
+    site.run(0.5)
+    record = make_job("j", make_step(long_running=True))
+    site.submit(record)
+    site.run(1)
+    ((name, _, _),) = site.list_running()
+    worker = site.workers[name]
+    worker.entry = msgspec.structs.replace(worker.entry, state=WorkerState.DRAINING)
+    site.run(0.1)
+    worker.unreachable = True
+    site.run(0.8)
+    site.take_over([record])
+    site.run(9)
+    assert find_task(site, "j").losses == []
+    assert len(site.list_running()) == 1
