Don't skip pages of a topic when its tail is rewound during a read

Callers saw: on large sites, jobs that had been accepted were answered as unknown, and a new owner could begin without them. Cause: a page of newest records that was requested before a rewind was applied after it, and the tail went on at the key after that page. The pages before it were never read again, yet the tail counted as current. Change: a page that was requested before a rewind is dropped. Test: the new test of a rewind between pages failed before (two of six keys read).

--- a/plantainhinge/daemons/tail.py
+++ b/plantainhinge/daemons/tail.py
@@ -47,6 +47,7 @@
     _restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _next_key: str = ""
     _restart_end: int | None = None
+    _rewinds: int = 0
 
     async def advance(self, *, wait: Seconds = NO_WAIT) -> int:
         """Read once and apply the records; return their number.
@@ -98,6 +99,7 @@
         """Reset the view; the next read starts over."""
         self.position = self._restart_end = None
         self._next_key = ""
+        self._rewinds += 1
         self.synced_at = float("-inf")
         self.reset()
 
@@ -117,7 +119,11 @@
         async with self._restart_lock:
             if self.position is not None:
                 return 0
+            rewinds = self._rewinds
             page = await self.log.read_newest(self.topic, after=self._next_key)
+            if rewinds != self._rewinds:
+                # the pages before this one were dropped meanwhile
+                return 0
             if self._restart_end is None:
                 self.reset()
                 self._restart_end = page.end
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -142,3 +142,18 @@
         return [entry.key for entry in topic.seen], topic.resets
 
     assert asyncio.run(scenario()) == (["k000", "k002", "good"], 1)
+
+
+def test_a_tail_rewound_during_a_read_skips_no_page():
+    topic = TailedTopic(6, page_size=2)
+    read = topic.log.read_newest
+
+    async def read_newest(topic_name, *, after=""):
+        page = await read(topic_name, after=after)
+        if after == "k001" and topic.resets == 1:
+            topic.tail.rewind()
+        return page
+
+    topic.log.read_newest = read_newest
+    asyncio.run(topic.tail.catch_up())
+    assert {entry.key for entry in topic.seen} == {f"k{index:03}" for index in range(6)}
