Report a job as unknown only from a view that was read since the question

Cause: an instance that isn't the owner clears its view of jobs. When that happened between the two reads of a lookup, the job was missing although it had been accepted, and the caller got "unknown". Change: a lookup reads until both topics are as new as the question; a cleared view isn't. Test: the new case failed before. Tests of the job service, forwarding, instances and cell runner passed.

--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -290,10 +290,17 @@
         return self.view.table.find(job) or CallOutcome.UNKNOWN_JOB
 
     async def _refresh_view(self, since: float, *, jobs: bool = True) -> None:
-        if jobs:
-            await self.view.job_tail.catch_up(since=since)
+        """Read until the view holds all that was logged before ``since``.
+
+        It may be cleared during a read, and must then be read anew: a job that is
+        missing from it would otherwise be taken for one that was never accepted.
+        """
+        tails = [self.view.job_tail] if jobs else []
         if not self.owns_cell():
-            await self.view.progress_tail.catch_up(since=since)
+            tails.append(self.view.progress_tail)
+        while any(tail.synced_at < since for tail in tails):
+            for tail in tails:
+                await tail.catch_up(since=since)
 
     def _report_outcome(
         self,
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -172,3 +172,21 @@
         return before, await service.get_job_state(JobId("a"), timeout=1.0)
 
     assert run_service(scenario) == (CallOutcome.UNKNOWN_JOB, JobState.QUEUED)
+
+
+def test_a_job_is_not_unknown_because_the_view_was_cleared_meanwhile():
+    async def scenario(log, service):
+        await submit(make_service(log))
+        read = log.read_newest
+        topics = []
+
+        async def clear_and_read(topic, *, after=""):
+            topics.append(topic)
+            if topics == [JOB_TOPIC, PROGRESS_TOPIC]:
+                service.view.clear()
+            return await read(topic, after=after)
+
+        log.read_newest = clear_and_read
+        return await service.get_job_state(JobId("a"), timeout=1.0)
+
+    assert run_service(scenario) is JobState.QUEUED
