Authenticate callers by their workspace's key, and keep caps and shares of workspaces

Cause: nothing on the platform's side knew of workspaces. Job records carry the workspace; others see no such job. The owner counts what each workspace has bound to workers, and what may still run from before, against its cap, and places steps of one priority and urgency by weighted dominant share. A job that is over its workspace's cap by itself is refused at once. The lookup of jobs is a module of its own. Sites without workspaces in their configuration run as before.

--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -18,7 +18,16 @@
 BODY_BYTES_MAX = 1 << 20
 HEADER_BYTES_MAX = 16384
 PIPELINED_REQUESTS_MAX = 16
-REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
+# of these, no value is picked if there are several
+UNIQUE_HEADERS = frozenset({"authorization"})
+REASONS = {
+    200: "OK",
+    401: "Unauthorized",
+    404: "Not Found",
+    410: "Gone",
+    429: "Too Many Requests",
+    503: "Service Unavailable",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +103,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_header(len(name) + len(value))
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        if key in UNIQUE_HEADERS and key in self._headers:
+            text = f"{self._headers[key]}, {text}"
+        self._headers[key] = text
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
--- a/plantainhinge/core/resources.py
+++ b/plantainhinge/core/resources.py
@@ -34,6 +34,13 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> "Resources":
+        return Resources(
+            self.millicores * count,
+            self.memory_mib * count,
+            self.accelerators * count,
+        )
+
     def fits_within(self, capacity: "Resources") -> bool:
         """Return whether no amount exceeds that of ``capacity``."""
         return (
--- a/plantainhinge/daemons/call_events.py
+++ b/plantainhinge/daemons/call_events.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..core.ids import JobId, MemberName
+from ..core.ids import JobId, MemberName, QueueName
 from ..core.log_events import LogEvent, log_event
 from ..jobs.outcomes import CallOutcome
 
@@ -91,6 +91,43 @@
     cause: str
 
 
+@log_event("configuration not confirmed", level=logging.WARNING)
+class ViewNotConfirmed(LogEvent, frozen=True, kw_only=True):
+    """Neither the log nor a peer confirmed the configuration in force here.
+
+    Keys that it has stay valid; calls with other keys are refused for now.
+
+    Parameters
+    ----------
+    age_s : float
+        Seconds since it was last confirmed.
+    cause : str
+        Why the log or the peer that was asked didn't.
+    """
+
+    age_s: float
+    cause: str
+
+
+@log_event("caller rejected")
+class CallerRejected(LogEvent, frozen=True, kw_only=True):
+    """A call was rejected for its key; written at most once a second.
+
+    Parameters
+    ----------
+    queue : str
+        The queue that was called.
+    outcome : str
+        The outcome reported to the caller.
+    rejected : int
+        Calls rejected since the last line.
+    """
+
+    queue: QueueName
+    outcome: CallOutcome
+    rejected: int
+
+
 @log_event("call passed on")
 class CallPassedOn(LogEvent, frozen=True, kw_only=True):
     """This instance could not settle a call and forwarded it to another one.
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -113,7 +113,7 @@
         """Fence earlier owners, load the state of the cell and start the loops."""
         started = read_monotonic()
         self._epoch = epoch
-        cell = Cell(epoch, self.terms, started)
+        cell = Cell(epoch, self.terms, started, find_record=self._find_record)
         tails = (self.view.job_tail, self.view.progress_tail, self.workers.tail)
         await fence_and_load(self.log, self.progress, tails, epoch)
         if self._epoch != epoch:
@@ -290,10 +290,15 @@
             self._spawn(self._send_command(cell, command))
         self._dirty.set()
 
+    def _find_record(self, job: JobId) -> JobRecord | None:
+        row = self.view.table.rows.get(job)
+        return row.accepted if row is not None else None
+
     def _update_constraints(self, cell: Cell) -> None:
         """Tell the cell what limits where work may start."""
         cell.closed_domains = self.operator.closed_domains
         cell.guarded_services = self.operator.guarded_services
+        cell.workspaces = self.operator.workspaces
         cell.directory_synced_at = self.workers.tail.synced_at
 
     async def _flush(self, cell: Cell) -> None:
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -21,9 +21,10 @@
 from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.protocols import KeyedLog, WorkerCalls
-from ..jobs.forwarding import decode_call, encode_response
+from ..jobs.forwarding import PassedConfigurationQuery, decode_call, encode_response
 from ..jobs.ownership import build_member_name
 from . import instance_peers
+from .authentication import Authenticator
 from .call_events import PeerCallMalformed
 from .cell_runner import CellRunner
 from .instance_peers import InstancePeers
@@ -128,16 +129,20 @@
             before_release=self.runner.flush,
             is_recovering=self.runner.is_recovering,
         )
+        peers = InstancePeers(self.ownership.member, lambda: self.ownership.members)
         self.service = JobService(
             log=self.log,
             view=self.view,
             get_configuration=lambda: self.operator.configuration,
             owns_cell=lambda: self.runner.cell is not None,
-            is_log_lost=lambda: self._measure_log_silence() > LOG_LOST_SECONDS,
+            is_log_lost=self._is_log_lost,
             get_owner=lambda: self.ownership.owner,
-            peers=InstancePeers(self.ownership.member, lambda: self.ownership.members),
+            peers=peers,
             metrics=self.metrics,
         )
+        self.authenticator = Authenticator(
+            self.operator, self._is_log_lost, peers, self.metrics
+        )
 
     async def run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
         """Serve until SIGTERM or SIGINT, then release the cell and drain calls."""
@@ -251,7 +256,10 @@
         except CorruptRecordError as error:
             write_event(logger, PeerCallMalformed(cause=str(error)))
             return HttpReply(status=400)
-        answer = await self.service.handle_forwarded_call(call)
+        if isinstance(call, PassedConfigurationQuery):
+            answer = self.authenticator.describe_configuration(call)
+        else:
+            answer = await self.service.handle_forwarded_call(call)
         return HttpReply(status=200, body=encode_response(answer))
 
     def _render_metrics(self) -> HttpReply:
@@ -277,6 +285,9 @@
         answered_at = max(self.ownership.answered_at, self.operator.tail.synced_at)
         return read_monotonic() - answered_at
 
+    def _is_log_lost(self) -> bool:
+        return self._measure_log_silence() > LOG_LOST_SECONDS
+
     def _drop_ownership(self, reason: str) -> None:
         self.ownership.drop(reason)
 
--- a/plantainhinge/daemons/instance_peers.py
+++ b/plantainhinge/daemons/instance_peers.py
@@ -65,6 +65,12 @@
             return PassedResponse(CallOutcome.REFUSED)
         return await self._call(peer, call, timeout=timeout)
 
+    async def ask_any(self, call: PassedCall, *, timeout: Seconds) -> PassedResponse:
+        """Return the answer of a peer chosen at random; REFUSED if there is none."""
+        for peer in self._choose_peers()[:1]:
+            return await self._call(peer, call, timeout=timeout)
+        return PassedResponse(CallOutcome.REFUSED)
+
     async def forward(
         self, call: PassedJob | PassedCancellation, *, timeout: Seconds
     ) -> PassedResponse:
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -11,41 +11,44 @@
 from dataclasses import dataclass, field
 
 from ..core.clock import read_monotonic, read_wall
-from ..core.errors import PlantainhingeError
 from ..core.ids import JobId, MemberName, QueueName, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Distribution, Metrics, NullMetrics
-from ..fleet.operator import SchedulingConfiguration
+from ..fleet.operator import SchedulingConfiguration, Workspace
 from ..fleet.protocols import KeyedLog
 from ..jobs.forwarding import (
-    PassedCall,
     PassedCancellation,
     PassedCountQuery,
     PassedJob,
+    PassedJobCall,
     PassedResponse,
     PassedStateQuery,
 )
-from ..jobs.model import JobRecord, JobSpec, JobState, QueuePolicy
+from ..jobs.model import (
+    NO_WORKSPACE,
+    Caller,
+    JobRecord,
+    JobSpec,
+    JobState,
+    QueuePolicy,
+    fits_cap,
+)
 from ..jobs.outcomes import CallOutcome
 from ..jobs.records import Cancellation
 from ..jobs.table import JobRow
 from .call_events import (
     CallAnswered,
     CancelAnswered,
-    CountFromOldView,
     StateAnswered,
-    StateFromOldView,
     SubmitAnswered,
 )
 from .instance_peers import InstancePeers
+from .job_lookup import JobLookup
 from .job_view import JobView
 from .job_writer import ANSWER_MARGIN_SECONDS, JobWriter
 
 logger = logging.getLogger(__name__)
 
-# how old the view may be for the state of a known job, and for the length of a queue
-VIEW_AGE_SECONDS_MAX = Seconds(0.05)
-QUEUE_VIEW_AGE_SECONDS_MAX = Seconds(1.0)
 RETRY_AFTER_SECONDS = 1.0
 TIMEOUT_SECONDS_MIN = Seconds(0.1)
 # how long an instance works on a call that another one forwarded
@@ -97,6 +100,7 @@
 
     def __post_init__(self) -> None:
         self.writer = JobWriter(self.log, self.is_log_lost)
+        self.lookup = JobLookup(self.view, self.owns_cell)
 
     @property
     def configuration(self) -> SchedulingConfiguration | None:
@@ -104,11 +108,37 @@
         return self.get_configuration()
 
     async def submit(
-        self, job: JobId, policy: QueuePolicy, spec: JobSpec, *, timeout: Seconds
+        self,
+        job: JobId,
+        policy: QueuePolicy,
+        spec: JobSpec,
+        *,
+        workspace: Workspace | None = None,
+        timeout: Seconds,
     ) -> CallOutcome:
-        """Submit a job; the outcome is DONE once the log has its record."""
+        """Submit a job; the outcome is DONE once the log has its record.
+
+        Parameters
+        ----------
+        workspace : Workspace, optional
+            The caller's workspace; None if it needs none.
+        """
         started = read_monotonic()
-        record = JobRecord(job=job, policy=policy, spec=spec, accepted_at=read_wall())
+        if workspace is not None and not fits_cap(spec, workspace.cap):
+            return self._report_outcome(
+                SubmitAnswered,
+                job,
+                CallOutcome.OVER_CAP,
+                started,
+                cause=workspace.name,
+            )
+        record = JobRecord(
+            job=job,
+            policy=policy,
+            spec=spec,
+            accepted_at=read_wall(),
+            workspace=workspace.name if workspace is not None else NO_WORKSPACE,
+        )
         outcome = CallOutcome.REFUSED
         if not self.is_log_lost():
             outcome = await self._append_record(record, timeout=timeout)
@@ -119,19 +149,26 @@
             SubmitAnswered, job, outcome, started, cause=policy.queue
         )
 
-    async def cancel(self, job: JobId, *, timeout: Seconds) -> CallOutcome:
+    async def cancel(
+        self, job: JobId, *, caller: Caller | None = None, timeout: Seconds
+    ) -> CallOutcome:
         """Cancel a job.
 
         The outcome is DONE once the log has the cancellation, or if the job has already
         ended.
+
+        Parameters
+        ----------
+        caller : Caller, optional
+            Who cancels it; None where all callers may see all jobs.
         """
         started = read_monotonic()
-        call = PassedCancellation(job)
+        call = PassedCancellation(job, caller)
         answer = await self._ask_owner(call, timeout)
         outcome, cause = answer.outcome, "told by the owner"
         if outcome in UNSETTLED and not self.is_log_lost():
             local, cause = await self._cancel_locally(
-                job, timeout=self._compute_time_left(started, timeout)
+                call, timeout=self._compute_time_left(started, timeout)
             )
             outcome = combine_outcomes(outcome, local)
         if outcome in UNSETTLED:
@@ -140,14 +177,23 @@
         return self._report_outcome(CancelAnswered, job, outcome, started, cause=cause)
 
     async def get_job_state(
-        self, job: JobId, *, timeout: Seconds
+        self, job: JobId, *, caller: Caller | None = None, timeout: Seconds
     ) -> JobState | CallOutcome:
-        """Return a job's state as recorded in the log, or why there is none."""
+        """Return a job's state as recorded in the log, or why there is none.
+
+        Parameters
+        ----------
+        caller : Caller, optional
+            Who asks; None where all callers may see all jobs.
+        """
         started = read_monotonic()
-        answer = await self._ask_owner(PassedStateQuery(job), timeout)
+        query = PassedStateQuery(job, caller)
+        answer = await self._ask_owner(query, timeout)
         if answer.outcome in UNSETTLED:
             time_left = self._compute_time_left(started, timeout)
-            answer = _build_response(await self._find_row(job, timeout=time_left))
+            answer = _build_response(
+                await self.lookup.find_visible(query, timeout=time_left)
+            )
         if answer.state is None:
             outcome = answer.outcome
             return self._report_outcome(
@@ -163,24 +209,26 @@
         started = read_monotonic()
         answer = await self._ask_owner(PassedCountQuery(queue), timeout)
         if answer.outcome in UNSETTLED:
-            answer = await self._count_locally(
+            answer = await self.lookup.count_queued(
                 queue, timeout=self._compute_time_left(started, timeout)
             )
         return answer.outcome if answer.count is None else answer.count
 
-    async def handle_forwarded_call(self, call: PassedCall) -> PassedResponse:
+    async def handle_forwarded_call(self, call: PassedJobCall) -> PassedResponse:
         """Serve a call that another instance forwarded; it isn't forwarded again."""
         match call:
             case PassedJob() | PassedCancellation():
                 return PassedResponse(await self._apply_forwarded_change(call))
-            case PassedStateQuery(job=job):
+            case PassedStateQuery():
                 if self.is_log_lost() and not self.owns_cell():
                     return PassedResponse(CallOutcome.REFUSED)
                 return _build_response(
-                    await self._find_row(job, timeout=FORWARDED_TIMEOUT_SECONDS)
+                    await self.lookup.find_visible(
+                        call, timeout=FORWARDED_TIMEOUT_SECONDS
+                    )
                 )
             case PassedCountQuery(queue=queue):
-                return await self._count_locally(
+                return await self.lookup.count_queued(
                     queue, timeout=FORWARDED_TIMEOUT_SECONDS
                 )
 
@@ -193,12 +241,10 @@
             return await self._append_record(
                 call.record, timeout=FORWARDED_TIMEOUT_SECONDS
             )
-        outcome, _ = await self._cancel_locally(
-            call.job, timeout=FORWARDED_TIMEOUT_SECONDS
-        )
+        outcome, _ = await self._cancel_locally(call, timeout=FORWARDED_TIMEOUT_SECONDS)
         return outcome
 
-    async def _ask_owner(self, call: PassedCall, timeout: Seconds) -> PassedResponse:
+    async def _ask_owner(self, call: PassedJobCall, timeout: Seconds) -> PassedResponse:
         """Ask the owner, whose view of the jobs is the most recent.
 
         While no owner answers, for example during a takeover, it is asked again for
@@ -218,31 +264,17 @@
             await asyncio.sleep(OWNER_PAUSE_SECONDS)
         return PassedResponse(CallOutcome.REFUSED)
 
-    async def _count_locally(
-        self, queue: QueueName, *, timeout: Seconds
-    ) -> PassedResponse:
-        since = read_monotonic() - QUEUE_VIEW_AGE_SECONDS_MAX
-        try:
-            async with asyncio.timeout(timeout):
-                await self._refresh_view(since)
-        except (PlantainhingeError, TimeoutError) as error:
-            write_event(logger, CountFromOldView(cause=str(error) or "timeout"))
-            if self.view.progress_tail.position is None:
-                return PassedResponse(CallOutcome.REFUSED)
-        return PassedResponse(
-            CallOutcome.DONE, count=self.view.table.count_queued(queue)
-        )
-
     async def _cancel_locally(
-        self, job: JobId, *, timeout: Seconds
+        self, call: PassedCancellation, *, timeout: Seconds
     ) -> tuple[CallOutcome, str]:
         """Cancel a job without forwarding; return the outcome and its cause."""
-        row = await self._find_row(job, timeout=timeout)
+        row = await self.lookup.find_visible(call, timeout=timeout)
         if isinstance(row, CallOutcome):
             return row, "not found"
         if row.final:
             return CallOutcome.DONE, row.state.value
-        return await self._append_record(Cancellation(job=job), timeout=timeout), "open"
+        record = Cancellation(job=call.job)
+        return await self._append_record(record, timeout=timeout), "open"
 
     async def _append_record(
         self, record: JobRecord | Cancellation, *, timeout: Seconds
@@ -268,40 +300,6 @@
         time_left = timeout - ANSWER_MARGIN_SECONDS - (read_monotonic() - started)
         return Seconds(max(TIMEOUT_SECONDS_MIN, time_left))
 
-    async def _find_row(self, job: JobId, *, timeout: Seconds) -> JobRow | CallOutcome:
-        row = self.view.table.find(job)
-        if row is not None and row.final:
-            return row
-        asked_at = read_monotonic()
-        since = asked_at if row is None else asked_at - VIEW_AGE_SECONDS_MAX
-        try:
-            async with asyncio.timeout(timeout):
-                await self._refresh_view(
-                    since, jobs=row is None or not self.owns_cell()
-                )
-        except (PlantainhingeError, TimeoutError) as error:
-            event = StateFromOldView(
-                job=job,
-                cause=str(error) or "timeout",
-                age_s=asked_at - self.view.progress_tail.synced_at,
-            )
-            write_event(logger, event)
-            return row if row is not None else CallOutcome.REFUSED
-        return self.view.table.find(job) or CallOutcome.UNKNOWN_JOB
-
-    async def _refresh_view(self, since: float, *, jobs: bool = True) -> None:
-        """Read until the view holds all that was logged before ``since``.
-
-        It may be cleared during a read, and must then be read anew: a job that is
-        missing from it would otherwise be taken for one that was never accepted.
-        """
-        tails = [self.view.job_tail] if jobs else []
-        if not self.owns_cell():
-            tails.append(self.view.progress_tail)
-        while any(tail.synced_at < since for tail in tails):
-            for tail in tails:
-                await tail.catch_up(since=since)
-
     def _report_outcome(
         self,
         call: type[CallAnswered],
--- a/plantainhinge/daemons/view_events.py
+++ b/plantainhinge/daemons/view_events.py
@@ -43,12 +43,13 @@
     ----------
     revision : int
         Revision of the configuration.
-    queues : int
-        Number of queues in it.
+    queues, workspaces : int
+        Number of queues and of workspaces in it.
     """
 
     revision: Revision
     queues: int
+    workspaces: int
 
 
 @log_event("failure domain closed")
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -8,12 +8,13 @@
 from . import avoidance, batching, trials
 from .bindings import bind_attempt, unbind_attempt
 from .model import Attempt, AttemptPhase, OpenStep, Task, Worker
-from .queueing import order_steps, rank_step
+from .queueing import rank_step
 from .scheduling_state import SchedulingState
 from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
 from .tasks import start_task
 from .worker_choice import choose_destination, choose_worker
 from .worker_pool import WorkerPool
+from .workspaces import CapCheck, order_by_share
 
 logger = logging.getLogger(__name__)
 
@@ -35,31 +36,37 @@
     cell.long_running_arrived_at = newest
     pools = _open_pools(cell, now=now)
     empty_pool = WorkerPool([], cell.weights, now=now)
-    for step in order_steps(waiting, wall=wall):
+    caps = CapCheck(cell)
+    for step in order_by_share(cell, waiting, wall=wall):
         if batching.is_delayed(step, newest, now=now) or now < step.failed_until:
             continue
         pool = pools.get(step.job.record.policy.service, empty_pool)
         try:
-            placed = _place(cell, step, pool, withheld, now=now)
+            placed = _place(cell, step, pool, caps, withheld, now=now)
         except Exception as error:
             # one step must not keep all others from being placed, in each round
             step.failed_until = now + FAILED_STEP_SECONDS
             event = StepFailed(about=describe_step(step))
             write_event(logger, event, error=error)
             continue
-        _log_placement(step, placed, len(pool), now=now, wall=wall)
+        is_capped = bool(step.waiting) and not caps.allows(step)
+        _log_placement(step, placed, len(pool), is_capped, now=now, wall=wall)
 
 
 def _place(
     cell: SchedulingState,
     step: OpenStep,
     pool: WorkerPool,
+    caps: CapCheck,
     withheld: frozenset[TaskKey],
     *,
     now: float,
 ) -> list[Attempt]:
-    place = _place_gang if step.spec.gang else _place_step
-    return place(cell, step, pool, withheld, now=now)
+    if not step.spec.gang:
+        return _place_step(cell, step, pool, caps, withheld, now=now)
+    if not caps.allows(step, tasks=len(step.tasks)):
+        return []
+    return _place_gang(cell, step, pool, withheld, now=now)
 
 
 def _open_pools(cell: SchedulingState, *, now: float) -> dict[ServiceId, WorkerPool]:
@@ -94,7 +101,7 @@
     if worker.entry.service in cell.guarded_services:
         return True
     directory_age = now - cell.directory_synced_at
-    return directory_age <= DIRECTORY_AGE_SECONDS_MAX and not worker.has_orphans
+    return directory_age <= DIRECTORY_AGE_SECONDS_MAX and not worker.orphans
 
 
 def list_waiting_steps(cell: SchedulingState) -> list[OpenStep]:
@@ -116,14 +123,17 @@
     cell: SchedulingState,
     step: OpenStep,
     pool: WorkerPool,
+    caps: CapCheck,
     withheld: frozenset[TaskKey],
     *,
     now: float,
 ) -> list[Attempt]:
-    """Start a step's tasks as long as workers have capacity; return the attempts."""
+    """Start a step's tasks as long as capacity and cap allow; return the attempts."""
     workers = pool.workers
     placed: list[Attempt] = []
     for task in list(step.waiting):
+        if not caps.allows(step):
+            break
         if task.key in withheld:
             continue
         avoidance.readmit_workers(task, workers, now=now)
@@ -244,7 +254,13 @@
 
 
 def _log_placement(
-    step: OpenStep, placed: list[Attempt], workers: int, *, now: float, wall: Seconds
+    step: OpenStep,
+    placed: list[Attempt],
+    workers: int,
+    is_capped: bool,
+    *,
+    now: float,
+    wall: Seconds,
 ) -> None:
     """Log the placed tasks and, once per step, that some tasks found no worker."""
     if placed:
@@ -268,5 +284,7 @@
             memory_mib=request.memory_mib,
             workers=workers,
             urgency=rank_step(step, wall=wall)[1].name.lower(),
+            workspace=step.job.record.workspace,
+            capped=is_capped,
         )
         write_event(logger, waits)
--- a/plantainhinge/dispatch/bindings.py
+++ b/plantainhinge/dispatch/bindings.py
@@ -17,6 +17,7 @@
         step.attempts_per_worker.get(worker.name, 0) + 1
     )
     worker.committed += compute_committed_resources(step.spec)
+    step.job.usage.add(step.job.record.workspace, step.spec.request)
     worker.pressures = None
     if step.spec.best_effort:
         worker.best_effort_millicores += compute_best_effort_millicores(attempt)
@@ -37,6 +38,7 @@
         close_trial(worker.trial)
     step.attempts_per_worker[worker.name] -= 1
     worker.committed -= compute_committed_resources(step.spec)
+    step.job.usage.subtract(step.job.record.workspace, step.spec.request)
     worker.pressures = None
     if step.spec.best_effort:
         worker.best_effort_millicores -= compute_best_effort_millicores(attempt)
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -87,6 +87,7 @@
             return
         job = open_jobs.open_job(record, progress, wall=wall)
         job.inherited = inherited
+        job.usage = self.usage
         self.jobs[record.job] = job
         if inherited:
             handovers.restore_loads(self, job, now=self.started_at)
--- a/plantainhinge/dispatch/copies.py
+++ b/plantainhinge/dispatch/copies.py
@@ -16,6 +16,7 @@
 from .scheduling_state import SchedulingState
 from .tasks import start_task
 from .worker_choice import choose_worker
+from .workspaces import CapCheck
 
 logger = logging.getLogger(__name__)
 
@@ -42,7 +43,10 @@
     if not slow:
         return
     pools = list_available_workers(cell, now=now)
+    caps = CapCheck(cell)
     for attempt in slow:
+        if not caps.allows(attempt.task.step):
+            continue
         pool = pools.get(attempt.task.step.job.record.policy.service, [])
         others = [worker for worker in pool if worker is not attempt.worker]
         destination = choose_worker(attempt.task, others, cell.weights, now=now)
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -109,7 +109,7 @@
     explain_losses(cell, worker.name, survivor=incarnation, now=now)
     worker.incarnation = incarnation
     worker.listed_at = now
-    worker.has_orphans = False
+    worker.orphans.clear()
     worker.last_end_sequence = worker.acknowledged = 0
     worker.answered_at = float("-inf")
     worker.unreachable_since = now
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..core.ids import AttemptNumber, JobId, Seconds, WorkerId
+from ..core.ids import AttemptNumber, JobId, Seconds, WorkerId, WorkspaceId
 from ..core.resources import Resources
 from ..fleet.model import WorkerEntry, WorkerState
 from ..jobs.model import JobRecord, JobState, Step, TaskKey
 from ..jobs.records import LostAttempt
+from ..placement.quotas import QuotaUsage
 from .forecast import LoadForecast, make_forecast
 
 RACK_LABEL_PREFIX = "r"
@@ -219,6 +220,8 @@
     remaining_path : tuple, optional
         Cached length of the remaining critical path, with the occurrence and the
         number of finished steps that it holds for.
+    usage : QuotaUsage
+        Resources of all attempts of the cell by workspace, shared by its jobs.
     """
 
     record: JobRecord
@@ -229,6 +232,7 @@
     created_below: int = 0
     remaining_path: tuple[tuple[int, int], Seconds] | None = None
     occurrences: dict[int, list[OpenStep]] = field(default_factory=dict)
+    usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
 
     @property
     def job_id(self) -> JobId:
@@ -294,9 +298,9 @@
         The attempt for which it is kept; nothing else is started there meanwhile.
     suspects : int
         Attempts on it of tasks that may have crashed other workers.
-    has_orphans : bool
-        Whether its last report listed attempts whose tasks aren't open. They are being
-        stopped, and nobody knows how much of its capacity they take up.
+    orphans : list of TaskKey
+        Tasks that its last report listed although they aren't open. Their attempts are
+        being stopped.
     """
 
     entry: WorkerEntry
@@ -325,7 +329,7 @@
     listed_at: float = float("-inf")
     trial: Trial | None = None
     suspects: int = 0
-    has_orphans: bool = False
+    orphans: list[TaskKey] = field(default_factory=list)
 
     @property
     def name(self) -> WorkerId:
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -59,7 +59,7 @@
             _handle_end(cell, worker, end, now=now)
             worker.last_end_sequence = end.sequence
             cell.acks_due = True
-    worker.has_orphans = False
+    worker.orphans.clear()
     for running in report.running:
         _handle_running(cell, worker, running, now=now)
     health.check_probe(worker, now=now)
@@ -152,7 +152,7 @@
     """
     task = find_task(cell, running.task)
     if task is None:
-        worker.has_orphans = True
+        worker.orphans.append(running.task)
         stop_orphaned_attempt(cell, worker, running)
         return
     task.last_attempt = max(task.last_attempt, running.attempt)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -1,11 +1,22 @@
 """The state that a cell's owner bases its decisions on."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..core.ids import DomainId, Epoch, JobId, Seconds, ServiceId, WorkerId
+from ..core.ids import (
+    DomainId,
+    Epoch,
+    JobId,
+    Seconds,
+    ServiceId,
+    WorkerId,
+    WorkspaceId,
+)
 from ..fleet.handover import LoadCurve
-from ..jobs.model import TaskKey
+from ..fleet.operator import Workspace
+from ..jobs.model import JobRecord, TaskKey
+from ..placement.quotas import QuotaUsage
 from .leases import LeaseTerms
 from .model import OpenJob, Task, Trial, Worker
 from .orders import Command
@@ -34,6 +45,12 @@
         Failure domains that take no new work.
     guarded_services : frozenset of ServiceId
         Services whose workers refuse what doesn't fit into their capacity.
+    workspaces : mapping of WorkspaceId to Workspace
+        Caps and weights of the workspaces; empty if the site has none.
+    usage : QuotaUsage
+        Resources of the attempts bound to workers, by workspace.
+    find_record : callable
+        Returns the record of a job that isn't open any more, or None.
     directory_synced_at : float
         Monotonic seconds; all directory entries written before it are known.
     fenced : bool
@@ -92,6 +109,9 @@
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
     closed_domains: frozenset[DomainId] = frozenset()
     guarded_services: frozenset[ServiceId] = frozenset()
+    workspaces: Mapping[WorkspaceId, Workspace] = field(default_factory=dict)
+    usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
+    find_record: Callable[[JobId], JobRecord | None] = lambda job: None
     directory_synced_at: float = float("inf")
     fenced: bool = False
     weights: ImageWeights = field(default_factory=ImageWeights)
--- a/plantainhinge/dispatch/step_events.py
+++ b/plantainhinge/dispatch/step_events.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..core.ids import JobId, WorkerId
+from ..core.ids import JobId, WorkerId, WorkspaceId
 from ..core.log_events import LogEvent, LogFields, log_event
 from .model import OpenStep
 
@@ -76,6 +76,10 @@
         Workers of its service that accept new work.
     urgency : str
         Urgency class of the step.
+    workspace : str
+        Workspace of the job; empty if it has none.
+    capped : bool
+        Whether the workspace's cap keeps the tasks waiting.
     """
 
     waiting: int
@@ -83,6 +87,8 @@
     memory_mib: int
     workers: int
     urgency: str
+    workspace: WorkspaceId
+    capped: bool
 
 
 @log_event("long-running tasks idle")
--- a/plantainhinge/jobs/forwarding.py
+++ b/plantainhinge/jobs/forwarding.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from ..core.errors import CorruptRecordError
-from ..core.ids import JobId, QueueName
+from ..core.ids import JobId, QueueName, Revision, Seconds
 from ..core.packing import DECODING_ERRORS, decode_record
-from .model import JobRecord, JobState
+from .model import Caller, JobRecord, JobState
 from .outcomes import CallOutcome
 
 DECODE_STEP = "passing.decode"
@@ -27,16 +27,32 @@
         return self.record.job
 
 
-class PassedCancellation(msgspec.Struct, frozen=True, tag="cancellation"):
-    """Append the cancellation of a job to the log."""
+class PassedCancellation(
+    msgspec.Struct, frozen=True, tag="cancellation", omit_defaults=True
+):
+    """Append the cancellation of a job to the log.
+
+    Parameters
+    ----------
+    caller : Caller, optional
+        Who cancels it; None where all callers may see all jobs.
+    """
 
     job: JobId
+    caller: Caller | None = None
 
 
-class PassedStateQuery(msgspec.Struct, frozen=True, tag="question"):
-    """Query the state of a job."""
+class PassedStateQuery(msgspec.Struct, frozen=True, tag="question", omit_defaults=True):
+    """Query the state of a job.
+
+    Parameters
+    ----------
+    caller : Caller, optional
+        Who asks; None where all callers may see all jobs.
+    """
 
     job: JobId
+    caller: Caller | None = None
 
 
 class PassedCountQuery(msgspec.Struct, frozen=True, tag="count"):
@@ -45,7 +61,14 @@
     queue: QueueName
 
 
-PassedCall = PassedJob | PassedCancellation | PassedStateQuery | PassedCountQuery
+class PassedConfigurationQuery(msgspec.Struct, frozen=True, tag="configuration"):
+    """Query for a configuration newer than a revision, from an instance without log."""
+
+    revision: Revision
+
+
+PassedJobCall = PassedJob | PassedCancellation | PassedStateQuery | PassedCountQuery
+PassedCall = PassedJobCall | PassedConfigurationQuery
 _CALL_DECODER: msgspec.msgpack.Decoder = msgspec.msgpack.Decoder(PassedCall)
 
 
@@ -58,11 +81,18 @@
         Result of a state query; None for other calls.
     count : int, optional
         Result of a count query; None for other calls.
+    configuration : bytes
+        Result of a configuration query: the encoded configuration; empty if there is
+        none that is newer.
+    age : float, optional
+        Result of a configuration query: seconds since the log last confirmed it.
     """
 
     outcome: CallOutcome = msgspec.field(name="verdict")
     state: JobState | None = None
     count: int | None = None
+    configuration: bytes = b""
+    age: Seconds | None = None
 
 
 def encode_call(call: PassedCall) -> bytes:
--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -6,9 +6,12 @@
 
 import msgspec
 
-from ..core.ids import JobId, QueueName, Seconds, ServiceId
+from ..core.ids import JobId, QueueName, Seconds, ServiceId, WorkspaceId
 from ..core.resources import Resources
 
+# of jobs that were submitted without a key
+NO_WORKSPACE = WorkspaceId("")
+
 
 class JobState(Enum):
     """State of a job as reported to its caller."""
@@ -143,7 +146,7 @@
     advised: bool = False
 
 
-class JobRecord(msgspec.Struct, frozen=True, kw_only=True):
+class JobRecord(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An accepted job as it is stored in the log.
 
     Parameters
@@ -151,12 +154,39 @@
     accepted_at : float
         Seconds since the Unix epoch, by the clock of the instance that accepted the
         job.
+    workspace : WorkspaceId
+        The workspace that submitted it; empty if its route is open to all callers.
     """
 
     job: JobId
     policy: QueuePolicy
     spec: JobSpec
     accepted_at: float
+    workspace: WorkspaceId = NO_WORKSPACE
+
+
+class Caller(msgspec.Struct, frozen=True, array_like=True):
+    """Who asks for a job.
+
+    Parameters
+    ----------
+    workspace : WorkspaceId
+        Workspace of the caller's key; empty on a route that is open to all callers.
+    queue : QueueName
+        The queue of the route that the call came by.
+    """
+
+    workspace: WorkspaceId
+    queue: QueueName
+
+    def may_see(self, record: JobRecord) -> bool:
+        """Return whether a job exists for this caller.
+
+        An open route shows all jobs of its queue: it may have been closed before.
+        """
+        if self.workspace == NO_WORKSPACE:
+            return record.policy.queue == self.queue
+        return record.workspace in (NO_WORKSPACE, self.workspace)
 
 
 class TaskKey(NamedTuple):
@@ -168,6 +198,14 @@
     position: int
 
 
+def fits_cap(spec: JobSpec, cap: Resources) -> bool:
+    """Return whether each task of a job, and each gang as a whole, fits into a cap."""
+    return all(
+        (step.request * (step.count if step.gang else 1)).fits_within(cap)
+        for step in spec.steps
+    )
+
+
 def compute_critical_path(
     steps: tuple[Step, ...], *, only: Collection[int] | None = None
 ) -> Seconds:
--- a/plantainhinge/jobs/outcomes.py
+++ b/plantainhinge/jobs/outcomes.py
@@ -7,12 +7,15 @@
     """The outcome of a caller's submission, cancellation or query.
 
     ``REFUSED`` means that the call certainly had no effect; ``UNCERTAIN`` that it may
-    have had one, now or later.
+    have had one, now or later. ``OVER_CAP`` means that the job could never run, as a
+    task of it is larger than its workspace's cap.
     """
 
     DONE = "done"
     UNKNOWN_QUEUE = "unknown-queue"
     UNKNOWN_JOB = "unknown-job"
     MALFORMED = "malformed"
+    UNAUTHENTICATED = "unauthenticated"
+    OVER_CAP = "over-cap"
     REFUSED = "refused"
     UNCERTAIN = "uncertain"
--- a/plantainhinge/ledgers/ledger.py
+++ b/plantainhinge/ledgers/ledger.py
@@ -26,6 +26,7 @@
     Seconds,
     ServiceId,
     TaskId,
+    TeamId,
     WorkerId,
 )
 from ..core.records import (
@@ -160,7 +161,7 @@
     replicas: dict[TaskId, None] = field(default_factory=dict)
     changed: dict[TaskId, None] = field(default_factory=dict)
     queue: WaitingQueue = field(default_factory=WaitingQueue)
-    quota_usage: QuotaUsage = field(default_factory=QuotaUsage)
+    quota_usage: QuotaUsage[TeamId] = field(default_factory=QuotaUsage)
     replica_cells: Counter[tuple[ServiceId, DomainId]] = field(default_factory=Counter)
     _final_tasks: deque[TaskId] = field(default_factory=deque)
     _claim_keys: list[tuple[float, RequestKey]] = field(default_factory=list)
--- a/plantainhinge/placement/assignment.py
+++ b/plantainhinge/placement/assignment.py
@@ -128,7 +128,7 @@
 
     cells: dict[DomainId, CellResources]
     quotas: Mapping[TeamId, Resources]
-    quota_usage: QuotaUsage
+    quota_usage: QuotaUsage[TeamId]
     replicas: dict[tuple[ServiceId, DomainId], int]
     now: Seconds
     wall_seconds: float
--- a/plantainhinge/placement/quotas.py
+++ b/plantainhinge/placement/quotas.py
@@ -1,7 +1,8 @@
-"""Quotas: the most resources that a team may have assigned at once."""
+"""Quotas: the most resources that a team or workspace may have assigned at once."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 from ..core.configuration import Team
 from ..core.ids import TeamId
@@ -9,26 +10,28 @@
 
 NO_RESOURCES = Resources()
 
+Owner = TypeVar("Owner", bound=str)
+
 
 @dataclass
-class QuotaUsage:
-    """Resources of each team's attempts that are assigned and have not ended."""
+class QuotaUsage(Generic[Owner]):
+    """Resources of each owner's attempts that are assigned and have not ended."""
 
-    used: dict[TeamId, Resources] = field(default_factory=dict)
+    used: dict[Owner, Resources] = field(default_factory=dict)
 
-    def get(self, team: TeamId) -> Resources:
-        """Return the resources that a team uses."""
-        return self.used.get(team, NO_RESOURCES)
+    def get(self, owner: Owner) -> Resources:
+        """Return the resources that a team or workspace uses."""
+        return self.used.get(owner, NO_RESOURCES)
 
-    def add(self, team: TeamId, need: Resources) -> None:
+    def add(self, owner: Owner, need: Resources) -> None:
         """Add the resources of an attempt that was assigned."""
-        self.used[team] = self.get(team) + need
+        self.used[owner] = self.get(owner) + need
 
-    def subtract(self, team: TeamId, need: Resources) -> None:
+    def subtract(self, owner: Owner, need: Resources) -> None:
         """Subtract the resources of an attempt that ended."""
-        self.used[team] = self.get(team) - need
+        self.used[owner] = self.get(owner) - need
 
-    def copy(self) -> "QuotaUsage":
+    def copy(self) -> "QuotaUsage[Owner]":
         """Return a copy that a plan may modify."""
         return QuotaUsage(dict(self.used))
 
@@ -39,8 +42,11 @@
 
 
 def fits_quota(
-    usage: QuotaUsage, quotas: Mapping[TeamId, Resources], team: TeamId, need: Resources
+    usage: QuotaUsage[Owner],
+    quotas: Mapping[Owner, Resources],
+    owner: Owner,
+    need: Resources,
 ) -> bool:
-    """Return whether the team may use ``need`` more; False for an unknown team."""
-    quota = quotas.get(team)
-    return quota is not None and (usage.get(team) + need).fits_within(quota)
+    """Return whether an owner may use ``need`` more; False for an unknown one."""
+    quota = quotas.get(owner)
+    return quota is not None and (usage.get(owner) + need).fits_within(quota)
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -13,10 +13,11 @@
 from ..core.log_events import write_event
 from ..core.packing import DECODING_ERRORS
 from ..core.resources import Resources
+from ..daemons.authentication import Authenticator
 from ..daemons.job_service import JobService
 from ..fleet.log_events import JobMalformed
-from ..fleet.operator import QueueRoute
-from ..jobs.model import JobSpec, Recurrence, Step
+from ..fleet.operator import QueueRoute, SchedulingConfiguration, Workspace
+from ..jobs.model import NO_WORKSPACE, Caller, JobSpec, Recurrence, Step
 from ..jobs.outcomes import CallOutcome
 from .amounts import Amount
 
@@ -25,6 +26,8 @@
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 JSON_TYPE = ("Content-Type", "application/json")
 DEADLINE_HEADER = "x-deadline-ms"
+AUTHORIZATION_HEADER = "authorization"
+AUTHORIZATION_SCHEME = "token"
 DEFAULT_TIMEOUT_SECONDS = Seconds(3.0)
 # per job; without a limit, a small body could make the process use much memory
 TASKS_MAX = 20_000
@@ -34,6 +37,8 @@
     CallOutcome.UNKNOWN_QUEUE: 404,
     CallOutcome.UNKNOWN_JOB: 410,
     CallOutcome.MALFORMED: 400,
+    CallOutcome.UNAUTHENTICATED: 401,
+    CallOutcome.OVER_CAP: 429,
     CallOutcome.REFUSED: 503,
     CallOutcome.UNCERTAIN: 504,
 }
@@ -84,13 +89,16 @@
     ----------
     service : JobService
         Stores jobs and reports their states.
+    authenticator : Authenticator
+        Finds the workspaces of keys.
     """
 
     service: JobService
+    authenticator: Authenticator
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Handle one request; it is refused until a configuration has been read."""
-        configuration = self.service.configuration
+        configuration = await self._get_configuration()
         if configuration is None:
             return _build_outcome_reply(CallOutcome.REFUSED, 1)
         host = request.headers.get("host", "").partition(":")[0]
@@ -100,57 +108,113 @@
         route = configuration.find_route(host, path)
         if route is None:
             return _build_outcome_reply(CallOutcome.UNKNOWN_QUEUE, 1)
-        return await self._handle_queue(route, path.removeprefix(route.prefix), request)
+        workspace = None
+        if configuration.workspaces is not None and not route.anonymous:
+            found = await self.authenticator.authenticate(
+                _read_key(request), queue=route.policy.queue
+            )
+            if isinstance(found, CallOutcome):
+                return _build_outcome_reply(found, self.service.retry_after)
+            workspace = found
+        call = _Call(
+            route,
+            path.removeprefix(route.prefix),
+            request,
+            workspace,
+            has_workspaces=configuration.workspaces is not None,
+        )
+        return await self._handle_queue(call)
+
+    async def _get_configuration(self) -> SchedulingConfiguration | None:
+        """Return the configuration in force, confirmed if it has keys to withdraw."""
+        configuration = self.service.configuration
+        if configuration is not None and configuration.workspaces is not None:
+            await self.authenticator.confirm_view()
+        return self.service.configuration
 
-    async def _handle_queue(
-        self, route: QueueRoute, subpath: str, request: HttpRequest
-    ) -> HttpReply:
+    async def _handle_queue(self, call: "_Call") -> HttpReply:
+        request, subpath = call.request, call.subpath
         if request.method == "GET" and not subpath:
-            return await self._count_queued(route, request)
+            return await self._count_queued(call)
         if not JOB_ID.match(subpath):
             return _build_outcome_reply(CallOutcome.MALFORMED, 1)
         job = JobId(subpath)
         match request.method:
             case "POST":
-                return await self._submit(route, job, request)
+                return await self._submit(call, job)
             case "GET":
-                return await self._get_state(job, request)
+                return await self._get_state(call, job)
             case "DELETE":
-                return await self._cancel(job, request)
+                return await self._cancel(call, job)
         return HttpReply(status=405)
 
-    async def _submit(
-        self, route: QueueRoute, job: JobId, request: HttpRequest
-    ) -> HttpReply:
+    async def _submit(self, call: "_Call", job: JobId) -> HttpReply:
         try:
-            spec = decode_spec(request.body)
+            spec = decode_spec(call.request.body)
         except BadInputError as error:
             write_event(logger, JobMalformed(job=job, cause=str(error)))
             return HttpReply(status=STATUSES[CallOutcome.MALFORMED])
         outcome = await self.service.submit(
-            job, route.policy, spec, timeout=_read_timeout(request)
+            job,
+            call.route.policy,
+            spec,
+            workspace=call.workspace,
+            timeout=_read_timeout(call.request),
         )
         return _build_outcome_reply(outcome, self.service.retry_after)
 
-    async def _get_state(self, job: JobId, request: HttpRequest) -> HttpReply:
-        state = await self.service.get_job_state(job, timeout=_read_timeout(request))
+    async def _get_state(self, call: "_Call", job: JobId) -> HttpReply:
+        state = await self.service.get_job_state(
+            job, caller=call.caller, timeout=_read_timeout(call.request)
+        )
         if isinstance(state, CallOutcome):
             return _build_outcome_reply(state, self.service.retry_after)
         return _build_json_reply({"state": state.value})
 
-    async def _cancel(self, job: JobId, request: HttpRequest) -> HttpReply:
-        outcome = await self.service.cancel(job, timeout=_read_timeout(request))
+    async def _cancel(self, call: "_Call", job: JobId) -> HttpReply:
+        outcome = await self.service.cancel(
+            job, caller=call.caller, timeout=_read_timeout(call.request)
+        )
         return _build_outcome_reply(outcome, self.service.retry_after)
 
-    async def _count_queued(self, route: QueueRoute, request: HttpRequest) -> HttpReply:
+    async def _count_queued(self, call: "_Call") -> HttpReply:
         count = await self.service.count_queued(
-            route.policy.queue, timeout=_read_timeout(request)
+            call.route.policy.queue, timeout=_read_timeout(call.request)
         )
         if isinstance(count, CallOutcome):
             return _build_outcome_reply(count, self.service.retry_after)
         return _build_json_reply({"pending": count})
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A request with its route and its caller's workspace.
+
+    Parameters
+    ----------
+    subpath : str
+        What follows the route's prefix.
+    workspace : Workspace, optional
+        None if the route is open to all callers.
+    has_workspaces : bool
+        Whether the site has workspaces, so that callers see their own jobs only.
+    """
+
+    route: QueueRoute
+    subpath: str
+    request: HttpRequest
+    workspace: Workspace | None
+    has_workspaces: bool
+
+    @property
+    def caller(self) -> Caller | None:
+        """Return who calls; None where all callers may see all jobs."""
+        if not self.has_workspaces:
+            return None
+        name = NO_WORKSPACE if self.workspace is None else self.workspace.name
+        return Caller(name, self.route.policy.queue)
+
+
 def decode_spec(body: bytes) -> JobSpec:
     """Decode the body of a submitted job.
 
@@ -202,6 +266,13 @@
     )
 
 
+def _read_key(request: HttpRequest) -> str:
+    """Return the key that the caller sent; empty if there is none."""
+    value = request.headers.get(AUTHORIZATION_HEADER, "")
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == AUTHORIZATION_SCHEME else ""
+
+
 def _read_timeout(request: HttpRequest) -> Seconds:
     """Return the timeout that the caller sent, or the default, in seconds."""
     try:
@@ -212,7 +283,7 @@
 
 def _build_outcome_reply(outcome: CallOutcome, retry_after: float) -> HttpReply:
     status = STATUSES[outcome]
-    if outcome is CallOutcome.REFUSED:
+    if outcome in (CallOutcome.REFUSED, CallOutcome.OVER_CAP):
         seconds = str(max(1, round(retry_after)))
         return HttpReply(status=status, headers=(("Retry-After", seconds),))
     return HttpReply(status=status)
--- a/plantainhinge/platform/program.py
+++ b/plantainhinge/platform/program.py
@@ -68,7 +68,8 @@
         apply=lambda updated: instance.set_lease_terms(_build_lease_terms(updated)),
         reloadable=frozenset({"lease_seconds_max"}),
     )
-    await instance.run(Ingress(instance.service).handle)
+    ingress = Ingress(instance.service, instance.authenticator)
+    await instance.run(ingress.handle)
 
 
 def _build_lease_terms(settings: PlatformSettings) -> LeaseTerms:
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -17,6 +17,7 @@
 from plantainhinge.dispatch.cell import Cell
 from plantainhinge.dispatch.leases import LeaseTerms
 from plantainhinge.dispatch.orders import Start, Stop, Throttle
+from plantainhinge.fleet.credentials import digest_key
 from plantainhinge.fleet.handover import Handover
 from plantainhinge.fleet.model import (
     EndCause,
@@ -27,13 +28,21 @@
     WorkerEntry,
     WorkerReport,
 )
-from plantainhinge.jobs.model import JobRecord, JobSpec, QueuePolicy, Step
+from plantainhinge.fleet.operator import Workspace
+from plantainhinge.jobs.model import (
+    NO_WORKSPACE,
+    JobRecord,
+    JobSpec,
+    QueuePolicy,
+    Step,
+)
 
 SERVICE = ServiceId("archive")
 TERMS = LeaseTerms(length=6.0, length_max=6.0)
 LEASE_SECONDS_MAX = 6.0 / 0.97 + 0.2
 STEP_SECONDS = 0.05
 SMALL_TASK = Resources(1000, 100)
+UNLIMITED = 2**63 - 1
 
 
 def make_policy(**changes):
@@ -48,7 +57,7 @@
     return QueuePolicy(**(values | changes))
 
 
-def make_job(job, *steps, accepted_at=0.0, policy=None):
+def make_job(job, *steps, accepted_at=0.0, policy=None, workspace=NO_WORKSPACE):
     steps = steps or (Step(count=1, request=Resources(1000, 100), estimate=1.0),)
     spec = JobSpec(payload="work", steps=steps)
     return JobRecord(
@@ -56,6 +65,17 @@
         policy=policy or make_policy(),
         spec=spec,
         accepted_at=accepted_at,
+        workspace=workspace,
+    )
+
+
+def make_workspace(name, *, weight=1.0, cores=None, keys=()):
+    """Return a workspace; without ``cores`` its cap is no limit."""
+    return Workspace(
+        name=name,
+        key_digests=tuple(map(digest_key, keys)),
+        weight=weight,
+        cap=Resources(UNLIMITED if cores is None else cores * 1000, UNLIMITED, 0),
     )
 
 
@@ -296,21 +316,29 @@
         self.workers = {entry.worker: SimulatedWorker(entry) for entry in entries}
         self.states = {}
         self.log = {}
-        self.cell = Cell(Epoch(epoch), terms, 0.0)
+        self.records = {}
+        self.cell = Cell(Epoch(epoch), terms, 0.0, find_record=self.records.get)
         self.update_workers()
 
     def update_workers(self, *, inherited=False):
         entries = [worker.entry for worker in self.workers.values()]
         self.cell.update_workers(entries, now=self.now, inherited=inherited)
 
+    def set_workspaces(self, *workspaces):
+        self.cell.workspaces = {each.name: each for each in workspaces}
+
     def submit(self, record, *, inherited=False):
+        self.records[record.job] = record
         self.cell.open_job(
             record, self.log.get(record.job), wall=self.now, inherited=inherited
         )
 
     def take_over(self, records):
         """Replace the owner by a new one that knows only the log."""
-        self.cell = Cell(Epoch(self.cell.epoch + 1), self.terms, self.now)
+        workspaces = self.cell.workspaces
+        epoch = Epoch(self.cell.epoch + 1)
+        self.cell = Cell(epoch, self.terms, self.now, find_record=self.records.get)
+        self.cell.workspaces = workspaces
         self.pending_flush = None
         self.cell.apply_handover(self.handover, now=self.now, wall=self.now)
         for record in records:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -28,7 +28,7 @@
 
 def call(configuration, method, path, body=b""):
     request = HttpRequest(method, path, {"host": "h"}, body)
-    reply = asyncio.run(Ingress(Service(configuration)).handle(request))
+    reply = asyncio.run(Ingress(Service(configuration), None).handle(request))
     return reply.status, dict(reply.headers)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,8 @@
     TrimmedError,
     UnavailableError,
 )
+from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.credentials import digest_key
 from plantainhinge.fleet.handover import Handover, decode_handover, encode_handover
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
@@ -111,6 +113,63 @@
     assert decode_handover(encode_handover(handover)) == handover
 
 
+TENANT = {
+    "name": "a",
+    "apiKeys": ["k1", "k2"],
+    "weight": 2,
+    "cap": {"cpu": 3000, "memMb": 0, "gpu": 0},
+}
+
+
+def decode_tenants(*tenants):
+    config = {"version": 1, "routes": [], "tenants": list(tenants)}
+    return operator.decode_operator_record("config", encode(config))
+
+
+def test_a_workspace_is_decoded_with_digests_in_place_of_its_keys():
+    (workspace,) = decode_tenants(TENANT).workspaces
+    assert (workspace.name, workspace.weight) == ("a", 2.0)
+    assert workspace.key_digests == (digest_key("k1"), digest_key("k2"))
+    assert workspace.cap == Resources(3000, 2**63 - 1, 2**63 - 1)
+
+
+def test_a_configuration_without_the_field_has_no_workspaces():
+    config = encode({"version": 1, "routes": []})
+    assert operator.decode_operator_record("config", config).workspaces is None
+    assert decode_tenants().workspaces == ()
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANT, TENANT | {"apiKeys": ["k3"]}],
+        [TENANT, TENANT | {"name": "b", "apiKeys": ["k2"]}],
+        [TENANT | {"weight": -1}],
+        [TENANT | {"weight": 1e300}],
+        [TENANT | {"weight": "2"}],
+        [TENANT | {"apiKeys": [""]}],
+        [TENANT | {"apiKeys": ["x" * 300]}],
+        [TENANT | {"apiKeys": "k1"}],
+        [TENANT | {"cap": {"cpu": -1}}],
+        [TENANT | {"cap": {"cpu": 2**64}}],
+        [TENANT | {"name": 7}],
+    ],
+)
+def test_a_configuration_with_an_invalid_workspace_is_rejected_whole(tenants, caplog):
+    assert decode_tenants(*tenants) is None
+    (line,) = caplog.records
+    assert "k2" not in line.cause
+    assert "k3" not in line.cause
+
+
+def test_ten_thousand_workspaces_are_decoded():
+    tenants = [
+        TENANT | {"name": f"t{index}", "apiKeys": [f"key-{index}"]}
+        for index in range(10_000)
+    ]
+    assert len(decode_tenants(*tenants).workspaces) == 10_000
+
+
 DEEPLY_NESTED = b'{"x":' + b"[" * 100_000
 
 
