Spread the workers of a large site's handover over several records

Class: one record that the log can't take holds up all others. Change: beyond 500 workers, the workers are spread over records of their own by a hash of their names, and only records that changed are written. The log's limits are part of its interface and come from the settings; a flush is split into appends within them. A job's progress that is too large is logged without its checkpoints, or left out with an error. Test: 4,000 workers on a log with the platform's limits; failed before. Progress that is too large, handovers that grow, shrink and change one worker.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -20,12 +20,12 @@
 from ..core.ids import Epoch, JobId, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NullMetrics
-from ..dispatch.cell import Cell
+from ..dispatch.cell import Cell, Flush
 from ..dispatch.leases import LeaseTerms
 from ..dispatch.model import Worker
 from ..dispatch.orders import Command
 from ..fleet.model import WorkerReport
-from ..fleet.protocols import Entry, KeyedLog, WorkerCalls
+from ..fleet.protocols import KeyedLog, WorkerCalls
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
@@ -43,7 +43,7 @@
     RecordsNotDeleted,
 )
 from .ownership_events import CellOwned
-from .progress_log import ProgressLog, encode_flush
+from .progress_log import ProgressLog
 from .takeover import fence_and_load
 from .worker_orders import send_command
 from .worker_view import WorkerView
@@ -314,8 +314,7 @@
             flush = cell.take_flush(now=read_monotonic())
             if flush is None:
                 return
-            entries = encode_flush(flush)
-            if entries and not await self._append_progress(cell, entries):
+            if not await self._write_flush(cell, flush):
                 return
             for progress in flush.progress:
                 self.view.table.apply(progress)
@@ -323,10 +322,10 @@
         self._flushed.set()
         self._flushed.clear()
 
-    async def _append_progress(self, cell: Cell, entries: list[Entry]) -> bool:
+    async def _write_flush(self, cell: Cell, flush: Flush) -> bool:
         try:
-            return await self.progress.write(
-                entries, is_owner=lambda: self.cell is cell
+            return await self.progress.write_flush(
+                flush, is_owner=lambda: self.cell is cell
             )
         except (NotOwnerError, ConflictError) as error:
             self.report_fenced(str(error))
--- a/plantainhinge/daemons/job_view.py
+++ b/plantainhinge/daemons/job_view.py
@@ -5,7 +5,7 @@
 from ..core.errors import CorruptRecordError
 from ..core.ids import Epoch, JobId
 from ..core.log_events import write_event
-from ..fleet.handover import HANDOVER_KEY, Handover, decode_handover
+from ..fleet.handover import HANDOVER_KEY, Handover, HandoverRecords
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.ownership import EPOCH_KEY, decode_marker
 from ..jobs.records import Record, decode_record
@@ -26,8 +26,6 @@
     ----------
     new_records : list of Record
         Records of the job topic applied since the last ``take_new_records``.
-    handover : Handover
-        The state that the last owner left for the next one.
     epoch : Epoch
         The highest epoch marker read from the job topic.
     """
@@ -35,13 +33,18 @@
     def __init__(self, log: KeyedLog) -> None:
         self.table = JobTable()
         self.new_records: list[Record] = []
-        self.handover = Handover()
+        self._handover = HandoverRecords()
         self.epoch = Epoch(0)
         self.job_tail = Tail(log, JOB_TOPIC, self._apply_job, _ignore_reset)
         self.progress_tail = Tail(
             log, PROGRESS_TOPIC, self._apply_progress, _ignore_reset
         )
 
+    @property
+    def handover(self) -> Handover:
+        """Return the state that the last owner left for the next one."""
+        return self._handover.combine()
+
     def take_new_records(self) -> list[Record]:
         """Return and clear the records of the job topic applied since the last call."""
         fresh, self.new_records = self.new_records, []
@@ -74,11 +77,11 @@
             write_event(logger, RecordIgnored(key=EPOCH_KEY, cause=str(error)))
 
     def _apply_progress(self, entry: Entry) -> None:
-        if entry.key != HANDOVER_KEY:
+        if not entry.key.startswith(HANDOVER_KEY):
             self._apply(entry)
             return
         try:
-            self.handover = decode_handover(entry.value)
+            self._handover.apply(entry.key, entry.value)
         except CorruptRecordError as error:
             write_event(logger, HandoverIgnored(cause=str(error)))
 
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -93,6 +93,24 @@
     """A programming error in a task of the owner; the cell is given up."""
 
 
+@log_event("progress too large", level=logging.ERROR)
+class ProgressTooLarge(LogEvent, frozen=True, kw_only=True):
+    """A job's progress is larger than the log's limit and was left out.
+
+    The next owner starts the job's tasks again that ended since its last progress.
+
+    Parameters
+    ----------
+    job : str
+        The job.
+    size_bytes : int
+        Size of the record without checkpoints.
+    """
+
+    job: JobId
+    size_bytes: int
+
+
 @log_event("progress not logged", level=logging.WARNING)
 class ProgressNotLogged(LogEvent, frozen=True, kw_only=True):
     """The log didn't confirm an append of progress; it is repeated.
--- a/plantainhinge/daemons/progress_log.py
+++ b/plantainhinge/daemons/progress_log.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from ..core.errors import ConflictError, NotOwnerError, PlantainhingeError
@@ -16,9 +16,16 @@
 from ..dispatch.cell import Flush
 from ..fleet.handover import HANDOVER_KEY, encode_handover
 from ..fleet.protocols import Entry, Fence, KeyedLog
-from ..jobs.records import RecordKind, build_key, encode_record, list_job_keys
+from ..jobs.records import (
+    Progress,
+    RecordKind,
+    build_key,
+    drop_checkpoints,
+    encode_record,
+    list_job_keys,
+)
 from .job_view import JOB_TOPIC, PROGRESS_TOPIC
-from .owner_events import ProgressNotLogged
+from .owner_events import ProgressNotLogged, ProgressTooLarge
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +40,7 @@
     _epoch: Epoch = Epoch(0)
     _sequence: int = 0
     _append_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _handover: dict[str, bytes] = field(default_factory=dict)
 
     async def begin_epoch(self, epoch: Epoch) -> None:
         """Fence earlier owners with an empty append under a new epoch.
@@ -43,8 +51,45 @@
             If the log has seen a higher epoch.
         """
         self._epoch, self._sequence = epoch, 0
+        self._handover.clear()
         await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
 
+    async def write_flush(self, flush: Flush, *, is_owner: Callable[[], bool]) -> bool:
+        """Write the progress of jobs, then the handover state; see ``write``.
+
+        Records of the handover that haven't changed are left out.
+        """
+        entries = self._encode_progress(flush.progress)
+        handover: dict[str, bytes] = {}
+        if flush.handover is not None:
+            limit = self.log.record_bytes_max - len(HANDOVER_KEY) - 1
+            handover = encode_handover(flush.handover, record_bytes_max=limit)
+            entries.extend(
+                Entry(key, value)
+                for key, value in handover.items()
+                if self._handover.get(key) != value
+            )
+        for batch in split_entries(entries, bytes_max=self.log.append_bytes_max):
+            if not await self.write(batch, is_owner=is_owner):
+                return False
+        self._handover.update(handover)
+        return True
+
+    def _encode_progress(self, progress: Iterable[Progress]) -> list[Entry]:
+        """Return the entries of jobs; one that is too large must not hold up others."""
+        entries = []
+        for record in progress:
+            key = build_key(record)
+            for version in (record, drop_checkpoints(record)):
+                entry = Entry(key, encode_record(version))
+                if entry.size <= self.log.record_bytes_max:
+                    entries.append(entry)
+                    break
+            else:
+                event = ProgressTooLarge(job=record.job, size_bytes=entry.size)
+                write_event(logger, event)
+        return entries
+
     async def write(
         self, entries: Sequence[Entry], *, is_owner: Callable[[], bool]
     ) -> bool:
@@ -99,12 +144,15 @@
         return await self.write(progress, is_owner=is_owner)
 
 
-def encode_flush(flush: Flush) -> list[Entry]:
-    """Return the log entries of a flush: progress of jobs, then the handover state."""
-    entries = [
-        Entry(build_key(progress), encode_record(progress))
-        for progress in flush.progress
-    ]
-    if flush.handover is not None:
-        entries.append(Entry(HANDOVER_KEY, encode_handover(flush.handover)))
-    return entries
+def split_entries(entries: Iterable[Entry], *, bytes_max: int) -> Iterator[list[Entry]]:
+    """Split entries into batches that the log takes in one append each."""
+    batch: list[Entry] = []
+    size = 0
+    for entry in entries:
+        if batch and size + entry.size > bytes_max:
+            yield batch
+            batch, size = [], 0
+        batch.append(entry)
+        size += entry.size
+    if batch:
+        yield batch
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -1,5 +1,6 @@
 """State of the cell, apart from job progress, that an owner logs for its successor."""
 
+import zlib
 from typing import Annotated
 
 import msgspec
@@ -10,6 +11,8 @@
 from .model import WorkerEntry
 
 HANDOVER_KEY = "handover"
+# workers in one record, of which a site with more has several
+WORKERS_PER_RECORD_MAX = 500
 
 
 class PairWeight(msgspec.Struct, frozen=True, array_like=True):
@@ -86,6 +89,8 @@
         Epoch of the owner that wrote it; 0 if unknown.
     silent : tuple of SilentWorker
         Those of the workers that didn't answer.
+    parts : int
+        Number of further records that hold its workers; 0 if it holds them itself.
     """
 
     workers: tuple[WorkerEntry, ...] = ()
@@ -94,15 +99,51 @@
     loads: tuple[StepLoad, ...] = ()
     epoch: Epoch = Epoch(0)
     silent: tuple[SilentWorker, ...] = ()
+    parts: int = 0
 
 
-def encode_handover(handover: Handover) -> bytes:
-    """Return the value that stores a handover in the log."""
-    return msgspec.msgpack.encode(handover)
+class WorkersPart(msgspec.Struct, frozen=True, array_like=True):
+    """One of several records that hold the workers of a handover."""
+
+    workers: tuple[WorkerEntry, ...]
+
+
+def encode_handover(handover: Handover, *, record_bytes_max: int) -> dict[str, bytes]:
+    """Return the records that store a handover in the log, by key.
+
+    The workers of a large site are spread over several records by a hash of their
+    names, so that a change of one worker changes one record. What an owner can learn
+    again is left out if the record would be too large otherwise.
+    """
+    records: dict[str, bytes] = {}
+    if len(handover.workers) > WORKERS_PER_RECORD_MAX:
+        parts = _spread_workers(handover.workers)
+        for index, workers in enumerate(parts):
+            value = msgspec.msgpack.encode(WorkersPart(tuple(workers)))
+            records[f"{HANDOVER_KEY}-{index}"] = value
+        handover = msgspec.structs.replace(handover, workers=(), parts=len(parts))
+    for dropped in ({}, {"loads": ()}, {"loads": (), "pairs": ()}):
+        value = msgspec.msgpack.encode(msgspec.structs.replace(handover, **dropped))
+        if len(value) <= record_bytes_max:
+            break
+    records[HANDOVER_KEY] = value
+    return records
+
+
+def _spread_workers(workers: tuple[WorkerEntry, ...]) -> list[list[WorkerEntry]]:
+    """Spread workers over records, with room for twice as many as there are.
+
+    The number of records is a power of two, so that it seldom changes.
+    """
+    wanted = 2 * len(workers) // WORKERS_PER_RECORD_MAX
+    parts: list[list[WorkerEntry]] = [[] for _ in range(1 << wanted.bit_length())]
+    for entry in workers:
+        parts[zlib.crc32(entry.worker.encode()) % len(parts)].append(entry)
+    return parts
 
 
 def decode_handover(value: bytes) -> Handover:
-    """Decode the handover in a value of the log.
+    """Decode the main record of a handover.
 
     Raises
     ------
@@ -110,3 +151,32 @@
         If the value is not an encoded handover.
     """
     return decode_record(value, Handover, step="handover.decode")
+
+
+class HandoverRecords:
+    """The records of the newest handover, in whatever order they are read."""
+
+    def __init__(self) -> None:
+        self._main = Handover()
+        self._parts: dict[str, tuple[WorkerEntry, ...]] = {}
+
+    def apply(self, key: str, value: bytes) -> None:
+        """Apply one record.
+
+        Raises
+        ------
+        CorruptRecordError
+            If it can't be decoded; the one before it stays.
+        """
+        if key == HANDOVER_KEY:
+            self._main = decode_handover(value)
+        else:
+            part = decode_record(value, WorkersPart, step="handover.decode")
+            self._parts[key] = part.workers
+
+    def combine(self) -> Handover:
+        """Return the handover with all its workers."""
+        workers = list(self._main.workers)
+        for index in range(self._main.parts):
+            workers.extend(self._parts.get(f"{HANDOVER_KEY}-{index}", ()))
+        return msgspec.structs.replace(self._main, workers=tuple(workers), parts=0)
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -25,6 +25,11 @@
     key: str
     value: bytes
 
+    @property
+    def size(self) -> int:
+        """Return its size in the log, in bytes."""
+        return 1 + len(self.key.encode()) + len(self.value)
+
 
 @dataclass(frozen=True, slots=True)
 class Page:
@@ -60,7 +65,16 @@
 
 
 class KeyedLog(Protocol):
-    """An append-only log of topics that retains the newest record of each key."""
+    """An append-only log of topics that retains the newest record of each key.
+
+    Parameters
+    ----------
+    record_bytes_max, append_bytes_max : int
+        Maximum size of a record with its key, and of the records of one append.
+    """
+
+    record_bytes_max: int
+    append_bytes_max: int
 
     async def append(
         self,
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -172,6 +172,28 @@
     return record
 
 
+def drop_checkpoints(progress: Progress) -> Progress:
+    """Return a job's progress without checkpoints, which take up most of its size."""
+    return msgspec.structs.replace(
+        progress,
+        occurrences={
+            number: OccurrenceProgress(
+                tuple(
+                    msgspec.structs.replace(
+                        step,
+                        tasks={
+                            position: msgspec.structs.replace(task, checkpoint="")
+                            for position, task in step.tasks.items()
+                        },
+                    )
+                    for step in occurrence.steps
+                )
+            )
+            for number, occurrence in progress.occurrences.items()
+        },
+    )
+
+
 def pack_bits(indices: set[int]) -> bytes:
     """Return a little-endian bitmap of the indices."""
     number = sum(1 << index for index in indices)
--- a/plantainhinge/platform/program.py
+++ b/plantainhinge/platform/program.py
@@ -47,6 +47,8 @@
         client=HttpClient(settings.log_address, LOG_CONNECTIONS_MAX),
         waiting_client=HttpClient(settings.log_address, LOG_CONNECTIONS_MAX),
         member_seconds=Seconds(settings.member_seconds),
+        record_bytes_max=settings.record_bytes_max,
+        append_bytes_max=settings.append_bytes_max,
     )
     instance = Instance(
         settings=InstanceSettings(
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -7,8 +7,10 @@
 
 from ..core.errors import BadInputError
 from ..core.ids import DomainId, InstanceId
+from .store import APPEND_BYTES_MAX, RECORD_BYTES_MAX
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d+$")]
 
 
@@ -31,6 +33,8 @@
         Longest lease that workers grant.
     member_seconds : float
         Shortest time without contact after which the store removes a group member.
+    record_bytes_max, append_bytes_max : int
+        Largest record and append that the store takes, in bytes.
     core_share, core_speed : float
         Share of a CPU core that the process has, and the core's speed relative to a
         standard core.
@@ -45,6 +49,8 @@
     advice_address: str = ""
     lease_seconds_max: PositiveNumber
     member_seconds: PositiveNumber
+    record_bytes_max: PositiveInteger = RECORD_BYTES_MAX
+    append_bytes_max: PositiveInteger = APPEND_BYTES_MAX
     core_share: PositiveNumber = 1.0
     core_speed: PositiveNumber = 1.0
 
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -44,6 +44,8 @@
 GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
 JSON_HEADERS = (("Content-Type", "application/json"),)
 READ_KIB_MAX = 256
+RECORD_BYTES_MAX = 262_144
+APPEND_BYTES_MAX = 2_097_152
 WRITE_TIMEOUT_SECONDS = Seconds(0.8)
 READ_TIMEOUT_SECONDS = Seconds(0.8)
 # enough for a response of 1 MiB over a shared link of 5 Mbit/s
@@ -94,11 +96,15 @@
         For reads that wait for a new record (long polling).
     member_seconds : float
         Seconds without contact after which the store removes a group member.
+    record_bytes_max, append_bytes_max : int
+        Largest record and append that the store takes.
     """
 
     client: HttpClient
     waiting_client: HttpClient
     member_seconds: Seconds
+    record_bytes_max: int = RECORD_BYTES_MAX
+    append_bytes_max: int = APPEND_BYTES_MAX
 
     async def append(
         self,
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -39,6 +39,8 @@
         self.join_delay = 0.0
         self.read_calls = 0
         self.page_size = 500
+        self.record_bytes_max = 262_144
+        self.append_bytes_max = 2_097_152
         self.members = {}
         self.member_seconds = float("inf")
         self.generation = 0
@@ -46,6 +48,10 @@
     async def append(self, topic, entries, *, fence=None, expected_end=None):
         if self.append_delay:
             await asyncio.sleep(self.append_delay)
+        sizes = [len(entry.key) + 1 + len(entry.value) for entry in entries]
+        too_large = max(sizes, default=0) > self.record_bytes_max
+        if too_large or sum(sizes) > self.append_bytes_max:
+            raise UnavailableError("status 400", step="log.append")
         fault = self.append_faults.pop(0) if self.append_faults else None
         if fault == "refuse":
             raise UnavailableError("refused", step="log.append")
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -3,18 +3,36 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 
-from plantainhinge.core.ids import Epoch
+from plantainhinge.core.ids import Epoch, JobId, QueueName
 from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import CellRunner
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.daemons.operator_view import OperatorView
+from plantainhinge.daemons.progress_log import ProgressLog
 from plantainhinge.daemons.worker_view import WorkerView
-from plantainhinge.fleet.model import OrderOutcome, OrderResponse, WorkerReport
+from plantainhinge.dispatch.cell import Flush
+from plantainhinge.fleet.handover import Handover
+from plantainhinge.fleet.model import (
+    OrderOutcome,
+    OrderResponse,
+    WorkerEntry,
+    WorkerReport,
+)
 from plantainhinge.fleet.protocols import Entry, Fence
+from plantainhinge.jobs.model import JobState
 from plantainhinge.jobs.ownership import EPOCH_KEY, EpochMarker, encode_marker
-from plantainhinge.jobs.records import build_key, decode_record, encode_record
+from plantainhinge.jobs.records import (
+    OccurrenceProgress,
+    Progress,
+    StepProgress,
+    TaskProgress,
+    build_key,
+    decode_record,
+    encode_record,
+)
 
 from .keyed_log import MemoryKeyedLog
 from .simulated_cell import TERMS, make_entry, make_job, make_step
@@ -24,6 +42,17 @@
     """A fake of worker calls for an empty directory: any call is an error."""
 
 
+class SilentWorkers:
+    """A fake of calls to workers none of which answers."""
+
+    async def renew(self, entry, renewal):
+        await asyncio.sleep(0.2)
+        return OrderResponse(outcome=OrderOutcome.UNKNOWN)
+
+    def close_connections(self, entry):
+        pass
+
+
 def make_runner(log, lost=None):
     async def check():
         return None
@@ -335,3 +364,113 @@
         return rounds.events
 
     assert asyncio.run(scenario()) == []
+
+
+def make_large_directory(log, workers):
+    """Write entries of workers like those of a site of 12 workers a rack."""
+    for index in range(workers):
+        entry = make_entry(
+            f"i-{index:010}",
+            labels=("a", f"r1-{index // 12}"),
+            address="10.99.99.99:80",
+        )
+        log.topics["workers"].append(Entry(entry.worker, msgspec.msgpack.encode(entry)))
+
+
+def decode_worker(key, value):
+    return msgspec.msgpack.decode(value, type=WorkerEntry)
+
+
+def test_progress_is_logged_and_handed_over_on_a_site_of_any_size():
+    async def scenario():
+        log = MemoryKeyedLog()
+        make_large_directory(log, 4000)
+        runner = make_runner(log)
+        runner.workers = WorkerView(log, "workers", decode_worker)
+        runner.calls = SilentWorkers()
+        await accept(log, make_job("a"))
+        await runner.take_over(Epoch(1))
+        cancel(runner, "a")
+        async with asyncio.timeout(2.0):
+            await runner.flush()
+        runner.stop("test")
+        successor = JobView(log)
+        await successor.progress_tail.catch_up()
+        return successor.table.rows["a"].state.value, len(successor.handover.workers)
+
+    assert asyncio.run(scenario()) == ("cancelled", 4000)
+
+
+def make_progress(job, tasks, checkpoint):
+    rows = {index: TaskProgress(1, checkpoint=checkpoint) for index in range(tasks)}
+    return Progress(
+        job=JobId(job),
+        queue=QueueName("q"),
+        state=JobState.RUNNING,
+        occurrences={0: OccurrenceProgress((StepProgress(tasks=rows),))},
+    )
+
+
+@pytest.mark.parametrize(
+    ("tasks", "logged"),
+    [(50, ["pbig", "psmall"]), (500, ["psmall"])],
+    ids=["without checkpoints", "left out"],
+)
+def test_progress_that_is_too_large_holds_up_no_other(tasks, logged):
+    async def scenario():
+        log = MemoryKeyedLog()
+        log.record_bytes_max = log.append_bytes_max = 1000
+        progress = ProgressLog(log)
+        await progress.begin_epoch(Epoch(1))
+        big = make_progress("big", tasks, "x" * 100)
+        small = make_progress("small", 1, "x")
+        flush = Flush((big, small), ())
+        await progress.write_flush(flush, is_owner=lambda: True)
+        return [entry.key for entry in log.topics[PROGRESS_TOPIC]]
+
+    assert asyncio.run(scenario()) == logged
+
+
+def test_only_changed_records_of_a_large_handover_are_written_again():
+    async def scenario():
+        log = MemoryKeyedLog()
+        progress = ProgressLog(log)
+        await progress.begin_epoch(Epoch(1))
+        workers = tuple(make_entry(f"w{index}") for index in range(3000))
+        await progress.write_flush(
+            Flush((), (), Handover(workers=workers)), is_owner=lambda: True
+        )
+        before = len(log.topics[PROGRESS_TOPIC])
+        workers = (make_entry("w0", cores=4), *workers[1:])
+        await progress.write_flush(
+            Flush((), (), Handover(workers=workers)), is_owner=lambda: True
+        )
+        view = JobView(log)
+        await view.progress_tail.catch_up()
+        cores = {
+            entry.capacity.millicores
+            for entry in view.handover.workers
+            if entry.worker == "w0"
+        }
+        return before, len(log.topics[PROGRESS_TOPIC]) - before, cores
+
+    before, again, cores = asyncio.run(scenario())
+    assert before > 4
+    assert again == 1
+    assert cores == {4000}
+
+
+def test_records_of_a_larger_handover_are_not_read_with_a_smaller_one():
+    async def scenario():
+        log = MemoryKeyedLog()
+        for epoch, count in enumerate((3000, 2), start=1):
+            progress = ProgressLog(log)
+            await progress.begin_epoch(Epoch(epoch))
+            workers = tuple(make_entry(f"w{index}") for index in range(count))
+            flush = Flush((), (), Handover(workers=workers))
+            await progress.write_flush(flush, is_owner=lambda: True)
+        view = JobView(log)
+        await view.progress_tail.catch_up()
+        return len(view.handover.workers)
+
+    assert asyncio.run(scenario()) == 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,7 +20,12 @@
 )
 from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.credentials import digest_key
-from plantainhinge.fleet.handover import Handover, decode_handover, encode_handover
+from plantainhinge.fleet.handover import (
+    HANDOVER_KEY,
+    Handover,
+    decode_handover,
+    encode_handover,
+)
 from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
@@ -110,7 +115,8 @@
     capacity = {"cpu": largest, "memMb": largest, "gpu": largest}
     value = encode(ENTRY | {"born": largest, "capacity": capacity})
     handover = Handover(workers=(workers.decode_entry("i-1", value),))
-    assert decode_handover(encode_handover(handover)) == handover
+    records = encode_handover(handover, record_bytes_max=1000)
+    assert decode_handover(records[HANDOVER_KEY]) == handover
 
 
 TENANT = {
