Rank workers once for the equal tasks of a step; visit silent workers once

For each worker whose leases had ended the outages of all workers were counted in each round, and each task of a step was scored on all workers anew. Change: silent workers without attempts are left out.

--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -158,6 +158,9 @@
     for worker in cell.workers.values():
         if worker.reachable or now < worker.latest_expiry:
             continue
-        lose_attempts(cell, worker, worker.attempts.values(), LossCause.SILENT, now=now)
-        lose_withheld(cell, worker, LossCause.SILENT, now=now)
+        if worker.attempts:
+            attempts = worker.attempts.values()
+            lose_attempts(cell, worker, attempts, LossCause.SILENT, now=now)
+        if worker.name in cell.withheld_tasks:
+            lose_withheld(cell, worker, LossCause.SILENT, now=now)
         cell.mark_verified(worker.name)
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -52,11 +52,18 @@
     workers : iterable of Worker
         Workers of the task's service that accept new work.
     """
+    ranked = rank_workers(task, workers, weights, now=now)
+    return max(ranked, key=lambda row: row[0], default=(0.0, None))[1]
+
+
+def rank_workers(
+    task: Task, workers: Iterable[Worker], weights: ImageWeights, *, now: float
+) -> list[tuple[float, Worker]]:
+    """Return the workers on which a task may start, each with its score."""
     step = task.step
     score = SCORES.find(select_score(step))
     suspect = is_suspect(task)
-    best: Worker | None = None
-    best_score = float("-inf")
+    ranked: list[tuple[float, Worker]] = []
     for worker in list_candidates(task, workers, now=now):
         value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
@@ -66,9 +73,9 @@
             value -= COLD_PENALTY_RATIO * worker.entry.capacity.millicores
         if suspect:
             value -= SUSPECT_PENALTY * worker.suspects
-        if value > best_score:
-            best, best_score = worker, value
-    return best
+        if value > float("-inf"):
+            ranked.append((value, worker))
+    return ranked
 
 
 def list_candidates(
--- a/plantainhinge/dispatch/worker_pool.py
+++ b/plantainhinge/dispatch/worker_pool.py
@@ -17,8 +17,9 @@
 from ..core.resources import Resources
 from .model import OpenStep, Task, Worker
 from .step_events import ChangeMissed, describe_step
+from .suspicion import is_suspect
 from .weights import ImageWeights
-from .worker_choice import choose_worker, must_leave_headroom
+from .worker_choice import choose_worker, must_leave_headroom, rank_workers
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +28,8 @@
 SEARCH_SECONDS = 2.0
 # searches that are remembered of one kind
 SEARCHES_MAX = 50
+# score of a worker on which a task can't start
+UNFIT = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,63 @@
         return self.headroom <= headroom and self.request.fits_within(request)
 
 
+class Ranking:
+    """The workers on which the tasks of a step may start in one round, best first.
+
+    Parameters
+    ----------
+    task : Task
+        Any of the step's tasks; it avoids no worker.
+    headroom : bool
+        Whether the tasks must leave the headroom free.
+
+    Attributes
+    ----------
+    changed : set of Worker
+        Workers that have to be ranked again.
+    """
+
+    def __init__(
+        self,
+        task: Task,
+        workers: list[Worker],
+        weights: ImageWeights,
+        headroom: bool,
+        *,
+        now: float,
+    ) -> None:
+        self.changed: set[Worker] = set()
+        self._task = task
+        self._headroom = headroom
+        self._weights = weights
+        self._now = now
+        # equal workers stay in the order in which they are listed
+        self._scores = dict.fromkeys(workers, UNFIT)
+        self._rank(workers)
+
+    def is_for(self, task: Task, *, headroom: bool) -> bool:
+        """Return whether the ranking holds for another task that avoids no worker."""
+        return (
+            self._task.step is task.step
+            and self._headroom is headroom
+            and is_suspect(self._task) is is_suspect(task)
+        )
+
+    def find_best(self) -> Worker | None:
+        """Return the best worker, or None if there is none left."""
+        if self.changed:
+            changed = [worker for worker in self.changed if worker in self._scores]
+            self.changed.clear()
+            self._scores.update(dict.fromkeys(changed, UNFIT))
+            self._rank(changed)
+        best = max(self._scores, key=self._scores.__getitem__)
+        return best if self._scores[best] > UNFIT else None
+
+    def _rank(self, workers: list[Worker]) -> None:
+        ranked = rank_workers(self._task, workers, self._weights, now=self._now)
+        self._scores.update({worker: value for value, worker in ranked})
+
+
 class WorkerPool:
     """Workers of one service that accept new work, and the searches through them."""
 
@@ -80,6 +140,7 @@
         # revision of each worker when it was last looked at; the last one changed last
         self._revisions: dict[Worker, int] = {}
         self._changed_at: dict[Worker, int] = {}
+        self._ranking: Ranking | None = None
 
     def __len__(self) -> int:
         return len(self.workers)
@@ -90,6 +151,7 @@
         """Begin a round of decisions with the workers that accept new work now."""
         self._now = now
         self._weights = weights
+        self._ranking = None
         if workers != self.workers:
             for gone in set(self._revisions) - set(workers):
                 del self._revisions[gone]
@@ -111,15 +173,33 @@
         workers = self._list_changed(failed) if failed and is_recent else self.workers
         if not workers:
             return None
-        worker = choose_worker(task, workers, self._weights, now=self._now)
+        worker = self._search(task, workers, headroom=headroom)
         if worker is None and not is_restricted(task):
             self._remember(kind, request, headroom, failed if is_recent else None)
         elif worker is not None and failed is not None and not is_recent:
             self._check_change(step, worker, failed)
         return worker
 
+    def _search(
+        self, task: Task, workers: list[Worker], *, headroom: bool
+    ) -> Worker | None:
+        """Return the best of some workers for a task.
+
+        Most tasks of a step are equal, so they share a ranking, of which only the
+        workers that were chosen have to be ranked again.
+        """
+        if task.avoided_workers:
+            return choose_worker(task, workers, self._weights, now=self._now)
+        ranking = self._ranking
+        if ranking is None or not ranking.is_for(task, headroom=headroom):
+            ranking = Ranking(task, workers, self._weights, headroom, now=self._now)
+            self._ranking = ranking
+        return ranking.find_best()
+
     def note_change(self, worker: Worker) -> None:
         """Note that a worker may have more capacity, or other attempts."""
+        if self._ranking is not None:
+            self._ranking.changed.add(worker)
         self._changes += 1
         self._revisions[worker] = worker.revision
         self._changed_at.pop(worker, None)
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -27,7 +27,7 @@
 )
 from plantainhinge.dispatch.open_jobs import open_job
 from plantainhinge.dispatch.weights import ImageWeights
-from plantainhinge.dispatch.worker_choice import choose_worker
+from plantainhinge.dispatch.worker_choice import choose_worker, rank_workers
 from plantainhinge.dispatch.worker_pool import SEARCH_SECONDS, WorkerPool
 from plantainhinge.jobs.model import JobRecord, Step
 
@@ -207,9 +207,9 @@
 
     def record_workers(task, workers, weights, *, now):
         tried.append([worker.name for worker in workers])
-        return choose_worker(task, workers, weights, now=now)
+        return rank_workers(task, workers, weights, now=now)
 
-    monkeypatch.setattr(worker_pool, "choose_worker", record_workers)
+    monkeypatch.setattr(worker_pool, "rank_workers", record_workers)
     large, larger = (make_step(request=Resources(cores, 100)) for cores in (5e3, 6e3))
     place_from_pool([(4, 0.0, 0.0, "disk")], [Arrival(large), Arrival(larger)])
     assert tried == [["w0"]]
