Refuse jobs at the door that can't be of use in time, and what a workspace submits beyond its rate

Cause: nobody decided whether to take a job; each was stored as long as the log answered, and Retry-After was always a second. A workspace with many times its usual load delayed its own jobs that are within its rate as much as the surplus. Change: the owner measures how long a new job of a priority would wait, from the work that waits and the work finished of late, and which workspaces submit beyond their weight while such jobs wait. Instances ask for this digest when jobs arrive, at most twice a second, and refuse by it: 429 with a Retry-After at which there should be capacity, spread. Without a recent digest all is admitted; a job that was accepted before is never refused. Jobs beyond a rate that haven't begun are placed after all others that aren't overdue. Test: tests/test_admission_control.py, without a network: waits with estimates that are wrong by three times, rates kept although refused jobs aren't seen, no refusal while all work finds a worker, digests that are old, damaged or of an earlier owner.

--- a/plantainhinge/daemons/call_events.py
+++ b/plantainhinge/daemons/call_events.py
@@ -2,8 +2,9 @@
 
 import logging
 
-from ..core.ids import JobId, MemberName, QueueName
+from ..core.ids import JobId, MemberName, QueueName, WorkspaceId
 from ..core.log_events import LogEvent, log_event
+from ..jobs.admission import RefusalCause
 from ..jobs.outcomes import CallOutcome
 
 
@@ -128,6 +129,45 @@
     rejected: int
 
 
+@log_event("jobs refused")
+class JobsRefused(LogEvent, frozen=True, kw_only=True):
+    """Jobs were refused for lack of capacity; written at most once a second.
+
+    Parameters
+    ----------
+    queue, workspace : str
+        Queue and workspace of the jobs.
+    cause : str
+        Whether they would have been too late, or were beyond the workspace's rate.
+    jobs : int
+        Jobs refused since the last line.
+    digest_age_s : float
+        Age of the digest that decided.
+    """
+
+    queue: QueueName
+    workspace: WorkspaceId
+    cause: RefusalCause
+    jobs: int
+    digest_age_s: float
+
+
+@log_event("digest unreadable", level=logging.WARNING)
+class DigestUnreadable(LogEvent, frozen=True, kw_only=True):
+    """The owner's admission digest can't be decoded; the last one stays in use.
+
+    Parameters
+    ----------
+    peer : str
+        The owner's name in the group.
+    cause : str
+        What is wrong with it.
+    """
+
+    peer: MemberName
+    cause: str
+
+
 @log_event("call passed on")
 class CallPassedOn(LogEvent, frozen=True, kw_only=True):
     """This instance could not settle a call and forwarded it to another one.
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -26,6 +26,7 @@
 from ..dispatch.orders import Command, Start
 from ..fleet.model import WorkerReport
 from ..fleet.protocols import KeyedLog, WorkerCalls
+from ..jobs.admission import NO_DIGEST, AdmissionDigest
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
@@ -120,16 +121,20 @@
         if self._epoch != epoch:
             return
         wall = read_wall()
-        for row in list(self.view.table.select_open()):
-            assert row.accepted is not None
-            open_logged_job(cell, row.accepted, row.progress, wall=wall, inherited=True)
+        self._update_constraints(cell)
+        rows = [
+            (row.accepted, row.progress)
+            for row in self.view.table.select_open()
+            if row.accepted is not None
+        ]
+        for record, progress in sorted(rows, key=lambda row: row[0].accepted_at):
+            open_logged_job(cell, record, progress, wall=wall, inherited=True)
         self.view.take_new_records()
         inherited = epoch > 1
         cell.apply_handover(self.view.handover, now=read_monotonic(), wall=wall)
         cell.update_workers(
             self.workers.entries.values(), now=read_monotonic(), inherited=inherited
         )
-        self._update_constraints(cell)
         self._reports = LoadReports(self.metrics)
         self.cell = cell
         self.metrics.count(Counter.OWNERSHIPS)
@@ -163,6 +168,12 @@
         cell = self.cell
         return cell is not None and bool(cell.recovering or cell.withheld_tasks)
 
+    def measure_admission(self) -> AdmissionDigest:
+        """Return how short the owned cell's capacity is."""
+        if self.cell is None:
+            return NO_DIGEST
+        return self.cell.measure_admission(now=read_monotonic(), wall=read_wall())
+
     async def flush(self) -> None:
         """Log the pending progress; called before the cell is released."""
         if self.cell is not None:
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -21,9 +21,15 @@
 from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.protocols import KeyedLog, WorkerCalls
-from ..jobs.forwarding import PassedConfigurationQuery, decode_call, encode_response
+from ..jobs.forwarding import (
+    PassedConfigurationQuery,
+    PassedLoadQuery,
+    decode_call,
+    encode_response,
+)
 from ..jobs.ownership import build_member_name
 from . import instance_peers
+from .admission import AdmissionControl
 from .authentication import Authenticator
 from .call_events import PeerCallMalformed
 from .cell_runner import CellRunner
@@ -130,6 +136,13 @@
             is_recovering=self.runner.is_recovering,
         )
         peers = InstancePeers(self.ownership.member, lambda: self.ownership.members)
+        self.admission = AdmissionControl(
+            owns_cell=lambda: self.runner.cell is not None,
+            measure=self.runner.measure_admission,
+            get_owner=lambda: self.ownership.owner,
+            peers=peers,
+            metrics=self.metrics,
+        )
         self.service = JobService(
             log=self.log,
             view=self.view,
@@ -139,6 +152,7 @@
             get_owner=lambda: self.ownership.owner,
             peers=peers,
             metrics=self.metrics,
+            admission=self.admission,
         )
         self.authenticator = Authenticator(
             self.operator, self._is_log_lost, peers, self.metrics
@@ -256,10 +270,13 @@
         except CorruptRecordError as error:
             write_event(logger, PeerCallMalformed(cause=str(error)))
             return HttpReply(status=400)
-        if isinstance(call, PassedConfigurationQuery):
-            answer = self.authenticator.describe_configuration(call)
-        else:
-            answer = await self.service.handle_forwarded_call(call)
+        match call:
+            case PassedConfigurationQuery():
+                answer = self.authenticator.describe_configuration(call)
+            case PassedLoadQuery():
+                answer = self.admission.describe_load()
+            case _:
+                answer = await self.service.handle_forwarded_call(call)
         return HttpReply(status=200, body=encode_response(answer))
 
     def _render_metrics(self) -> HttpReply:
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -16,6 +16,7 @@
 from ..core.metrics import Counter, Distribution, Metrics, NullMetrics
 from ..fleet.operator import SchedulingConfiguration, Workspace
 from ..fleet.protocols import KeyedLog
+from ..jobs.admission import Refusal
 from ..jobs.forwarding import (
     PassedCancellation,
     PassedCountQuery,
@@ -36,6 +37,7 @@
 from ..jobs.outcomes import CallOutcome
 from ..jobs.records import Cancellation
 from ..jobs.table import JobRow
+from .admission import AdmissionControl
 from .call_events import (
     CallAnswered,
     CancelAnswered,
@@ -84,6 +86,8 @@
         Returns the owner's name in the group; empty if none is known.
     peers : InstancePeers, optional
         Client for the other instances; without it, calls are never forwarded.
+    admission : AdmissionControl
+        Decides which jobs to refuse while capacity is short.
     retry_after : float
         Seconds after which a refused caller should try again.
     """
@@ -96,6 +100,7 @@
     get_owner: Callable[[], MemberName] = lambda: MemberName("")
     peers: InstancePeers | None = None
     metrics: Metrics = field(default_factory=NullMetrics)
+    admission: AdmissionControl = field(default_factory=AdmissionControl)
     retry_after: float = RETRY_AFTER_SECONDS
 
     def __post_init__(self) -> None:
@@ -115,7 +120,7 @@
         *,
         workspace: Workspace | None = None,
         timeout: Seconds,
-    ) -> CallOutcome:
+    ) -> CallOutcome | Refusal:
         """Submit a job; the outcome is DONE once the log has its record.
 
         Parameters
@@ -132,12 +137,17 @@
                 started,
                 cause=workspace.name,
             )
+        name = workspace.name if workspace is not None else NO_WORKSPACE
+        refusal = self.admission.decide(policy, spec, name)
+        if refusal is not None and await self._is_unknown(job, timeout):
+            self.admission.record(policy, name, refusal)
+            return refusal
         record = JobRecord(
             job=job,
             policy=policy,
             spec=spec,
             accepted_at=read_wall(),
-            workspace=workspace.name if workspace is not None else NO_WORKSPACE,
+            workspace=name,
         )
         outcome = CallOutcome.REFUSED
         if not self.is_log_lost():
@@ -149,6 +159,17 @@
             SubmitAnswered, job, outcome, started, cause=policy.queue
         )
 
+    async def _is_unknown(self, job: JobId, timeout: Seconds) -> bool:
+        """Return whether a job was certainly not accepted before.
+
+        A job that is submitted again must not be refused: it may be running.
+        """
+        answer = await self._ask_owner(PassedStateQuery(job), timeout)
+        if answer.outcome in UNSETTLED and self.owns_cell():
+            row = await self.lookup.find_row(job, timeout=FORWARDED_TIMEOUT_SECONDS)
+            return row is CallOutcome.UNKNOWN_JOB
+        return answer.outcome is CallOutcome.UNKNOWN_JOB
+
     async def cancel(
         self, job: JobId, *, caller: Caller | None = None, timeout: Seconds
     ) -> CallOutcome:
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -19,9 +19,11 @@
     WorkerEntry,
     WorkerReport,
 )
+from ..jobs.admission import AdmissionDigest
 from ..jobs.model import FINAL_JOB_STATES, JobRecord, JobState
 from ..jobs.records import Progress
 from . import (
+    admission,
     advice,
     answers,
     assignment,
@@ -91,6 +93,7 @@
         job = open_jobs.open_job(record, progress, wall=wall)
         job.inherited = inherited
         job.usage = self.usage
+        job.surplus = admission.note_submission(self, record)
         self.jobs[record.job] = job
         for steps in job.occurrences.values():
             self.unplaced.update(dict.fromkeys(steps))
@@ -205,6 +208,11 @@
         self.periods_selected_at = now
         select_periods([step.own_load for step in handovers.list_serving_steps(self)])
 
+    def measure_admission(self, *, now: float, wall: Seconds) -> AdmissionDigest:
+        """Return how short capacity is, for the instances' admission control."""
+        waiting = self.list_waiting_steps()
+        return admission.measure_admission(self, waiting, now=now, wall=wall)
+
     def list_waiting_steps(self) -> list[OpenStep]:
         """Return the steps that are ready and have waiting tasks."""
         return assignment.list_waiting_steps(self)
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -220,6 +220,8 @@
     remaining_path : tuple, optional
         Cached length of the remaining critical path, with the occurrence and the
         number of finished steps that it holds for.
+    surplus : bool
+        Whether its workspace submitted it beyond its rate.
     usage : QuotaUsage
         Resources of all attempts of the cell by workspace, shared by its jobs.
     """
@@ -232,6 +234,7 @@
     created_below: int = 0
     remaining_path: tuple[tuple[int, int], Seconds] | None = None
     occurrences: dict[int, list[OpenStep]] = field(default_factory=dict)
+    surplus: bool = False
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
 
     @property
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -5,20 +5,20 @@
 unfinished job is worth nothing, then by due time. Long-running tasks, which lose
 little by a short wait, follow: those that wait for capacity in the order of their jobs,
 then new ones grouped by image, so that few images share a worker. Then come jobs that
-will be late in any case, shortest remaining critical path first, and last those so late
-that their callers hardly gain from them.
+will be late in any case, shortest remaining critical path first, then those that a
+workspace submitted beyond its rate and that haven't begun, and last those so late that
+their callers hardly gain from them.
 """
 
 from collections.abc import Iterable
 from enum import IntEnum
 
 from ..core.ids import Seconds
+from ..jobs.admission import OVERDUE_FACTOR
 from ..jobs.model import JobState, compute_critical_path
 from .batching import is_new_long_running
 from .model import OpenJob, OpenStep
 
-# a step is overdue after this multiple of the time allowed for its job
-OVERDUE_FACTOR = 3.0
 # a job that hasn't started is in time only if this multiple of its estimate fits
 FIRST_START_FACTOR = 1.6
 
@@ -37,7 +37,8 @@
     IN_TIME = 1
     LASTING = 2
     LATE = 3
-    OVERDUE = 4
+    SURPLUS = 4
+    OVERDUE = 5
 
 
 def order_steps(steps: Iterable[OpenStep], *, wall: Seconds) -> list[OpenStep]:
@@ -48,6 +49,8 @@
 def rank_step(step: OpenStep, *, wall: Seconds) -> tuple[int, Urgency, Order]:
     """Return a step's sort key: priority, urgency and the order within these."""
     priority = step.job.record.policy.priority
+    if step.job.surplus and step.job.state is JobState.QUEUED:
+        return (priority, Urgency.SURPLUS, (step.due,))
     if step.spec.long_running:
         return (priority, Urgency.LASTING, _order_long_running(step))
     urgency, order = _rank_finite(step, wall=wall)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -21,6 +21,7 @@
 from .model import OpenJob, OpenStep, Task, Trial, Worker
 from .orders import Command
 from .outages import LossCause, Outage
+from .throughput import LoadMeter
 from .weights import ImageWeights
 from .worker_pool import WorkerPool
 
@@ -107,6 +108,8 @@
         Newest outage of each worker, unless it turned out that it hadn't crashed.
     pools : dict of ServiceId to WorkerPool
         Workers that accept new work, and the searches among them.
+    load : LoadMeter
+        Work finished and jobs submitted of late.
     retried_at : float
         Monotonic seconds of the last try of steps that had found no worker.
     tended_at : float
@@ -150,6 +153,7 @@
     unlogged_trials: list[Trial] = field(default_factory=list)
     outages: dict[WorkerId, Outage] = field(default_factory=dict)
     pools: dict[ServiceId, WorkerPool] = field(default_factory=dict)
+    load: LoadMeter = field(default_factory=LoadMeter)
     retried_at: float = float("-inf")
     tended_at: float = float("-inf")
 
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -6,6 +6,7 @@
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, JobState
 from . import health, open_jobs
+from .admission import note_finished
 from .avoidance import avoid_worker
 from .bindings import bind_attempt, unbind_attempt
 from .log_events import JobEnded
@@ -58,6 +59,7 @@
             continue
         member.done = True
         step.unfinished -= 1
+        note_finished(cell, member, now=now)
         if member in step.waiting:
             step.waiting.remove(member)
         for attempt in list(member.attempts):
--- a/plantainhinge/jobs/forwarding.py
+++ b/plantainhinge/jobs/forwarding.py
@@ -67,8 +67,12 @@
     revision: Revision
 
 
+class PassedLoadQuery(msgspec.Struct, frozen=True, tag="load"):
+    """Query to the owner for its newest admission digest."""
+
+
 PassedJobCall = PassedJob | PassedCancellation | PassedStateQuery | PassedCountQuery
-PassedCall = PassedJobCall | PassedConfigurationQuery
+PassedCall = PassedJobCall | PassedConfigurationQuery | PassedLoadQuery
 _CALL_DECODER: msgspec.msgpack.Decoder = msgspec.msgpack.Decoder(PassedCall)
 
 
@@ -85,7 +89,10 @@
         Result of a configuration query: the encoded configuration; empty if there is
         none that is newer.
     age : float, optional
-        Result of a configuration query: seconds since the log last confirmed it.
+        Seconds since the log last confirmed the configuration, or since the digest was
+        measured.
+    digest : bytes
+        Result of a load query: the encoded digest.
     """
 
     outcome: CallOutcome = msgspec.field(name="verdict")
@@ -93,6 +100,7 @@
     count: int | None = None
     configuration: bytes = b""
     age: Seconds | None = None
+    digest: bytes = b""
 
 
 def encode_call(call: PassedCall) -> bytes:
--- a/plantainhinge/jobs/outcomes.py
+++ b/plantainhinge/jobs/outcomes.py
@@ -8,7 +8,8 @@
 
     ``REFUSED`` means that the call certainly had no effect; ``UNCERTAIN`` that it may
     have had one, now or later. ``OVER_CAP`` means that the job could never run, as a
-    task of it is larger than its workspace's cap.
+    task of it is larger than its workspace's cap; ``OVERLOADED`` that it was refused
+    for lack of capacity.
     """
 
     DONE = "done"
@@ -17,5 +18,6 @@
     MALFORMED = "malformed"
     UNAUTHENTICATED = "unauthenticated"
     OVER_CAP = "over-cap"
+    OVERLOADED = "overloaded"
     REFUSED = "refused"
     UNCERTAIN = "uncertain"
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -1,6 +1,7 @@
 """The platform's HTTP API for jobs, translated to calls of the job service."""
 
 import logging
+import math
 import re
 from dataclasses import dataclass
 from typing import Annotated
@@ -17,6 +18,7 @@
 from ..daemons.job_service import JobService
 from ..fleet.log_events import JobMalformed
 from ..fleet.operator import QueueRoute, SchedulingConfiguration, Workspace
+from ..jobs.admission import Refusal
 from ..jobs.model import NO_WORKSPACE, Caller, JobSpec, Recurrence, Step
 from ..jobs.outcomes import CallOutcome
 from .amounts import Amount
@@ -32,6 +34,8 @@
 # per job; without a limit, a small body could make the process use much memory
 TASKS_MAX = 20_000
 
+# outcomes after which the caller may try again later
+NOT_RUN = frozenset({CallOutcome.REFUSED, CallOutcome.OVER_CAP, CallOutcome.OVERLOADED})
 STATUSES = {
     CallOutcome.DONE: 200,
     CallOutcome.UNKNOWN_QUEUE: 404,
@@ -39,6 +43,7 @@
     CallOutcome.MALFORMED: 400,
     CallOutcome.UNAUTHENTICATED: 401,
     CallOutcome.OVER_CAP: 429,
+    CallOutcome.OVERLOADED: 429,
     CallOutcome.REFUSED: 503,
     CallOutcome.UNCERTAIN: 504,
 }
@@ -161,6 +166,8 @@
             workspace=call.workspace,
             timeout=_read_timeout(call.request),
         )
+        if isinstance(outcome, Refusal):
+            return _build_outcome_reply(CallOutcome.OVERLOADED, outcome.retry_after)
         return _build_outcome_reply(outcome, self.service.retry_after)
 
     async def _get_state(self, call: "_Call", job: JobId) -> HttpReply:
@@ -283,8 +290,8 @@
 
 def _build_outcome_reply(outcome: CallOutcome, retry_after: float) -> HttpReply:
     status = STATUSES[outcome]
-    if outcome in (CallOutcome.REFUSED, CallOutcome.OVER_CAP):
-        seconds = str(max(1, round(retry_after)))
+    if outcome in NOT_RUN:
+        seconds = str(max(1, math.ceil(retry_after)))
         return HttpReply(status=status, headers=(("Retry-After", seconds),))
     return HttpReply(status=status)
 
