Close connections to idle workers once half of the file descriptors are taken by workers

Change: the worker client counts its connections over all workers and closes those to workers that run nothing beyond half of the limit, which comes from the settings. Test: three cases in tests/test_platform.py.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -121,6 +121,25 @@
             response.set_exception(UncertainError(message, step=STEP, peer=self.peer))
 
 
+@dataclass
+class ConnectionBudget:
+    """Connections that several clients share.
+
+    Parameters
+    ----------
+    limit : int
+        Open connections beyond which idle ones should be closed.
+    """
+
+    limit: int = 10_000
+    open: int = 0
+
+    @property
+    def exceeded(self) -> bool:
+        """Whether idle connections should be closed."""
+        return self.open > self.limit
+
+
 @dataclass
 class HttpClient:
     """A client for one peer that keeps its connections open between calls.
@@ -131,10 +150,13 @@
         ``host:port`` of the peer.
     connections_max : int
         Maximum number of open connections; further calls wait for a free one.
+    budget : ConnectionBudget
+        Counts the open connections of this and other clients.
     """
 
     address: str
     connections_max: int = 8
+    budget: ConnectionBudget = field(default_factory=ConnectionBudget)
     _idle: list[_Connection] = field(default_factory=list)
     _open: int = 0
     _waiters: deque["asyncio.Future[None]"] = field(default_factory=deque)
@@ -183,7 +205,7 @@
         """Close the idle connections."""
         while self._idle:
             self._idle.pop().close()
-            self._open -= 1
+            self._count(-1)
 
     async def _acquire(self, deadline: float) -> _Connection:
         while True:
@@ -191,7 +213,7 @@
                 connection = self._idle.pop()
                 if not connection.closed:
                     return connection
-                self._open -= 1
+                self._count(-1)
             if self._open < self.connections_max:
                 return await self._connect(deadline)
             await self._wait_for_connection(deadline)
@@ -199,7 +221,7 @@
     async def _connect(self, deadline: float) -> _Connection:
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
-        self._open += 1
+        self._count(1)
         try:
             async with asyncio.timeout_at(
                 min(deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
@@ -208,7 +230,7 @@
                     lambda: _Connection(self.address), host, int(port)
                 )
         except BaseException as error:
-            self._open -= 1
+            self._count(-1)
             self._wake_waiter()
             if isinstance(error, OSError | TimeoutError):
                 raise UnavailableError(
@@ -234,11 +256,15 @@
 
     def _release(self, connection: _Connection) -> None:
         if connection.closed:
-            self._open -= 1
+            self._count(-1)
         else:
             self._idle.append(connection)
         self._wake_waiter()
 
+    def _count(self, change: int) -> None:
+        self._open += change
+        self.budget.open += change
+
     def _wake_waiter(self) -> None:
         while self._waiters:
             waiter = self._waiters.popleft()
--- a/plantainhinge/platform/program.py
+++ b/plantainhinge/platform/program.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from ..adapters.stream_http_client import HttpClient
+from ..adapters.stream_http_client import ConnectionBudget, HttpClient
 from ..core.errors import PlantainhingeError
 from ..core.ids import Seconds
 from ..daemons.bounded_logs import open_bounded_logs
@@ -25,6 +25,8 @@
 WORKER_TOPIC = "keyed.servers"
 LEASE_SECONDS = Seconds(6.0)
 LOG_CONNECTIONS_MAX = 16
+# share of the file descriptors for connections to workers; the rest is for callers
+WORKER_FILES_RATIO = 0.5
 
 
 def main() -> int:
@@ -60,7 +62,10 @@
             cores=settings.core_share * settings.core_speed,
         ),
         log=store,
-        calls=PlatformWorkerClient(settings.advice_address),
+        calls=PlatformWorkerClient(
+            settings.advice_address,
+            ConnectionBudget(int(WORKER_FILES_RATIO * settings.files_max)),
+        ),
         operator=OperatorView(store, OPERATOR_TOPIC, decode_operator_record),
         workers=WorkerView(store, WORKER_TOPIC, decode_entry),
     )
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -9,6 +9,8 @@
 from ..core.ids import DomainId, InstanceId
 from .store import APPEND_BYTES_MAX, RECORD_BYTES_MAX
 
+FILES_MAX = 4096
+
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d+$")]
@@ -35,6 +37,8 @@
         Shortest time without contact after which the store removes a group member.
     record_bytes_max, append_bytes_max : int
         Largest record and append that the store takes, in bytes.
+    files_max : int
+        File descriptors that the process may have open.
     core_share, core_speed : float
         Share of a CPU core that the process has, and the core's speed relative to a
         standard core.
@@ -51,6 +55,7 @@
     member_seconds: PositiveNumber
     record_bytes_max: PositiveInteger = RECORD_BYTES_MAX
     append_bytes_max: PositiveInteger = APPEND_BYTES_MAX
+    files_max: PositiveInteger = FILES_MAX
     core_share: PositiveNumber = 1.0
     core_speed: PositiveNumber = 1.0
 
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from ..adapters.stream_http_client import HttpCall, HttpClient, HttpResponse
+from ..adapters.stream_http_client import (
+    ConnectionBudget,
+    HttpCall,
+    HttpClient,
+    HttpResponse,
+)
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import AttemptNumber, DomainId, JobId, Seconds, ServiceId, WorkerId
 from ..core.log_events import write_event
@@ -143,9 +148,12 @@
     ----------
     advice_address : str
         ``host:port`` of the service that decides which workers may run a step.
+    budget : ConnectionBudget
+        Limits the connections to workers that run nothing.
     """
 
     advice_address: str = ""
+    budget: ConnectionBudget = field(default_factory=ConnectionBudget)
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
     async def start(self, entry: WorkerEntry, order: StartOrder) -> OrderResponse:
@@ -202,6 +210,8 @@
             return _decode_order_response(response)
         try:
             report = msgspec.json.decode(response.body, type=_Report)
+            if not report.running and self.budget.exceeded:
+                self._get_client(entry.address).close()
             return _decode_report(report)
         except (*DECODING_ERRORS, ValueError, TypeError, IndexError) as error:
             event = ReportMalformed(worker=entry.worker, cause=str(error))
@@ -240,7 +250,9 @@
     def _get_client(self, address: str) -> HttpClient:
         client = self._clients.get(address)
         if client is None:
-            client = self._clients[address] = HttpClient(address, CONNECTIONS_MAX)
+            client = self._clients[address] = HttpClient(
+                address, CONNECTIONS_MAX, self.budget
+            )
         return client
 
     async def _send_order(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from plantainhinge.adapters.stream_http_client import HttpResponse
+from plantainhinge.adapters.stream_http_client import ConnectionBudget, HttpResponse
+from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
 from plantainhinge.core.errors import (
     BadInputError,
     ConflictError,
@@ -32,6 +33,7 @@
 from plantainhinge.jobs.records import RecordKind, decode_record
 from plantainhinge.platform import ingress, operator, store, workers
 from plantainhinge.platform.settings import read_platform_settings
+from standins.addresses import find_free_address
 
 ENTRY = {
     "coldLeftMs": 1500,
@@ -382,3 +384,33 @@
         read_platform_settings(path)
     with pytest.raises(BadInputError, match="missing"):
         read_platform_settings(tmp_path / "missing")
+
+
+@pytest.mark.parametrize(
+    ("running", "limit", "open_"),
+    [([], 0, 0), ([], 1, 1), ([["j.0.0.0", 1, "", 5]], 0, 1)],
+    ids=["idle", "within the budget", "busy"],
+)
+def test_connections_to_idle_workers_are_closed_beyond_the_budget(
+    running, limit, open_
+):
+    body = encode({"clockMs": 1, "running": running, "ended": []})
+
+    async def answer(request):
+        return HttpReply(status=200, body=body)
+
+    async def scenario():
+        server = HttpServer(find_free_address(), answer)
+        await server.start()
+        budget = ConnectionBudget(limit)
+        client = workers.PlatformWorkerClient(budget=budget)
+        value = encode(ENTRY | {"addr": server.address})
+        entry = workers.decode_entry("i-1", value)
+        renewal = Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None)
+        await client.renew(entry, renewal)
+        found = budget.open
+        client.close_connections(entry)
+        await server.drain(timeout=0.1)
+        return found
+
+    assert asyncio.run(scenario()) == open_
