--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -298,6 +298,9 @@
     record("begin", trouble=trouble)
 
     async def run():
+        # a caller that ends the script ends its processes as well
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as folder:
             deployment = Deployment(record, Path(folder))
             try:
@@ -312,7 +315,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record("unable", cause=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(UNABLE)
