--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -17,14 +17,12 @@
     NotOwnerError,
     PlantainhingeError,
 )
-from ..core.ids import Epoch, JobId, Seconds, WorkerId
+from ..core.ids import Epoch, JobId, Seconds
 from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics, NullMetrics
 from ..dispatch.cell import Cell, Flush
 from ..dispatch.leases import LeaseTerms
-from ..dispatch.model import Worker
 from ..dispatch.orders import Command, Start
-from ..fleet.model import WorkerReport
 from ..fleet.protocols import KeyedLog, WorkerCalls
 from ..jobs.admission import NO_DIGEST, AdmissionDigest
 from ..jobs.model import JobRecord
@@ -45,6 +43,7 @@
 )
 from .ownership_events import CellOwned
 from .progress_log import ProgressLog
+from .renewals import Renewals
 from .takeover import fence_and_load
 from .worker_orders import send_command
 from .worker_view import WorkerView
@@ -57,12 +56,6 @@
 FAILURE_PAUSE_SECONDS = Seconds(0.2)
 # pause before a flush, so that changes made close together share one append
 FLUSH_BATCH_SECONDS = Seconds(0.004)
-# the first failed renewal is retried almost at once, as one message may have been lost
-FIRST_RENEWAL_RETRY_SECONDS = Seconds(0.02)
-RENEWAL_RETRY_SECONDS = Seconds(0.3)
-# how long a worker's next renewal waits for the flush that acknowledges its ended
-# attempts
-FLUSH_WAIT_SECONDS = Seconds(0.25)
 # after a longer gap between the starts of two rounds of decisions, another owner may
 # have taken over
 PROCESS_PAUSE_SECONDS = Seconds(0.7)
@@ -100,12 +93,10 @@
     cell: Cell | None = None
     _epoch: Epoch | None = None
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
-    _renewing: set[str] = field(default_factory=set)
-    _ordered: dict[WorkerId, asyncio.Event] = field(default_factory=dict)
+    _renewals: Renewals | None = None
     _flush_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
-    _flushed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self.progress = ProgressLog(self.log)
@@ -145,9 +136,16 @@
             took_s=read_monotonic() - started,
         )
         write_event(logger, event)
+        self._renewals = Renewals(
+            self.calls,
+            cell,
+            is_owner=lambda: self.cell is cell,
+            wake=self.wake,
+            count_report=self._reports.round_times.count_report,
+        )
+        self._spawn(self._poll_directory(cell, self._renewals))
         for loop in (
             self._tail_jobs,
-            self._poll_directory,
             self._flush,
             self._decide,
             self._delete_expired_jobs,
@@ -159,7 +157,7 @@
         """Cancel all loops and calls without flushing."""
         self.cell = None
         self._epoch = None
-        self._renewing.clear()
+        self._renewals = None
         for task in list(self._tasks):
             task.cancel()
 
@@ -215,7 +213,7 @@
         if records:
             self.wake()
 
-    async def _poll_directory(self, cell: Cell) -> None:
+    async def _poll_directory(self, cell: Cell, renewals: Renewals) -> None:
         while self.cell is cell:
             try:
                 # one read may return less than was written since the last one
@@ -223,71 +221,10 @@
                 cell.update_workers(self.workers.entries.values(), now=read_monotonic())
             except PlantainhingeError as error:
                 write_event(logger, DirectoryUnreadable(cause=str(error)))
-            self._renew_new_workers(cell)
+            for worker in renewals.list_new(cell.workers.values()):
+                self._spawn(renewals.run(worker))
             await asyncio.sleep(DIRECTORY_INTERVAL_SECONDS)
 
-    def _renew_new_workers(self, cell: Cell) -> None:
-        for name, worker in cell.workers.items():
-            if not worker.reachable:
-                self._end_pause(worker)
-            if name not in self._renewing:
-                self._renewing.add(name)
-                self._spawn(self._renew(cell, worker))
-
-    async def _renew(self, cell: Cell, worker: Worker) -> None:
-        """Renew one worker's leases until it leaves the directory."""
-        while self.cell is cell and cell.workers.get(worker.name) is worker:
-            sent = read_monotonic()
-            renewal = cell.prepare_renewal(worker, now=sent)
-            answer = await self.calls.renew(worker.entry, renewal)
-            if self.cell is not cell:
-                return
-            now = read_monotonic()
-            if isinstance(answer, WorkerReport):
-                cell.handle_report(worker, answer, sent=sent, now=now)
-                self._reports.round_times.reports += 1
-                self.wake()
-                if worker.last_end_sequence > worker.acknowledged:
-                    await self._wait_for_flush()
-                await self._pause_looks(worker, cell.plan_pause(worker))
-            else:
-                was_reachable = worker.reachable
-                cell.handle_failed_renewal(worker, answer, now=now)
-                self.wake()
-                await asyncio.sleep(
-                    FIRST_RENEWAL_RETRY_SECONDS
-                    if was_reachable
-                    else RENEWAL_RETRY_SECONDS
-                )
-        self._renewing.discard(worker.name)
-        self.calls.close_connections(worker.entry)
-
-    async def _pause_looks(self, worker: Worker, seconds: Seconds) -> None:
-        """Wait before the next look at an idle worker, or until it gets an order."""
-        if seconds <= 0:
-            return
-        ordered = self._ordered[worker.name] = asyncio.Event()
-        try:
-            async with asyncio.timeout(seconds):
-                await ordered.wait()
-        except TimeoutError:
-            return
-        finally:
-            self._ordered.pop(worker.name, None)
-
-    def _end_pause(self, worker: Worker) -> None:
-        """Look at a worker at once if it is only looked at now and then."""
-        ordered = self._ordered.get(worker.name)
-        if ordered is not None:
-            ordered.set()
-
-    async def _wait_for_flush(self) -> None:
-        try:
-            async with asyncio.timeout(FLUSH_WAIT_SECONDS):
-                await self._flushed.wait()
-        except TimeoutError:
-            return
-
     async def _decide(self, cell: Cell) -> None:
         decided_at = read_uptime()
         while self.cell is cell:
@@ -322,8 +259,8 @@
         cell.decide(now=now, wall=read_wall())
         self._reports.write_due(cell, now=now)
         for command in cell.take_commands():
-            if isinstance(command, Start):
-                self._end_pause(command.attempt.worker)
+            if isinstance(command, Start) and self._renewals is not None:
+                self._renewals.end_pause(command.attempt.worker)
             self._spawn(self._send_command(cell, command))
         self._dirty.set()
 
@@ -356,8 +293,8 @@
             for progress in flush.progress:
                 self.view.table.apply(progress)
             cell.confirm_flush(flush)
-        self._flushed.set()
-        self._flushed.clear()
+        if self._renewals is not None:
+            self._renewals.note_flush()
 
     async def _write_flush(self, cell: Cell, flush: Flush) -> bool:
         try:
--- a/plantainhinge/daemons/round_times.py
+++ b/plantainhinge/daemons/round_times.py
@@ -40,6 +40,10 @@
             self._ended_at = read_monotonic()
             self._record(Seconds(self._ended_at - started))
 
+    def count_report(self) -> None:
+        """Count a report of a worker."""
+        self.reports += 1
+
     def take(self) -> DecisionRounds:
         """Return the event for the time since the last call, and start anew."""
         event = DecisionRounds(
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -13,6 +13,7 @@
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.daemons.operator_view import OperatorView
 from plantainhinge.daemons.progress_log import ProgressLog
+from plantainhinge.daemons.renewals import Renewals
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.dispatch import polling
 from plantainhinge.dispatch.cell import Flush
@@ -233,7 +234,7 @@
         def fail(*args, **kwargs):
             raise RuntimeError("a programming error")
 
-        monkeypatch.setattr(runner, "_renew_new_workers", fail)
+        monkeypatch.setattr(Renewals, "list_new", fail)
         await runner.take_over(Epoch(1))
         await asyncio.sleep(0.05)
         runner.stop("test")
