Keep an error with one worker from ending the ownership of the cell

Cause: UnicodeEncodeError and OverflowError of a call were no outcome, so that the loop that renews this worker's leases ended, and with it the ownership; the handover carried the worker to each next owner.

Change: such entries name no worker; what can't be encoded or connected to wasn't sent; any error in a renewal or an order counts as unanswered, for its worker alone. A key that isn't UTF-8 hides no page of newest records.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -11,6 +11,8 @@
 
 STEP = "http.call"
 CONNECT_TIMEOUT_SECONDS = Seconds(1.0)
+# the last two: an address that isn't one
+CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
 CLOSED_EARLY_MESSAGE = "the connection closed before the whole answer"
 
 
@@ -39,12 +41,22 @@
     headers: tuple[tuple[str, str], ...] = ()
 
     def encode(self, host: str) -> bytes:
-        """Return the request as bytes."""
+        """Return the request as bytes.
+
+        Raises
+        ------
+        UnavailableError
+            If its path or a header has characters that can't be sent.
+        """
         lines = [f"{self.method} {self.path} HTTP/1.1", f"Host: {host}"]
         lines.extend(f"{name}: {value}" for name, value in self.headers)
         if self.body or self.method == "POST":
             lines.append(f"Content-Length: {len(self.body)}")
-        head = "\r\n".join(lines).encode("latin-1")
+        try:
+            head = "\r\n".join(lines).encode("latin-1")
+        except UnicodeEncodeError as error:
+            message = f"cannot be sent: {error}"
+            raise UnavailableError(message, step=STEP, peer=host) from error
         return head + b"\r\n\r\n" + self.body
 
 
@@ -177,15 +189,17 @@
         Raises
         ------
         UnavailableError
-            If no connection was available: the request was not sent.
+            If no connection was available, or the request or the address can't be
+            encoded: the request was not sent.
         UncertainError
             If it was sent but no complete response arrived in time.
         """
         started_at = asyncio.get_running_loop().time()
         deadline = started_at + (total_timeout or timeout)
+        data = call.encode(self.address)
         connection = await self._acquire(started_at + timeout)
         try:
-            pending = connection.exchange(call.encode(self.address))
+            pending = connection.exchange(data)
             response = await _wait_for(pending, connection, timeout, deadline=deadline)
         except TimeoutError:
             connection.close()
@@ -232,7 +246,7 @@
         except BaseException as error:
             self._count(-1)
             self._wake_waiter()
-            if isinstance(error, OSError | TimeoutError):
+            if isinstance(error, CONNECT_ERRORS):
                 raise UnavailableError(
                     f"cannot connect: {error or 'timeout'}",
                     step=STEP,
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..core.ids import JobId
+from ..core.ids import JobId, WorkerId
 from ..core.log_events import LogEvent, log_event
 
 
@@ -88,6 +88,34 @@
     """A programming error in a round of decisions; the next round follows."""
 
 
+@log_event("renewal failed", level=logging.ERROR)
+class RenewalFailed(LogEvent, frozen=True, kw_only=True):
+    """A programming error in a renewal of a worker's leases; it is repeated.
+
+    The worker counts as unreachable meanwhile, and all others are served.
+
+    Parameters
+    ----------
+    worker : str
+        Id of the worker.
+    """
+
+    worker: WorkerId
+
+
+@log_event("order failed", level=logging.ERROR)
+class OrderFailed(LogEvent, frozen=True, kw_only=True):
+    """A programming error in an order to a worker; it counts as unanswered.
+
+    Parameters
+    ----------
+    worker : str
+        Id of the worker.
+    """
+
+    worker: WorkerId
+
+
 @log_event("loop ended by an error", level=logging.ERROR)
 class LoopEnded(LogEvent, frozen=True, kw_only=True):
     """A programming error in a task of the owner; the cell is given up."""
--- a/plantainhinge/daemons/renewals.py
+++ b/plantainhinge/daemons/renewals.py
@@ -1,15 +1,20 @@
 """Renews the leases of workers, each in a loop of its own, for the owner of a cell."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ..core.clock import read_monotonic
 from ..core.ids import Seconds, WorkerId
+from ..core.log_events import write_event
 from ..dispatch.cell import Cell
 from ..dispatch.model import Worker
-from ..fleet.model import WorkerReport
+from ..fleet.model import OrderOutcome, OrderResponse, WorkerReport
 from ..fleet.protocols import WorkerCalls
+from .owner_events import RenewalFailed
+
+logger = logging.getLogger(__name__)
 
 # the first failed renewal is retried almost at once, as one message may have been lost
 FIRST_RETRY_SECONDS = Seconds(0.02)
@@ -17,6 +22,7 @@
 # how long a worker's next renewal waits for the flush that acknowledges its ended
 # attempts
 FLUSH_WAIT_SECONDS = Seconds(0.25)
+NO_ANSWER = OrderResponse(outcome=OrderOutcome.UNKNOWN)
 
 
 @dataclass
@@ -54,28 +60,47 @@
         return new
 
     async def run(self, worker: Worker) -> None:
-        """Renew one worker's leases until it leaves the directory."""
-        while self.is_owner() and self.cell.workers.get(worker.name) is worker:
-            sent = read_monotonic()
-            renewal = self.cell.prepare_renewal(worker, now=sent)
-            answer = await self.calls.renew(worker.entry, renewal)
-            if not self.is_owner():
-                return
+        """Renew one worker's leases until it leaves the directory.
+
+        An error concerns this worker alone: it counts as an unanswered renewal.
+        """
+        while self._is_known(worker):
             was_reachable = worker.reachable
-            if isinstance(answer, WorkerReport):
-                self._handle_report(worker, answer, sent=sent)
-                if worker.last_end_sequence > worker.acknowledged:
-                    await _wait(self._flushed, FLUSH_WAIT_SECONDS)
-                await self._pause(worker)
-            else:
-                now = read_monotonic()
-                self.cell.handle_failed_renewal(worker, answer, now=now)
-                self.wake()
-                await asyncio.sleep(
-                    FIRST_RETRY_SECONDS if was_reachable else RETRY_SECONDS
-                )
-        self._running.discard(worker.name)
-        self.calls.close_connections(worker.entry)
+            try:
+                is_answered = await self._renew(worker)
+            except Exception as error:
+                write_event(logger, RenewalFailed(worker=worker.name), error=error)
+                self._handle_failure(worker, NO_ANSWER)
+                is_answered = False
+            if not is_answered:
+                pause = FIRST_RETRY_SECONDS if was_reachable else RETRY_SECONDS
+                await asyncio.sleep(pause)
+        if self.is_owner():
+            self._running.discard(worker.name)
+            self.calls.close_connections(worker.entry)
+
+    def _is_known(self, worker: Worker) -> bool:
+        return self.is_owner() and self.cell.workers.get(worker.name) is worker
+
+    async def _renew(self, worker: Worker) -> bool:
+        """Renew a worker's leases once; return whether it answered with a report."""
+        sent = read_monotonic()
+        renewal = self.cell.prepare_renewal(worker, now=sent)
+        answer = await self.calls.renew(worker.entry, renewal)
+        if not self.is_owner():
+            return True
+        if not isinstance(answer, WorkerReport):
+            self._handle_failure(worker, answer)
+            return False
+        self._handle_report(worker, answer, sent=sent)
+        if worker.last_end_sequence > worker.acknowledged:
+            await _wait(self._flushed, FLUSH_WAIT_SECONDS)
+        await self._pause(worker)
+        return True
+
+    def _handle_failure(self, worker: Worker, answer: OrderResponse) -> None:
+        self.cell.handle_failed_renewal(worker, answer, now=read_monotonic())
+        self.wake()
 
     def end_pause(self, worker: Worker) -> None:
         """Look at a worker at once if it is only looked at now and then."""
--- a/plantainhinge/daemons/worker_orders.py
+++ b/plantainhinge/daemons/worker_orders.py
@@ -1,13 +1,19 @@
 """Sends the scheduler's commands to workers and reports their answers to it."""
 
+import logging
 from collections.abc import Callable
 
 from ..core.clock import read_monotonic
+from ..core.log_events import write_event
 from ..core.metrics import Counter, Metrics
 from ..dispatch.cell import Cell
+from ..dispatch.ordering import schedule_retry
 from ..dispatch.orders import Command, Start, Stop, Throttle
 from ..fleet.model import OrderOutcome
 from ..fleet.protocols import WorkerCalls
+from .owner_events import OrderFailed
+
+logger = logging.getLogger(__name__)
 
 
 async def send_command(
@@ -20,11 +26,31 @@
 ) -> bool:
     """Send a command; return whether a start was refused, so that decisions are due.
 
+    An error concerns this command alone: the order counts as unanswered.
+
     Parameters
     ----------
     is_owner : callable
         Whether the cell is still owned; an answer that comes later is dropped.
     """
+    try:
+        return await _send(calls, cell, command, is_owner=is_owner, metrics=metrics)
+    except Exception as error:
+        worker = command.worker if isinstance(command, Stop) else command.attempt.worker
+        write_event(logger, OrderFailed(worker=worker.name), error=error)
+        if not isinstance(command, Throttle) and command.attempt is not None:
+            schedule_retry(command.attempt, now=read_monotonic())
+        return False
+
+
+async def _send(
+    calls: WorkerCalls,
+    cell: Cell,
+    command: Command,
+    *,
+    is_owner: Callable[[], bool],
+    metrics: Metrics,
+) -> bool:
     match command:
         case Start(attempt=attempt, order=order):
             answer = await calls.start(attempt.worker.entry, order)
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -1,5 +1,7 @@
 """Implements the keyed log on the platform's store."""
 
+import json
+import re
 import struct
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -37,6 +39,9 @@
     503: UnavailableError,
     507: TooLargeError,
 }
+# stands for bytes of a key that aren't UTF-8
+UNREADABLE_CHARACTER = "\ufffd"
+SURROGATES = re.compile("[\ud800-\udfff]")
 PRODUCER = "owner"
 GROUP = "instances"
 # The store lists only members that hold a partition. With eight topics, each of up to
@@ -152,12 +157,10 @@
             call, timeout=READ_TIMEOUT_SECONDS, total_timeout=READ_TOTAL_TIMEOUT_SECONDS
         )
         _check_status(response, "store.newest", self.client.address)
-        page = _decode(response, _Newest, "store.newest", self.client.address)
+        page = _decode_newest(response, self.client.address)
         entries = tuple(Entry(item.key, item.value) for item in page.items)
-        more = page.more and bool(entries)
-        return Page(
-            entries, page.end, complete=False, next_key=entries[-1].key if more else ""
-        )
+        next_key = _find_last_key(entries) if page.more else ""
+        return Page(entries, page.end, complete=False, next_key=next_key)
 
     async def join(self, member: MemberName, *, generation: int) -> int:
         """Join the group or stay in it; see ``KeyedLog.join``."""
@@ -234,6 +237,32 @@
         raise UncertainError(f"bad response: {error}", step=step, peer=peer) from error
 
 
+def _decode_newest(response: HttpResponse, peer: str) -> _Newest:
+    """Decode a page, also one with keys that aren't UTF-8 or have lone surrogates.
+
+    Other writers share some topics, and one key of theirs must not hide the others.
+    """
+    try:
+        return msgspec.json.decode(response.body, type=_Newest)
+    except DECODING_ERRORS:
+        pass
+    try:
+        content = json.loads(response.body.decode("utf-8", "replace"))
+        for item in content["items"]:
+            item["key"] = SURROGATES.sub(UNREADABLE_CHARACTER, item["key"])
+        return msgspec.convert(content, _Newest)
+    except (*DECODING_ERRORS, ValueError, LookupError, TypeError, AttributeError) as e:
+        message = f"bad response: {e}"
+        raise UncertainError(message, step="store.newest", peer=peer) from e
+
+
+def _find_last_key(entries: Sequence[Entry]) -> str:
+    """Return the key to continue after: the last one spelled as in the store."""
+    keys = [entry.key for entry in entries]
+    exact = [key for key in keys if UNREADABLE_CHARACTER not in key]
+    return (exact or keys or [""])[-1]
+
+
 def _check_status(response: HttpResponse, step: str, peer: str) -> None:
     """Raise the error that corresponds to a status other than 200."""
     if response.status == OK:
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -1,8 +1,10 @@
 """Client for the platform's workers, and the decoding of their directory entries."""
 
+import ipaddress
 import logging
+import re
 from dataclasses import dataclass, field
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
@@ -52,7 +54,9 @@
 CONNECTIONS_MAX = 6
 GAUGE_COLUMN = 4
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
+PORT_MAX = 65535
+# an id is sent in a header, which holds no spaces, control or non-ASCII characters
+WORKER_ID_PATTERN = re.compile(r"[!-~]+")
 
 OUTCOMES_BY_REASON = {
     "fence": OrderOutcome.FENCED,
@@ -72,7 +76,7 @@
 
 class _Entry(msgspec.Struct, kw_only=True):
     service: str
-    address: Address = msgspec.field(name="addr")
+    address: str = msgspec.field(name="addr")
     # on the wire "zone": the failure domain
     domain: str = msgspec.field(name="zone")
     state: str
@@ -107,16 +111,18 @@
 def decode_entry(key: str, value: bytes) -> WorkerEntry | None:
     """Decode a worker's directory entry; None if it is invalid.
 
-    Other writers share the topic, so an invalid entry is logged and ignored.
+    Other writers share the topic, so an invalid entry is logged and ignored. So is one
+    whose key can't be sent or whose address can't be called, as no call could reach it.
     """
     try:
+        _check_worker_id(key)
         entry = msgspec.json.decode(value, type=_Entry)
         capacity = entry.capacity
         return WorkerEntry(
             worker=WorkerId(key),
             incarnation=entry.incarnation,
             service=ServiceId(entry.service),
-            address=entry.address,
+            address=_check_address(entry.address),
             domain=DomainId(entry.domain),
             capacity=Resources(capacity.cpu, capacity.memory, capacity.gpu),
             labels=tuple(entry.labels),
@@ -124,11 +130,25 @@
             remaining=entry.remaining_ms / 1000,
             warming=entry.warming_ms / 1000,
         )
-    except (*DECODING_ERRORS, KeyError) as error:
+    except (*DECODING_ERRORS, KeyError, ValueError) as error:
         write_event(logger, EntryIgnored(key=key, cause=str(error)))
         return None
 
 
+def _check_worker_id(key: str) -> None:
+    if not WORKER_ID_PATTERN.fullmatch(key):
+        raise ValueError(f"{key!r} is no worker id, which is printable ASCII")
+
+
+def _check_address(address: str) -> str:
+    """Return an address if it has the form ``host:port`` with an IPv4 host."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= PORT_MAX:
+        raise ValueError(f"{port!r} is no port from 1 to {PORT_MAX}")
+    return address
+
+
 def format_task(key: TaskKey) -> str:
     """Return the name of a task on the wire."""
     return f"{key.job}.{key.occurrence}.{key.step}.{key.position}"
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -226,6 +226,59 @@
     assert calls.waits[2] == 0
 
 
+class FailingForOne:
+    """Calls to workers of which one, "bad", raises an error in each of the calls named.
+
+    Renewals of it have an answer that can't be handled where ``answers`` is true.
+    """
+
+    def __init__(self, failing, *, answers=False):
+        self.failing = failing
+        self.answers = answers
+        self.started = []
+
+    async def renew(self, entry, renewal):
+        await asyncio.sleep(0.01)
+        if entry.worker == "bad" and "renew" in self.failing:
+            if self.answers:
+                return WorkerReport(clock="x", incarnation=1, running=(), ended=("x",))
+            raise UnicodeEncodeError("latin-1", "\ufffd", 0, 1, "a foreign key")
+        return WorkerReport(clock=1.0, incarnation=1, running=(), ended=())
+
+    async def start(self, entry, order):
+        if entry.worker == "bad":
+            raise OverflowError("an impossible port")
+        self.started.append(order.task.job)
+        return OrderResponse(outcome=OrderOutcome.ACCEPTED)
+
+    async def stop(self, entry, order):
+        return OrderResponse(outcome=OrderOutcome.ACCEPTED)
+
+    def close_connections(self, entry):
+        pass
+
+
+# one worker that couldn't be called ended the ownership, and so all scheduling
+@pytest.mark.parametrize("answers", [False, True])
+@pytest.mark.parametrize("failing", [("renew",), ("start",)])
+def test_an_error_with_one_worker_leaves_the_others_at_work(failing, answers):
+    async def scenario():
+        log, lost = MemoryKeyedLog(), []
+        runner = make_runner(log, lost)
+        runner.calls = calls = FailingForOne(failing, answers=answers)
+        runner.workers = WorkerView(log, "workers", lambda key, value: make_entry(key))
+        await log.append("workers", [Entry("bad", b"x"), Entry("good", b"x")])
+        jobs = [make_job(f"j{index}") for index in range(12)]
+        await accept(log, *jobs)
+        await runner.take_over(Epoch(1))
+        while len(calls.started) < 4:
+            await asyncio.sleep(0.01)
+        runner.stop("test")
+        return lost
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 5.0)) == []
+
+
 def test_an_owner_gives_up_the_cell_when_a_loop_fails(monkeypatch):
     async def scenario():
         log, lost = MemoryKeyedLog(), []
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -28,8 +28,9 @@
 DAEMONS = [
     "admission", "authentication", "cell_runner", "instance", "instance_peers",
     "job_lookup", "job_service", "job_view", "job_writer", "load_report",
-    "logged_jobs", "operator_view", "ownership", "progress_log", "round_times",
-    "settings_watch", "tail", "takeover", "worker_view",
+    "logged_jobs", "operator_view", "ownership", "progress_log", "renewals",
+    "round_times", "settings_watch", "tail", "takeover", "worker_orders",
+    "worker_view",
 ]  # fmt: skip
 MODULES = [
     path
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from plantainhinge.adapters.stream_http_client import ConnectionBudget, HttpResponse
+from plantainhinge.adapters.stream_http_client import (
+    ConnectionBudget,
+    HttpCall,
+    HttpResponse,
+)
 from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
 from plantainhinge.core.errors import (
     BadInputError,
@@ -18,6 +22,7 @@
     PlantainhingeError,
     TrimmedError,
     UnavailableError,
+    UncertainError,
 )
 from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.credentials import digest_key
@@ -112,6 +117,74 @@
     assert workers.decode_entry("i-1", encode(ENTRY | change)) is None
 
 
+# a call to such a worker raised an error, which ended the whole ownership
+@pytest.mark.parametrize(
+    "key", ["", "w-\ufffd", "w 1", "w\r\nX-Other: y", "w-\u4e2d", "\x00", "w\x7f"]
+)
+def test_an_entry_under_a_key_that_no_header_holds_names_no_worker(key):
+    assert workers.decode_entry(key, encode(ENTRY)) is None
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:70000",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1:\u0661",
+        "127.0.0.1:",
+        "127.0.0.1",
+        "127.0.0:80",
+        "..:80",
+        "\u4e2d:80",
+        "a" * 70 + ":80",
+    ],
+)
+def test_an_entry_with_an_impossible_address_names_no_worker(address):
+    assert workers.decode_entry("i-1", encode(ENTRY | {"addr": address})) is None
+
+
+@given(st.text(), st.text(max_size=80) | st.from_regex(r"[0-9.]{1,20}:[0-9]{1,6}"))
+def test_each_worker_of_the_directory_can_be_called(key, address):
+    entry = workers.decode_entry(key, encode(ENTRY | {"addr": address}))
+    if entry is not None:
+        call = HttpCall(
+            method="POST", path="/", headers=(("X-Expect-Instance", entry.worker),)
+        )
+        assert call.encode(entry.address).count(b"\r\n") == 5
+        assert 0 < int(entry.address.rpartition(":")[2]) < 2**16
+
+
+# one key of another writer hid the whole directory from a new owner
+@pytest.mark.parametrize("key", [b"w-\xf3", b"w-\\udcf3"])
+def test_a_page_of_newest_records_holds_those_beside_an_unreadable_key(key):
+    rows = b'[{"key":"a","value":"MQ=="},{"key":"%s","value":"Mg=="}]' % key
+    body = b'{"items":%s,"more":true,"endOffset":2}' % rows
+    page = read_newest(HttpResponse(200, {}, body))
+    assert [entry.value for entry in page.entries] == [b"1", b"2"]
+    assert page.next_key == "a"
+    assert workers.decode_entry(page.entries[1].key, encode(ENTRY)) is None
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b"[]", b'{"items":[1]}', b'{"items":3}']
+)
+def test_a_malformed_page_of_newest_records_raises_an_error_with_a_code(body):
+    with pytest.raises(UncertainError):
+        read_newest(HttpResponse(200, {}, body))
+
+
+def read_newest(response):
+    class Answering:
+        address = "store:1"
+
+        async def call(self, *args, **kwargs):
+            return response
+
+    log = store.Store(Answering(), Answering(), member_seconds=1.0)
+    return asyncio.run(log.read_newest("workers"))
+
+
 def test_the_largest_integers_of_an_entry_fit_into_the_handover():
     largest = 2**63 - 1
     capacity = {"cpu": largest, "memMb": largest, "gpu": largest}
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -66,6 +66,24 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:70000", "127.0.0.1:x", "..:80"])
+def test_an_address_that_is_none_means_the_call_was_not_sent(address):
+    client = HttpClient(address)
+    with pytest.raises(UnavailableError):
+        asyncio.run(client.call(post("/a"), timeout=1))
+    assert client.budget.open == 0
+
+
+def test_a_header_that_cannot_be_encoded_means_the_call_was_not_sent():
+    async def scenario(server, client):
+        call = HttpCall(method="POST", path="/a", headers=(("X-Id", "w-\ufffd"),))
+        with pytest.raises(UnavailableError):
+            await client.call(call, timeout=2)
+        return (await client.call(post("/b"), timeout=2)).body
+
+    assert serve(scenario) == b"/b"
+
+
 def test_an_error_in_the_handler_becomes_a_500():
     async def scenario(server, client):
         return (await client.call(post("/broken"), timeout=2)).status
