Bound the cost of a round of decisions beside one large job

Cause: each waiting step was ranked by its job's remaining critical path, and the check of the cached length counted all steps of the job, so that a round grew with their square and the event loop stood still for seconds.

Change: the length is dropped when a step is finished, not checked; a round tries at most 100 steps of one job, in turn, and starts at most 200 tasks.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -7,7 +7,7 @@
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
 from . import avoidance, batching, trials
 from .bindings import bind_attempt, unbind_attempt
-from .model import Attempt, AttemptPhase, OpenStep, Task, Worker
+from .model import Attempt, AttemptPhase, OpenJob, OpenStep, Task, Worker
 from .queueing import rank_step
 from .scheduling_state import SchedulingState
 from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
@@ -26,12 +26,16 @@
 RETRY_SECONDS = 0.02
 # how long a step waits after an error in its placement
 FAILED_STEP_SECONDS = 5.0
+# a round blocks the owner's calls, so what one may do is bounded; the next one goes on
+STARTS_PER_ROUND_MAX = 200
+STEPS_PER_JOB_MAX = 100
 
 
 def place_waiting_tasks(cell: SchedulingState, *, now: float, wall: Seconds) -> None:
     """Start all waiting tasks for which there is a worker."""
     trials.close_stale_trials(cell.workers.values(), now=now)
     waiting = _select_due(cell, list_waiting_steps(cell), now=now)
+    waiting = _limit_per_job(cell, waiting)
     if not waiting:
         return
     withheld = cell.list_withheld()
@@ -40,20 +44,25 @@
     pools = _open_pools(cell, now=now)
     empty_pool = WorkerPool()
     caps = CapCheck(cell)
+    starts_left = STARTS_PER_ROUND_MAX
     for step in order_by_share(cell, waiting, wall=wall):
         if batching.is_delayed(step, newest, now=now) or now < step.failed_until:
             continue
         pool = pools.get(step.job.record.policy.service, empty_pool)
         try:
-            placed = _place(cell, step, pool, caps, withheld, now=now)
+            placed = _place(cell, step, pool, caps, withheld, starts_left, now=now)
         except Exception as error:
             # one step must not keep all others from being placed, in each round
             step.failed_until = now + FAILED_STEP_SECONDS
             event = StepFailed(about=describe_step(step))
             write_event(logger, event, error=error)
             continue
+        _log_placed(step, placed, wall=wall)
+        starts_left -= len(placed)
+        if starts_left <= 0:
+            break
         is_capped = bool(step.waiting) and not caps.allows(step)
-        _log_placement(step, placed, len(pool), is_capped, now=now, wall=wall)
+        _log_waiting(step, len(pool), is_capped, now=now, wall=wall)
 
 
 def _select_due(
@@ -66,17 +75,39 @@
     return [step for step in waiting if step.unplaced_since == float("inf")]
 
 
+def _limit_per_job(cell: SchedulingState, waiting: list[OpenStep]) -> list[OpenStep]:
+    """Return the steps without those of a job beyond ``STEPS_PER_JOB_MAX``.
+
+    The tried steps of such a job go behind its others, so that each gets its turn.
+    """
+    by_job: dict[OpenJob, list[OpenStep]] = {}
+    for step in waiting:
+        by_job.setdefault(step.job, []).append(step)
+    if all(len(steps) <= STEPS_PER_JOB_MAX for steps in by_job.values()):
+        return waiting
+    selected: list[OpenStep] = []
+    for steps in by_job.values():
+        tried = steps[:STEPS_PER_JOB_MAX]
+        selected.extend(tried)
+        if len(steps) > len(tried):
+            for step in tried:
+                del cell.unplaced[step]
+                cell.unplaced[step] = None
+    return selected
+
+
 def _place(
     cell: SchedulingState,
     step: OpenStep,
     pool: WorkerPool,
     caps: CapCheck,
     withheld: frozenset[TaskKey],
+    starts_max: int,
     *,
     now: float,
 ) -> list[Attempt]:
     if not step.spec.gang:
-        return _place_step(cell, step, pool, caps, withheld, now=now)
+        return _place_step(cell, step, pool, caps, withheld, starts_max, now=now)
     if not caps.allows(step, tasks=len(step.tasks)):
         return []
     return _place_gang(cell, step, pool, withheld, now=now)
@@ -142,6 +173,7 @@
     pool: WorkerPool,
     caps: CapCheck,
     withheld: frozenset[TaskKey],
+    starts_max: int,
     *,
     now: float,
 ) -> list[Attempt]:
@@ -149,7 +181,7 @@
     workers = pool.workers
     placed: list[Attempt] = []
     for task in list(step.waiting):
-        if not caps.allows(step):
+        if len(placed) >= starts_max or not caps.allows(step):
             break
         if task.key in withheld:
             continue
@@ -270,38 +302,41 @@
     return [*racks.values(), workers]
 
 
-def _log_placement(
-    step: OpenStep,
-    placed: list[Attempt],
-    workers: int,
-    is_capped: bool,
-    *,
-    now: float,
-    wall: Seconds,
+def _log_placed(step: OpenStep, placed: list[Attempt], *, wall: Seconds) -> None:
+    if not placed:
+        return
+    event = StepPlaced(
+        about=describe_step(step),
+        positions=tuple(attempt.task.key.position for attempt in placed),
+        attempts=tuple(attempt.number for attempt in placed),
+        workers=tuple(attempt.worker.name for attempt in placed),
+        urgency=_name_urgency(step, wall=wall),
+        late_s=round(wall - step.due, 3),
+        waiting=len(step.waiting),
+    )
+    write_event(logger, event)
+
+
+def _log_waiting(
+    step: OpenStep, workers: int, is_capped: bool, *, now: float, wall: Seconds
 ) -> None:
-    """Log the placed tasks and, once per step, that some tasks found no worker."""
-    if placed:
-        event = StepPlaced(
-            about=describe_step(step),
-            positions=tuple(attempt.task.key.position for attempt in placed),
-            attempts=tuple(attempt.number for attempt in placed),
-            workers=tuple(attempt.worker.name for attempt in placed),
-            urgency=rank_step(step, wall=wall)[1].name.lower(),
-            late_s=round(wall - step.due, 3),
-            waiting=len(step.waiting),
-        )
-        write_event(logger, event)
-    if step.waiting and step.unplaced_since == float("inf"):
-        step.unplaced_since = now
-        request = step.spec.request
-        waits = StepWaits(
-            about=describe_step(step),
-            waiting=len(step.waiting),
-            millicores=request.millicores,
-            memory_mib=request.memory_mib,
-            workers=workers,
-            urgency=rank_step(step, wall=wall)[1].name.lower(),
-            workspace=step.job.record.workspace,
-            capped=is_capped,
-        )
-        write_event(logger, waits)
+    """Log, once per step, that some of its tasks found no worker."""
+    if not step.waiting or step.unplaced_since < float("inf"):
+        return
+    step.unplaced_since = now
+    request = step.spec.request
+    event = StepWaits(
+        about=describe_step(step),
+        waiting=len(step.waiting),
+        millicores=request.millicores,
+        memory_mib=request.memory_mib,
+        workers=workers,
+        urgency=_name_urgency(step, wall=wall),
+        workspace=step.job.record.workspace,
+        capped=is_capped,
+    )
+    write_event(logger, event)
+
+
+def _name_urgency(step: OpenStep, *, wall: Seconds) -> str:
+    return rank_step(step, wall=wall)[1].name.lower()
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -217,9 +217,9 @@
         Whether an earlier owner may have started its tasks.
     finished_below, created_below : int
         All occurrences below these numbers are finished, or have been created.
-    remaining_path : tuple, optional
-        Cached length of the remaining critical path, with the occurrence and the
-        number of finished steps that it holds for.
+    remaining_paths : dict of int to float
+        Cached lengths in seconds of the remaining critical paths, by occurrence; that
+        of an occurrence is dropped when one of its steps is finished.
     surplus : bool
         Whether its workspace submitted it beyond its rate.
     usage : QuotaUsage
@@ -232,7 +232,7 @@
     inherited: bool = False
     finished_below: int = 0
     created_below: int = 0
-    remaining_path: tuple[tuple[int, int], Seconds] | None = None
+    remaining_paths: dict[int, Seconds] = field(default_factory=dict)
     occurrences: dict[int, list[OpenStep]] = field(default_factory=dict)
     surplus: bool = False
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
--- a/plantainhinge/dispatch/queueing.py
+++ b/plantainhinge/dispatch/queueing.py
@@ -85,10 +85,10 @@
 
 def estimate_remaining(job: OpenJob, occurrence: int) -> Seconds:
     """Return the length of the critical path of an occurrence's unfinished steps."""
-    steps = job.occurrences[occurrence]
-    key = (occurrence, sum(step.unfinished == 0 for step in steps))
-    if job.remaining_path is None or job.remaining_path[0] != key:
-        specs = job.record.spec.steps
+    remaining = job.remaining_paths.get(occurrence)
+    if remaining is None:
+        steps = job.occurrences[occurrence]
         open_ = {index for index, step in enumerate(steps) if step.unfinished}
-        job.remaining_path = (key, compute_critical_path(specs, only=open_))
-    return job.remaining_path[1]
+        remaining = compute_critical_path(job.record.spec.steps, only=open_)
+        job.remaining_paths[occurrence] = remaining
+    return remaining
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -67,7 +67,10 @@
                 stop_attempt(cell, attempt, now=now)
     job = step.job
     cell.dirty[job.job_id] = job
-    if step.unfinished == 0 and open_jobs.close_occurrences(job):
+    if step.unfinished:
+        return
+    job.remaining_paths.pop(step.occurrence, None)
+    if open_jobs.close_occurrences(job):
         end_job(cell, job, JobState.COMPLETED, now=now)
 
 
