Open the occurrences of which workers report attempts, also if the log lacks them

Cause: a new owner opened occurrences by their limit and by its own clock only. It acknowledged ends of the others without applying them, and started their tasks again.

Change: logged occurrences come before new ones, a report of an attempt opens its occurrence, and one that is finished before it is due isn't opened again.

--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -39,11 +39,10 @@
         job.state = progress.state
         job.finished_below = progress.finished_below
         job.created_below = progress.finished_below
-    open_due_occurrences(job, wall=wall)
-    if progress is not None:
         for number, occurrence in progress.occurrences.items():
             _open_occurrence(job, number)
             _restore_progress(job.occurrences[number], occurrence)
+    open_due_occurrences(job, wall=wall)
     return job
 
 
@@ -54,6 +53,8 @@
     """
     recurrence = job.record.spec.recurrence or SINGLE_OCCURRENCE
     opened: list[OpenStep] = []
+    # one that a worker's report opened may be finished before it is due
+    job.created_below = max(job.created_below, job.finished_below)
     while (
         job.created_below < recurrence.times
         and _may_open_another(job)
@@ -64,6 +65,18 @@
     return opened
 
 
+def open_started_occurrence(job: OpenJob, number: int) -> list[OpenStep]:
+    """Create the steps of an occurrence of which a worker reports an attempt.
+
+    An earlier owner opened it, whose log record may lack it, and by whose clock it may
+    have been due earlier. Returns the new steps; none if it is finished or unknown.
+    """
+    recurrence = job.record.spec.recurrence or SINGLE_OCCURRENCE
+    if not job.inherited or not job.finished_below <= number < recurrence.times:
+        return []
+    return _open_occurrence(job, number)
+
+
 def _may_open_another(job: OpenJob) -> bool:
     """Return whether a recurring job has few enough open tasks for one occurrence more.
 
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -10,7 +10,8 @@
     StopOrder,
     WorkerReport,
 )
-from . import health
+from ..jobs.model import TaskKey
+from . import health, open_jobs
 from .bindings import bind_attempt
 from .eviction import protect_serving
 from .incarnations import begin_incarnation
@@ -85,7 +86,7 @@
     attempt = worker.attempts.get((end.task, end.attempt))
     if attempt is not None:
         remove_attempt(attempt, now=now)
-    task = find_task(cell, end.task)
+    task = _find_started_task(cell, end.task)
     if task is None or task.done:
         return
     task.last_attempt = max(task.last_attempt, end.attempt)
@@ -110,6 +111,19 @@
     requeue_task(cell, task, now=now)
 
 
+def _find_started_task(cell: SchedulingState, key: TaskKey) -> Task | None:
+    """Return the task of which a worker reports an attempt, or None.
+
+    Its occurrence is opened if only an earlier owner had done so. Otherwise an end
+    would be acknowledged and forgotten, and the task started again later.
+    """
+    job = cell.jobs.get(key.job)
+    if job is not None:
+        opened = open_jobs.open_started_occurrence(job, key.occurrence)
+        cell.unplaced.update(dict.fromkeys(opened))
+    return find_task(cell, key)
+
+
 def _accepts_unknown_end(task: Task) -> bool:
     """Return whether to process an end of an attempt unknown to this owner.
 
@@ -150,7 +164,7 @@
     It is stopped if its task isn't open or is done already, or if the task has another
     attempt without being speculative.
     """
-    task = find_task(cell, running.task)
+    task = _find_started_task(cell, running.task)
     if task is None:
         worker.orphans.append(running.task)
         stop_orphaned_attempt(cell, worker, running)
