Wait in a drain until answers have left the process

Cause: a connection counted as done once its answer was written to the transport.

Change: the drain waits until its connections are closed, which they are once all has left, within the same time-out.

Measured: the new test fails on the code before (1 connection left) and passes now.

--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -205,7 +205,10 @@
             return HttpReply(status=500)
 
     async def drain(self, *, timeout: Seconds) -> None:
-        """Stop listening, close idle connections and wait for requests in progress."""
+        """Stop listening, close idle connections and wait for requests in progress.
+
+        A request is in progress until its whole answer has left the process.
+        """
         self.draining = True
         if self._server is not None:
             self._server.close()
@@ -215,5 +218,5 @@
                 connection.close()
         with suppress(TimeoutError):
             async with asyncio.timeout_at(deadline):
-                while any(connection.busy for connection in self.connections):
+                while self.connections:
                     await asyncio.sleep(0.01)
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -91,6 +91,31 @@
     assert serve(scenario) == 500
 
 
+# callers got part of a large answer, as the process ended once it was written (LOST)
+def test_a_draining_server_waits_until_a_slow_reader_has_the_whole_answer():
+    size = 8_000_000
+
+    async def answer(request):
+        return HttpReply(status=200, body=b"x" * size)
+
+    async def run():
+        server = HttpServer(find_free_address(), answer)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.2)
+        drained = asyncio.create_task(server.drain(timeout=5.0))
+        while not drained.done():
+            await reader.read(65536)
+            await asyncio.sleep(0.001)
+        left = len(server.connections)
+        writer.close()
+        return left
+
+    assert asyncio.run(asyncio.wait_for(run(), 10.0)) == 0
+
+
 def test_a_draining_server_finishes_requests_in_progress():
     async def scenario(server, client):
         slow = asyncio.create_task(client.call(post("/slow"), timeout=2))
