Bound the time for which a stopping owner waits for the log

Cause: the owner's flush repeats its append while the cell is owned, so that with a silent log a stop never came to the drain, and SIGKILL cut the callers off. Shown by the test; that the users met this one is suspected, not shown.

Change: flush and leave have 1.5 s and 1.0 s, within the drain.

Measured: the new test runs into its limit of 10 s without the bound and passes with it; no run with real processes.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -39,7 +39,7 @@
 from .operator_view import OperatorView
 from .ownership import Ownership
 from .ownership_events import OwnershipNotVerified, StandbyBehind
-from .process_events import LoopFailed, Started, Stopped, Stopping
+from .process_events import HandoverCutShort, LoopFailed, Started, Stopped, Stopping
 from .settings_watch import SettingsWatch
 from .signals import handle_reload_signals
 from .view_events import LogLost, LogRegained
@@ -64,6 +64,26 @@
 DRAIN_SECONDS = Seconds(2.5)
 METRICS_CONTENT_TYPE = ("Content-Type", "text/plain; version=0.0.4")
 CLOSE_TIMEOUT_SECONDS = Seconds(1.5)
+# the log may be silent; together they must not take longer than the drain
+FLUSH_TIMEOUT_SECONDS = Seconds(1.5)
+LEAVE_TIMEOUT_SECONDS = Seconds(1.0)
+
+
+async def hand_over(runner: CellRunner, ownership: Ownership) -> None:
+    """Log what is pending and leave the group, as far as the log answers in time.
+
+    Otherwise the process would be killed with its callers' requests still open. The
+    next owner takes over as after a crash then.
+    """
+    for work, seconds in (
+        (runner.flush, FLUSH_TIMEOUT_SECONDS),
+        (ownership.leave, LEAVE_TIMEOUT_SECONDS),
+    ):
+        try:
+            async with asyncio.timeout(seconds):
+                await work()
+        except TimeoutError:
+            write_event(logger, HandoverCutShort(waited_s=seconds))
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -196,8 +216,7 @@
         self.draining = True
         write_event(logger, Stopping(owner=self.runner.cell is not None))
         started = read_monotonic()
-        await self.runner.flush()
-        await self.ownership.leave()
+        await hand_over(self.runner, self.ownership)
         elapsed = read_monotonic() - started
         await asyncio.sleep(max(0.0, DRAIN_SECONDS - elapsed))
         await callers.drain(timeout=CLOSE_TIMEOUT_SECONDS)
--- a/plantainhinge/daemons/process_events.py
+++ b/plantainhinge/daemons/process_events.py
@@ -47,6 +47,19 @@
     owner: bool
 
 
+@log_event("handover cut short", level=logging.WARNING)
+class HandoverCutShort(LogEvent, frozen=True, kw_only=True):
+    """The log didn't answer a stopping instance in time; it goes on with the stop.
+
+    Parameters
+    ----------
+    waited_s : float
+        Seconds for which it waited.
+    """
+
+    waited_s: float
+
+
 @log_event("stopped")
 class Stopped(LogEvent, frozen=True, kw_only=True):
     """The last open call was answered and the process exits.
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -10,6 +10,7 @@
 from plantainhinge.core.ids import Epoch, JobId, QueueName
 from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import DIRECTORY_INTERVAL_SECONDS, CellRunner
+from plantainhinge.daemons.instance import DRAIN_SECONDS, hand_over
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.daemons.operator_view import OperatorView
 from plantainhinge.daemons.progress_log import ProgressLog
@@ -175,6 +176,32 @@
     assert asyncio.run(scenario()) == {"a", "c", "e"}
 
 
+# a stopping owner waited for the log without a bound, and SIGKILL cut its callers off
+def test_an_owner_that_stops_does_not_wait_for_a_silent_log():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        await accept(log, make_job("a"))
+        await runner.take_over(Epoch(1))
+        cancel(runner, "a")
+        log.append_faults = ["refuse"] * 10_000
+        left = []
+
+        class Ownership:
+            async def leave(self):
+                left.append(True)
+                await asyncio.sleep(60.0)
+
+        started = time.monotonic()
+        await hand_over(runner, Ownership())
+        runner.stop("test")
+        return time.monotonic() - started, left
+
+    seconds, left = asyncio.run(asyncio.wait_for(scenario(), 10.0))
+    assert seconds < DRAIN_SECONDS + 0.5
+    assert left == [True]
+
+
 def test_an_owner_stopped_during_its_takeover_never_acts():
     async def scenario():
         log = MemoryKeyedLog()
