--- a/tests/test_avoidance.py
+++ b/tests/test_avoidance.py
@@ -89,8 +89,12 @@
     policy, step
 ):
     site = make_site(make_entry("w1", cores=16))
-    failing = policy["attempts"] > 1
-    submit_failing(site, make_policy(**policy), failing=failing, **step)
+    site.submit(make_job("j", make_step(**step), policy=make_policy(**policy)))
+    site.run(0.3)
+    if policy["attempts"] > 1:
+        fail_attempts(site, "j")
+    else:
+        stop_stalled_attempts(site, "j")
     site.run_until(lambda: site.state_of("j") == "completed", limit=4)
 
 
@@ -117,13 +121,9 @@
     )
 
 
-def submit_failing(site, policy, *, failing, **changes):
-    site.submit(make_job("j", make_step(**changes), policy=policy))
-    site.run(0.3)
-    if failing:
-        fail_attempts(site, "j")
-    else:
-        (task, *_) = site.cell.jobs["j"].list_tasks()
+def stop_stalled_attempts(site, job):
+    """Stop a job's attempts as if they had stalled on the first worker."""
+    for task in site.cell.jobs[job].list_tasks():
         avoid_worker(task, site.cell.workers["w1"])
         for attempt in list(task.attempts):
             stop_attempt(site.cell, attempt, now=site.now)
--- a/tests/test_recurring_takeover.py
+++ b/tests/test_recurring_takeover.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 
 from plantainhinge.dispatch import open_jobs
@@ -24,10 +25,7 @@
         steps=(make_step(estimate=0.3, **step),),
         recurrence=Recurrence(40, 0.0, INTERVAL_SECONDS),
     )
-    record = make_job("j")
-    return type(record)(
-        job=record.job, policy=record.policy, spec=spec, accepted_at=0.0
-    )
+    return msgspec.structs.replace(make_job("j"), spec=spec)
 
 
 def run_without_owner(site, seconds):
--- a/tests/test_round_cost.py
+++ b/tests/test_round_cost.py
@@ -11,7 +11,7 @@
 from .simulated_cell import SimulatedCell, make_entry, make_job, make_step
 
 TINY = Resources(100, 10)
-# calls of Python functions; a round with the most starts takes some 20,000
+# a round may take 100 ms, and a call of a Python function takes about a microsecond
 CALLS_PER_ROUND_MAX = 100_000
 
 
@@ -92,7 +92,7 @@
     steps = [make_step(request=Resources(10**6, 10))] * 1000 + [make_step(request=TINY)]
     site.submit(make_job("large", *steps))
     site.run(3.0)
-    assert [key.step for _, key, _ in site.list_running()] or site.count_starts() == 1
+    assert site.count_starts() == 1
 
 
 def test_all_tasks_of_a_wide_step_start_over_several_rounds():
