Contain an error of a command in one place; words of the users' pages out of the tests

Cause: read as a newcomer, send_command and _send stood side by side with one list of parameters, and comments and incident pages used the users' own names for rules and settings.

No check is changed.

--- a/plantainhinge/daemons/worker_orders.py
+++ b/plantainhinge/daemons/worker_orders.py
@@ -1,7 +1,8 @@
 """Sends the scheduler's commands to workers and reports their answers to it."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from ..core.clock import read_monotonic
 from ..core.log_events import write_event
@@ -33,39 +34,34 @@
     is_owner : callable
         Whether the cell is still owned; an answer that comes later is dropped.
     """
+    with _contain_error(command):
+        match command:
+            case Start(attempt=attempt, order=order):
+                answer = await calls.start(attempt.worker.entry, order)
+                _count(metrics, "start", answer.outcome)
+                if is_owner():
+                    cell.handle_start_answer(attempt, answer, now=read_monotonic())
+                    return answer.outcome is not OrderOutcome.ACCEPTED
+            case Stop(worker=worker, order=order, attempt=stopped):
+                answer = await calls.stop(worker.entry, order)
+                _count(metrics, "stop", answer.outcome)
+                if is_owner():
+                    cell.handle_stop_answer(stopped, answer, now=read_monotonic())
+            case Throttle(attempt=attempt, order=order):
+                await calls.throttle(attempt.worker.entry, order)
+    return False
+
+
+@contextmanager
+def _contain_error(command: Command) -> Iterator[None]:
+    """Log an error of a command, and let its order be repeated."""
     try:
-        return await _send(calls, cell, command, is_owner=is_owner, metrics=metrics)
+        yield
     except Exception as error:
         worker = command.worker if isinstance(command, Stop) else command.attempt.worker
         write_event(logger, OrderFailed(worker=worker.name), error=error)
         if not isinstance(command, Throttle) and command.attempt is not None:
             schedule_retry(command.attempt, now=read_monotonic())
-        return False
-
-
-async def _send(
-    calls: WorkerCalls,
-    cell: Cell,
-    command: Command,
-    *,
-    is_owner: Callable[[], bool],
-    metrics: Metrics,
-) -> bool:
-    match command:
-        case Start(attempt=attempt, order=order):
-            answer = await calls.start(attempt.worker.entry, order)
-            _count(metrics, "start", answer.outcome)
-            if is_owner():
-                cell.handle_start_answer(attempt, answer, now=read_monotonic())
-                return answer.outcome is not OrderOutcome.ACCEPTED
-        case Stop(worker=worker, order=order, attempt=stopped):
-            answer = await calls.stop(worker.entry, order)
-            _count(metrics, "stop", answer.outcome)
-            if is_owner():
-                cell.handle_stop_answer(stopped, answer, now=read_monotonic())
-        case Throttle(attempt=attempt, order=order):
-            await calls.throttle(attempt.worker.entry, order)
-    return False
 
 
 def _count(metrics: Metrics, call: str, outcome: OrderOutcome) -> None:
--- a/tests/test_avoidance.py
+++ b/tests/test_avoidance.py
@@ -82,7 +82,7 @@
     assert running == [on_w2]
 
 
-# review/5 (LOST): a job whose task had failed once waited for ever for a full worker
+# a job whose task had failed once waited for ever for a full worker
 @pytest.mark.parametrize("policy", [{"attempts": 1}, {"attempts": 2}, {"attempts": 3}])
 @pytest.mark.parametrize("step", [{}, {"count": 3, "gang": True}])
 def test_a_task_that_failed_does_not_wait_for_a_worker_full_of_lasting_work(
--- a/tests/test_recurring_takeover.py
+++ b/tests/test_recurring_takeover.py
@@ -39,7 +39,7 @@
     return Counter(key for worker in site.workers.values() for key, _ in worker.started)
 
 
-# review/1 (TWICE): an owner's death made finished occurrences run again
+# the death of an owner made finished occurrences run again
 @pytest.mark.parametrize("pause", [0.1, 0.6])
 @pytest.mark.parametrize("step", [{"count": 2}, {"count": 2, "gang": True}])
 def test_an_occurrence_that_the_log_lacks_is_not_run_again(monkeypatch, pause, step):
--- a/tests/test_round_cost.py
+++ b/tests/test_round_cost.py
@@ -67,7 +67,7 @@
 }
 
 
-# review/3 (LOST): one job of 8,000 steps made each round last for seconds
+# one job of 8,000 steps made each round last for seconds
 @pytest.mark.parametrize("shape", sorted(LARGE_JOBS))
 def test_a_round_stays_short_beside_one_large_job(shape):
     site = make_site()
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -91,7 +91,7 @@
     assert serve(scenario) == 500
 
 
-# callers got part of a large answer, as the process ended once it was written (LOST)
+# callers got part of a large answer, as the process ended once it was written
 def test_a_draining_server_waits_until_a_slow_reader_has_the_whole_answer():
     size = 8_000_000
 
