--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -1,8 +1,9 @@
 """Log events about the attempts and jobs of an owned cell."""
 
 import logging
+from enum import Enum
 
-from ..core.ids import JobId, WorkerId
+from ..core.ids import AttemptNumber, JobId, WorkerId
 from ..core.log_events import LogEvent, LogFields, log_event
 from ..fleet.model import EndCause, OrderOutcome
 from ..jobs.model import JobState, TaskKey
@@ -104,6 +105,45 @@
     failures: int
 
 
+class DropReason(Enum):
+    """Why an end of an attempt that this owner doesn't know has no effect."""
+
+    NOT_OPEN = "its job or occurrence isn't open"
+    TASK_DONE = "its task is done"
+    NOT_INHERITED = "no earlier owner can have started it"
+    OTHER_ATTEMPT = "its task has another attempt"
+
+
+@log_event("end dropped")
+class EndDropped(LogEvent, frozen=True, kw_only=True):
+    """An end of an unknown attempt is acknowledged, but doesn't count as one.
+
+    If it was ``failed`` and its task is open, it counts as a failure all the same.
+
+    Parameters
+    ----------
+    job : str
+        Its job's id.
+    task : str
+        Job, occurrence, step and position, with dots between.
+    attempt : int
+        Its number among the attempts of the task.
+    worker : str
+        The worker that reported it.
+    cause : str
+        Cause reported by the worker.
+    reason : str
+        Why it has no effect.
+    """
+
+    job: JobId
+    task: str
+    attempt: AttemptNumber
+    worker: WorkerId
+    cause: EndCause
+    reason: DropReason
+
+
 @log_event("attempt makes no progress", level=logging.WARNING)
 class AttemptStuck(AttemptEvent, frozen=True, kw_only=True):
     """An attempt made no progress and is stopped, to restart on another worker.
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -17,7 +17,14 @@
 from .incarnations import begin_incarnation
 from .interference import infer_speed
 from .leases import record_answer
-from .log_events import AttemptEnded, AttemptGone, describe_attempt
+from .log_events import (
+    AttemptEnded,
+    AttemptGone,
+    DropReason,
+    EndDropped,
+    describe_attempt,
+    name_key,
+)
 from .losses import clear_task, explain_losses, lose_attempts
 from .model import Attempt, AttemptPhase, Task, Worker
 from .ordering import send_throttle, stop_attempt
@@ -87,6 +94,7 @@
     if attempt is not None:
         remove_attempt(attempt, now=now)
     task = _find_started_task(cell, end.task)
+    _log_dropped_end(worker, end, attempt, task)
     if task is None or task.done:
         return
     task.last_attempt = max(task.last_attempt, end.attempt)
@@ -111,6 +119,33 @@
     requeue_task(cell, task, now=now)
 
 
+def _log_dropped_end(
+    worker: Worker, end: EndedAttempt, attempt: Attempt | None, task: Task | None
+) -> None:
+    """Log an end that has no effect: its attempt is unknown, and it isn't accepted."""
+    if attempt is not None:
+        return
+    if task is None:
+        reason = DropReason.NOT_OPEN
+    elif task.done:
+        reason = DropReason.TASK_DONE
+    elif _accepts_unknown_end(task):
+        return
+    elif task.step.job.inherited:
+        reason = DropReason.OTHER_ATTEMPT
+    else:
+        reason = DropReason.NOT_INHERITED
+    event = EndDropped(
+        job=end.task.job,
+        task=name_key(end.task),
+        attempt=end.attempt,
+        worker=worker.name,
+        cause=end.cause,
+        reason=reason,
+    )
+    write_event(logger, event)
+
+
 def _find_started_task(cell: SchedulingState, key: TaskKey) -> Task | None:
     """Return the task of which a worker reports an attempt, or None.
 
