Log what tells an owner that acts without a confirmation

'lease lapsed', 'attempt lost with its worker' and 'cell load' name the owner's epoch and the age of what it has read; 'log lost' and 'log regained' the epoch, if the instance owns the cell. New: 'attempt found beside another' and 'withheld tasks let go'. No change of logic.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -236,11 +236,15 @@
             try:
                 await self.operator.tail.advance(wait=OPERATOR_WAIT_SECONDS)
                 if lost_at is not None:
-                    write_event(logger, LogRegained(lost_s=read_monotonic() - lost_at))
+                    event = LogRegained(
+                        lost_s=read_monotonic() - lost_at, epoch=self.ownership.epoch
+                    )
+                    write_event(logger, event)
                 lost_at = None
             except PlantainhingeError as error:
                 if lost_at is None:
-                    write_event(logger, LogLost(cause=str(error)))
+                    epoch = self.ownership.epoch
+                    write_event(logger, LogLost(cause=str(error), epoch=epoch))
                     lost_at = read_monotonic()
                 await asyncio.sleep(FAILURE_PAUSE_SECONDS)
 
--- a/plantainhinge/daemons/view_events.py
+++ b/plantainhinge/daemons/view_events.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..core.ids import DomainId, Revision
+from ..core.ids import DomainId, Epoch, Revision
 from ..core.log_events import LogEvent, log_event
 
 
@@ -117,9 +117,12 @@
     ----------
     cause : str
         The error with its step and peer.
+    epoch : int, optional
+        The epoch under which this instance owns the cell; null if it doesn't.
     """
 
     cause: str
+    epoch: Epoch | None
 
 
 @log_event("log regained")
@@ -130,6 +133,9 @@
     ----------
     lost_s : float
         Seconds since it was lost.
+    epoch : int, optional
+        The epoch under which this instance owns the cell; null if it doesn't.
     """
 
     lost_s: float
+    epoch: Epoch | None
--- a/plantainhinge/dispatch/load.py
+++ b/plantainhinge/dispatch/load.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..core.ids import Epoch
 from ..core.log_events import LogEvent, log_event
 from .cell import Cell
 from .consolidation import measure_waiting
@@ -35,6 +36,10 @@
         Known workers, and those that are reachable.
     recovering : bool
         Whether inherited jobs wait until all workers have reported.
+    epoch : int
+        The owner's epoch.
+    unread_s : float
+        Seconds since the owner last read the directory of workers in the log.
     """
 
     jobs: int
@@ -53,6 +58,8 @@
     in_touch: int
     aside: int
     recovering: bool
+    epoch: Epoch
+    unread_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +131,8 @@
         in_touch=sum(worker.reachable for worker in workers),
         aside=sum(now < worker.quarantined_until for worker in workers),
         recovering=cell.recovering,
+        epoch=cell.epoch,
+        unread_s=round(cell.measure_unread(now=now), 3),
     )
 
 
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -3,7 +3,7 @@
 import logging
 from enum import Enum
 
-from ..core.ids import AttemptNumber, JobId, WorkerId
+from ..core.ids import AttemptNumber, Epoch, JobId, WorkerId
 from ..core.log_events import LogEvent, LogFields, log_event
 from ..fleet.model import EndCause, OrderOutcome
 from ..jobs.model import JobState, TaskKey
@@ -55,11 +55,17 @@
         Other attempts that were bound to the worker.
     losses : int
         Attempts of its task that were lost so far, as far as this owner knows.
+    epoch : int
+        The owner's epoch; another owner with a higher one may know better.
+    unread_s : float
+        Seconds since the owner last read the directory of workers in the log.
     """
 
     ran_s: float
     beside: int
     losses: int
+    epoch: Epoch
+    unread_s: float
 
 
 @log_event("lease lapsed")
@@ -84,6 +90,38 @@
     loss: LossFields
 
 
+@log_event("withheld tasks let go")
+class WithheldLetGo(LogEvent, frozen=True, kw_only=True):
+    """What an earlier owner may have started on a silent worker has surely ended.
+
+    Parameters
+    ----------
+    worker : str
+        The worker, which was silent before this owner took over.
+    tasks : int
+        Tasks that may start elsewhere now.
+    cause : str
+        How it is known that their attempts ended.
+    """
+
+    worker: WorkerId
+    tasks: int
+    cause: LossCause
+
+
+@log_event("attempt found beside another", level=logging.WARNING)
+class SecondAttemptFound(AttemptEvent, frozen=True, kw_only=True):
+    """A worker runs an attempt of a task that is done or runs elsewhere; it is stopped.
+
+    Parameters
+    ----------
+    others : list of str
+        Workers of the other attempts; none if the task is done.
+    """
+
+    others: tuple[WorkerId, ...]
+
+
 @log_event("attempt is gone")
 class AttemptGone(AttemptEvent, frozen=True, kw_only=True):
     """A worker reports neither the attempt nor its end; the task waits again."""
--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -20,6 +20,7 @@
     LeaseExpired,
     LossFields,
     TaskGivenUp,
+    WithheldLetGo,
     describe_attempt,
     name_key,
 )
@@ -76,7 +77,7 @@
                 on_trial=is_on_trial(attempt),
             )
             add_loss(cell, attempt.task, record)
-        _log_loss(attempt, cause, now=now)
+        _log_loss(cell, attempt, cause, now=now)
     for attempt in lost:
         release_attempt(cell, attempt, now=now)
     for attempt in lost:
@@ -87,10 +88,14 @@
     cell: SchedulingState, worker: Worker, cause: LossCause, *, now: float
 ) -> None:
     """Count the losses of tasks that an earlier owner's silent worker may have run."""
+    withheld = cell.withheld_tasks.get(worker.name, frozenset())
+    if withheld:
+        event = WithheldLetGo(worker=worker.name, tasks=len(withheld), cause=cause)
+        write_event(logger, event)
     if worker.entry.state is WorkerState.DRAINING:
         return
     note_outage(cell, worker, now=now)
-    for key in cell.withheld_tasks.get(worker.name, frozenset()):
+    for key in withheld:
         task = find_task(cell, key)
         if task is None or task.attempts or _is_counted(task, worker):
             continue
@@ -233,12 +238,16 @@
         cell.dirty[task.step.job.job_id] = task.step.job
 
 
-def _log_loss(attempt: Attempt, cause: LossCause, *, now: float) -> None:
+def _log_loss(
+    cell: SchedulingState, attempt: Attempt, cause: LossCause, *, now: float
+) -> None:
     about = describe_attempt(attempt)
     loss = LossFields(
         ran_s=round(measure_run(attempt, now=now), 3),
         beside=len(attempt.worker.attempts) - 1,
         losses=len(attempt.task.losses),
+        epoch=cell.epoch,
+        unread_s=round(cell.measure_unread(now=now), 3),
     )
     if cause is LossCause.SILENT:
         write_event(logger, LeaseExpired(about=about, loss=loss))
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -22,6 +22,7 @@
     AttemptGone,
     DropReason,
     EndDropped,
+    SecondAttemptFound,
     describe_attempt,
     name_key,
 )
@@ -229,6 +230,11 @@
     if task in task.step.waiting:
         task.step.waiting.remove(task)
     if task.done or (others and not task.step.spec.speculative):
+        event = SecondAttemptFound(
+            about=describe_attempt(attempt),
+            others=tuple(other.worker.name for other in others),
+        )
+        write_event(logger, event)
         stop_attempt(cell, attempt, now=now)
     if running.checkpoint and not others:
         task.checkpoint = running.checkpoint
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -166,6 +166,10 @@
         """Whether each inherited task may still run under an earlier owner."""
         return bool(self.unverified_workers)
 
+    def measure_unread(self, *, now: float) -> Seconds:
+        """Return the seconds since the directory was last read; zero if unknown."""
+        return Seconds(max(0.0, now - self.directory_synced_at))
+
     def mark_verified(self, worker: WorkerId) -> None:
         """Note that all that a worker runs is known."""
         self.unverified_workers.discard(worker)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -85,3 +85,47 @@
     site.run(1.0)
     assert site.state_of("j") == "completed"
     assert list_dropped(caplog) == []
+
+
+def list_lines(caplog, message, *names):
+    return [
+        tuple(getattr(row, name) for name in names)
+        for row in caplog.records
+        if row.message == message
+    ]
+
+
+def test_an_attempt_that_runs_beside_another_is_logged(caplog):
+    caplog.set_level(logging.INFO)
+    site, task = make_running_site(inherited=True)
+    ((runs_on, _, _),) = site.list_running()
+    (other,) = set(site.workers) - {runs_on}
+    twin = site.workers[runs_on].attempts[(task, 1)]
+    site.workers[other].attempts[(task, 2)] = twin
+    site.run(0.5)
+    found = list_lines(caplog, "attempt found beside another", "worker", "others")
+    assert found == [(other, (runs_on,))]
+
+
+def test_a_lapse_tells_the_owners_epoch_and_how_old_its_directory_is(caplog):
+    caplog.set_level(logging.INFO)
+    site, _ = make_running_site(inherited=True)
+    ((runs_on, _, _),) = site.list_running()
+    site.cell.directory_synced_at = site.now
+    site.workers[runs_on].unreachable = True
+    site.run(7.0)
+    ((epoch, unread),) = list_lines(caplog, "lease lapsed", "epoch", "unread_s")
+    assert epoch == 1
+    assert 6.0 < unread < 7.0
+
+
+def test_tasks_withheld_for_a_silent_worker_are_logged_when_let_go(caplog):
+    caplog.set_level(logging.INFO)
+    site, _ = make_running_site(inherited=True)
+    ((runs_on, _, _),) = site.list_running()
+    site.workers[runs_on].unreachable = True
+    site.run(1.0)
+    site.take_over(list(site.records.values()))
+    site.run(8.0)
+    lines = list_lines(caplog, "withheld tasks let go", "worker", "tasks", "cause")
+    assert lines == [(runs_on, 1, "silent")]
