Answer requests that a stopping instance can't finish, instead of closing on them

Cause: the drain waits 1.5 s for requests in progress and closes their connections then. While the log is silent, a query waits up to 2.8 s for the owner and the log, so all that came later than 1.3 s after the signal were cut off. The two bounds never knew of each other.

Change: after four fifths of the drain's time the server answers what is left with 504, as it may have been carried out, and writes 'requests given up'. The drain has 2.0 s, so that requests have as long as before.

The test fails before: 'no answer to / within 5 s'.

--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -10,7 +10,7 @@
 
 from ..core.ids import Seconds
 from ..core.log_events import write_event
-from ..fleet.log_events import HandlerFailed, RequestRejected
+from ..fleet.log_events import HandlerFailed, RequestRejected, RequestsGivenUp
 
 logger = logging.getLogger(__name__)
 
@@ -18,6 +18,8 @@
 BODY_BYTES_MAX = 1 << 20
 HEADER_BYTES_MAX = 16384
 PIPELINED_REQUESTS_MAX = 16
+# share of a drain's time after which requests still in progress are answered anyway
+DRAIN_WAIT_RATIO = 0.8
 # of these, no value is picked if there are several
 UNIQUE_HEADERS = frozenset({"authorization"})
 REASONS = {
@@ -27,6 +29,7 @@
     410: "Gone",
     429: "Too Many Requests",
     503: "Service Unavailable",
+    504: "Gateway Timeout",
 }
 
 
@@ -137,6 +140,22 @@
         if self._transport is not None:
             self._transport.close()
 
+    def give_up(self) -> int:
+        """Answer the requests that were read and have no answer; return their number.
+
+        They may have been carried out.
+        """
+        unanswered, self._queue = len(self._queue), []
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        if unanswered and self._transport is not None:
+            last = HttpReply(status=504).encode(keep_alive=False)
+            others = HttpReply(status=504).encode(keep_alive=True)
+            self._transport.write(others * (unanswered - 1) + last)
+        self.close()
+        return unanswered
+
     async def _serve(self) -> None:
         while self._queue:
             request, keep_alive = self._queue[0]
@@ -207,15 +226,24 @@
     async def drain(self, *, timeout: Seconds) -> None:
         """Stop listening, close idle connections and wait for requests in progress.
 
-        A request is in progress until its whole answer has left the process.
+        A request is in progress until its whole answer has left the process. One that
+        takes too long is answered with status 504: its caller must not find the
+        connection closed.
         """
         self.draining = True
         if self._server is not None:
             self._server.close()
-        deadline = asyncio.get_running_loop().time() + timeout
+        started = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             if not connection.busy:
                 connection.close()
+        await self._wait_until_closed(started + DRAIN_WAIT_RATIO * timeout)
+        unanswered = sum(connection.give_up() for connection in list(self.connections))
+        if unanswered:
+            write_event(logger, RequestsGivenUp(requests=unanswered))
+        await self._wait_until_closed(started + timeout)
+
+    async def _wait_until_closed(self, deadline: float) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout_at(deadline):
                 while self.connections:
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -63,7 +63,7 @@
 # balancer notices
 DRAIN_SECONDS = Seconds(2.5)
 METRICS_CONTENT_TYPE = ("Content-Type", "text/plain; version=0.0.4")
-CLOSE_TIMEOUT_SECONDS = Seconds(1.5)
+CLOSE_TIMEOUT_SECONDS = Seconds(2.0)
 # the log may be silent; together they must not take longer than the drain
 FLUSH_TIMEOUT_SECONDS = Seconds(1.5)
 LEAVE_TIMEOUT_SECONDS = Seconds(1.0)
--- a/plantainhinge/fleet/log_events.py
+++ b/plantainhinge/fleet/log_events.py
@@ -118,6 +118,19 @@
     cause: str
 
 
+@log_event("requests given up", level=logging.WARNING)
+class RequestsGivenUp(LogEvent, frozen=True, kw_only=True):
+    """A server that stops answers requests that it can't finish with status 504.
+
+    Parameters
+    ----------
+    requests : int
+        Their number.
+    """
+
+    requests: int
+
+
 @log_event("request rejected")
 class RequestRejected(LogEvent, frozen=True, kw_only=True):
     """Data received on a connection is not a valid request; the connection is closed.
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -116,6 +116,26 @@
     assert asyncio.run(asyncio.wait_for(run(), 10.0)) == 0
 
 
+# callers were cut off when an instance stopped while the log was silent
+def test_a_draining_server_answers_requests_that_it_can_no_longer_finish():
+    async def wait_for_the_log(request):
+        await asyncio.sleep(30.0)
+        return HttpReply(status=200)
+
+    async def run():
+        server = HttpServer(find_free_address(), wait_for_the_log)
+        await server.start()
+        client = HttpClient(server.address)
+        calls = [asyncio.create_task(client.call(post("/"), timeout=5)) for _ in "ab"]
+        await asyncio.sleep(0.1)
+        await server.drain(timeout=0.5)
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        client.close()
+        return [getattr(result, "status", result) for result in results]
+
+    assert asyncio.run(run()) == [504, 504]
+
+
 def test_a_draining_server_finishes_requests_in_progress():
     async def scenario(server, client):
         slow = asyncio.create_task(client.call(post("/slow"), timeout=2))
