--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -44,6 +44,7 @@
     LOG_AGE = "plantainhinge.log.age"
     DIGEST_AGE = "plantainhinge.admission.digest.age"
     EPOCH = "plantainhinge.cell.epoch"
+    CONFIRMATION_AGE = "plantainhinge.cell.confirmation.age"
     OPEN_JOBS = "plantainhinge.cell.jobs"
     WAITING_TASKS = "plantainhinge.cell.waiting"
     RUNNING_ATTEMPTS = "plantainhinge.cell.attempts"
--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -28,6 +28,7 @@
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
+from .confirmation import Confirmation
 from .job_view import JobView
 from .load_report import LoadReports
 from .logged_jobs import open_logged_job
@@ -77,8 +78,8 @@
         Called with the reason when a worker or the log has seen a higher epoch, or
         when a loop fails.
     check_ownership : callable
-        Called after a pause of the process, during which another instance may have
-        taken over.
+        Reads who owns the cell and drops it if that is another instance; returns
+        whether the log answered that it is this one.
     """
 
     log: KeyedLog
@@ -88,7 +89,7 @@
     terms: LeaseTerms
     operator: OperatorView
     report_fenced: Callable[[str], None]
-    check_ownership: Callable[[], Coroutine[Any, Any, None]]
+    check_ownership: Callable[[], Coroutine[Any, Any, bool]]
     metrics: Metrics = field(default_factory=NullMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
@@ -99,7 +100,8 @@
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        self.progress = ProgressLog(self.log)
+        self.confirmation = Confirmation(self.check_ownership)
+        self.progress = ProgressLog(self.log, self.confirmation.note)
         self._reports = LoadReports(self.metrics)
 
     async def take_over(self, epoch: Epoch) -> None:
@@ -108,6 +110,7 @@
         self._epoch = epoch
         cell = Cell(epoch, self.terms, started, find_record=self._find_record)
         tails = (self.view.job_tail, self.view.progress_tail, self.workers.tail)
+        self.confirmation.reset()
         await fence_and_load(self.log, self.progress, tails, epoch)
         if self._epoch != epoch:
             return
@@ -144,6 +147,7 @@
             count_report=self._reports.round_times.count_report,
         )
         self._spawn(self._poll_directory(cell, self._renewals))
+        self._spawn(self.confirmation.run(epoch, is_owner=lambda: self.cell is cell))
         for loop in (
             self._tail_jobs,
             self._flush,
@@ -232,7 +236,7 @@
             elapsed = Seconds(read_uptime() - decided_at)
             if elapsed > PROCESS_PAUSE_SECONDS:
                 write_event(logger, ProcessStoodStill(slept_s=elapsed))
-                await self.check_ownership()
+                await self.confirmation.request()
                 if self.cell is not cell:
                     return
             # the time of the check is no pause, but one during the round may be
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -305,6 +305,9 @@
             self.metrics.set(Level.CONFIGURATION_REVISION, configuration.revision)
         self.metrics.set(Level.CONFIGURATION_AGE, now - self.operator.tail.synced_at)
         self.metrics.set(Level.LOG_AGE, self._measure_log_silence())
+        if self.runner.cell is not None:
+            age = self.runner.confirmation.measure_age()
+            self.metrics.set(Level.CONFIRMATION_AGE, age)
         return HttpReply(
             status=200, body=self.metrics.render(), headers=(METRICS_CONTENT_TYPE,)
         )
@@ -327,11 +330,12 @@
     def _drop_ownership(self, reason: str) -> None:
         self.ownership.drop(reason)
 
-    async def _verify_ownership(self) -> None:
+    async def _verify_ownership(self) -> bool:
         try:
-            await self.ownership.verify()
+            return await self.ownership.verify()
         except PlantainhingeError as error:
             write_event(logger, OwnershipNotVerified(cause=str(error)))
+            return False
 
 
 async def keep_running(work: Callable[[], Awaitable[None]]) -> None:
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -123,11 +123,21 @@
                 write_event(logger, OwnerUnwatched(cause=str(error)))
                 await asyncio.sleep(JOIN_INTERVAL_SECONDS)
 
-    async def verify(self) -> None:
-        """Read the owner's record and drop the cell if it names another owner."""
+    async def verify(self) -> bool:
+        """Read the owner's record and drop the cell if it names another owner.
+
+        Returns
+        -------
+        bool
+            Whether this process owns the cell.
+        """
         owner, _ = await self._read_owner()
-        if self.epoch is not None and not self._is_mine(owner):
-            self.drop(f"epoch {owner.epoch if owner else 0} is newer")
+        if self.epoch is None:
+            return False
+        if self._is_mine(owner):
+            return True
+        self.drop(f"epoch {owner.epoch if owner else 0} is newer")
+        return False
 
     async def leave(self) -> None:
         """Leave the group and release the cell; errors are only logged.
--- a/plantainhinge/daemons/ownership_events.py
+++ b/plantainhinge/daemons/ownership_events.py
@@ -204,3 +204,35 @@
     """
 
     cause: str
+
+
+@log_event("ownership unconfirmed", level=logging.WARNING)
+class OwnershipUnconfirmed(LogEvent, frozen=True, kw_only=True):
+    """The log doesn't confirm that this process still owns the cell.
+
+    Parameters
+    ----------
+    epoch : int
+        The fencing token of this ownership.
+    age_s : float
+        Seconds since the newest confirmation.
+    """
+
+    epoch: Epoch
+    age_s: float
+
+
+@log_event("ownership confirmed")
+class OwnershipConfirmed(LogEvent, frozen=True, kw_only=True):
+    """The log confirms the ownership again.
+
+    Parameters
+    ----------
+    epoch : int
+        The fencing token of this ownership.
+    age_s : float
+        Seconds since the newest confirmation.
+    """
+
+    epoch: Epoch
+    age_s: float
--- a/plantainhinge/daemons/progress_log.py
+++ b/plantainhinge/daemons/progress_log.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from ..core.clock import read_uptime
 from ..core.errors import ConflictError, NotOwnerError, PlantainhingeError
 from ..core.ids import Epoch, JobId, Seconds
 from ..core.log_events import write_event
@@ -34,9 +35,17 @@
 
 @dataclass
 class ProgressLog:
-    """Appends progress under the current epoch, one append at a time."""
+    """Appends progress under the current epoch, one append at a time.
+
+    Parameters
+    ----------
+    on_accepted : callable
+        Called after each append that the log accepted, with ``read_uptime`` before it
+        was first sent. The log rejects those of an owner whose successor acts.
+    """
 
     log: KeyedLog
+    on_accepted: Callable[[Seconds], None] = lambda sent: None
     _epoch: Epoch = Epoch(0)
     _sequence: int = 0
     _append_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -52,7 +61,9 @@
         """
         self._epoch, self._sequence = epoch, 0
         self._handover.clear()
+        sent = read_uptime()
         await self.log.append(PROGRESS_TOPIC, [], fence=Fence(epoch, 0))
+        self.on_accepted(sent)
 
     async def write_flush(self, flush: Flush, *, is_owner: Callable[[], bool]) -> bool:
         """Write the progress of jobs, then the handover state; see ``write``.
@@ -110,6 +121,8 @@
         """
         async with self._append_lock:
             fence = Fence(self._epoch, self._sequence)
+            # an accepted repetition may only tell that the first append was accepted
+            sent = read_uptime()
             while is_owner():
                 try:
                     await self.log.append(PROGRESS_TOPIC, entries, fence=fence)
@@ -120,6 +133,7 @@
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._sequence += 1
+                self.on_accepted(sent)
                 return True
         return False
 
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -374,7 +374,8 @@
         self.round_seconds = round_seconds
         self.check_seconds = check_seconds
         runner._decide_once = self._decide_once
-        runner.check_ownership = self._check
+        runner.confirmation.run = self._confirm_nothing
+        runner.confirmation.check_ownership = self._check
 
     def _decide_once(self, cell):
         self.events.append("round")
@@ -384,6 +385,9 @@
         self.events.append("check")
         await asyncio.sleep(self.check_seconds)
 
+    async def _confirm_nothing(self, epoch, *, is_owner):
+        pass
+
     async def wait_for(self, event):
         """Wait for the next event of this kind; return all events up to it."""
         self.events.clear()
@@ -439,7 +443,7 @@
         async def check():
             runner.stop("replaced")
 
-        runner.check_ownership = check
+        runner.confirmation.check_ownership = check
         await runner.take_over(Epoch(1))
         await rounds.wait_for("round")
         rounds.events.clear()
