--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -373,6 +373,10 @@
         self.now += STEP_SECONDS
         for worker in self.workers.values():
             worker.advance(STEP_SECONDS)
+        self.act()
+
+    def act(self):
+        """Let the owner renew, decide, order and log once."""
         for row in list(self.cell.workers.values()):
             self._renew(row)
         self.cell.decide(now=self.now, wall=self.now)
