Bound what an owner may do since the log last confirmed it

Cause: nothing bounded an owner's right to act once the log no longer confirmed it. Cut off, it took the end of the leases that it had granted itself as proof that an attempt elsewhere had ended, though its successor had renewed them; and it renewed on its own side for as long as the cut lasted, so that the successor's wait for the longest lease of an earlier owner proved nothing.

Change: no lease ends later than its usual length after the last confirmation, so all that an earlier owner started has ended one lease after a takeover, which is what successors wait for already. The end of a lease releases an attempt only if the log has confirmed the ownership since. Attempts are started, repeated and moved only under a lease of a third of its length or more. While the log is away for all, starts go on for two thirds of a lease and running tasks for a whole one.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -145,6 +145,7 @@
             is_owner=lambda: self.cell is cell,
             wake=self.wake,
             count_report=self._reports.round_times.count_report,
+            read_confirmation=self.confirmation.read,
         )
         self._spawn(self._poll_directory(cell, self._renewals))
         self._spawn(self.confirmation.run(epoch, is_owner=lambda: self.cell is cell))
@@ -259,6 +260,7 @@
 
     def _decide_once(self, cell: Cell) -> None:
         now = read_monotonic()
+        cell.confirmed_at = self.confirmation.read()
         self._update_constraints(cell)
         cell.decide(now=now, wall=read_wall())
         self._reports.write_due(cell, now=now)
--- a/plantainhinge/daemons/renewals.py
+++ b/plantainhinge/daemons/renewals.py
@@ -37,6 +37,8 @@
         Triggers a round of decisions.
     count_report : callable
         Called with each report.
+    read_confirmation : callable
+        Returns the monotonic seconds at which the log last confirmed the ownership.
     """
 
     calls: WorkerCalls
@@ -44,6 +46,7 @@
     is_owner: Callable[[], bool]
     wake: Callable[[], None]
     count_report: Callable[[], None]
+    read_confirmation: Callable[[], float]
     _running: set[WorkerId] = field(default_factory=set)
     _pauses: dict[WorkerId, asyncio.Event] = field(default_factory=dict)
     _flushed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -85,6 +88,7 @@
     async def _renew(self, worker: Worker) -> bool:
         """Renew a worker's leases once; return whether it answered with a report."""
         sent = read_monotonic()
+        self.cell.confirmed_at = self.read_confirmation()
         renewal = self.cell.prepare_renewal(worker, now=sent)
         answer = await self.calls.renew(worker.entry, renewal)
         if not self.is_owner():
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -139,9 +139,11 @@
     def prepare_renewal(self, worker: Worker, *, now: float) -> Renewal:
         """Return the next renewal for a worker.
 
-        An unreachable worker gets no new lease, only a probe. Workers that run serving
-        beside best-effort tasks are polled more often, to throttle in time.
+        An unreachable worker gets no new lease, only a probe, and so does any worker
+        while the log doesn't confirm the ownership. Workers that run serving beside
+        best-effort tasks are polled more often, to throttle in time.
         """
+        length = self.compute_lease(now=now)
         at_once = not worker.reachable or worker.last_end_sequence > worker.acknowledged
         shared = worker.best_effort_millicores and worker.serving_millicores
         wait = SHARED_RENEWAL_WAIT_SECONDS_MAX if shared else RENEWAL_WAIT_SECONDS_MAX
@@ -149,8 +151,8 @@
             epoch=self.epoch,
             acknowledged=worker.acknowledged,
             wait=Seconds(0.0) if at_once else wait,
-            lease_end=grant_lease(worker, self.terms, now=now)
-            if worker.reachable
+            lease_end=grant_lease(worker, length, now=now)
+            if worker.reachable and length > 0
             else None,
         )
 
@@ -187,6 +189,8 @@
         if now >= self.tended_at + TEND_INTERVAL_SECONDS:
             self.tended_at = now
             self._tend_attempts(now=now)
+        if not self.may_start(now=now):
+            return
         assignment.place_waiting_tasks(self, now=now, wall=wall)
         copies.start_speculative_attempts(self, now=now)
 
@@ -195,6 +199,11 @@
         incarnations.release_expired(self, now=now)
         self._select_periods(now=now)
         ordering.resend_orders(self, now=now)
+        if self.may_start(now=now):
+            self._move_attempts(now=now)
+
+    def _move_attempts(self, *, now: float) -> None:
+        """Stop the attempts that should run elsewhere or again."""
         eviction.evict_from_draining(self, now=now)
         eviction.evict_stuck(self, now=now)
         if now >= self.moves_checked_at + MOVE_CHECK_INTERVAL_SECONDS:
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -154,9 +154,13 @@
 
 
 def release_expired(cell: SchedulingState, *, now: float) -> None:
-    """Release the attempts of unreachable workers whose leases have certainly ended."""
+    """Release the attempts of unreachable workers whose leases have certainly ended.
+
+    A later owner may have renewed them, unless the log has confirmed since that there
+    was none.
+    """
     for worker in cell.workers.values():
-        if worker.reachable or now < worker.latest_expiry:
+        if worker.reachable or min(now, cell.confirmed_at) < worker.latest_expiry:
             continue
         if worker.attempts:
             attempts = worker.attempts.values()
--- a/plantainhinge/dispatch/leases.py
+++ b/plantainhinge/dispatch/leases.py
@@ -13,6 +13,9 @@
 # slowest rate of a worker's clock, relative to the owner's clock
 SLOWEST_CLOCK_RATIO = 0.97
 MARGIN_SECONDS = 0.1
+# an attempt is started only under a lease of at least this share of its usual length:
+# a shorter one might end before the log confirms the owner again
+START_LEASE_RATIO_MIN = 1 / 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,11 +42,25 @@
     worker.reachable = True
 
 
-def grant_lease(worker: Worker, terms: LeaseTerms, *, now: float) -> Seconds:
+def compute_lease(terms: LeaseTerms, *, confirmed_at: float, now: float) -> Seconds:
+    """Return how many seconds a lease that is granted now may last.
+
+    A later owner waits for a full lease from its takeover on. So no lease of an owner
+    that was replaced meanwhile may end later than that.
+
+    Parameters
+    ----------
+    confirmed_at : float
+        Monotonic seconds at which there was no later owner yet.
+    """
+    return Seconds(max(0.0, terms.length - max(0.0, now - confirmed_at)))
+
+
+def grant_lease(worker: Worker, length: Seconds, *, now: float) -> Seconds:
     """Return the end of a lease granted now, on the worker's clock."""
     elapsed = now - worker.answered_at
-    lease_end = worker.clock + elapsed + terms.length
-    longest = (elapsed + terms.length) / SLOWEST_CLOCK_RATIO + MARGIN_SECONDS
+    lease_end = worker.clock + elapsed + length
+    longest = (elapsed + length) / SLOWEST_CLOCK_RATIO + MARGIN_SECONDS
     worker.latest_expiry = max(worker.latest_expiry, worker.answered_at + longest)
     return Seconds(lease_end)
 
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -31,7 +31,7 @@
         payload=attempt.task.step.job.record.spec.payload,
         checkpoint=attempt.task.checkpoint,
         epoch=cell.epoch,
-        lease_end=grant_lease(attempt.worker, cell.terms, now=now),
+        lease_end=grant_lease(attempt.worker, cell.compute_lease(now=now), now=now),
         ticket=attempt.task.step.tickets.get(attempt.worker.name, ("", 0.0))[0],
     )
     cell.commands.append(Start(attempt, order))
@@ -93,6 +93,8 @@
 
 
 def _repeat_start(cell: SchedulingState, attempt: Attempt, *, now: float) -> None:
+    if not cell.may_start(now=now):
+        return
     if may_run(cell, attempt.worker):
         write_event(logger, StartRepeated(about=describe_attempt(attempt)))
         send_start(cell, attempt, now=now)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -17,7 +17,7 @@
 from ..fleet.operator import Workspace
 from ..jobs.model import JobRecord, TaskKey
 from ..placement.quotas import QuotaUsage
-from .leases import LeaseTerms
+from .leases import START_LEASE_RATIO_MIN, LeaseTerms, compute_lease
 from .model import OpenJob, OpenStep, Task, Trial, Worker
 from .orders import Command
 from .outages import LossCause, Outage
@@ -43,6 +43,9 @@
         Durations of leases.
     started_at : float
         Monotonic seconds at which this ownership began.
+    confirmed_at : float
+        Monotonic seconds at which no later owner had taken over yet, by the newest
+        answer of the log.
     closed_domains : frozenset of DomainId
         Failure domains that take no new work.
     guarded_services : frozenset of ServiceId
@@ -156,11 +159,22 @@
     load: LoadMeter = field(default_factory=LoadMeter)
     retried_at: float = float("-inf")
     tended_at: float = float("-inf")
+    confirmed_at: float = field(init=False)
 
     def __post_init__(self) -> None:
+        self.confirmed_at = self.started_at
         first = self.epoch <= FIRST_EPOCH
         self.earlier_lease_max = self.terms.length if first else self.terms.length_max
 
+    def compute_lease(self, *, now: float) -> Seconds:
+        """Return how many seconds a lease that is granted now may last."""
+        return compute_lease(self.terms, confirmed_at=self.confirmed_at, now=now)
+
+    def may_start(self, *, now: float) -> bool:
+        """Return whether new attempts may be started, by what the log confirmed."""
+        length_min = START_LEASE_RATIO_MIN * self.terms.length
+        return self.compute_lease(now=now) >= length_min
+
     @property
     def recovering(self) -> bool:
         """Whether each inherited task may still run under an earlier owner."""
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -410,6 +410,8 @@
 
     def _flush(self):
         self.pending_flush = self.pending_flush or self.cell.take_flush(now=self.now)
+        if self.log_up:
+            self.cell.confirmed_at = self.now
         if self.pending_flush is None or not self.log_up:
             return
         flush, self.pending_flush = self.pending_flush, None
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -127,8 +127,9 @@
     """The owner that started the later one logged neither its start nor its end."""
     site, job, first = start_one_task(estimate=20.0)
     make_silent(site, first)
-    site.log_up = False
+    handover, log = site.handover, dict(site.log)
     site.run_until(lambda: site.count_starts() == 2)
+    site.log_up, site.handover, site.log = False, handover, log
     (other,) = (worker for name, worker in site.workers.items() if name != first)
     (attempt,) = other.attempts.values()
     attempt.time_left = 0.0
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -28,8 +28,8 @@
 DAEMONS = [
     "admission", "authentication", "cell_runner", "confirmation", "instance",
     "instance_peers", "job_lookup", "job_service", "job_view", "job_writer",
-    "load_report", "logged_jobs", "operator_view", "ownership", "progress_log", "renewals",
-    "round_times", "settings_watch", "tail", "takeover", "worker_orders",
+    "load_report", "logged_jobs", "operator_view", "ownership", "progress_log",
+    "renewals", "round_times", "settings_watch", "tail", "takeover", "worker_orders",
     "worker_view",
 ]  # fmt: skip
 MODULES = [
