--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -373,6 +373,10 @@
         self.now += STEP_SECONDS
         for worker in self.workers.values():
             worker.advance(STEP_SECONDS)
+        self.act()
+
+    def act(self):
+        """Let the owner renew, decide, order and log once."""
         for row in list(self.cell.workers.values()):
             self._renew(row)
         self.cell.decide(now=self.now, wall=self.now)
@@ -406,6 +410,8 @@
 
     def _flush(self):
         self.pending_flush = self.pending_flush or self.cell.take_flush(now=self.now)
+        if self.log_up:
+            self.cell.confirmed_at = self.now
         if self.pending_flush is None or not self.log_up:
             return
         flush, self.pending_flush = self.pending_flush, None
