Entries of another writer decide neither size nor content of the handover

What callers saw: with two large entries of another writer in the directory (182 kB each) no job completed; the log refused the handover with 413 and the append was repeated for ever, with the progress of all jobs in it. Also: with silent entries of another writer, a silent worker was no longer named to the successor, and inherited tasks waited for the longest lease.

Cause: the handover named every entry of the directory and copied it whole.

Change: the handover names the workers that may run attempts, those that have answered this owner, run attempts or may hold a lease; on others nothing was ever started. A worker that leaves the handover is closed to starts until a logged one names it again. With a handover read, a new owner takes no other worker for one that may run inherited attempts. Records are split by size; what an owner can do without is left out of the main one. An entry beyond a worker's size names no worker. The stand-in store and the keyed log of the tests keep the limits of a record and of a call.

test_progress_is_logged_and_handed_over_on_a_site_of_any_size now has workers that answer: silent ones of which nothing is known are no longer handed over. It still demands all 4,000 of them.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -32,8 +32,8 @@
 def prepare_handover(cell: SchedulingState, *, now: float) -> Handover | None:
     """Return the handover to log, or None if none is due.
 
-    The workers that it names as silent are closed to new attempts from here on, since
-    the record may reach the log at any time.
+    The workers that it names as silent or not at all are closed to new attempts from
+    here on, since the record may reach the log at any time.
     """
     if not cell.workers or now < cell.handover_checked_at + CHECK_INTERVAL_SECONDS:
         return None
@@ -41,12 +41,11 @@
     if not _is_due(cell, now=now):
         return None
     cell.handover_written_at = now
+    for worker in cell.workers.values():
+        if not _may_run_attempts(worker, now=now):
+            worker.handover = HandoverMark.MISSING
     return Handover(
-        workers=tuple(
-            worker.entry
-            for worker in cell.workers.values()
-            if worker.listed or now < worker.latest_expiry
-        ),
+        workers=tuple(worker.entry for worker in _list_named_workers(cell, now=now)),
         pairs=tuple(
             PairWeight(serving, best_effort, round(estimate.weight, WEIGHT_DIGITS))
             for (serving, best_effort), estimate in cell.weights.estimates.items()
@@ -67,6 +66,26 @@
     )
 
 
+def _may_run_attempts(worker: Worker, *, now: float) -> bool:
+    """Return whether a worker may run attempts, now or before the next handover.
+
+    The directory has other writers. Nothing was ever started on a worker that has never
+    answered, unless an earlier owner knew it.
+    """
+    has_answered = worker.answered_at > float("-inf")
+    return (
+        (worker.listed and has_answered)
+        or now < worker.latest_expiry
+        or bool(worker.attempts)
+    )
+
+
+def _list_named_workers(cell: SchedulingState, *, now: float) -> list[Worker]:
+    return [
+        worker for worker in cell.workers.values() if _may_run_attempts(worker, now=now)
+    ]
+
+
 def _compute_longest_lease(cell: SchedulingState, *, now: float) -> Seconds:
     """Return the longest lease that may still be valid, whichever owner granted it."""
     if now >= cell.earlier_leases_end:
@@ -77,15 +96,17 @@
 def _is_due(cell: SchedulingState, *, now: float) -> bool:
     """Return whether to write a handover.
 
-    One is due every ``HANDOVER_INTERVAL_SECONDS``, at once when there is a new worker,
+    One is due every ``HANDOVER_INTERVAL_SECONDS``, at once when a new worker answers,
     since nothing is started on it before, and soon after a worker falls silent or
     answers again.
     """
     elapsed = now - cell.handover_written_at
     if elapsed >= HANDOVER_INTERVAL_SECONDS:
         return True
-    marks = {worker.handover for worker in cell.workers.values()}
-    if HandoverMark.MISSING in marks:
+    if any(
+        worker.handover is HandoverMark.MISSING and _may_run_attempts(worker, now=now)
+        for worker in cell.workers.values()
+    ):
         return True
     return elapsed >= SILENCE_INTERVAL_SECONDS and _is_silence_misnamed(cell, now=now)
 
@@ -106,15 +127,16 @@
     There are none if they are most of all, or run so much, that the owner itself is
     probably cut off: it must not close them until the log answers.
     """
+    named = _list_named_workers(cell, now=now)
     silent = [
         worker
-        for worker in cell.workers.values()
+        for worker in named
         if not worker.reachable
         and worker.name not in cell.unverified_workers
         and now - worker.unreachable_since > SILENT_SECONDS
     ]
     total = sum(len(worker.attempts) for worker in silent)
-    is_cut_off = len(silent) > SILENT_SHARE_MAX * len(cell.workers)
+    is_cut_off = len(silent) > SILENT_SHARE_MAX * len(named)
     return [] if is_cut_off or total > SILENT_TASKS_MAX else silent
 
 
@@ -167,6 +189,7 @@
     one may have started more there without logging a handover.
     """
     cell.clock_offset = Seconds(wall - now)
+    cell.is_handover_known = handover.epoch > 0
     if handover.lease_seconds:
         cell.earlier_lease_max = Seconds(handover.lease_seconds)
     cell.earlier_leases_end = now + compute_duration_max(cell.earlier_lease_max)
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -35,7 +35,8 @@
 ) -> None:
     """Update the workers from the directory.
 
-    With ``inherited``, new workers may run attempts of an earlier owner.
+    With ``inherited``, new workers may run attempts of an earlier owner, unless it left
+    a handover, which names all of these.
     """
     listed = set()
     for entry in entries:
@@ -45,7 +46,7 @@
             worker = Worker(entry, entry.incarnation, warm_at=now + entry.warming)
             worker.unreachable_since = worker.listed_at = now
             cell.workers[entry.worker] = worker
-            if inherited:
+            if inherited and not cell.is_handover_known:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
                 cell.unverified_workers.add(entry.worker)
             _log_listed(cell, worker)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -78,6 +78,9 @@
         Monotonic seconds at which the record for the next owner was last written.
     handover_checked_at : float
         Monotonic seconds of the last check whether to write it.
+    is_handover_known : bool
+        Whether an earlier owner's handover was read. It names all workers that may run
+        attempts of earlier owners.
     moves_checked_at : float
         Monotonic seconds of the last check for throttled attempts to move.
     long_running_arrived_at : float
@@ -138,6 +141,7 @@
     ended_jobs: set[JobId] = field(default_factory=set)
     handover_written_at: float = float("-inf")
     handover_checked_at: float = float("-inf")
+    is_handover_known: bool = False
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
     long_running_arrived_at: float = float("-inf")
--- a/plantainhinge/fleet/handover.py
+++ b/plantainhinge/fleet/handover.py
@@ -13,6 +13,16 @@
 HANDOVER_KEY = "handover"
 # workers in one record, of which a site with more has several
 WORKERS_PER_RECORD_MAX = 500
+# of the arrays around the workers of a record
+PART_HEADER_BYTES = 8
+# what is left out of a record that is too large, by steps. An owner can learn loads and
+# weights again; it treats a worker that isn't named as silent like one that is unknown.
+DROPPED_FIELDS: tuple[dict[str, tuple[()]], ...] = (
+    {},
+    {"loads": ()},
+    {"loads": (), "pairs": ()},
+    {"loads": (), "pairs": (), "silent": ()},
+)
 
 
 class PairWeight(msgspec.Struct, frozen=True, array_like=True):
@@ -78,7 +88,7 @@
     ----------
     workers : tuple of WorkerEntry
         Workers that may run attempts, including those that are no longer listed in the
-        directory.
+        directory. On any other worker, nothing was ever started or its lease has ended.
     pairs : tuple of PairWeight
         Interference weights learned so far, by pairs of images.
     lease_seconds : float
@@ -114,15 +124,21 @@
     The workers of a large site are spread over several records by a hash of their
     names, so that a change of one worker changes one record. What an owner can learn
     again is left out if the record would be too large otherwise.
+
+    Parameters
+    ----------
+    record_bytes_max : int
+        Largest value of a record. No value is larger, whatever the workers' entries
+        contain, as long as a single entry fits.
     """
     records: dict[str, bytes] = {}
-    if len(handover.workers) > WORKERS_PER_RECORD_MAX:
-        parts = _spread_workers(handover.workers)
-        for index, workers in enumerate(parts):
-            value = msgspec.msgpack.encode(WorkersPart(tuple(workers)))
-            records[f"{HANDOVER_KEY}-{index}"] = value
+    is_large = len(handover.workers) > WORKERS_PER_RECORD_MAX
+    if is_large or len(msgspec.msgpack.encode(handover)) > record_bytes_max:
+        parts = _spread_workers(handover.workers, bytes_max=record_bytes_max)
+        for index, rows in enumerate(parts):
+            records[f"{HANDOVER_KEY}-{index}"] = msgspec.msgpack.encode([rows])
         handover = msgspec.structs.replace(handover, workers=(), parts=len(parts))
-    for dropped in ({}, {"loads": ()}, {"loads": (), "pairs": ()}):
+    for dropped in DROPPED_FIELDS:
         value = msgspec.msgpack.encode(msgspec.structs.replace(handover, **dropped))
         if len(value) <= record_bytes_max:
             break
@@ -130,15 +146,33 @@
     return records
 
 
-def _spread_workers(workers: tuple[WorkerEntry, ...]) -> list[list[WorkerEntry]]:
-    """Spread workers over records, with room for twice as many as there are.
+def _spread_workers(
+    workers: tuple[WorkerEntry, ...], *, bytes_max: int
+) -> list[list[msgspec.Raw]]:
+    """Spread encoded workers over records, with room for twice as many as there are.
 
-    The number of records is a power of two, so that it seldom changes.
+    The number of records is a power of two, so that it seldom changes. Workers that
+    don't fit into theirs go into further ones.
     """
     wanted = 2 * len(workers) // WORKERS_PER_RECORD_MAX
-    parts: list[list[WorkerEntry]] = [[] for _ in range(1 << wanted.bit_length())]
+    parts: list[list[msgspec.Raw]] = [[] for _ in range(1 << wanted.bit_length())]
+    sizes = [PART_HEADER_BYTES] * len(parts)
+    surplus = []
     for entry in workers:
-        parts[zlib.crc32(entry.worker.encode()) % len(parts)].append(entry)
+        row = msgspec.msgpack.encode(entry)
+        index = zlib.crc32(entry.worker.encode()) % len(parts)
+        if sizes[index] + len(row) > bytes_max:
+            surplus.append(row)
+            continue
+        parts[index].append(msgspec.Raw(row))
+        sizes[index] += len(row)
+    size = bytes_max
+    for row in surplus:
+        if size + len(row) > bytes_max:
+            parts.append([])
+            size = PART_HEADER_BYTES
+        parts[-1].append(msgspec.Raw(row))
+        size += len(row)
     return parts
 
 
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -55,6 +55,14 @@
 GAUGE_COLUMN = 4
 
 PORT_MAX = 65535
+# of an entry and what it contains, as other writers share the directory; a worker's id,
+# service and labels take some ten bytes each
+ENTRY_BYTES_MAX = 16_384
+NAME_BYTES_MAX = 128
+LABELS_MAX = 16
+ADDRESS_CHARACTERS_MAX = len("255.255.255.255:65535")
+# of a log line, since it repeats what an entry contains
+CAUSE_CHARACTERS_MAX = 200
 # an id is sent in a header, which holds no spaces, control or non-ASCII characters
 WORKER_ID_PATTERN = re.compile(r"[!-~]+")
 
@@ -112,11 +120,16 @@
     """Decode a worker's directory entry; None if it is invalid.
 
     Other writers share the topic, so an invalid entry is logged and ignored. So is one
-    whose key can't be sent or whose address can't be called, as no call could reach it.
+    whose key can't be sent or whose address can't be called, as no call could reach it,
+    and one that is larger than any worker's.
     """
     try:
         _check_worker_id(key)
+        _check_size("entry", len(value), ENTRY_BYTES_MAX)
         entry = msgspec.json.decode(value, type=_Entry)
+        _check_size("labels", len(entry.labels), LABELS_MAX)
+        for name in (key, entry.service, entry.domain, *entry.labels):
+            _check_size("name", len(name.encode()), NAME_BYTES_MAX)
         capacity = entry.capacity
         return WorkerEntry(
             worker=WorkerId(key),
@@ -131,10 +144,16 @@
             warming=entry.warming_ms / 1000,
         )
     except (*DECODING_ERRORS, KeyError, ValueError) as error:
-        write_event(logger, EntryIgnored(key=key, cause=str(error)))
+        cause = str(error)[:CAUSE_CHARACTERS_MAX]
+        write_event(logger, EntryIgnored(key=key, cause=cause))
         return None
 
 
+def _check_size(name: str, size: int, size_max: int) -> None:
+    if size > size_max:
+        raise ValueError(f"{name} of size {size}; at most {size_max}")
+
+
 def _check_worker_id(key: str) -> None:
     if not WORKER_ID_PATTERN.fullmatch(key):
         raise ValueError(f"{key!r} is no worker id, which is printable ASCII")
@@ -142,6 +161,7 @@
 
 def _check_address(address: str) -> str:
     """Return an address if it has the form ``host:port`` with an IPv4 host."""
+    _check_size("address", len(address), ADDRESS_CHARACTERS_MAX)
     host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
     if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= PORT_MAX:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -19,6 +19,8 @@
 PAGE_HEADER = struct.Struct(">QQ")
 RECENT_APPENDS_MAX = 5
 PAGE_ITEMS_MAX = 500
+RECORD_BYTES_MAX = 262_144
+APPEND_BYTES_MAX = 2_097_152
 READ_POLL_SECONDS = 0.002
 
 
@@ -54,6 +56,8 @@
         Whether every call is refused with status 503.
     lost_responses : int
         Number of appends that still take effect without a response.
+    record_bytes_max, append_bytes_max : int
+        Largest record and append; larger ones are refused with status 413.
     """
 
     address: str
@@ -62,6 +66,8 @@
     topics: dict[str, Topic] = field(default_factory=dict)
     members: dict[str, float] = field(default_factory=dict)
     generation: int = 0
+    record_bytes_max: int = RECORD_BYTES_MAX
+    append_bytes_max: int = APPEND_BYTES_MAX
 
     async def start(self) -> None:
         """Start listening."""
@@ -103,6 +109,10 @@
     async def _append(self, query: dict[str, str], body: bytes) -> HttpReply:
         topic = self._get_topic(query["topic"])
         records = split_records(body)
+        sizes = [len(record) for record in records]
+        is_too_large = max(sizes, default=0) > self.record_bytes_max
+        if is_too_large or sum(sizes) > self.append_bytes_max:
+            return build_json_reply({}, 413)
         end = len(topic.records)
         if "at" in query and int(query["at"]) != end:
             return build_json_reply({"endOffset": end}, 412)
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -9,6 +9,7 @@
 from plantainhinge.core.errors import (
     ConflictError,
     NotOwnerError,
+    TooLargeError,
     TrimmedError,
     UnavailableError,
     UncertainError,
@@ -52,7 +53,7 @@
         sizes = [len(entry.key) + 1 + len(entry.value) for entry in entries]
         too_large = max(sizes, default=0) > self.record_bytes_max
         if too_large or sum(sizes) > self.append_bytes_max:
-            raise UnavailableError("status 400", step="log.append")
+            raise TooLargeError("status 413", step="log.append")
         fault = self.append_faults.pop(0) if self.append_faults else None
         if fault == "refuse":
             raise UnavailableError("refused", step="log.append")
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 from collections import Counter
+from contextlib import suppress
 
 import msgspec
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from plantainhinge.core.ids import Epoch, JobId, QueueName
 from plantainhinge.daemons import cell_runner
@@ -18,7 +20,12 @@
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.dispatch import polling
 from plantainhinge.dispatch.cell import Flush
-from plantainhinge.fleet.handover import Handover
+from plantainhinge.fleet.handover import (
+    Handover,
+    HandoverRecords,
+    SilentWorker,
+    encode_handover,
+)
 from plantainhinge.fleet.model import (
     OrderOutcome,
     OrderResponse,
@@ -58,6 +65,17 @@
         pass
 
 
+class IdleWorkers:
+    """A fake of calls to workers that run nothing and all answer."""
+
+    async def renew(self, entry, renewal):
+        await asyncio.sleep(0)
+        return WorkerReport(clock=0.0, incarnation=1, running=(), ended=())
+
+    def close_connections(self, entry):
+        pass
+
+
 def make_runner(log, lost=None):
     async def check():
         return None
@@ -471,20 +489,73 @@
         make_large_directory(log, 4000)
         runner = make_runner(log)
         runner.workers = WorkerView(log, "workers", decode_worker)
-        runner.calls = SilentWorkers()
+        runner.calls = IdleWorkers()
         await accept(log, make_job("a"))
         await runner.take_over(Epoch(1))
+        while not all(worker.reachable for worker in runner.cell.workers.values()):
+            await asyncio.sleep(0.01)
         cancel(runner, "a")
         async with asyncio.timeout(2.0):
             await runner.flush()
-        runner.stop("test")
-        successor = JobView(log)
-        await successor.progress_tail.catch_up()
-        return successor.table.rows["a"].state.value, len(successor.handover.workers)
+        return await read_successor(runner)
 
     assert asyncio.run(scenario()) == ("cancelled", 4000)
 
 
+async def read_successor(runner):
+    """Return what the log tells the next owner: the job's state, a count of workers."""
+    runner.stop("test")
+    successor = JobView(runner.log)
+    await successor.progress_tail.catch_up()
+    row = successor.table.rows.get("a")
+    return row and row.state.value, len(successor.handover.workers)
+
+
+# the handover copied such entries; past the log's limit no progress was logged any more
+@pytest.mark.parametrize(
+    ("count", "labels"), [(2, 3500), (600, 2)], ids=["large", "many"]
+)
+def test_entries_of_another_writer_hold_up_no_progress(count, labels):
+    async def scenario():
+        log = MemoryKeyedLog()
+        entry = make_entry("", labels=("x" * 50,) * labels)
+        for index in range(count):
+            odd = msgspec.structs.replace(entry, worker=f"odd{index}")
+            log.topics["workers"].append(Entry(odd.worker, msgspec.msgpack.encode(odd)))
+        runner = make_runner(log)
+        runner.workers = WorkerView(log, "workers", decode_worker)
+        runner.calls = SilentWorkers()
+        await accept(log, make_job("a"))
+        await runner.take_over(Epoch(1))
+        cancel(runner, "a")
+        with suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await runner.flush()
+        return await read_successor(runner)
+
+    assert asyncio.run(scenario()) == ("cancelled", 0)
+
+
+@settings(max_examples=30)
+@given(
+    st.lists(st.tuples(st.integers(1, 120), st.integers(0, 60)), max_size=40),
+    st.integers(600, 3000),
+)
+def test_no_record_of_a_handover_is_too_large_whatever_its_entries(sizes, bytes_max):
+    workers = tuple(
+        make_entry(f"w{index}-" + "x" * name, labels=("y",) * labels)
+        for index, (name, labels) in enumerate(sizes)
+    )
+    silent = tuple(SilentWorker(entry.worker, ()) for entry in workers)
+    handover = Handover(workers=workers, silent=silent)
+    records = encode_handover(handover, record_bytes_max=bytes_max)
+    assert max(map(len, records.values())) <= bytes_max
+    known = HandoverRecords()
+    for key, value in records.items():
+        known.apply(key, value)
+    assert sorted(known.combine().workers, key=repr) == sorted(workers, key=repr)
+
+
 def make_progress(job, tasks, checkpoint):
     rows = {index: TaskProgress(1, checkpoint=checkpoint) for index in range(tasks)}
     return Progress(
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -55,6 +55,54 @@
     assert not list_started_jobs(site, "w3") & may_run
 
 
+def add_silent_entries(site, count):
+    """Add another writer's entries to the directory, at which nobody answers."""
+    for index in range(count):
+        add_worker(site, f"odd{index}")
+        site.workers[f"odd{index}"].unreachable = True
+
+
+def test_silent_entries_of_another_writer_hide_no_silent_worker_from_a_successor():
+    site, jobs = fill_site()
+    add_silent_entries(site, 5)
+    make_silent(site, "w1")
+    assert {row.worker for row in site.handover.silent} == {"w1"}
+    assert {entry.worker for entry in site.handover.workers} == {"w1", "w2"}
+    add_worker(site, "w3")
+    site.take_over(jobs)
+    site.run(0.5)
+    assert len(list_started_jobs(site, "w3")) == 8
+
+
+def test_silent_entries_of_another_writer_delay_no_inherited_task():
+    site, jobs = fill_site()
+    add_silent_entries(site, 5)
+    add_worker(site, "w3")
+    site.take_over(jobs)
+    site.run(0.5)
+    assert len(list_started_jobs(site, "w3")) == 8
+
+
+def test_workers_that_left_the_handover_get_no_start_before_they_are_in_it_again():
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
+    site.run(0.3)
+    for worker in site.workers.values():
+        worker.unreachable = True
+    site.cell.update_workers([], now=site.now)
+    site.run(LEASE_SECONDS_MAX + 4)
+    assert not site.handover.workers
+    site.log_up = False
+    for worker in site.workers.values():
+        worker.unreachable = False
+    site.update_workers()
+    site.submit(make_job("j"))
+    site.run(1)
+    assert site.count_starts() == 0
+    site.log_up = True
+    site.run(0.5)
+    assert site.count_starts() == 1
+
+
 def test_a_handover_of_an_owner_before_the_last_one_says_nothing_of_silent_workers():
     """The owner in between may have started more there without logging a handover."""
     site, jobs = fill_site()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,13 +13,14 @@
     HttpCall,
     HttpResponse,
 )
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
 from plantainhinge.core.errors import (
     BadInputError,
     ConflictError,
     CorruptRecordError,
     NotOwnerError,
     PlantainhingeError,
+    TooLargeError,
     TrimmedError,
     UnavailableError,
     UncertainError,
@@ -39,6 +40,7 @@
 from plantainhinge.platform import ingress, operator, store, workers
 from plantainhinge.platform.settings import read_platform_settings
 from standins.addresses import find_free_address
+from standins.platform_store import StandInStore
 
 ENTRY = {
     "coldLeftMs": 1500,
@@ -117,6 +119,26 @@
     assert workers.decode_entry("i-1", encode(ENTRY | change)) is None
 
 
+# another writer's entry decides neither the size of our records nor of our log lines
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
+        ("w" * 129, {}),
+        ("i-1", {"service": "s" * 129}),
+        ("i-1", {"zone": "\u4e2d" * 50}),
+        ("i-1", {"labels": ["x"] * 17}),
+        ("i-1", {"labels": ["x" * 129]}),
+        ("i-1", {"other": "x" * 20_000}),
+        ("i-1", {"state": "x" * 10_000}),
+        ("i-1", {"addr": "x" * 10_000 + ":80"}),
+        ("i-1", {"addr": "10.0.0.1:" + "0" * 400 + "80"}),
+    ],
+)
+def test_an_entry_larger_than_any_of_a_worker_names_none(key, change, caplog):
+    assert workers.decode_entry(key, encode(ENTRY | change)) is None
+    assert all(len(record.cause) <= 200 for record in caplog.records)
+
+
 # a call to such a worker raised an error, which ended the whole ownership
 @pytest.mark.parametrize(
     "key", ["", "w-\ufffd", "w 1", "w\r\nX-Other: y", "w-\u4e2d", "\x00", "w\x7f"]
@@ -411,6 +433,7 @@
         (409, b'{"reason":"fenced"}', NotOwnerError),
         (409, b'{"reason":"seq"}', ConflictError),
         (410, b'{"startOffset":9}', TrimmedError),
+        (413, b"", TooLargeError),
         (500, b"\xff", PlantainhingeError),
     ],
 )
@@ -487,3 +510,18 @@
         return found
 
     assert asyncio.run(scenario()) == open_
+
+
+@pytest.mark.parametrize(
+    ("sizes", "status"),
+    [((90,), 200), ((91,), 413), ((90, 90), 200), ((90, 90, 1), 413)],
+)
+def test_the_stand_in_store_keeps_the_limits_of_a_record_and_of_a_call(sizes, status):
+    stand_in = StandInStore("h:1", record_bytes_max=100, append_bytes_max=200)
+    entries = [Entry("k" * 9, b"x" * size) for size in sizes]
+    body = b"".join(store._encode_record(entry) for entry in entries)
+    path = "/-/log-append?topic=keyed.jobs&part=0"
+    call = HttpRequest(method="POST", path=path, headers={}, body=body)
+    reply = asyncio.run(stand_in.handle(call))
+    kept = len(stand_in.topics["keyed.jobs"].records)
+    assert (reply.status, kept) == (status, len(sizes) if status == 200 else 0)
