A record that the log refuses for its size holds up no other

What callers saw: no progress of any job after one append that the log refused with 413; it was repeated each 0.2 s for ever. A job whose progress was too large was left out, but its ends were acknowledged, so that a new owner ran its tasks again.

Cause: ProgressLog repeated every refusal, and all records of a flush went in one append whose refusal said nothing of the single record.

Change: TooLargeError isn't repeated. The records of a refused append are sent by halves until the refused one is alone; it is logged once and not sent again as it is. A refused handover opens no worker and is built anew after 3 s. A job whose progress is refused ends as failed, and the ends of that flush are acknowledged only once the log says so. Status 507 (the store is full) may change and counts as unavailable: it is tried again.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -288,22 +288,25 @@
             flush = cell.take_flush(now=read_monotonic())
             if flush is None:
                 return
-            if not await self._write_flush(cell, flush):
+            logged = await self._write_flush(cell, flush)
+            if logged is None:
                 return
-            for progress in flush.progress:
+            for progress in logged.progress:
                 self.view.table.apply(progress)
-            cell.confirm_flush(flush)
+            cell.confirm_flush(logged)
+            if logged != flush:
+                cell.handle_refusal(flush, logged, now=read_monotonic())
         if self._renewals is not None:
             self._renewals.note_flush()
 
-    async def _write_flush(self, cell: Cell, flush: Flush) -> bool:
+    async def _write_flush(self, cell: Cell, flush: Flush) -> Flush | None:
         try:
             return await self.progress.write_flush(
                 flush, is_owner=lambda: self.cell is cell
             )
         except (NotOwnerError, ConflictError) as error:
             self.report_fenced(str(error))
-            return False
+            return None
 
     async def _request_advice(self, cell: Cell) -> None:
         """Request advice for one step at a time, as the advice service requires."""
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -123,9 +123,9 @@
 
 @log_event("progress too large", level=logging.ERROR)
 class ProgressTooLarge(LogEvent, frozen=True, kw_only=True):
-    """A job's progress is larger than the log's limit and was left out.
+    """A job's progress is larger than the log's limit; the job ends as failed.
 
-    The next owner starts the job's tasks again that ended since its last progress.
+    A later owner could not go on with it.
 
     Parameters
     ----------
@@ -139,6 +139,29 @@
     size_bytes: int
 
 
+@log_event("record refused", level=logging.ERROR)
+class RecordRefused(LogEvent, frozen=True, kw_only=True):
+    """The log refuses a record of the owner for its size; it isn't sent again as it is.
+
+    A job whose progress is refused ends as failed, since a later owner could not go on
+    with it. A refused handover is built anew after 3 s; workers that only it names get
+    no starts.
+
+    Parameters
+    ----------
+    record : str
+        Id of a job, or ``handover``.
+    size_bytes : int
+        Size of the record or, of a handover, of its changed records.
+    cause : str
+        The error with its step and peer.
+    """
+
+    record: str
+    size_bytes: int
+    cause: str
+
+
 @log_event("progress not logged", level=logging.WARNING)
 class ProgressNotLogged(LogEvent, frozen=True, kw_only=True):
     """The log didn't confirm an append of progress; it is repeated.
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -136,6 +136,27 @@
             if worker is not None and worker.incarnation == incarnation:
                 worker.acknowledged = max(worker.acknowledged, sequence)
 
+    def handle_refusal(self, flush: Flush, logged: Flush, *, now: float) -> None:
+        """Handle records of a flush that the log will never take as they are.
+
+        A job without logged progress could run again under a later owner, so it ends.
+        Its ends wait with all others of the flush for the next one, which says so.
+        """
+        if flush.handover is not None and logged.handover is None:
+            self.handover_refused = True
+        kept = {progress.job for progress in logged.progress}
+        refused = [each.job for each in flush.progress if each.job not in kept]
+        if not refused:
+            return
+        for job_id in refused:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                tasks.end_job(self, job, JobState.FAILED, now=now)
+        for name, _, _ in flush.ends:
+            if name in self.workers:
+                self.unacknowledged[name] = self.workers[name]
+        self.unlogged_trials.extend(flush.trials)
+
     def prepare_renewal(self, worker: Worker, *, now: float) -> Renewal:
         """Return the next renewal for a worker.
 
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -98,11 +98,13 @@
 
     One is due every ``HANDOVER_INTERVAL_SECONDS``, at once when a new worker answers,
     since nothing is started on it before, and soon after a worker falls silent or
-    answers again.
+    answers again. After one that the log refused, the next may well be refused too.
     """
     elapsed = now - cell.handover_written_at
     if elapsed >= HANDOVER_INTERVAL_SECONDS:
         return True
+    if cell.handover_refused:
+        return False
     if any(
         worker.handover is HandoverMark.MISSING and _may_run_attempts(worker, now=now)
         for worker in cell.workers.values()
@@ -172,6 +174,7 @@
 
 def confirm_handover(cell: SchedulingState, handover: Handover) -> None:
     """Allow starts on the workers that a logged handover doesn't name as silent."""
+    cell.handover_refused = False
     silent = {row.worker for row in handover.silent}
     for entry in handover.workers:
         worker = cell.workers.get(entry.worker)
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -78,6 +78,8 @@
         Monotonic seconds at which the record for the next owner was last written.
     handover_checked_at : float
         Monotonic seconds of the last check whether to write it.
+    handover_refused : bool
+        Whether the log refused the last handover for its size.
     is_handover_known : bool
         Whether an earlier owner's handover was read. It names all workers that may run
         attempts of earlier owners.
@@ -141,6 +143,7 @@
     ended_jobs: set[JobId] = field(default_factory=set)
     handover_written_at: float = float("-inf")
     handover_checked_at: float = float("-inf")
+    handover_refused: bool = False
     is_handover_known: bool = False
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -94,6 +94,9 @@
             If the log has seen a higher epoch than that of ``fence``.
         UnavailableError
             If nothing was appended.
+        TooLargeError
+            If a record or the append is too large. Nothing was appended, and a repeated
+            call is refused too.
         UncertainError
             If the entries may have been appended or may still be appended later.
         """
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -37,7 +37,8 @@
     413: TooLargeError,
     429: RateLimitedError,
     503: UnavailableError,
-    507: TooLargeError,
+    # the store is full, which changes once old records have expired
+    507: UnavailableError,
 }
 # stands for bytes of a key that aren't UTF-8
 UNREADABLE_CHARACTER = "\ufffd"
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -4,11 +4,13 @@
 import time
 from collections import Counter
 from contextlib import suppress
+from dataclasses import replace
 
 import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from plantainhinge.core.errors import TooLargeError
 from plantainhinge.core.ids import Epoch, JobId, QueueName
 from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import DIRECTORY_INTERVAL_SECONDS, CellRunner
@@ -19,14 +21,19 @@
 from plantainhinge.daemons.renewals import Renewals
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.dispatch import polling
+from plantainhinge.dispatch.bindings import bind_attempt
 from plantainhinge.dispatch.cell import Flush
+from plantainhinge.dispatch.model import Attempt, AttemptPhase
 from plantainhinge.fleet.handover import (
+    HANDOVER_KEY,
     Handover,
     HandoverRecords,
     SilentWorker,
     encode_handover,
 )
 from plantainhinge.fleet.model import (
+    EndCause,
+    EndedAttempt,
     OrderOutcome,
     OrderResponse,
     WorkerEntry,
@@ -47,7 +54,7 @@
 )
 
 from .keyed_log import MemoryKeyedLog
-from .simulated_cell import TERMS, make_entry, make_job, make_step
+from .simulated_cell import TERMS, SimulatedCell, make_entry, make_job, make_step
 
 
 class NoWorkers:
@@ -100,6 +107,8 @@
 def read_states(log):
     states = {}
     for entry in log.topics[PROGRESS_TOPIC]:
+        if entry.key.startswith(HANDOVER_KEY):
+            continue
         record = decode_record(entry.key, entry.value)
         states[record.job] = record.state.value
     return states
@@ -586,6 +595,92 @@
     assert asyncio.run(scenario()) == logged
 
 
+class RefusingLog(MemoryKeyedLog):
+    """A log that refuses some keys as too large; it notes the keys of each append."""
+
+    def __init__(self, *refused):
+        super().__init__()
+        self.refused = set(refused)
+        self.attempts = []
+
+    async def append(self, topic, entries, **options):
+        keys = [entry.key for entry in entries]
+        if topic == PROGRESS_TOPIC:
+            self.attempts.append(keys)
+            if self.refused.intersection(keys):
+                raise TooLargeError("status 413", step="log.append")
+        return await super().append(topic, entries, **options)
+
+
+def test_a_refused_record_holds_up_no_other_and_is_not_sent_again():
+    async def scenario():
+        log = RefusingLog("pb", "handover")
+        progress = ProgressLog(log)
+        await progress.begin_epoch(Epoch(1))
+        records = tuple(make_progress(job, 1, "x") for job in "abcd")
+        handover = Handover(workers=(make_entry("w1"),))
+        flush = Flush(records, (("w1", 1, 5),), handover)
+        logged = await progress.write_flush(flush, is_owner=lambda: True)
+        again = Flush((), (("w1", 1, 5),), handover)
+        sent = len(log.attempts)
+        repeated = await progress.write_flush(again, is_owner=lambda: True)
+        return log, logged, repeated, len(log.attempts) - sent
+
+    log, logged, repeated, sent_again = asyncio.run(scenario())
+    assert [entry.key for entry in log.topics[PROGRESS_TOPIC]] == ["pa", "pc", "pd"]
+    assert [each.job for each in logged.progress] == ["a", "c", "d"]
+    assert (logged.handover, logged.ends) == (None, ())
+    assert (repeated.handover, repeated.ends) == (None, (("w1", 1, 5),))
+    assert sent_again == 0
+
+
+# its ends were acknowledged, so that a new owner ran its tasks again
+def test_ends_wait_for_the_end_of_a_job_whose_progress_is_refused():
+    async def scenario():
+        log = RefusingLog("pa")
+        runner = make_runner(log)
+        await accept(log, make_job("a", make_step(count=2)), make_job("b"))
+        await runner.take_over(Epoch(1))
+        cell = runner.cell
+        cell.update_workers([make_entry("w1")], now=0.0)
+        worker = cell.workers["w1"]
+        for sequence, (job, index) in enumerate((("b", 0), ("a", 0)), start=1):
+            task = cell.jobs[JobId(job)].occurrences[0][0].tasks[index]
+            bind_attempt(Attempt(task, 1, worker, AttemptPhase.RUNNING, 0.0, 0.0))
+            end = EndedAttempt(sequence, task.key, 1, EndCause.DONE, "")
+            report = WorkerReport(clock=0.0, incarnation=1, running=(), ended=(end,))
+            cell.handle_report(worker, report, sent=0.0, now=0.0)
+        await runner.flush()
+        before = worker.acknowledged, read_states(log)
+        log.refused.clear()
+        await runner.flush()
+        runner.stop("test")
+        return before, (worker.acknowledged, read_states(log))
+
+    before, after = asyncio.run(scenario())
+    assert before == (0, {"b": "completed"})
+    assert after == (2, {"a": "failed", "b": "completed"})
+
+
+def test_a_worker_gets_no_start_while_the_log_refuses_the_handover_that_names_it():
+    site = SimulatedCell(make_entry("w1"))
+    site.submit(make_job("a"))
+    taken = 0
+    for _ in range(40):
+        site.log_up = False
+        site.run(0.05)
+        flush, site.pending_flush = site.pending_flush, None
+        if flush is not None and flush.handover is not None:
+            taken += 1
+            logged = replace(flush, handover=None)
+            site.cell.confirm_flush(logged)
+            site.cell.handle_refusal(flush, logged, now=site.now)
+    assert (site.count_starts(), taken) == (0, 1)
+    site.log_up = True
+    site.run(4)
+    assert site.count_starts() == 1
+
+
 def test_only_changed_records_of_a_large_handover_are_written_again():
     async def scenario():
         log = MemoryKeyedLog()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -434,6 +434,7 @@
         (409, b'{"reason":"seq"}', ConflictError),
         (410, b'{"startOffset":9}', TrimmedError),
         (413, b"", TooLargeError),
+        (507, b"", UnavailableError),
         (500, b"\xff", PlantainhingeError),
     ],
 )
