Progress of each accepted job fits into a record of the log

What callers saw: a job whose progress was larger than a record was left out of the log, while its ends were acknowledged: a new owner ran its tasks again. A malformed value in a worker's report (a number beyond 64 bits, a checkpoint that is no string) went into the progress, which then could not be written or read.

Cause: the size of a record followed the number of tasks, their losses and checkpoints of any length, and, for a recurring job with an unfinished first occurrence, the number of those finished since.

Change: a record that is too large is compressed, then loses its checkpoints, then all that is known of single unfinished tasks, except the highest attempt number. A job that no record can hold is refused with 400 instead of 503. A checkpoint of more than 1,024 characters isn't kept; rows of reports are checked by type.

--- a/plantainhinge/daemons/job_writer.py
+++ b/plantainhinge/daemons/job_writer.py
@@ -47,10 +47,17 @@
         """Append a record, with retries; repeating an append is harmless.
 
         REFUSED means that no append can have taken effect, UNCERTAIN that one may have
-        or may yet do so.
+        or may yet do so, MALFORMED that the log can't hold the record at all.
         """
         deadline = read_monotonic() + timeout - ANSWER_MARGIN_SECONDS
         entry = Entry(build_key(record), encode_record(record))
+        if entry.size > self.log.record_bytes_max:
+            return CallOutcome.MALFORMED
+        return await self._write_entry(record, entry, deadline)
+
+    async def _write_entry(
+        self, record: Record, entry: Entry, deadline: float
+    ) -> CallOutcome:
         uncertain = False
         for _ in range(APPEND_TRIES_MAX):
             try:
--- a/plantainhinge/jobs/records.py
+++ b/plantainhinge/jobs/records.py
@@ -4,6 +4,7 @@
 that a repeated write of one never overwrites another.
 """
 
+import zlib
 from enum import Enum
 
 import msgspec
@@ -14,6 +15,9 @@
 from .model import JobRecord, JobState
 
 DECODE_STEP = "jobs.decode"
+# no record begins with this byte unless it is compressed
+ZLIB_HEADER = b"\x78"
+DECOMPRESSED_BYTES_MAX = 16 * 1024 * 1024
 
 
 class RecordKind(Enum):
@@ -106,6 +110,9 @@
     ----------
     finished_below : int
         All occurrences with a lower number are finished.
+    earlier_attempts : int
+        Number that any unfinished task's last attempt may have had; 0 if the tasks'
+        own say it.
     """
 
     job: JobId
@@ -113,6 +120,7 @@
     state: JobState
     finished_below: int = 0
     occurrences: dict[int, OccurrenceProgress] = {}
+    earlier_attempts: int = 0
 
 
 class Cancellation(msgspec.Struct, frozen=True, kw_only=True):
@@ -160,8 +168,10 @@
         job than the key.
     """
     try:
+        if value.startswith(ZLIB_HEADER):
+            value = _decompress(value)
         record: Record = _DECODERS[RecordKind(key[:1])].decode(value)
-    except (ValueError, *DECODING_ERRORS) as error:
+    except (ValueError, zlib.error, *DECODING_ERRORS) as error:
         raise CorruptRecordError(
             f"record {key!r}: {error}", step=DECODE_STEP
         ) from error
@@ -172,6 +182,14 @@
     return record
 
 
+def _decompress(value: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(value, DECOMPRESSED_BYTES_MAX)
+    if not decompressor.eof:
+        raise ValueError("a compressed record is cut short or too large")
+    return content
+
+
 def drop_checkpoints(progress: Progress) -> Progress:
     """Return a job's progress without checkpoints, which take up most of its size."""
     return msgspec.structs.replace(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,7 +33,13 @@
     decode_handover,
     encode_handover,
 )
-from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
+from plantainhinge.fleet.model import (
+    OrderOutcome,
+    OrderResponse,
+    Renewal,
+    StopOrder,
+    WorkerReport,
+)
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
 from plantainhinge.jobs.records import RecordKind, decode_record
@@ -465,6 +471,51 @@
     assert answer.clock == 1.5
 
 
+RUNNING = ["0123456789abcdef.0.0.0", 1, "", 40]
+ENDED = [1, "0123456789abcdef.0.0.0", 1, "done", ""]
+
+
+def read_report(running, ended):
+    """Return a worker client's outcome of a renewal, or the report."""
+    body = encode({"clockMs": 1, "running": [running], "ended": [ended], "born": 1})
+
+    class Answering:
+        async def call(self, *args, **kwargs):
+            return HttpResponse(200, {}, body)
+
+    client = workers.PlatformWorkerClient()
+    entry = workers.decode_entry("i-1", encode(ENTRY))
+    client._clients[entry.address] = Answering()
+    renewal = Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None)
+    answer = asyncio.run(client.renew(entry, renewal))
+    return answer if isinstance(answer, WorkerReport) else answer.outcome
+
+
+# such values went into progress, which then couldn't be written or read any more
+@pytest.mark.parametrize("value", [2**64, -1, "1", None, [], {}, 1e300])
+@pytest.mark.parametrize("column", ["running", "ended", "sequence", "checkpoint"])
+def test_a_report_with_a_value_that_no_progress_can_hold_is_malformed(column, value):
+    running, ended = list(RUNNING), list(ENDED)
+    match column:
+        case "running":
+            running[1] = value
+        case "ended":
+            ended[2] = value
+        case "sequence":
+            ended[0] = value
+        case "checkpoint":
+            running[2] = 5 if isinstance(value, str) else value
+    assert read_report(running, ended) is OrderOutcome.UNKNOWN
+
+
+def test_a_checkpoint_that_is_too_long_to_keep_counts_as_none():
+    report = read_report(
+        [*RUNNING[:2], "x" * 1025, 40.5, 3.5], [*ENDED[:4], "y" * 1024]
+    )
+    assert report.running[0].checkpoint == ""
+    assert report.ended[0].checkpoint == "y" * 1024
+
+
 @given(JSON_VALUES)
 def test_a_malformed_report_raises_only_what_the_caller_handles(value):
     try:
