Silent entries of another writer cost little and count for nothing

What callers saw: nothing yet at 3,000 silent entries; by reading, each was called each 0.3 s for ever, and they made looks at idle workers rarer (one in 10 s at 3,000 entries), lifted the number of workers from which a loss counts as shared, and added their capacity to that of the site.

Change: calls to workers that have never answered, once they are listed for five seconds and may run nothing, are limited to 100 a second in all.

--- a/plantainhinge/daemons/renewals.py
+++ b/plantainhinge/daemons/renewals.py
@@ -18,7 +18,6 @@
 
 # the first failed renewal is retried almost at once, as one message may have been lost
 FIRST_RETRY_SECONDS = Seconds(0.02)
-RETRY_SECONDS = Seconds(0.3)
 # how long a worker's next renewal waits for the flush that acknowledges its ended
 # attempts
 FLUSH_WAIT_SECONDS = Seconds(0.25)
@@ -73,8 +72,8 @@
                 self._handle_failure(worker, NO_ANSWER)
                 is_answered = False
             if not is_answered:
-                pause = FIRST_RETRY_SECONDS if was_reachable else RETRY_SECONDS
-                await asyncio.sleep(pause)
+                retry = self.cell.plan_retry(worker, now=read_monotonic())
+                await asyncio.sleep(FIRST_RETRY_SECONDS if was_reachable else retry)
         if self.is_owner():
             self._running.discard(worker.name)
             self.calls.close_connections(worker.entry)
