--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -56,6 +56,8 @@
         Resources of the attempts bound to workers, by workspace.
     find_record : callable
         Returns the record of a job that isn't open any more, or None.
+    answering_workers : int
+        Number of workers that answered when the directory was last read.
     directory_synced_at : float
         Monotonic seconds; all directory entries written before it are known.
     fenced : bool
@@ -81,6 +83,11 @@
         Monotonic seconds at which the record for the next owner was last written.
     handover_checked_at : float
         Monotonic seconds of the last check whether to write it.
+    handover_refused : bool
+        Whether the log refused the last handover for its size.
+    is_handover_known : bool
+        Whether an earlier owner's handover was read. It names all workers that may run
+        attempts of earlier owners.
     moves_checked_at : float
         Monotonic seconds of the last check for throttled attempts to move.
     long_running_arrived_at : float
@@ -129,6 +136,7 @@
     workspaces: Mapping[WorkspaceId, Workspace] = field(default_factory=dict)
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
     find_record: Callable[[JobId], JobRecord | None] = lambda job: None
+    answering_workers: int = 0
     directory_synced_at: float = float("inf")
     fenced: bool = False
     weights: ImageWeights = field(default_factory=ImageWeights)
@@ -141,6 +149,8 @@
     ended_jobs: set[JobId] = field(default_factory=set)
     handover_written_at: float = float("-inf")
     handover_checked_at: float = float("-inf")
+    handover_refused: bool = False
+    is_handover_known: bool = False
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
     long_running_arrived_at: float = float("-inf")
