Soak: cuts of whole failure domains, series of short losses, owners paused or back while cut

Cause: all instances shared one proxy before each worker and none stood before peers, so an owner whose failure domain is cut from the log and from the other domains couldn't be played. Faults of 15 s ended with the first fault that set a shared proxy back to normal. The stand-in worker always told a progress of 50%, so that tasks of over 3 s were stopped as stuck.

Change: each instance has a front of the store that gives it addresses of proxies of its own before workers and peers, and takes them back in what it writes. A proxy keeps the modes of faults that overlap. Four new faults, jobs of 5 to 15 s, and progress as measured. A reset behind a proxy arrives as a reset.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,8 @@
     seconds: float
     cause: str
     excluded: tuple[str, ...] = ()
+    instances: int = 3
+    workers: int = 6
 
 
 def main() -> int:
@@ -56,7 +58,13 @@
     if options.regressions:
         rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
         return [
-            RunPlan(seed=row.seed, seconds=row.seconds, excluded=row.excluded)
+            RunPlan(
+                seed=row.seed,
+                seconds=row.seconds,
+                excluded=row.excluded,
+                instances=row.instances,
+                workers=row.workers,
+            )
             for row in rows
         ]
     seeds = options.seed or [random.randrange(1 << 31) for _ in range(options.seeds)]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,12 @@
 POLL_INTERVAL_SECONDS = 0.4
 SUBMIT_TRIES_MAX = 8
 REFUSED_STATUSES = frozenset({429, 503})
+# shares of jobs whose tasks run until they are cancelled, and of those that may run for
+# as long as the longest cut
+LASTING_SHARE = 0.1
+LONG_SHARE = 0.15
+LONG_SECONDS = (5.0, 15.0)
+DEADLY_SECONDS = 0.5
 STATUS_OK = 200
 STATUS_GONE = 410
 
@@ -70,6 +76,7 @@
         """Submit a job whose first task crashes each worker that starts it."""
         job = self._generate_job()
         job.long_running, job.deadly = False, True
+        job.seconds = DEADLY_SECONDS
         await self._submit(job)
 
     async def _follow(self, job: ObservedJob, *, until: float) -> None:
@@ -95,8 +102,7 @@
                 step["longRunning"] = True
             if index > 0:
                 step["dependsOn"] = [index - 1]
-        seconds = 0 if job.long_running else round(self.rng.uniform(0.1, 1.5), 2)
-        payload = f"{seconds}{DEADLY}" if job.deadly else str(seconds)
+        payload = f"{job.seconds}{DEADLY}" if job.deadly else str(job.seconds)
         body = json.dumps({"spec": payload, "steps": steps}).encode()
         for _ in range(SUBMIT_TRIES_MAX):
             response = await self._call("POST", job.job, body)
@@ -136,8 +142,16 @@
         self._submitted += 1
         name = f"{self.number:08x}{self._submitted:08x}"
         steps = [self.rng.randint(1, 4) for _ in range(self.rng.randint(1, 3))]
-        long_running = self.rng.random() < 0.1
-        job = ObservedJob(name, steps[:1] if long_running else steps, long_running)
+        seconds = round(self.rng.uniform(0.1, 1.5), 2)
+        kind = self.rng.random()
+        if kind < LASTING_SHARE:
+            job = ObservedJob(name, steps[:1], long_running=True)
+        elif kind < LASTING_SHARE + LONG_SHARE:
+            steps = steps[:2]
+            seconds = round(self.rng.uniform(*LONG_SECONDS) / len(steps), 2)
+            job = ObservedJob(name, steps, seconds=seconds)
+        else:
+            job = ObservedJob(name, steps, seconds=seconds)
         self.site.observations.jobs[name] = job
         return job
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,8 +6,13 @@
 import asyncio
 import random
 import signal
-from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from contextlib import (
+    AbstractAsyncContextManager,
+    ExitStack,
+    asynccontextmanager,
+    contextmanager,
+)
 from dataclasses import dataclass
 
 from plantainhinge.core.registry import Registry
@@ -18,6 +23,29 @@
 
 Fault = Callable[["FaultContext"], AbstractAsyncContextManager[None]]
 FAULTS: Registry[Fault] = Registry("fault")
+# seconds for which a fault lasts
+SECONDS = (0.3, 5.0)
+LONG_SECONDS = {
+    "a failure domain is cut off": (2.0, 15.0),
+    "the log is lost for short times": (5.0, 15.0),
+    "the owner pauses past its lease": (4.5, 9.0),
+    "the owner is killed and back while cut off": (2.0, 15.0),
+}
+DISTURBANCES = (
+    ProxyMode.NORMAL,
+    ProxyMode.BLOCKED,
+    ProxyMode.NO_RESPONSES,
+    ProxyMode.SLOW,
+)
+BLOCKING_MODES = (ProxyMode.BLOCKED, ProxyMode.NO_REQUESTS, ProxyMode.NO_RESPONSES)
+# modes of the paths that leave a failure domain, with that of the paths that enter it
+OPPOSITES = {
+    ProxyMode.BLOCKED: ProxyMode.BLOCKED,
+    ProxyMode.NO_REQUESTS: ProxyMode.NO_RESPONSES,
+    ProxyMode.NO_RESPONSES: ProxyMode.NO_REQUESTS,
+}
+# half of the cuts are both ways
+CUT_MODES = (ProxyMode.BLOCKED, *BLOCKING_MODES)
 # numbers of callers from here on submit one deadly job each
 DEADLY_CALLER = 1 << 20
 
@@ -42,6 +70,10 @@
             return owner
         return self.rng.choice(list(self.site.instances.values()))
 
+    def choose_owner(self) -> SoakInstance:
+        """Return the owner, or any instance if there is none."""
+        return self.site.find_owner() or self.choose_instance()
+
     def choose_worker(self) -> str:
         """Return the name of a random worker."""
         return self.rng.choice(sorted(self.site.workers))
@@ -51,7 +83,11 @@
         proxies = [self.site.worker_proxies[name] for name in sorted(self.site.workers)]
         for instance in self.site.instances.values():
             proxies += [instance.callers, instance.log]
-        return proxies
+        return [*proxies, *self.site.paths.values()]
+
+    def list_log_proxies(self) -> list[Proxy]:
+        """Return the proxies between all instances and the log."""
+        return [instance.log for instance in self.site.instances.values()]
 
 
 @FAULTS.register("the log refuses all")
@@ -76,12 +112,8 @@
 @asynccontextmanager
 async def block_log(context: FaultContext) -> AsyncIterator[None]:
     """Block the connections of all instances to the log."""
-    proxies = [instance.log for instance in context.site.instances.values()]
-    for proxy in proxies:
-        proxy.set_mode(ProxyMode.BLOCKED)
-    yield
-    for proxy in proxies:
-        proxy.set_mode(ProxyMode.NORMAL)
+    with _impose(context.list_log_proxies(), ProxyMode.BLOCKED):
+        yield
 
 
 @FAULTS.register("an instance is cut from the log")
@@ -240,20 +272,88 @@
         if site.workers[name].domain == domain
     ]
     proxies.append(context.choose_instance().callers)
-    for proxy in proxies:
-        proxy.set_mode(ProxyMode.NO_RESPONSES)
+    with _impose(proxies, ProxyMode.NO_RESPONSES):
+        yield
+
+
+@FAULTS.register("a failure domain is cut off")
+@asynccontextmanager
+async def cut_domain(context: FaultContext) -> AsyncIterator[None]:
+    """Cut a failure domain from the log, and from peers and workers elsewhere."""
+    with _cut(context, context.choose_instance().domain):
+        yield
+
+
+@FAULTS.register("the log is lost for short times")
+@asynccontextmanager
+async def lose_log_repeatedly(context: FaultContext) -> AsyncIterator[None]:
+    """Cut all instances from the log for a moment, every few seconds."""
+    losing = asyncio.create_task(_lose_log_repeatedly(context))
+    yield
+    losing.cancel()
+
+
+@FAULTS.register("the owner pauses past its lease")
+@asynccontextmanager
+async def pause_owner(context: FaultContext) -> AsyncIterator[None]:
+    """Suspend the owner for longer than the leases that it has granted."""
+    owner = context.choose_owner()
+    context.site.signal(owner, signal.SIGSTOP)
     yield
-    for proxy in proxies:
-        proxy.set_mode(ProxyMode.NORMAL)
+    context.site.signal(owner, signal.SIGCONT)
+
+
+@FAULTS.register("the owner is killed and back while cut off")
+@asynccontextmanager
+async def restart_cut_owner(context: FaultContext) -> AsyncIterator[None]:
+    """Kill the owner and start it again while its failure domain is cut off."""
+    owner = context.choose_owner()
+    with _cut(context, owner.domain):
+        await context.site.restart(owner, signal.SIGKILL)
+        yield
+
+
+async def _lose_log_repeatedly(context: FaultContext) -> None:
+    rng = context.rng
+    while True:
+        with _impose(context.list_log_proxies(), rng.choice(BLOCKING_MODES)):
+            await asyncio.sleep(rng.uniform(0.2, 0.6))
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+
+
+@contextmanager
+def _cut(context: FaultContext, domain: str) -> Iterator[None]:
+    """Cut what crosses the border of a failure domain, both ways or one way."""
+    mode, site = context.rng.choice(CUT_MODES), context.site
+    domains = {name: instance.domain for name, instance in site.instances.items()}
+    domains |= {name: worker.domain for name, worker in site.workers.items()}
+    leaving, entering = [], []
+    for instance in site.instances.values():
+        if instance.domain == domain:
+            leaving.append(instance.log)
+    for (source, target), path in site.paths.items():
+        if domains[source] == domain != domains[target]:
+            leaving.append(path)
+        elif domains[target] == domain != domains[source]:
+            entering.append(path)
+    with _impose(leaving, mode), _impose(entering, OPPOSITES[mode]):
+        yield
+
+
+@contextmanager
+def _impose(proxies: Iterable[Proxy], mode: ProxyMode) -> Iterator[None]:
+    with ExitStack() as stack:
+        for proxy in proxies:
+            stack.enter_context(proxy.impose(mode))
+        yield
 
 
 @asynccontextmanager
 async def _disturb(context: FaultContext, proxy: Proxy) -> AsyncIterator[None]:
-    mode = context.rng.choice([*ProxyMode])
+    mode = context.rng.choice(DISTURBANCES)
     if mode is ProxyMode.NORMAL:
         proxy.reset()
-    proxy.set_mode(mode)
-    yield
-    proxy.set_mode(ProxyMode.NORMAL)
+    with proxy.impose(mode):
+        yield
     if context.rng.random() < 0.3:
         proxy.reset()
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -30,6 +30,8 @@
     ----------
     steps : list of int
         Number of tasks in each step; each step depends on the one before it.
+    seconds : float
+        Duration of each task; 0 if it runs until the job is cancelled.
     long_running : bool
         Whether the tasks run until the job is cancelled.
     submit_results : list of SubmitResult
@@ -44,6 +46,7 @@
 
     job: str
     steps: list[int]
+    seconds: float = 0.0
     long_running: bool = False
     submit_results: list[SubmitResult] = field(default_factory=list)
     accepted_at: float | None = None
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,7 +1,8 @@
 """Loopback proxy that can delay, block and reset the connections through it."""
 
 import asyncio
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -14,10 +15,15 @@
 
     NORMAL = "clear"
     BLOCKED = "silent"
+    NO_REQUESTS = "no-requests"
     NO_RESPONSES = "no-answers"
     SLOW = "slow"
 
 
+REQUEST_BLOCKING = frozenset({ProxyMode.BLOCKED, ProxyMode.NO_REQUESTS})
+RESPONSE_BLOCKING = frozenset({ProxyMode.BLOCKED, ProxyMode.NO_RESPONSES})
+
+
 @dataclass
 class Proxy:
     """Forwards connections from one address to another.
@@ -34,26 +40,28 @@
 
     listen: str
     upstream: str
-    mode: ProxyMode = ProxyMode.NORMAL
     delay: float = 0.2
     refusing: bool = False
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    _unblocked: asyncio.Event = field(default_factory=asyncio.Event)
+    _modes: list[ProxyMode] = field(default_factory=list)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Start listening."""
-        self._unblocked.set()
         host, _, port = self.listen.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
-    def set_mode(self, mode: ProxyMode) -> None:
-        """Change the mode, also for connections that are open."""
-        self.mode = mode
-        if mode in (ProxyMode.BLOCKED, ProxyMode.NO_RESPONSES):
-            self._unblocked.clear()
-        else:
-            self._unblocked.set()
+    @contextmanager
+    def impose(self, mode: ProxyMode) -> Iterator[None]:
+        """Treat traffic by a mode, beside those of other faults, until the exit."""
+        self._modes.append(mode)
+        try:
+            yield
+        finally:
+            self._modes.remove(mode)
+            self._changed.set()
+            self._changed = asyncio.Event()
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -73,8 +81,7 @@
         if self.refusing:
             writer.transport.abort()
             return
-        if self.mode is ProxyMode.BLOCKED:
-            await self._unblocked.wait()
+        await self._wait_unblocked(REQUEST_BLOCKING)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 upstream_reader, upstream_writer = await asyncio.open_connection(
@@ -86,10 +93,8 @@
         self._writers |= {writer, upstream_writer}
         try:
             await asyncio.gather(
-                self._forward(reader, upstream_writer, {ProxyMode.BLOCKED}),
-                self._forward(
-                    upstream_reader, writer, {ProxyMode.BLOCKED, ProxyMode.NO_RESPONSES}
-                ),
+                self._forward(reader, upstream_writer, REQUEST_BLOCKING),
+                self._forward(upstream_reader, writer, RESPONSE_BLOCKING),
             )
         finally:
             self._writers -= {writer, upstream_writer}
@@ -98,15 +103,21 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        blocking_modes: set[ProxyMode],
+        blocking_modes: frozenset[ProxyMode],
     ) -> None:
-        with suppress(OSError):
+        try:
             while chunk := await reader.read(CHUNK_BYTES):
-                while self.mode in blocking_modes:
-                    await self._unblocked.wait()
-                if self.mode is ProxyMode.SLOW:
+                await self._wait_unblocked(blocking_modes)
+                if ProxyMode.SLOW in self._modes:
                     await asyncio.sleep(self.delay)
                 writer.write(chunk)
                 await writer.drain()
+        except OSError:
+            # the other side learns of a reset as such
+            writer.transport.abort()
         with suppress(OSError, RuntimeError):
             writer.close()
+
+    async def _wait_unblocked(self, blocking_modes: frozenset[ProxyMode]) -> None:
+        while not blocking_modes.isdisjoint(self._modes):
+            await self._changed.wait()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from .callers import Caller
-from .faults import FAULTS, FaultContext
+from .faults import FAULTS, LONG_SECONDS, SECONDS, FaultContext
 from .invariants import Violation, check_invariants, find_unfinished
 from .observations import read_time
 from .site import SoakSite, open_site
@@ -119,9 +119,8 @@
             name = rng.choice(names)
             for _ in range(rng.choice([1, 1, 1, 2, 3])):
                 injected.append(f"{read_time() - started_at:.1f} s {name}")
-                group.create_task(
-                    _run_fault(site, rng, name, rng.uniform(0.3, 5.0), until)
-                )
+                seconds = rng.uniform(*LONG_SECONDS.get(name, SECONDS))
+                group.create_task(_run_fault(site, rng, name, seconds, until))
                 await asyncio.sleep(rng.uniform(0.1, 1.5))
             await asyncio.sleep(rng.uniform(0.0, 3.0))
     return injected
--- a/soak/site.py
+++ b/soak/site.py
@@ -18,6 +18,7 @@
 from standins.platform_store import StandInStore
 from standins.supervisor import ignore_reload_signals, send_signal
 
+from .fronts import StoreFront
 from .observations import Observations
 from .proxy import Proxy
 from .workers import SoakWorker
@@ -47,8 +48,11 @@
     """
 
     name: str
+    domain: str
     callers: Proxy
     log: Proxy
+    front: StoreFront
+    control_address: str
     ready_address: str
     settings: Path
     output: Path
@@ -66,6 +70,8 @@
     ----------
     folder : Path
         Directory of the settings and log files.
+    paths : dict of tuple of str and str to Proxy
+        The proxy between each instance and each worker and peer, by their names.
     """
 
     folder: Path
@@ -73,6 +79,7 @@
     instances: dict[str, SoakInstance] = field(default_factory=dict)
     workers: dict[str, SoakWorker] = field(default_factory=dict)
     worker_proxies: dict[str, Proxy] = field(default_factory=dict)
+    paths: dict[tuple[str, str], Proxy] = field(default_factory=dict)
     config_version: int = 0
     unexpected_exits: list[str] = field(default_factory=list)
     _crashes: "set[asyncio.Task[None]]" = field(default_factory=set)
@@ -240,14 +247,15 @@
 
     async def _add_instance(self, name: str, domain: str) -> None:
         callers = Proxy(listen=find_free_address(), upstream=find_free_address())
-        log = Proxy(listen=find_free_address(), upstream=self.store.address)
-        ready = find_free_address()
+        front = StoreFront(find_free_address(), self.store)
+        log = Proxy(listen=find_free_address(), upstream=front.address)
+        ready, control = find_free_address(), find_free_address()
         settings = {
             "instance": name,
             "domain": domain,
             "callers_address": callers.upstream,
             "ready_address": ready,
-            "control_address": find_free_address(),
+            "control_address": control,
             "log_address": log.listen,
             "lease_seconds_max": LEASE_SECONDS,
             "member_seconds": MEMBER_SECONDS,
@@ -255,12 +263,29 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         output = self.folder / f"{name}.log"
-        instance = SoakInstance(name, callers, log, ready, path, output)
+        instance = SoakInstance(
+            name, domain, callers, log, front, control, ready, path, output
+        )
+        for peer in self.instances.values():
+            await self._add_path(instance, peer.name, peer.control_address)
+            await self._add_path(peer, name, control)
+        for worker, proxy in self.worker_proxies.items():
+            await self._add_path(instance, worker, proxy.listen)
         self.instances[name] = instance
         await callers.start()
+        await front.start()
         await log.start()
         await self.launch(instance)
 
+    async def _add_path(
+        self, instance: SoakInstance, target: str, address: str
+    ) -> None:
+        """Let an instance reach a worker or a peer through a proxy of its own."""
+        proxy = Proxy(listen=find_free_address(), upstream=address)
+        self.paths[instance.name, target] = proxy
+        instance.front.add_path(address, proxy.listen)
+        await proxy.start()
+
 
 @asynccontextmanager
 async def open_site(
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -30,6 +30,12 @@
     started_at: float
     seconds: float
 
+    def measure_percent(self, now: float) -> int:
+        """Return how much of the work is done, or 100 if it runs until stopped."""
+        if not self.seconds:
+            return 100
+        return min(99, int(100 * (now - self.started_at) / self.seconds))
+
 
 @dataclass
 class StandInWorker:
@@ -147,7 +153,7 @@
                 attempt.task,
                 attempt.number,
                 "",
-                100 if not attempt.seconds else 50,
+                attempt.measure_percent(now),
                 now % 1,
             ]
             for attempt in self.attempts.values()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,18 @@
 """Checks, proxy and a short run of the soak test."""
 
 import asyncio
+import base64
+import json
+import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
+from plantainhinge.adapters.stream_http_server import HttpRequest
 from soak.__main__ import REGRESSIONS, Regression
-from soak.faults import FAULTS
+from soak.faults import FAULTS, LONG_SECONDS, FaultContext, _cut
+from soak.fronts import StoreFront
 from soak.invariants import check_invariants, find_unfinished
 from soak.observations import (
     Observations,
@@ -17,9 +23,10 @@
 )
 from soak.proxy import Proxy, ProxyMode
 from soak.runner import RunPlan, run_plan
+from soak.site import DOMAINS, SoakSite
 from soak.workers import SHRINK_SECONDS_MAX, SoakWorker
 from standins.addresses import find_free_address
-from standins.platform_store import StandInStore
+from standins.platform_store import LENGTH_PREFIX, StandInStore, encode_keyed_record
 
 SEED = 20261204
 
@@ -147,6 +154,7 @@
     [
         (ProxyMode.NORMAL, True, True),
         (ProxyMode.SLOW, True, True),
+        (ProxyMode.NO_REQUESTS, False, False),
         (ProxyMode.NO_RESPONSES, True, False),
         (ProxyMode.BLOCKED, False, False),
     ],
@@ -167,14 +175,14 @@
         await proxy.start()
         host, _, port = proxy.listen.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        proxy.set_mode(mode)
-        writer.write(b"hello")
-        try:
-            response = await asyncio.wait_for(reader.read(100), 0.3)
-        except TimeoutError:
-            response = b""
-        observed = request_received.is_set(), response == b"hello"
-        proxy.set_mode(ProxyMode.NORMAL)
+        with proxy.impose(mode):
+            with proxy.impose(mode):
+                writer.write(b"hello")
+            try:
+                response = await asyncio.wait_for(reader.read(100), 0.3)
+            except TimeoutError:
+                response = b""
+            observed = request_received.is_set(), response == b"hello"
         if not response:
             assert await asyncio.wait_for(reader.read(100), 2.0) == b"hello"
         proxy.close()
@@ -199,3 +207,53 @@
 def test_regression_seeds_name_only_faults_that_exist_as_excluded():
     rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
     assert {name for row in rows for name in row.excluded} <= set(FAULTS)
+
+
+def test_front_gives_an_instance_proxies_in_place_of_addresses_and_takes_them_back():
+    async def scenario():
+        store = StandInStore(find_free_address())
+        worker, proxy, other = (find_free_address() for _ in range(3))
+        front = StoreFront(find_free_address(), store)
+        front.add_path(worker, proxy)
+        store.put("keyed.servers", "w", f"{worker} {other}".encode())
+        query = "topic=keyed.servers&part=0"
+        read = make_request("GET", f"/-/log-read?{query}&from=0")
+        newest = make_request("GET", f"/-/log-newest?{query}")
+        record = encode_keyed_record("w", f"{proxy} {other}".encode())
+        body = LENGTH_PREFIX.pack(len(record)) + record
+        append = make_request("POST", "/-/log-append?topic=own&part=0", body)
+        (item,) = json.loads((await front.handle(newest)).body)["items"]
+        assert base64.b64decode(item["value"]) == f"{proxy} {other}".encode()
+        assert record in (await front.handle(read)).body
+        assert (await front.handle(append)).status == 200
+        assert store.topics["own"].records[0].endswith(f"{worker} {other}".encode())
+
+    asyncio.run(scenario())
+
+
+def make_request(method, path, body=b""):
+    return HttpRequest(method=method, path=path, headers={}, body=body)
+
+
+@pytest.mark.parametrize("domain", DOMAINS)
+def test_a_cut_holds_back_exactly_what_crosses_the_border_of_a_domain(domain, tmp_path):
+    site = SoakSite(tmp_path)
+    names = {f"{kind}{of}": of for of in DOMAINS for kind in "iw"}
+    for name, of in names.items():
+        if name.startswith("w"):
+            site.workers[name] = SoakWorker(name, "h:1", site.store, domain=of)
+            continue
+        site.instances[name] = SimpleNamespace(domain=of, log=Proxy("h:1", "h:2"))
+        for target in set(names) - {name}:
+            site.paths[name, target] = Proxy("h:1", "h:2")
+    with _cut(FaultContext(site, random.Random(domain)), domain):
+        for (source, target), path in site.paths.items():
+            crosses = (names[source] == domain) is not (names[target] == domain)
+            assert bool(path._modes) is crosses
+        for instance in site.instances.values():
+            assert bool(instance.log._modes) is (instance.domain == domain)
+    assert not any(path._modes for path in site.paths.values())
+
+
+def test_only_faults_that_exist_have_a_duration_of_their_own():
+    assert set(LONG_SECONDS) <= set(FAULTS)
