--- a/soak/faults.py
+++ b/soak/faults.py
@@ -313,6 +313,33 @@
         yield
 
 
+@FAULTS.register("a worker carries out orders late")
+@asynccontextmanager
+async def delay_orders(context: FaultContext) -> AsyncIterator[None]:
+    """Let a worker carry out up to six orders seconds later, without a response."""
+    worker = context.site.workers[context.choose_worker()]
+    worker.late_orders += context.rng.randint(1, 6)
+    yield
+    worker.late_orders = 0
+
+
+@FAULTS.register("the group is reassigned")
+@asynccontextmanager
+async def reassign_group(context: FaultContext) -> AsyncIterator[None]:
+    """Give each instance the partitions of another one at once."""
+    context.site.store.group.reassign_all()
+    yield
+
+
+@FAULTS.register("old records expire")
+@asynccontextmanager
+async def trim_history(context: FaultContext) -> AsyncIterator[None]:
+    """Delete all but the last records of each topic; each key's newest stays."""
+    for topic in context.site.store.topics.values():
+        topic.trim(len(topic.records) - context.rng.randint(0, 50))
+    yield
+
+
 async def _lose_log_repeatedly(context: FaultContext) -> None:
     rng = context.rng
     while True:
--- a/soak/site.py
+++ b/soak/site.py
@@ -31,6 +31,9 @@
 READY_TIMEOUT_SECONDS = 20.0
 RESTART_DELAY_SECONDS = 0.3
 WORKER_MILLICORES = 8000
+# workers' clocks differ, and some run slow
+CLOCK_STEP_SECONDS = 1000.0
+CLOCK_RATES = (1.0, 0.98)
 DEADLY_DELAY_SECONDS = 0.01
 DEADLY_DOWN_SECONDS = 1.7
 
@@ -241,6 +244,8 @@
         )
         worker.on_deadly = partial(self.crash_soon, name)
         worker.set_capacity(WORKER_MILLICORES)
+        worker.clock_offset = CLOCK_STEP_SECONDS * len(self.workers)
+        worker.clock_rate = CLOCK_RATES[len(self.workers) % len(CLOCK_RATES)]
         self.workers[name], self.worker_proxies[name] = worker, proxy
         await worker.start()
         await proxy.start()
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -58,12 +58,13 @@
         """Return the duration of a task in seconds."""
         return float(payload.removesuffix(DEADLY))
 
-    async def handle(self, request: HttpRequest) -> HttpReply:
-        """Record whether the lease has expired, then handle the request."""
-        now = read_time()
-        if now > self.lease_end:
-            self.lease_expired_at = now
-        return await super().handle(request)
+    async def _carry_out(self, request: HttpRequest) -> HttpReply:
+        self._note_lapse()
+        return await super()._carry_out(request)
+
+    def _note_lapse(self) -> None:
+        if self.read_clock() > self.lease_end:
+            self.lease_expired_at = read_time()
 
     def crash(self) -> None:
         """Lose all attempts and state, and start as a new incarnation."""
@@ -75,6 +76,7 @@
         self.ended.clear()
         self.closed_up_to.clear()
         self.fence, self.lease_end = 0, 0.0
+        self.clock_offset = -self.clock_rate * time.monotonic()
         self.end_sequence = itertools.count(1)
         self.start_count += 1
         self.incarnation = max(self.incarnation + 1, int(time.time() * 1000))
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 from dataclasses import dataclass, field
 
@@ -16,6 +17,10 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 TICK_SECONDS = 0.01
+ENDS_MAX = 500
+WAIT_MS_MAX = 2000
+LEASE_SECONDS_MAX = 4.0
+LATE_SECONDS = (0.5, 5.0)
 
 
 @dataclass
@@ -55,6 +60,10 @@
         Ended attempts that the owner has not acknowledged.
     listen : str
         ``host:port`` to listen on if ``address`` is that of a proxy in front of it.
+    clock_offset, clock_rate : float
+        Difference in seconds of its clock to the monotonic one, and its speed.
+    late_orders : int
+        Number of orders that are still carried out seconds later without a response.
     """
 
     name: str
@@ -75,6 +84,10 @@
     )
     domain: str = "a"
     listen: str = ""
+    clock_offset: float = 0.0
+    clock_rate: float = 1.0
+    late_orders: int = 0
+    _late: "set[asyncio.Task[object]]" = field(default_factory=set)
 
     async def start(self) -> None:
         """Start listening, ending due attempts and publishing entries to the store."""
@@ -84,17 +97,36 @@
             asyncio.create_task(self._end_due_attempts()),
         ]
 
+    def read_clock(self) -> float:
+        """Return the time of the worker's own steady clock, in seconds."""
+        return self.clock_offset + self.clock_rate * time.monotonic()
+
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Handle one request."""
         if self.unresponsive:
             await asyncio.sleep(60)
+        if self.late_orders > 0 and request.path != "/-/hold":
+            self.late_orders -= 1
+            task = asyncio.create_task(self._carry_out_late(request))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(60)
+        return await self._carry_out(request)
+
+    async def _carry_out_late(self, request: HttpRequest) -> None:
+        await asyncio.sleep(random.uniform(*LATE_SECONDS))
+        await self._carry_out(request)
+
+    async def _carry_out(self, request: HttpRequest) -> HttpReply:
         if request.headers.get("x-expect-instance") != self.name:
             return self._reply({}, 421)
         body = json.loads(request.body)
         if body.get("fencingToken", 0) < self.fence:
             return self._reply({"reason": "fence"}, 409)
         self.fence = body.get("fencingToken", 0)
-        self.lease_end = max(self.lease_end, body.get("deadlineMs", 0) / 1000)
+        longest = self.read_clock() + LEASE_SECONDS_MAX
+        deadline = min(body.get("deadlineMs", 0) / 1000, longest)
+        self.lease_end = max(self.lease_end, deadline)
         match request.path:
             case "/-/run-start":
                 return self._start(body)
@@ -110,7 +142,7 @@
             return self._reply({})
         if attempt <= self.closed_up_to.get(task, 0):
             return self._reply({"reason": "old"}, 409)
-        if self.lease_end <= time.monotonic():
+        if self.lease_end <= self.read_clock():
             return self._reply({"reason": "late"}, 409)
         self.started.append((task, attempt))
         self.attempts[(task, attempt)] = WorkerAttempt(
@@ -141,6 +173,8 @@
         return self._reply({})
 
     async def _renew_lease(self, body: dict[str, object]) -> HttpReply:
+        if int(str(body.get("waitMs", 0))) > WAIT_MS_MAX:
+            return self._reply({}, 400)
         acknowledged = int(str(body["lastSeen"]))
         self.ended = [row for row in self.ended if int(str(row[0])) > acknowledged]
         self.on_acknowledge(acknowledged)
@@ -158,10 +192,10 @@
             ]
             for attempt in self.attempts.values()
         ]
-        return self._reply({"running": running, "ended": self.ended})
+        return self._reply({"running": running, "ended": self.ended[:ENDS_MAX]})
 
     def _reply(self, content: dict[str, object], status: int = 200) -> HttpReply:
-        fields = {"clockMs": int(time.monotonic() * 1000), "born": self.incarnation}
+        fields = {"clockMs": int(self.read_clock() * 1000), "born": self.incarnation}
         return build_json_reply(content | fields, status)
 
     def _end(self, key: tuple[str, int], cause: str) -> None:
@@ -176,7 +210,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = time.monotonic()
             for key, attempt in list(self.attempts.items()):
-                if now > self.lease_end:
+                if self.read_clock() > self.lease_end:
                     self._end(key, "lapsed")
                 elif attempt.seconds and now - attempt.started_at >= attempt.seconds:
                     self._end(key, "done")
