Soak: workers of a cut domain may lose the directory; observations kept; load that fits

Cause: a cut worker's entries went on reaching the store, and those of a silent worker were never removed. That it was the load alone is not shown, as no observations were kept.

Change: a silent worker's entry is removed after three heartbeats. Lasting jobs are cancelled after 3 to 20 s, and one job in sixteen is long. What callers and workers observed is written beside the logs. A regression may name the faults to draw from, so that faults that are added later don't change it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -25,12 +26,15 @@
     ----------
     cause : str
         What was wrong, and the commit that fixed it if it is known.
+    only : tuple of str
+        Faults to draw from; all but those in ``excluded`` if empty.
     """
 
     seed: int
     seconds: float
     cause: str
     excluded: tuple[str, ...] = ()
+    only: tuple[str, ...] = ()
     instances: int = 3
     workers: int = 6
 
@@ -62,13 +66,12 @@
             RunPlan(
                 seed=row.seed,
                 seconds=row.seconds,
-                excluded=row.excluded,
+                excluded=row.excluded + _list_others(row.only),
                 instances=row.instances,
                 workers=row.workers,
             )
             for row in rows
         ]
-    excluded = [name for name in FAULTS if options.only and name not in options.only]
     seeds = options.seed or [random.randrange(1 << 31) for _ in range(options.seeds)]
     return [
         RunPlan(
@@ -76,12 +79,17 @@
             seconds=options.seconds,
             instances=options.instances,
             workers=options.workers,
-            excluded=tuple(excluded),
+            excluded=_list_others(options.only),
         )
         for seed in seeds
     ]
 
 
+def _list_others(only: Sequence[str]) -> tuple[str, ...]:
+    """Return the faults that aren't named, or none if no fault is named."""
+    return tuple(name for name in FAULTS if only and name not in only)
+
+
 async def _run_all(
     plans: list[RunPlan], folder: Path, *, at_once: int
 ) -> list[Outcome]:
@@ -139,6 +147,7 @@
     parser.add_argument(
         "--only",
         nargs="+",
+        default=(),
         choices=list(FAULTS),
         metavar="FAULT",
         help="faults to draw from",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,8 +25,10 @@
 # shares of jobs whose tasks run until they are cancelled, and of those that may run for
 # as long as the longest cut
 LASTING_SHARE = 0.1
-LONG_SHARE = 0.15
+LONG_SHARE = 0.06
 LONG_SECONDS = (5.0, 15.0)
+# until a lasting job is cancelled, so that they don't fill all workers in a long phase
+LASTING_SECONDS = (3.0, 20.0)
 DEADLY_SECONDS = 0.5
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -83,7 +85,9 @@
         await self._submit(job)
         if job.accepted_at is None:
             return
-        cancel_at = until if job.long_running else float("inf")
+        cancel_at = float("inf")
+        if job.long_running:
+            cancel_at = read_time() + self.rng.uniform(*LASTING_SECONDS)
         if self.rng.random() < 0.2:
             cancel_at = read_time() + self.rng.uniform(0.1, 4.0)
         while read_time() < until and not self._has_ended(job):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -350,8 +350,15 @@
 
 @contextmanager
 def _cut(context: FaultContext, domain: str) -> Iterator[None]:
-    """Cut what crosses the border of a failure domain, both ways or one way."""
+    """Cut what crosses the border of a failure domain, both ways or one way.
+
+    Its workers may lose the directory too, unless only answers are held back.
+    """
     mode, site = context.rng.choice(CUT_MODES), context.site
+    hides = context.rng.random() < 0.5 and mode is not ProxyMode.NO_RESPONSES
+    hidden = [
+        worker for worker in site.workers.values() if hides and worker.domain == domain
+    ]
     domains = {name: instance.domain for name, instance in site.instances.items()}
     domains |= {name: worker.domain for name, worker in site.workers.items()}
     leaving, entering = [], []
@@ -363,8 +370,12 @@
             leaving.append(path)
         elif domains[target] == domain != domains[source]:
             entering.append(path)
+    for worker in hidden:
+        worker.hidden += 1
     with _impose(leaving, mode), _impose(entering, OPPOSITES[mode]):
         yield
+    for worker in hidden:
+        worker.hidden -= 1
 
 
 @contextmanager
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -20,6 +20,7 @@
 CALLERS = 4
 SETTLE_SECONDS = 45.0
 CHECK_INTERVAL_SECONDS = 1.0
+OBSERVATIONS_FILE = "observations.json"
 COMPLETION_INVARIANT = "an accepted job gets done"
 
 
@@ -69,7 +70,10 @@
 
 
 async def run_plan(plan: RunPlan, folder: Path) -> Outcome:
-    """Run one seed on a site of its own; its logs are written to ``folder``."""
+    """Run one seed on a site of its own.
+
+    Its logs and what callers and workers observed are written to ``folder``.
+    """
     rng = random.Random(plan.seed)
     async with open_site(
         folder, instances=plan.instances, workers=plan.workers
@@ -92,6 +96,7 @@
         violations = await _wait_for_jobs(site, callers[0])
         restarting.cancel()
         observations = site.observations
+        (folder / OBSERVATIONS_FILE).write_bytes(msgspec.json.encode(observations))
         return Outcome(
             seed=plan.seed,
             faults=tuple(injecting.result()),
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -16,6 +16,8 @@
 from .platform_store import StandInStore, build_json_reply
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+# heartbeats that a worker may miss before its entry is removed
+MISSED_HEARTBEATS_MAX = 3
 TICK_SECONDS = 0.01
 ENDS_MAX = 500
 WAIT_MS_MAX = 2000
@@ -54,6 +56,8 @@
         Whether requests get no timely response.
     down : bool
         Whether it publishes no entries.
+    hidden : int
+        Number of reasons for which its entries don't reach the store.
     closed_up_to : dict of str to int
         Highest attempt number of each task that is never started again.
     ended : list
@@ -84,6 +88,7 @@
     )
     domain: str = "a"
     listen: str = ""
+    hidden: int = 0
     clock_offset: float = 0.0
     clock_rate: float = 1.0
     late_orders: int = 0
@@ -216,6 +221,7 @@
                     self._end(key, "done")
 
     async def _publish_entry(self) -> None:
+        missed = 0
         for sequence in itertools.count():
             entry = {
                 "service": "archive",
@@ -227,6 +233,9 @@
                 "born": self.incarnation,
                 "seq": sequence,
             }
-            if not self.down:
+            missed = missed + 1 if self.down or self.hidden else 0
+            if missed == MISSED_HEARTBEATS_MAX:
+                self.store.put("keyed.servers", self.name, b"")
+            elif not missed:
                 self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
--- a/tests/test_platform_standins.py
+++ b/tests/test_platform_standins.py
@@ -347,3 +347,38 @@
     assert platform_store.PAGE_ITEMS_MAX == platform_worker.ENDS_MAX == 500
     assert platform_store.READ_WAIT_MS_MAX == 30_000
     assert platform_worker.WAIT_MS_MAX == 2000
+
+
+def test_the_entry_of_a_silent_worker_is_removed_after_three_heartbeats(
+    worker, monkeypatch
+):
+    monkeypatch.setattr(platform_worker, "HEARTBEAT_INTERVAL_SECONDS", 0.01)
+
+    async def list_workers():
+        request = HttpRequest(
+            method="GET",
+            path="/-/log-newest?topic=keyed.servers&part=0",
+            headers={},
+            body=b"",
+        )
+        reply = await worker.store.handle(request)
+        return [item["key"] for item in json.loads(reply.body)["items"]]
+
+    async def wait_until_listed(names):
+        async with asyncio.timeout(5):
+            while await list_workers() != names:
+                await asyncio.sleep(0.002)
+        return len(worker.store.topics["keyed.servers"].records)
+
+    async def scenario():
+        publishing = asyncio.create_task(worker._publish_entry())
+        await wait_until_listed(["w"])
+        worker.hidden = 1
+        removed = await wait_until_listed([])
+        await asyncio.sleep(0.1)
+        assert len(worker.store.topics["keyed.servers"].records) == removed
+        worker.hidden = 0
+        await wait_until_listed(["w"])
+        publishing.cancel()
+
+    asyncio.run(scenario())
