The stand-in store keeps call rates, and may refuse one failure domain

Cause: the platform refuses calls beyond a rate, and may refuse some instances while it serves the others; the stand-in did neither.

Change: reads and writes of all instances together have a rate (none by default; a join counts a tenth), and a front refuses its instance with 429 or 503.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import random
 import signal
 from collections.abc import AsyncIterator, Callable, Iterable, Iterator
@@ -313,6 +314,34 @@
         yield
 
 
+@FAULTS.register("the log refuses a failure domain")
+@asynccontextmanager
+async def refuse_domain(context: FaultContext) -> AsyncIterator[None]:
+    """Refuse the calls to the log of all instances of a failure domain."""
+    domain, status = context.choose_instance().domain, context.rng.choice([429, 503])
+    fronts = [
+        instance.front
+        for instance in context.site.instances.values()
+        if instance.domain == domain
+    ]
+    for front in fronts:
+        front.refusal = status
+    yield
+    for front in fronts:
+        front.refusal = 0
+
+
+@FAULTS.register("the log takes few calls")
+@asynccontextmanager
+async def limit_rates(context: FaultContext) -> AsyncIterator[None]:
+    """Let the log refuse what exceeds a rate, of all instances together."""
+    store, rng = context.site.store, context.rng
+    store.reads_per_second = rng.uniform(5, 100)
+    store.writes_per_second = rng.uniform(2, 50)
+    yield
+    store.reads_per_second = store.writes_per_second = math.inf
+
+
 @FAULTS.register("a worker carries out orders late")
 @asynccontextmanager
 async def delay_orders(context: FaultContext) -> AsyncIterator[None]:
--- a/soak/fronts.py
+++ b/soak/fronts.py
@@ -30,10 +30,13 @@
     ----------
     address : str
         ``host:port`` on which to serve.
+    refusal : int
+        Status with which this instance alone is refused; 0 if it isn't.
     """
 
     address: str
     store: StandInStore
+    refusal: int = 0
     _proxies: dict[bytes, bytes] = field(default_factory=dict)
     _targets: dict[bytes, bytes] = field(default_factory=dict)
 
@@ -48,6 +51,8 @@
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Pass one request on to the store, and its reply back."""
+        if self.refusal:
+            return HttpReply(status=self.refusal)
         body = _replace_addresses(request.body, self._targets)
         reply = await self.store.handle(replace(request, body=body))
         if request.path.startswith(NEWEST_PATH) and reply.status == STATUS_OK:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 import struct
 import time
 from collections import deque
@@ -31,6 +32,9 @@
 QUEUE_SECONDS_MAX = 2.0
 APPEND_SECONDS = 0.001
 APPEND_BYTES_PER_SECOND = 20_000_000
+# what a call counts for its rate, if not 1
+CALL_COSTS = {"/-/log-join": 0.1}
+READ_PATHS = frozenset({"/-/log-read", "/-/log-newest", "/-/log-owners"})
 FOREIGN_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 T = TypeVar("T", bytes, str)
 READ_POLL_SECONDS = 0.002
@@ -79,6 +83,8 @@
         Number of appends that still take effect without a response.
     append_seconds : float
         Time that each append takes, beside that for its bytes.
+    reads_per_second, writes_per_second : float
+        Calls of all instances together beyond which the store refuses with status 429.
     """
 
     address: str
@@ -87,6 +93,10 @@
     topics: dict[str, Topic] = field(default_factory=dict)
     group: StandInGroup = field(default_factory=StandInGroup)
     append_seconds: float = APPEND_SECONDS
+    reads_per_second: float = math.inf
+    writes_per_second: float = math.inf
+    _reads: deque[tuple[float, float]] = field(default_factory=deque)
+    _writes: deque[tuple[float, float]] = field(default_factory=deque)
 
     async def start(self) -> None:
         """Start listening."""
@@ -98,9 +108,9 @@
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Handle one request."""
-        if self.down:
-            return HttpReply(status=503)
         parts = urlsplit(request.path)
+        if self.down or self._is_over_rate(parts.path):
+            return HttpReply(status=503 if self.down else 429)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         match parts.path:
             case "/-/log-append":
@@ -113,6 +123,21 @@
                 return self._trim(query)
         return self._handle_group(parts.path, request.body)
 
+    def _is_over_rate(self, path: str) -> bool:
+        """Return whether a call exceeds its rate; if it doesn't, it is counted."""
+        if path in READ_PATHS:
+            calls, limit = self._reads, self.reads_per_second
+        else:
+            calls, limit = self._writes, self.writes_per_second
+        now = time.monotonic()
+        while calls and calls[0][0] < now - 1.0:
+            calls.popleft()
+        cost = CALL_COSTS.get(path, 1.0)
+        if cost + sum(cost for _, cost in calls) > limit:
+            return True
+        calls.append((now, cost))
+        return False
+
     def _handle_group(self, path: str, body: bytes) -> HttpReply:
         self.group.expire(time.monotonic())
         match path:
--- a/tests/test_platform_standins.py
+++ b/tests/test_platform_standins.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import time
+from collections import deque
 
 import pytest
 
@@ -130,6 +131,17 @@
     assert store.topics["own"].records == [bytes([number]) for number in range(5)]
 
 
+def test_calls_beyond_a_rate_are_refused_and_joins_count_a_tenth(store):
+    store.writes_per_second, store.reads_per_second = 3.0, 2.0
+    for _ in range(10):
+        assert join(store, "a")[0] == 200
+    assert [append(store, b"x").status for _ in range(3)] == [200, 200, 429]
+    assert [read(store).status for _ in range(3)] == [200, 200, 429]
+    assert len(store.topics["own"].records) == 2
+    store._writes = deque((at - 1.1, cost) for at, cost in store._writes)
+    assert append(store, b"x").status == 200
+
+
 @pytest.mark.parametrize("topic", ["keyed.op", "keyed.servers"])
 def test_the_topics_of_others_cannot_be_written(store, topic):
     assert append(store, b"x", topic=topic).status == 403
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -234,6 +234,9 @@
         assert record in (await front.handle(read)).body
         assert (await front.handle(append)).status == 200
         assert store.topics["own"].records[0].endswith(f"{worker} {other}".encode())
+        front.refusal = 429
+        assert (await front.handle(append)).status == 429
+        assert len(store.topics["own"].records) == 1
 
     asyncio.run(scenario())
 
