--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,10 +8,12 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
 
+from .faults import FAULTS
 from .runner import Outcome, RunPlan, run_plan
 
 REGRESSIONS = Path(__file__).parent / "regressions.json"
@@ -24,12 +26,17 @@
     ----------
     cause : str
         What was wrong, and the commit that fixed it if it is known.
+    only : tuple of str
+        Faults to draw from; all but those in ``excluded`` if empty.
     """
 
     seed: int
     seconds: float
     cause: str
     excluded: tuple[str, ...] = ()
+    only: tuple[str, ...] = ()
+    instances: int = 3
+    workers: int = 6
 
 
 def main() -> int:
@@ -56,7 +63,13 @@
     if options.regressions:
         rows = msgspec.json.decode(REGRESSIONS.read_bytes(), type=list[Regression])
         return [
-            RunPlan(seed=row.seed, seconds=row.seconds, excluded=row.excluded)
+            RunPlan(
+                seed=row.seed,
+                seconds=row.seconds,
+                excluded=row.excluded + _list_others(row.only),
+                instances=row.instances,
+                workers=row.workers,
+            )
             for row in rows
         ]
     seeds = options.seed or [random.randrange(1 << 31) for _ in range(options.seeds)]
@@ -66,11 +79,17 @@
             seconds=options.seconds,
             instances=options.instances,
             workers=options.workers,
+            excluded=_list_others(options.only),
         )
         for seed in seeds
     ]
 
 
+def _list_others(only: Sequence[str]) -> tuple[str, ...]:
+    """Return the faults that aren't named, or none if no fault is named."""
+    return tuple(name for name in FAULTS if only and name not in only)
+
+
 async def _run_all(
     plans: list[RunPlan], folder: Path, *, at_once: int
 ) -> list[Outcome]:
@@ -125,6 +144,14 @@
         default=20.0,
         help="duration of the fault phase of each run",
     )
+    parser.add_argument(
+        "--only",
+        nargs="+",
+        default=(),
+        choices=list(FAULTS),
+        metavar="FAULT",
+        help="faults to draw from",
+    )
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument(
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 from dataclasses import dataclass, field
 
@@ -15,7 +16,13 @@
 from .platform_store import StandInStore, build_json_reply
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+# heartbeats that a worker may miss before its entry is removed
+MISSED_HEARTBEATS_MAX = 3
 TICK_SECONDS = 0.01
+ENDS_MAX = 500
+WAIT_MS_MAX = 2000
+LEASE_SECONDS_MAX = 4.0
+LATE_SECONDS = (0.5, 5.0)
 
 
 @dataclass
@@ -30,6 +37,12 @@
     started_at: float
     seconds: float
 
+    def measure_percent(self, now: float) -> int:
+        """Return how much of the work is done, or 100 if it runs until stopped."""
+        if not self.seconds:
+            return 100
+        return min(99, int(100 * (now - self.started_at) / self.seconds))
+
 
 @dataclass
 class StandInWorker:
@@ -43,12 +56,18 @@
         Whether requests get no timely response.
     down : bool
         Whether it publishes no entries.
+    hidden : int
+        Number of reasons for which its entries don't reach the store.
     closed_up_to : dict of str to int
         Highest attempt number of each task that is never started again.
     ended : list
         Ended attempts that the owner has not acknowledged.
     listen : str
         ``host:port`` to listen on if ``address`` is that of a proxy in front of it.
+    clock_offset, clock_rate : float
+        Difference in seconds of its clock to the monotonic one, and its speed.
+    late_orders : int
+        Number of orders that are still carried out seconds later without a response.
     """
 
     name: str
@@ -69,6 +88,11 @@
     )
     domain: str = "a"
     listen: str = ""
+    hidden: int = 0
+    clock_offset: float = 0.0
+    clock_rate: float = 1.0
+    late_orders: int = 0
+    _late: "set[asyncio.Task[object]]" = field(default_factory=set)
 
     async def start(self) -> None:
         """Start listening, ending due attempts and publishing entries to the store."""
@@ -78,17 +102,36 @@
             asyncio.create_task(self._end_due_attempts()),
         ]
 
+    def read_clock(self) -> float:
+        """Return the time of the worker's own steady clock, in seconds."""
+        return self.clock_offset + self.clock_rate * time.monotonic()
+
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Handle one request."""
         if self.unresponsive:
             await asyncio.sleep(60)
+        if self.late_orders > 0 and request.path != "/-/hold":
+            self.late_orders -= 1
+            task = asyncio.create_task(self._carry_out_late(request))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(60)
+        return await self._carry_out(request)
+
+    async def _carry_out_late(self, request: HttpRequest) -> None:
+        await asyncio.sleep(random.uniform(*LATE_SECONDS))
+        await self._carry_out(request)
+
+    async def _carry_out(self, request: HttpRequest) -> HttpReply:
         if request.headers.get("x-expect-instance") != self.name:
             return self._reply({}, 421)
         body = json.loads(request.body)
         if body.get("fencingToken", 0) < self.fence:
             return self._reply({"reason": "fence"}, 409)
         self.fence = body.get("fencingToken", 0)
-        self.lease_end = max(self.lease_end, body.get("deadlineMs", 0) / 1000)
+        longest = self.read_clock() + LEASE_SECONDS_MAX
+        deadline = min(body.get("deadlineMs", 0) / 1000, longest)
+        self.lease_end = max(self.lease_end, deadline)
         match request.path:
             case "/-/run-start":
                 return self._start(body)
@@ -104,7 +147,7 @@
             return self._reply({})
         if attempt <= self.closed_up_to.get(task, 0):
             return self._reply({"reason": "old"}, 409)
-        if self.lease_end <= time.monotonic():
+        if self.lease_end <= self.read_clock():
             return self._reply({"reason": "late"}, 409)
         self.started.append((task, attempt))
         self.attempts[(task, attempt)] = WorkerAttempt(
@@ -135,6 +178,8 @@
         return self._reply({})
 
     async def _renew_lease(self, body: dict[str, object]) -> HttpReply:
+        if int(str(body.get("waitMs", 0))) > WAIT_MS_MAX:
+            return self._reply({}, 400)
         acknowledged = int(str(body["lastSeen"]))
         self.ended = [row for row in self.ended if int(str(row[0])) > acknowledged]
         self.on_acknowledge(acknowledged)
@@ -147,15 +192,15 @@
                 attempt.task,
                 attempt.number,
                 "",
-                100 if not attempt.seconds else 50,
+                attempt.measure_percent(now),
                 now % 1,
             ]
             for attempt in self.attempts.values()
         ]
-        return self._reply({"running": running, "ended": self.ended})
+        return self._reply({"running": running, "ended": self.ended[:ENDS_MAX]})
 
     def _reply(self, content: dict[str, object], status: int = 200) -> HttpReply:
-        fields = {"clockMs": int(time.monotonic() * 1000), "born": self.incarnation}
+        fields = {"clockMs": int(self.read_clock() * 1000), "born": self.incarnation}
         return build_json_reply(content | fields, status)
 
     def _end(self, key: tuple[str, int], cause: str) -> None:
@@ -170,12 +215,13 @@
             await asyncio.sleep(TICK_SECONDS)
             now = time.monotonic()
             for key, attempt in list(self.attempts.items()):
-                if now > self.lease_end:
+                if self.read_clock() > self.lease_end:
                     self._end(key, "lapsed")
                 elif attempt.seconds and now - attempt.started_at >= attempt.seconds:
                     self._end(key, "done")
 
     async def _publish_entry(self) -> None:
+        missed = 0
         for sequence in itertools.count():
             entry = {
                 "service": "archive",
@@ -187,6 +233,9 @@
                 "born": self.incarnation,
                 "seq": sequence,
             }
-            if not self.down:
+            missed = missed + 1 if self.down or self.hidden else 0
+            if missed == MISSED_HEARTBEATS_MAX:
+                self.store.put("keyed.servers", self.name, b"")
+            elif not missed:
                 self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
