--- a/plantainhinge/dispatch/polling.py
+++ b/plantainhinge/dispatch/polling.py
@@ -16,9 +16,8 @@
 IDLE_LOOKS_PER_SECOND_MAX = 300.0
 LOOK_INTERVAL_SECONDS_MIN = 1.0
 RETRY_SECONDS = Seconds(0.3)
-# calls to workers that have never answered, once they are no longer new
+# repeated calls to workers that have never answered
 UNKNOWN_LOOKS_PER_SECOND_MAX = 100.0
-NEW_SECONDS = 5.0
 
 
 def plan_pause(cell: SchedulingState, worker: Worker) -> Seconds:
@@ -40,9 +39,13 @@
 
 def plan_retry(cell: SchedulingState, worker: Worker, *, now: float) -> Seconds:
     """Return how long to wait before the next look at a worker that didn't answer."""
-    may_run_attempts = worker.attempts or now < worker.latest_expiry
-    is_new = now < worker.unreachable_since + NEW_SECONDS
-    if worker.has_answered or may_run_attempts or is_new:
+    if not is_unknown(worker, now=now):
         return RETRY_SECONDS
     unknown = len(cell.workers) - cell.answering_workers
     return Seconds(max(RETRY_SECONDS, unknown / UNKNOWN_LOOKS_PER_SECOND_MAX))
+
+
+def is_unknown(worker: Worker, *, now: float) -> bool:
+    """Return whether a worker can run nothing and may be another writer's entry."""
+    may_run_attempts = worker.attempts or now < worker.latest_expiry
+    return not worker.has_answered and not may_run_attempts
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -777,11 +777,14 @@
     """Workers none of which answers; notes the calls to them."""
 
     def __init__(self):
-        self.calls = 0
+        self.calls = self.open = self.open_max = 0
 
     async def renew(self, entry, renewal):
         self.calls += 1
+        self.open += 1
+        self.open_max = max(self.open, self.open_max)
         await asyncio.sleep(0.001)
+        self.open -= 1
         return OrderResponse(outcome=OrderOutcome.NOT_SENT)
 
 
@@ -789,7 +792,6 @@
 def test_calls_to_workers_that_never_answered_are_limited_in_all(
     monkeypatch, count, calls_max
 ):
-    monkeypatch.setattr(polling, "NEW_SECONDS", 0.0)
     monkeypatch.setattr(polling, "UNKNOWN_LOOKS_PER_SECOND_MAX", 20.0)
 
     async def scenario():
@@ -803,10 +805,11 @@
         first = silence.calls
         await asyncio.sleep(1.0)
         runner.stop("test")
-        return first, silence.calls - first
+        return first, silence.calls - first, silence.open_max
 
-    first, later = asyncio.run(scenario())
+    first, later, open_max = asyncio.run(scenario())
     assert first >= count
+    assert open_max <= 100
     assert later <= calls_max
     assert count > 6 or later >= 12
 
