Silent entries of another writer cost little and count for nothing

What callers saw: with 3,000 silent entries jobs completed, but slowly: the owner's event loop stood still again and again. By reading, such entries also made looks at idle workers rarer (one in 10 s at 3,000 entries), lifted the number of workers from which a loss counts as shared, and added their capacity to that of the site.

Cause: each entry was called each 0.3 s for ever, all of them at once, and each call without an answer started a round of decisions.

The pace of looks, shared losses, shares of workspaces and moves of serving tasks count only workers that have answered or that an earlier owner knew. A log line of a new worker names at most three others at its address; they are found in an index instead of by a search for each.

--- a/plantainhinge/daemons/renewals.py
+++ b/plantainhinge/daemons/renewals.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 
 from ..core.clock import read_monotonic
@@ -10,6 +11,7 @@
 from ..core.log_events import write_event
 from ..dispatch.cell import Cell
 from ..dispatch.model import Worker
+from ..dispatch.polling import is_unknown
 from ..fleet.model import OrderOutcome, OrderResponse, WorkerReport
 from ..fleet.protocols import WorkerCalls
 from .owner_events import RenewalFailed
@@ -18,10 +20,11 @@
 
 # the first failed renewal is retried almost at once, as one message may have been lost
 FIRST_RETRY_SECONDS = Seconds(0.02)
-RETRY_SECONDS = Seconds(0.3)
 # how long a worker's next renewal waits for the flush that acknowledges its ended
 # attempts
 FLUSH_WAIT_SECONDS = Seconds(0.25)
+# calls at a time to workers that have never answered
+UNKNOWN_CALLS_MAX = 100
 NO_ANSWER = OrderResponse(outcome=OrderOutcome.UNKNOWN)
 
 
@@ -47,6 +50,9 @@
     _running: set[WorkerId] = field(default_factory=set)
     _pauses: dict[WorkerId, asyncio.Event] = field(default_factory=dict)
     _flushed: asyncio.Event = field(default_factory=asyncio.Event)
+    _unknown_calls: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(UNKNOWN_CALLS_MAX)
+    )
 
     def list_new(self, workers: Iterable[Worker]) -> list[Worker]:
         """Return the workers without a loop, and end the pauses of silent ones."""
@@ -73,8 +79,8 @@
                 self._handle_failure(worker, NO_ANSWER)
                 is_answered = False
             if not is_answered:
-                pause = FIRST_RETRY_SECONDS if was_reachable else RETRY_SECONDS
-                await asyncio.sleep(pause)
+                retry = self.cell.plan_retry(worker, now=read_monotonic())
+                await asyncio.sleep(FIRST_RETRY_SECONDS if was_reachable else retry)
         if self.is_owner():
             self._running.discard(worker.name)
             self.calls.close_connections(worker.entry)
@@ -86,7 +92,9 @@
         """Renew a worker's leases once; return whether it answered with a report."""
         sent = read_monotonic()
         renewal = self.cell.prepare_renewal(worker, now=sent)
-        answer = await self.calls.renew(worker.entry, renewal)
+        is_limited = is_unknown(worker, now=sent)
+        async with self._unknown_calls if is_limited else nullcontext():
+            answer = await self.calls.renew(worker.entry, renewal)
         if not self.is_owner():
             return True
         if not isinstance(answer, WorkerReport):
@@ -99,8 +107,10 @@
         return True
 
     def _handle_failure(self, worker: Worker, answer: OrderResponse) -> None:
+        was_unknown = is_unknown(worker, now=read_monotonic())
         self.cell.handle_failed_renewal(worker, answer, now=read_monotonic())
-        self.wake()
+        if not was_unknown:
+            self.wake()
 
     def end_pause(self, worker: Worker) -> None:
         """Look at a worker at once if it is only looked at now and then."""
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -179,6 +179,10 @@
         """Return how long to wait before the next renewal of a worker that answered."""
         return polling.plan_pause(self, worker)
 
+    def plan_retry(self, worker: Worker, *, now: float) -> Seconds:
+        """Return how long to wait before the next renewal of a silent worker."""
+        return polling.plan_retry(self, worker, now=now)
+
     def handle_failed_renewal(
         self, worker: Worker, answer: OrderResponse, *, now: float
     ) -> None:
--- a/plantainhinge/dispatch/consolidation.py
+++ b/plantainhinge/dispatch/consolidation.py
@@ -120,10 +120,11 @@
     if len(cell.moving) >= MOVING_ATTEMPTS_MAX:
         return
     waiting = measure_waiting(cell, now=now)
-    if not is_worth_moving(cell.workers.values(), waiting):
+    workers = [worker for worker in cell.workers.values() if worker.has_answered]
+    if not is_worth_moving(workers, waiting):
         return
-    for workers in list_available_workers(cell, now=now).values():
-        move = choose_move(workers, waiting, cell.weights, now=now)
+    for pool in list_available_workers(cell, now=now).values():
+        move = choose_move(pool, waiting, cell.weights, now=now)
         if move is not None:
             _start_move(cell, move, now=now)
 
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -72,9 +72,8 @@
     The directory has other writers. Nothing was ever started on a worker that has never
     answered, unless an earlier owner knew it.
     """
-    has_answered = worker.answered_at > float("-inf")
     return (
-        (worker.listed and has_answered)
+        (worker.listed and worker.has_answered)
         or now < worker.latest_expiry
         or bool(worker.attempts)
     )
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -1,8 +1,9 @@
 """Lifecycle of workers: listed, unreachable, restarted under their id, unlisted."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
+from ..core.ids import WorkerId
 from ..core.log_events import write_event
 from ..fleet.model import WorkerEntry
 from .health import record_success
@@ -24,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 UNLISTED_RETENTION_SECONDS = 15.0
+# workers at the address of a new one that its log line names
+PREDECESSORS_MAX = 3
 
 
 def update_workers(
@@ -39,6 +42,9 @@
     a handover, which names all of these.
     """
     listed = set()
+    names_by_address: dict[str, list[WorkerId]] = {}
+    for known in cell.workers.values():
+        names_by_address.setdefault(known.entry.address, []).append(known.name)
     for entry in entries:
         listed.add(entry.worker)
         worker = cell.workers.get(entry.worker)
@@ -49,24 +55,23 @@
             if inherited and not cell.is_handover_known:
                 assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
                 cell.unverified_workers.add(entry.worker)
-            _log_listed(cell, worker)
+            names = names_by_address.setdefault(entry.address, [])
+            _log_listed(worker, names[-PREDECESSORS_MAX:])
+            names.append(worker.name)
         elif entry.incarnation > worker.incarnation:
             begin_incarnation(cell, worker, entry.incarnation, now=now)
         _set_entry(worker, entry, now=now)
     for name, worker in list(cell.workers.items()):
         if name not in listed:
             _handle_unlisted(cell, worker, now=now)
+    cell.answering_workers = sum(each.reachable for each in cell.workers.values())
 
 
-def _log_listed(cell: SchedulingState, worker: Worker) -> None:
+def _log_listed(worker: Worker, predecessors: Sequence[WorkerId]) -> None:
     event = WorkerListed(
         about=describe_worker(worker),
         address=worker.entry.address,
-        predecessors=tuple(
-            other.name
-            for other in cell.workers.values()
-            if other is not worker and other.entry.address == worker.entry.address
-        ),
+        predecessors=tuple(predecessors),
     )
     write_event(logger, event)
 
--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -194,7 +194,13 @@
     lost = sum(
         abs(outage.at - at) <= SHARED_SECONDS for outage in cell.outages.values()
     )
-    return lost >= max(SHARED_WORKERS_MIN, SHARED_RATIO_MIN * len(cell.workers))
+    known = sum(
+        worker.has_answered
+        or worker.listed_at == float("-inf")
+        or worker.name in cell.outages
+        for worker in cell.workers.values()
+    )
+    return lost >= max(SHARED_WORKERS_MIN, SHARED_RATIO_MIN * known)
 
 
 def give_up(cell: SchedulingState, task: Task, *, now: float) -> None:
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -342,6 +342,14 @@
         """Return the worker's id."""
         return self.entry.worker
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether this incarnation has ever answered this owner.
+
+        Until then it may be an entry of another writer, at which nobody ever will.
+        """
+        return self.answered_at > float("-inf")
+
     @property
     def rack(self) -> str:
         """Return the label that names its rack; empty if there is none."""
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -53,6 +53,8 @@
         Resources of the attempts bound to workers, by workspace.
     find_record : callable
         Returns the record of a job that isn't open any more, or None.
+    answering_workers : int
+        Number of workers that answered when the directory was last read.
     directory_synced_at : float
         Monotonic seconds; all directory entries written before it are known.
     fenced : bool
@@ -131,6 +133,7 @@
     workspaces: Mapping[WorkspaceId, Workspace] = field(default_factory=dict)
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
     find_record: Callable[[JobId], JobRecord | None] = lambda job: None
+    answering_workers: int = 0
     directory_synced_at: float = float("inf")
     fenced: bool = False
     weights: ImageWeights = field(default_factory=ImageWeights)
--- a/plantainhinge/dispatch/worker_events.py
+++ b/plantainhinge/dispatch/worker_events.py
@@ -41,7 +41,7 @@
     address : str
         Its address.
     predecessors : list of str
-        Other known workers with that address; they have ended.
+        The newest three other known workers with that address; they have ended.
     """
 
     address: str
--- a/plantainhinge/dispatch/workspaces.py
+++ b/plantainhinge/dispatch/workspaces.py
@@ -119,7 +119,7 @@
         self._usage = cell.usage
         self._capacity = Resources()
         for worker in cell.workers.values():
-            if worker.listed:
+            if worker.listed and worker.has_answered:
                 self._capacity += worker.entry.capacity
         self._weights = {each.name: each.weight for each in cell.workspaces.values()}
         total = sum(self._weights.values())
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -769,6 +769,67 @@
         return OrderResponse(outcome=OrderOutcome.ACCEPTED)
 
 
+class CountingSilence(SilentWorkers):
+    """Workers none of which answers; notes the calls to them."""
+
+    def __init__(self):
+        self.calls = self.open = self.open_max = 0
+
+    async def renew(self, entry, renewal):
+        self.calls += 1
+        self.open += 1
+        self.open_max = max(self.open, self.open_max)
+        await asyncio.sleep(0.001)
+        self.open -= 1
+        return OrderResponse(outcome=OrderOutcome.NOT_SENT)
+
+
+@pytest.mark.parametrize(("count", "calls_max"), [(300, 20), (6, 22)])
+def test_calls_to_workers_that_never_answered_are_limited_in_all(
+    monkeypatch, count, calls_max
+):
+    monkeypatch.setattr(polling, "UNKNOWN_LOOKS_PER_SECOND_MAX", 20.0)
+
+    async def scenario():
+        log = MemoryKeyedLog()
+        make_large_directory(log, count)
+        runner = make_runner(log)
+        runner.workers = WorkerView(log, "workers", decode_worker)
+        runner.calls = silence = CountingSilence()
+        await runner.take_over(Epoch(1))
+        await asyncio.sleep(0.5)
+        first = silence.calls
+        await asyncio.sleep(1.0)
+        runner.stop("test")
+        return first, silence.calls - first, silence.open_max
+
+    first, later, open_max = asyncio.run(scenario())
+    assert first >= count
+    assert open_max <= 100
+    assert later <= calls_max
+    assert count > 6 or later >= 12
+
+
+def test_another_writers_entries_make_no_look_at_idle_workers_rarer():
+    site = SimulatedCell(make_entry("w1"))
+    site.run(0.5)
+    site.submit(make_job("a"))
+    entries = [make_entry(f"odd{index}") for index in range(3000)]
+    site.cell.update_workers([make_entry("w1"), *entries], now=site.now)
+    worker = site.cell.workers["w1"]
+    assert site.cell.plan_pause(worker) == 0.0
+
+
+def test_a_log_line_names_few_of_many_entries_at_one_address(caplog):
+    caplog.set_level("INFO")
+    site = SimulatedCell()
+    entries = [make_entry(f"odd{index}", address="h:1") for index in range(50)]
+    site.cell.update_workers(entries, now=0.0)
+    named = [record.predecessors for record in caplog.records]
+    assert max(map(len, named)) == 3
+    assert list(named[-1]) == ["odd46", "odd47", "odd48"]
+
+
 def test_an_idle_worker_of_a_large_site_is_looked_at_again_once_it_gets_an_order(
     monkeypatch,
 ):
