Let each end as done of an open task count

Cause: the owner acknowledged each end, but dropped one of an attempt that it didn't know if it had opened the job itself, or if the task had another attempt. That comes about when an attempt was taken for lost and ran on, since another owner renewed its lease. If the later attempt then failed or lapsed, the done task was started once more.

Change: an end as done finishes its task whoever started the attempt, and the other attempts are stopped; of a gang, those of other runs. No judgement of lapses is needed: an end as done before a lapse may count too. Lasting tasks are as before. Ends are still dropped in cases that were proved irrelevant: the job's final state or the occurrence's end is logged with or before the acknowledgement, or the record names no such task.

--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -100,11 +100,12 @@
             failures=len(task.failed_attempts),
         )
         write_event(logger, event)
-    if attempt is None and not _accepts_unknown_end(task):
-        return
     if end.cause is EndCause.DONE and not task.step.spec.long_running:
+        # whoever started it: the worker forgets the end, so it must count now
         health.record_success(worker)
-        finish_task(cell, task, now=now)
+        finish_task(cell, task, end.attempt, now=now)
+        return
+    if attempt is None and not _accepts_unknown_end(task):
         return
     if end.checkpoint:
         task.checkpoint = end.checkpoint
@@ -125,7 +126,7 @@
 
 
 def _accepts_unknown_end(task: Task) -> bool:
-    """Return whether to process an end of an attempt unknown to this owner.
+    """Return whether to resume from an end, not as done, of an unknown attempt.
 
     It was started by an earlier owner. A speculative task may have another attempt
     that is known and still runs; any other task must have none.
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -45,12 +45,18 @@
     return attempt
 
 
-def finish_task(cell: SchedulingState, task: Task, *, now: float) -> None:
+def finish_task(
+    cell: SchedulingState, task: Task, number: AttemptNumber, *, now: float
+) -> None:
     """Mark a task as done, and complete its job if it was the last one.
 
-    The other members of its gang are marked as well.
+    The other members of its gang are marked as well. Other attempts are stopped, except
+    for those of the gang's run that is done: they end by themselves.
 
-    Other attempts of the task are stopped, unless it belongs to a gang.
+    Parameters
+    ----------
+    number : AttemptNumber
+        The attempt that ended as done.
     """
     step = task.step
     finished = step.tasks if step.spec.gang else [task]
@@ -63,7 +69,7 @@
         if member in step.waiting:
             step.waiting.remove(member)
         for attempt in list(member.attempts):
-            if not step.spec.gang:
+            if not step.spec.gang or attempt.number != number:
                 stop_attempt(cell, attempt, now=now)
     job = step.job
     cell.dirty[job.job_id] = job
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -125,6 +125,8 @@
     acknowledged_done : set of TaskKey
         Tasks whose end as done was acknowledged, with no lapse of the lease between the
         two. After a lapse an end counts for nothing.
+    forgotten_done : set of TaskKey
+        Tasks whose end as done was acknowledged, whether or not the lease had lapsed.
     lapsed_ends : set of int
         Sequence numbers of the ends before the last lapse of the lease.
     start_times, end_times : list, dict
@@ -163,6 +165,7 @@
     stop_outcomes: list = field(default_factory=list)
     closed: dict = field(default_factory=dict)
     acknowledged_done: set = field(default_factory=set)
+    forgotten_done: set = field(default_factory=set)
     lapsed_ends: set = field(default_factory=set)
     start_times: list = field(default_factory=list)
     end_times: dict = field(default_factory=dict)
@@ -241,10 +244,11 @@
         if renewal.lease_end is not None:
             self.lease_end = max(self.lease_end, renewal.lease_end)
         for row in self.ended:
-            counts = row.cause is EndCause.DONE and row.sequence not in self.lapsed_ends
-            if counts and row.sequence <= renewal.acknowledged:
-                self.acknowledged_done.add(row.task)
-                self.done_times[row.task] = self.end_times[row.sequence]
+            if row.cause is EndCause.DONE and row.sequence <= renewal.acknowledged:
+                self.forgotten_done.add(row.task)
+                if row.sequence not in self.lapsed_ends:
+                    self.acknowledged_done.add(row.task)
+                    self.done_times[row.task] = self.end_times[row.sequence]
         self.ended = [row for row in self.ended if row.sequence > renewal.acknowledged]
         if self.drops_answers:
             return None
