An answer without end costs its own call only

What callers saw: nothing yet; by reading, the body of an answer was kept until its time-out, however large, and a report with any number of rows was decoded and walked through at once.

Change: a client gives up an answer of more than 8 MiB; it counts as an unanswered call. A report of more than 5,000 running or ended rows is malformed.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -11,6 +11,8 @@
 
 STEP = "http.call"
 CONNECT_TIMEOUT_SECONDS = Seconds(1.0)
+# of a whole answer with its headers; the platform's store sends at most some 1.5 MB
+ANSWER_BYTES_MAX = 8 * 1024 * 1024
 # the last two: an address that isn't one
 CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
 CLOSED_EARLY_MESSAGE = "the connection closed before the whole answer"
@@ -71,6 +73,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
+        self._answer_bytes = 0
         self.received_at = float("-inf")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -86,6 +89,11 @@
             # bytes that no request asked for
             self.close()
             return
+        self._answer_bytes += len(data)
+        if self._answer_bytes > ANSWER_BYTES_MAX:
+            self._fail(f"the answer is larger than {ANSWER_BYTES_MAX} bytes")
+            self.close()
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -116,6 +124,7 @@
         assert self._transport is not None
         self._headers = {}
         self._body = []
+        self._answer_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -64,6 +64,8 @@
 CAUSE_CHARACTERS_MAX = 200
 # a longer checkpoint isn't kept, as those of all tasks stand in the job's progress
 CHECKPOINT_CHARACTERS_MAX = 1024
+# of each of the two lists of a report
+ROWS_MAX = 5000
 # an id is sent in a header, which holds no spaces, control or non-ASCII characters
 WORKER_ID_PATTERN = re.compile(r"[!-~]+")
 
@@ -124,8 +126,8 @@
 
 class _Report(msgspec.Struct, kw_only=True):
     clock_ms: float = msgspec.field(name="clockMs")
-    running: list[_Running]
-    ended: list[_Ended]
+    running: Annotated[list[_Running], msgspec.Meta(max_length=ROWS_MAX)]
+    ended: Annotated[list[_Ended], msgspec.Meta(max_length=ROWS_MAX)]
     # on the wire "born": a number that identifies the start of the worker process
     incarnation: Amount = msgspec.field(name="born", default=0)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -508,6 +508,12 @@
     assert read_report(running, ended) is OrderOutcome.UNKNOWN
 
 
+def test_a_report_with_more_rows_than_a_worker_can_have_is_malformed():
+    rows = {"running": [RUNNING] * 5001, "ended": []}
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.json.decode(encode({"clockMs": 1} | rows), type=workers._Report)
+
+
 def test_a_checkpoint_that_is_too_long_to_keep_counts_as_none():
     report = read_report(
         [*RUNNING[:2], "x" * 1025, 40.5, 3.5], [*ENDED[:4], "y" * 1024]
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -1,9 +1,11 @@
 """The asyncio HTTP client and server, against each other and faulty peers."""
 
 import asyncio
+from contextlib import suppress
 
 import pytest
 
+from plantainhinge.adapters import stream_http_client
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
 from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
 from plantainhinge.core.errors import UnavailableError, UncertainError
@@ -58,6 +60,41 @@
     assert serve(scenario) == b"/after"
 
 
+@pytest.mark.parametrize("pad", [b"", b"X-Pad: "], ids=["body", "header"])
+def test_an_answer_without_end_is_given_up_and_the_client_stays_usable(
+    monkeypatch, pad
+):
+    monkeypatch.setattr(stream_http_client, "ANSWER_BYTES_MAX", 100_000)
+    sent, ended = [], []
+
+    async def pour(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\n" + (pad or b"Content-Length: 99999999\r\n\r\n")
+        with suppress(OSError):
+            writer.write(head)
+            while len(sent) < 1000:
+                writer.write(b"x" * 10_000)
+                await writer.drain()
+                sent.append(10_000)
+        writer.close()
+        ended.append(writer)
+
+    async def run():
+        address = find_free_address()
+        host, _, port = address.rpartition(":")
+        async with await asyncio.start_server(pour, host, int(port)):
+            client = HttpClient(address)
+            for _ in range(2):
+                with pytest.raises(UncertainError, match="larger"):
+                    await client.call(post("/a"), timeout=5)
+            while len(ended) < 2:
+                await asyncio.sleep(0.01)
+            return client.budget.open
+
+    assert asyncio.run(run()) == 0
+    assert len(sent) < 1000
+
+
 def test_a_refused_connection_means_the_call_was_not_sent():
     async def run():
         with pytest.raises(UnavailableError):
