--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -84,6 +84,24 @@
     assert len(list_started_jobs(site, "w3")) == 8
 
 
+@settings(max_examples=20)
+@given(
+    st.lists(st.dictionaries(st.integers(0, 9), st.integers(1, 5)), max_size=40),
+)
+def test_entries_that_come_go_and_change_hold_up_no_job(directories):
+    site = SimulatedCell(make_entry("w1"))
+    add_silent_entries(site, 10)
+    job = make_job("j", make_step(count=4, estimate=0.5))
+    site.submit(job)
+    for directory in [*directories, {}, {0: 9}]:
+        odd = [make_entry(f"odd{n}", incarnation=born) for n, born in directory.items()]
+        site.cell.update_workers([make_entry("w1"), *odd], now=site.now)
+        site.run(0.2)
+    site.run(2)
+    assert site.state_of("j") == "completed"
+    assert {entry.worker for entry in site.handover.workers} == {"w1"}
+
+
 def test_workers_that_left_the_handover_get_no_start_before_they_are_in_it_again():
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.run(0.3)
@@ -132,15 +150,19 @@
     assert len(site.workers["w1"].started) == 8
 
 
-def test_workers_that_were_all_silent_at_once_get_starts_while_the_log_is_down():
+@pytest.mark.parametrize("silent_entries", [0, 5])
+def test_workers_that_were_all_silent_at_once_get_starts_while_the_log_is_down(
+    silent_entries,
+):
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
+    add_silent_entries(site, silent_entries)
     site.run(0.3)
     site.log_up = False
-    for worker in site.workers.values():
-        worker.unreachable = True
+    for name in ("w1", "w2"):
+        site.workers[name].unreachable = True
     site.run(0.7)
-    for worker in site.workers.values():
-        worker.unreachable = False
+    for name in ("w1", "w2"):
+        site.workers[name].unreachable = False
     site.submit(make_job("j"))
     site.run(0.5)
     assert site.count_starts() == 1
