--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -344,10 +344,7 @@
 
     @property
     def has_answered(self) -> bool:
-        """Return whether this incarnation has ever answered this owner.
-
-        Until then it may be an entry of another writer, at which nobody ever will.
-        """
+        """Return whether it has; otherwise it may be another writer's entry."""
         return self.answered_at > float("-inf")
 
     @property
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -4,7 +4,7 @@
 import logging
 import re
 from dataclasses import dataclass, field
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
@@ -15,7 +15,7 @@
     HttpResponse,
 )
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
-from ..core.ids import AttemptNumber, DomainId, JobId, Seconds, ServiceId, WorkerId
+from ..core.ids import DomainId, Seconds, ServiceId, WorkerId
 from ..core.log_events import write_event
 from ..core.packing import DECODING_ERRORS
 from ..core.resources import Resources
@@ -29,12 +29,9 @@
 from ..fleet.model import (
     Advice,
     AdviceRequest,
-    EndCause,
-    EndedAttempt,
     OrderOutcome,
     OrderResponse,
     Renewal,
-    RunningAttempt,
     StartOrder,
     StopOrder,
     ThrottleOrder,
@@ -42,8 +39,8 @@
     WorkerReport,
     WorkerState,
 )
-from ..jobs.model import TaskKey
-from .amounts import INTEGER_MAX, Amount
+from .amounts import Amount
+from .worker_reports import Report, decode_report, format_task
 
 logger = logging.getLogger(__name__)
 
@@ -62,10 +59,6 @@
 ADDRESS_CHARACTERS_MAX = len("255.255.255.255:65535")
 # of a log line, since it repeats what an entry contains
 CAUSE_CHARACTERS_MAX = 200
-# a longer checkpoint isn't kept, as those of all tasks stand in the job's progress
-CHECKPOINT_CHARACTERS_MAX = 1024
-# of each of the two lists of a report
-ROWS_MAX = 5000
 # an id is sent in a header, which holds no spaces, control or non-ASCII characters
 WORKER_ID_PATTERN = re.compile(r"[!-~]+")
 
@@ -78,8 +71,6 @@
 }
 STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 
-Percent = Annotated[float, msgspec.Meta(ge=0, le=INTEGER_MAX)]
-
 
 class _Capacity(msgspec.Struct):
     cpu: Amount  # thousandths of a core
@@ -107,31 +98,6 @@
     reason: str = ""
 
 
-class _Running(msgspec.Struct, array_like=True):
-    task: str
-    attempt: Amount
-    checkpoint: str
-    percent: Percent
-    # tail latency in ms of a serving task, millicores in use for others
-    gauge: float = 0.0
-
-
-class _Ended(msgspec.Struct, array_like=True):
-    sequence: Amount
-    task: str
-    attempt: Amount
-    cause: str
-    checkpoint: str
-
-
-class _Report(msgspec.Struct, kw_only=True):
-    clock_ms: float = msgspec.field(name="clockMs")
-    running: Annotated[list[_Running], msgspec.Meta(max_length=ROWS_MAX)]
-    ended: Annotated[list[_Ended], msgspec.Meta(max_length=ROWS_MAX)]
-    # on the wire "born": a number that identifies the start of the worker process
-    incarnation: Amount = msgspec.field(name="born", default=0)
-
-
 class _Advice(msgspec.Struct):
     # on the wire "good": pairs of an eligible worker and the ticket to start there
     tickets: list[tuple[str, str]] = msgspec.field(name="good")
@@ -191,17 +157,6 @@
     return address
 
 
-def format_task(key: TaskKey) -> str:
-    """Return the name of a task on the wire."""
-    return f"{key.job}.{key.occurrence}.{key.step}.{key.position}"
-
-
-def parse_task(name: str) -> TaskKey:
-    """Return the key of a task from its name on the wire."""
-    job, occurrence, step, position = name.split(".")
-    return TaskKey(JobId(job), int(occurrence), int(step), int(position))
-
-
 @dataclass
 class PlatformWorkerClient:
     """Client for all workers, with persistent connections; implements ``WorkerCalls``.
@@ -271,10 +226,10 @@
         if response.status != OK:
             return _decode_order_response(response)
         try:
-            report = msgspec.json.decode(response.body, type=_Report)
+            report = msgspec.json.decode(response.body, type=Report)
             if not report.running and self.budget.exceeded:
                 self._get_client(entry.address).close()
-            return _decode_report(report)
+            return decode_report(report)
         except (*DECODING_ERRORS, ValueError, TypeError, IndexError) as error:
             event = ReportMalformed(worker=entry.worker, cause=str(error))
             write_event(logger, event)
@@ -376,37 +331,3 @@
         case _:
             outcome = OrderOutcome.UNKNOWN
     return OrderResponse(outcome=outcome, clock=clock)
-
-
-def _decode_report(report: _Report) -> WorkerReport:
-    return WorkerReport(
-        clock=Seconds(report.clock_ms / 1000),
-        incarnation=report.incarnation,
-        running=tuple(_decode_running(row) for row in report.running),
-        ended=tuple(_decode_ended(row) for row in report.ended),
-    )
-
-
-def _decode_running(row: _Running) -> RunningAttempt:
-    return RunningAttempt(
-        task=parse_task(row.task),
-        attempt=AttemptNumber(row.attempt),
-        checkpoint=_read_checkpoint(row.checkpoint),
-        progress_percent=int(row.percent),
-        gauge=row.gauge / 1000,
-    )
-
-
-def _decode_ended(row: _Ended) -> EndedAttempt:
-    return EndedAttempt(
-        sequence=row.sequence,
-        task=parse_task(row.task),
-        attempt=AttemptNumber(row.attempt),
-        cause=EndCause(row.cause),
-        checkpoint=_read_checkpoint(row.checkpoint),
-    )
-
-
-def _read_checkpoint(checkpoint: str) -> str:
-    """Return a checkpoint; empty, which stands for none, if it is too long to keep."""
-    return checkpoint if len(checkpoint) <= CHECKPOINT_CHARACTERS_MAX else ""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -43,7 +43,7 @@
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
 from plantainhinge.jobs.records import RecordKind, decode_record
-from plantainhinge.platform import ingress, operator, store, workers
+from plantainhinge.platform import ingress, operator, store, worker_reports, workers
 from plantainhinge.platform.settings import read_platform_settings
 from standins.addresses import find_free_address
 from standins.platform_store import StandInStore
@@ -315,7 +315,7 @@
     monkeypatch.setattr(workers.PlatformWorkerClient, "_call", answer)
     client = workers.PlatformWorkerClient()
     entry = workers.decode_entry("i-1", encode(ENTRY))
-    task = workers.parse_task("j.0.0.0")
+    task = worker_reports.parse_task("j.0.0.0")
     order = {
         "renew": Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None),
         "stop": StopOrder(task=task, attempt=1, epoch=1),
@@ -328,7 +328,7 @@
 def test_a_report_of_an_incarnation_that_the_log_cannot_hold_is_malformed(born):
     report = encode({"clockMs": 1, "running": [], "ended": [], "born": born})
     with pytest.raises(msgspec.MsgspecError):
-        msgspec.json.decode(report, type=workers._Report)
+        msgspec.json.decode(report, type=worker_reports.Report)
 
 
 def test_a_job_is_decoded():
@@ -511,7 +511,7 @@
 def test_a_report_with_more_rows_than_a_worker_can_have_is_malformed():
     rows = {"running": [RUNNING] * 5001, "ended": []}
     with pytest.raises(msgspec.ValidationError):
-        msgspec.json.decode(encode({"clockMs": 1} | rows), type=workers._Report)
+        msgspec.json.decode(encode({"clockMs": 1} | rows), type=worker_reports.Report)
 
 
 def test_a_checkpoint_that_is_too_long_to_keep_counts_as_none():
@@ -525,8 +525,8 @@
 @given(JSON_VALUES)
 def test_a_malformed_report_raises_only_what_the_caller_handles(value):
     try:
-        report = msgspec.json.decode(encode(value), type=workers._Report)
-        workers._decode_report(report)
+        report = msgspec.json.decode(encode(value), type=worker_reports.Report)
+        worker_reports.decode_report(report)
     except (msgspec.MsgspecError, ValueError, TypeError, IndexError):
         pass
 
