New workers that answer one after another share a handover

Since the handover names only workers that have answered, each answer of a new worker made one due, within 20 ms of the last; before, all that one read of the directory brought were named together.

Change: the next one is due 50 ms after the last.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -16,6 +16,8 @@
 HANDOVER_INTERVAL_SECONDS = 3.0
 # flushes can follow each other much faster than this
 CHECK_INTERVAL_SECONDS = 0.02
+# new workers that answer within this time of a handover share the next one
+NEW_INTERVAL_SECONDS = 0.05
 # least time between handovers that only differ in which workers are silent
 SILENCE_INTERVAL_SECONDS = 0.3
 # a worker is named as silent this long after a call without an answer, since most
@@ -95,16 +97,16 @@
 def _is_due(cell: SchedulingState, *, now: float) -> bool:
     """Return whether to write a handover.
 
-    One is due every ``HANDOVER_INTERVAL_SECONDS``, at once when a new worker answers,
-    since nothing is started on it before, and soon after a worker falls silent or
-    answers again. After one that the log refused, the next may well be refused too.
+    One is due every ``HANDOVER_INTERVAL_SECONDS``, almost at once when a new worker
+    answers, since nothing is started on it before, and soon after a worker falls silent
+    or answers again. After one that the log refused, the next may well be refused too.
     """
     elapsed = now - cell.handover_written_at
     if elapsed >= HANDOVER_INTERVAL_SECONDS:
         return True
     if cell.handover_refused:
         return False
-    if any(
+    if elapsed >= NEW_INTERVAL_SECONDS and any(
         worker.handover is HandoverMark.MISSING and _may_run_attempts(worker, now=now)
         for worker in cell.workers.values()
     ):
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -5,6 +5,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from plantainhinge.fleet.model import WorkerReport
+
 from .simulated_cell import (
     LEASE_SECONDS_MAX,
     SimulatedCell,
@@ -102,6 +104,20 @@
     assert {entry.worker for entry in site.handover.workers} == {"w1"}
 
 
+def test_new_workers_that_answer_one_after_another_share_handovers():
+    cell = SimulatedCell(*(make_entry(f"w{index}") for index in range(40))).cell
+    written = 0
+    for index, worker in enumerate(cell.workers.values()):
+        now = 1.0 + index * 0.005
+        report = WorkerReport(clock=now, incarnation=1, running=(), ended=())
+        cell.handle_report(worker, report, sent=now, now=now)
+        flush = cell.take_flush(now=now)
+        if flush is not None and flush.handover is not None:
+            written += 1
+            cell.confirm_flush(flush)
+    assert written <= 5
+
+
 def test_workers_that_left_the_handover_get_no_start_before_they_are_in_it_again():
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.run(0.3)
