Start all members of a gang with one checkpoint

Cause: each member kept the checkpoint of its own worker. The stopped one had saved later than the others, so the orders of one run carried two values, and members with different values don't work together.

Change: a gang has one checkpoint, the newest that any member's worker reported. All members get it when a run is placed; a repeated order carries it again, since a member's own value changes only once a report confirms its start. The log has it too.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -7,6 +7,7 @@
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
 from . import avoidance, batching, trials
 from .bindings import bind_attempt, unbind_attempt
+from .checkpoints import share_checkpoint
 from .model import Attempt, AttemptPhase, OpenJob, OpenStep, Task, Worker
 from .queueing import rank_step
 from .scheduling_state import SchedulingState
@@ -223,6 +224,7 @@
     for group in _list_gang_candidates(step, pool.workers):
         chosen = _choose_group(cell, step, group, pool, number, now=now)
         if len(chosen) == len(step.tasks):
+            share_checkpoint(step)
             return [
                 _start_member(cell, task, worker, number, now=now)
                 for task, worker in zip(step.tasks, chosen, strict=True)
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -120,7 +120,8 @@
     failed_attempts : set of int
         Numbers of the attempts that failed.
     checkpoint : str
-        Newest saved progress; empty if there is none.
+        Newest saved progress; empty if there is none. That of a gang's member is what
+        its run was started with, until a report has another.
     avoided_workers : set of WorkerId
         Workers on which attempts of it failed or stalled.
     waiting_since : float
@@ -156,6 +157,8 @@
     ----------
     waiting : list of Task
         Tasks that are assigned to no worker.
+    checkpoint : str
+        Newest saved progress of a gang.
     unfinished : int
         Number of tasks that aren't done.
     attempts_per_worker : dict of WorkerId to int
@@ -186,6 +189,7 @@
     spec: Step
     tasks: list[Task] = field(default_factory=list)
     waiting: list[Task] = field(default_factory=list)
+    checkpoint: str = ""
     unfinished: int = 0
     attempts_per_worker: dict[WorkerId, int] = field(default_factory=dict)
     due: float = 0.0
--- a/plantainhinge/dispatch/open_jobs.py
+++ b/plantainhinge/dispatch/open_jobs.py
@@ -19,6 +19,7 @@
     pack_bits,
     unpack_bits,
 )
+from .checkpoints import find_checkpoint, note_checkpoint
 from .model import OpenJob, OpenStep, Task
 from .suspicion import is_on_trial
 
@@ -157,7 +158,7 @@
             task = step.tasks[index]
             task.last_attempt = task_progress.last_attempt
             task.failed_attempts = set(task_progress.failed_attempts)
-            task.checkpoint = task_progress.checkpoint
+            note_checkpoint(task, task_progress.checkpoint)
             task.losses = list(task_progress.losses)
             task.losses.extend(task_progress.pending)
 
@@ -176,7 +177,7 @@
         progress = TaskProgress(
             max(numbers),
             tuple(sorted(task.failed_attempts)),
-            task.checkpoint,
+            find_checkpoint(task),
             tuple(task.losses),
             pending,
         )
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -13,6 +13,7 @@
 from ..jobs.model import TaskKey
 from . import health, open_jobs
 from .bindings import bind_attempt
+from .checkpoints import note_checkpoint
 from .eviction import protect_serving
 from .incarnations import begin_incarnation
 from .interference import infer_speed
@@ -107,8 +108,7 @@
         return
     if attempt is None and not _accepts_unknown_end(task):
         return
-    if end.checkpoint:
-        task.checkpoint = end.checkpoint
+    note_checkpoint(task, end.checkpoint)
     requeue_task(cell, task, now=now)
 
 
@@ -153,8 +153,8 @@
         attempt.progress_percent = running.progress_percent
         attempt.progressed_at = now
     attempt.gauge = running.gauge
-    if running.checkpoint and attempt.phase is AttemptPhase.RUNNING:
-        attempt.task.checkpoint = running.checkpoint
+    if attempt.phase is AttemptPhase.RUNNING:
+        note_checkpoint(attempt.task, running.checkpoint)
 
 
 def _adopt_attempt(
@@ -196,8 +196,8 @@
         task.step.waiting.remove(task)
     if task.done or (others and not task.step.spec.speculative):
         stop_attempt(cell, attempt, now=now)
-    if running.checkpoint and not others:
-        task.checkpoint = running.checkpoint
+    if not others:
+        note_checkpoint(task, running.checkpoint)
 
 
 def _restore_speed(cell: SchedulingState, attempt: Attempt) -> None:
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -105,6 +105,7 @@
     started: float
     serving: bool
     millicores: int
+    saves: bool = False
     speed_percent: int = 100
 
 
@@ -141,6 +142,8 @@
         Starts that brought it over its capacity, which it doesn't guard.
     stopping : dict
         Attempts that are being stopped, with the seconds at which they end.
+    orders : list of StartOrder
+        Start orders that arrived, repeated ones too.
     stop_seconds : float
         How long a stop takes.
     tail_latency : callable, optional
@@ -172,6 +175,7 @@
     done_times: dict = field(default_factory=dict)
     overloads: list = field(default_factory=list)
     stopping: dict = field(default_factory=dict)
+    orders: list = field(default_factory=list)
     stop_seconds: float = 0.0
     end_numbers: object = None
     tail_latency: object = None
@@ -185,6 +189,7 @@
         if order.epoch < self.fence:
             return OrderResponse(outcome=OrderOutcome.FENCED)
         self.fence = order.epoch
+        self.orders.append(order)
         key = (order.task, order.attempt)
         self.lease_end = max(self.lease_end, order.lease_end)
         if order.attempt <= self.closed.get(order.task, 0):
@@ -200,6 +205,7 @@
                 self.now,
                 bool(step.target_seconds),
                 0 if step.best_effort else step.request.millicores,
+                step.checkpoints,
             )
             if self.count_millicores() > self.entry.capacity.millicores:
                 self.overloads.append(key)
@@ -257,7 +263,11 @@
     def report(self):
         running = tuple(
             RunningAttempt(
-                task, number, "", self._percent(attempt), self._gauge(attempt)
+                task,
+                number,
+                self._save(attempt),
+                self._percent(attempt),
+                self._gauge(attempt),
             )
             for (task, number), attempt in self.attempts.items()
         )
@@ -286,15 +296,20 @@
                 self._end(key, EndCause.FAILED if self.fails else EndCause.DONE)
 
     def _end(self, key, cause):
-        del self.attempts[key]
+        saved = self._save(self.attempts.pop(key))
         number = next(self.end_numbers)
-        self.ended.append(EndedAttempt(number, *key, cause, ""))
+        self.ended.append(EndedAttempt(number, *key, cause, saved))
         self.end_times[number] = self.now
         self._close(*key)
 
     def _close(self, task, attempt):
         self.closed[task] = max(attempt, self.closed.get(task, 0))
 
+    def _save(self, attempt):
+        """Return the checkpoint of an attempt; each worker's are unlike others'."""
+        worked = int(attempt.estimate - attempt.time_left)
+        return f"{self.entry.worker}-{worked}" if attempt.saves and worked else ""
+
     def _percent(self, attempt):
         return (
             100
