Answer each request that a stopping instance has read, also pipelined ones

Cause: while the server drains, each answer closes the connection and clears the queue.

Change: only the answer of the last request that was read closes it. A caller that goes on sending is bound by the drain's time. The test fails before: 1 answer of 2.

--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -160,7 +160,8 @@
         while self._queue:
             request, keep_alive = self._queue[0]
             reply = await self._server.respond(request)
-            keep_alive = keep_alive and not self._server.draining
+            is_last = self._server.draining and len(self._queue) == 1
+            keep_alive = keep_alive and not is_last
             if self._transport is not None:
                 self._transport.write(reply.encode(keep_alive=keep_alive))
             self._queue.pop(0)
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -136,6 +136,28 @@
     assert asyncio.run(run()) == [504, 504]
 
 
+# an instance that stopped dropped requests that it had read behind another one
+def test_a_draining_server_answers_each_pipelined_request_that_it_has_read():
+    async def run():
+        server = HttpServer(find_free_address(), echo)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        requests = [b"GET /%s HTTP/1.1\r\n\r\n" % path for path in (b"slow", b"b")]
+        writer.write(b"".join(requests))
+        await asyncio.sleep(0.1)
+        await server.drain(timeout=2.0)
+        received = await reader.read()
+        writer.close()
+        await writer.wait_closed()
+        return received
+
+    received = asyncio.run(run())
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.count(b"Connection: close") == 1
+    assert received.endswith(b"/b")
+
+
 def test_a_draining_server_finishes_requests_in_progress():
     async def scenario(server, client):
         slow = asyncio.create_task(client.call(post("/slow"), timeout=2))
