Take no connection with half a request for an idle one when an instance stops

Cause: a connection counted as busy only from the end of its request on.

Change: it is busy from the first byte of a request, within the bound of the drain. The test fails before in 3 of 3 places: the connection ends without an answer.

--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -74,6 +74,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._queue: list[tuple[HttpRequest, bool]] = []
         self._task: asyncio.Task[None] | None = None
+        self._receiving = False
         self._reset()
 
     def _reset(self) -> None:
@@ -98,6 +99,7 @@
             self._reject(error)
 
     def on_message_begin(self) -> None:
+        self._receiving = True
         self._reset()
 
     def on_url(self, url: bytes) -> None:
@@ -118,6 +120,7 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        self._receiving = False
         if len(self._queue) >= PIPELINED_REQUESTS_MAX:
             raise _TooLargeError(429)
         request = HttpRequest(
@@ -132,8 +135,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being handled."""
-        return self._task is not None
+        """Whether a request is being received or handled."""
+        return self._receiving or self._task is not None
 
     def close(self) -> None:
         """Close the connection once the written data has been sent."""
@@ -160,8 +163,8 @@
         while self._queue:
             request, keep_alive = self._queue[0]
             reply = await self._server.respond(request)
-            is_last = self._server.draining and len(self._queue) == 1
-            keep_alive = keep_alive and not is_last
+            is_last = len(self._queue) == 1 and not self._receiving
+            keep_alive = keep_alive and not (self._server.draining and is_last)
             if self._transport is not None:
                 self._transport.write(reply.encode(keep_alive=keep_alive))
             self._queue.pop(0)
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -158,6 +158,31 @@
     assert received.endswith(b"/b")
 
 
+# a connection with half a request was taken for an idle one
+@pytest.mark.parametrize("read", [5, 40, 62])
+def test_a_draining_server_answers_a_request_that_is_still_arriving(read):
+    request = b"POST /late HTTP/1.1\r\nHost: archive\r\nContent-Length: 12\r\n\r\n"
+    request += b"x" * 12
+
+    async def run():
+        server = HttpServer(find_free_address(), echo)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request[:read])
+        await asyncio.sleep(0.1)
+        drained = asyncio.create_task(server.drain(timeout=2.0))
+        await asyncio.sleep(0.1)
+        writer.write(request[read:])
+        received = await reader.read()
+        await drained
+        writer.close()
+        await writer.wait_closed()
+        return received
+
+    assert asyncio.run(run()).endswith(b"x" * 12 + b"/late")
+
+
 def test_a_draining_server_finishes_requests_in_progress():
     async def scenario(server, client):
         slow = asyncio.create_task(client.call(post("/slow"), timeout=2))
