A test that fails: a stopping owner doesn't learn its successor

Cause: Ownership.watch ends as soon as the instance leaves; the last record that it reads is its own release. So it asks nobody for half of the call's time.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -178,6 +178,19 @@
     assert elapsed < 0.1
 
 
+# queries at a stopping owner waited for an owner for half of their time
+def test_an_owner_that_stops_learns_who_its_successor_is():
+    async def scenario(log, one, two):
+        await wait_for(lambda: "two/b/100" in log.members)
+        await asyncio.sleep(0.05)
+        await one.ownership.leave()
+        await wait_for(lambda: two.events)
+        async with asyncio.timeout(1.0):
+            await wait_for(lambda: one.ownership.owner == two.ownership.member)
+
+    run_members(scenario)
+
+
 def test_a_dead_owner_is_replaced_under_a_higher_epoch():
     async def scenario(log, one, two):
         await wait_for(lambda: "two/b/100" in log.members)
