--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -28,6 +28,7 @@
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
+from .confirmation import Confirmation
 from .job_view import JobView
 from .load_report import LoadReports
 from .logged_jobs import open_logged_job
@@ -77,8 +78,8 @@
         Called with the reason when a worker or the log has seen a higher epoch, or
         when a loop fails.
     check_ownership : callable
-        Called after a pause of the process, during which another instance may have
-        taken over.
+        Reads who owns the cell and drops it if that is another instance; returns
+        whether the log answered that it is this one.
     """
 
     log: KeyedLog
@@ -88,7 +89,7 @@
     terms: LeaseTerms
     operator: OperatorView
     report_fenced: Callable[[str], None]
-    check_ownership: Callable[[], Coroutine[Any, Any, None]]
+    check_ownership: Callable[[], Coroutine[Any, Any, bool]]
     metrics: Metrics = field(default_factory=NullMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
@@ -99,7 +100,8 @@
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        self.progress = ProgressLog(self.log)
+        self.confirmation = Confirmation(self.check_ownership)
+        self.progress = ProgressLog(self.log, self.confirmation.note)
         self._reports = LoadReports(self.metrics)
 
     async def take_over(self, epoch: Epoch) -> None:
@@ -108,6 +110,7 @@
         self._epoch = epoch
         cell = Cell(epoch, self.terms, started, find_record=self._find_record)
         tails = (self.view.job_tail, self.view.progress_tail, self.workers.tail)
+        self.confirmation.reset()
         await fence_and_load(self.log, self.progress, tails, epoch)
         if self._epoch != epoch:
             return
@@ -142,8 +145,10 @@
             is_owner=lambda: self.cell is cell,
             wake=self.wake,
             count_report=self._reports.round_times.count_report,
+            read_confirmation=self.confirmation.read,
         )
         self._spawn(self._poll_directory(cell, self._renewals))
+        self._spawn(self.confirmation.run(epoch, is_owner=lambda: self.cell is cell))
         for loop in (
             self._tail_jobs,
             self._flush,
@@ -232,7 +237,7 @@
             elapsed = Seconds(read_uptime() - decided_at)
             if elapsed > PROCESS_PAUSE_SECONDS:
                 write_event(logger, ProcessStoodStill(slept_s=elapsed))
-                await self.check_ownership()
+                await self.confirmation.request()
                 if self.cell is not cell:
                     return
             # the time of the check is no pause, but one during the round may be
@@ -255,6 +260,7 @@
 
     def _decide_once(self, cell: Cell) -> None:
         now = read_monotonic()
+        cell.confirmed_at = self.confirmation.read()
         self._update_constraints(cell)
         cell.decide(now=now, wall=read_wall())
         self._reports.write_due(cell, now=now)
@@ -288,22 +294,25 @@
             flush = cell.take_flush(now=read_monotonic())
             if flush is None:
                 return
-            if not await self._write_flush(cell, flush):
+            logged = await self._write_flush(cell, flush)
+            if logged is None:
                 return
-            for progress in flush.progress:
+            for progress in logged.progress:
                 self.view.table.apply(progress)
-            cell.confirm_flush(flush)
+            cell.confirm_flush(logged)
+            if logged != flush:
+                cell.handle_refusal(flush, logged, now=read_monotonic())
         if self._renewals is not None:
             self._renewals.note_flush()
 
-    async def _write_flush(self, cell: Cell, flush: Flush) -> bool:
+    async def _write_flush(self, cell: Cell, flush: Flush) -> Flush | None:
         try:
             return await self.progress.write_flush(
                 flush, is_owner=lambda: self.cell is cell
             )
         except (NotOwnerError, ConflictError) as error:
             self.report_fenced(str(error))
-            return False
+            return None
 
     async def _request_advice(self, cell: Cell) -> None:
         """Request advice for one step at a time, as the advice service requires."""
--- a/plantainhinge/daemons/owner_events.py
+++ b/plantainhinge/daemons/owner_events.py
@@ -4,6 +4,7 @@
 
 from ..core.ids import JobId, WorkerId
 from ..core.log_events import LogEvent, log_event
+from ..jobs.record_sizes import Detail
 
 
 @log_event("jobs unreadable", level=logging.WARNING)
@@ -123,20 +124,62 @@
 
 @log_event("progress too large", level=logging.ERROR)
 class ProgressTooLarge(LogEvent, frozen=True, kw_only=True):
-    """A job's progress is larger than the log's limit and was left out.
+    """A job's progress is larger than the log's limit; the job ends as failed.
 
-    The next owner starts the job's tasks again that ended since its last progress.
+    A later owner could not go on with it.
 
     Parameters
     ----------
     job : str
         The job.
+    """
+
+    job: JobId
+
+
+@log_event("progress shortened")
+class ProgressShortened(LogEvent, frozen=True, kw_only=True):
+    """A job's progress was logged without some details, for the log's limit.
+
+    Without checkpoints, its interrupted tasks begin anew under the next owner. In a
+    summary, the failures and losses of its unfinished tasks aren't counted either.
+
+    Parameters
+    ----------
+    job : str
+        The job.
+    detail : str
+        ``no-checkpoints`` or ``summary``.
     size_bytes : int
-        Size of the record without checkpoints.
+        Size of the record.
     """
 
     job: JobId
+    detail: Detail
+    size_bytes: int
+
+
+@log_event("record refused", level=logging.ERROR)
+class RecordRefused(LogEvent, frozen=True, kw_only=True):
+    """The log refuses a record of the owner for its size; it isn't sent again as it is.
+
+    A job whose progress is refused ends as failed, since a later owner could not go on
+    with it. A refused handover is built anew after 3 s; workers that only it names get
+    no starts.
+
+    Parameters
+    ----------
+    record : str
+        Id of a job, or ``handover``.
+    size_bytes : int
+        Size of the record or, of a handover, of its changed records.
+    cause : str
+        The error with its step and peer.
+    """
+
+    record: str
     size_bytes: int
+    cause: str
 
 
 @log_event("progress not logged", level=logging.WARNING)
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -109,17 +109,22 @@
             failures=len(task.failed_attempts),
         )
         write_event(logger, event)
-    if attempt is None and not _accepts_unknown_end(task):
-        return
-    if end.cause is EndCause.DONE and not task.step.spec.long_running:
+    if _finishes(end, task):
+        # whoever started it: the worker forgets the end, so it must count now
         health.record_success(worker)
-        finish_task(cell, task, now=now)
+        finish_task(cell, task, end.attempt, now=now)
+        return
+    if attempt is None and not _accepts_unknown_end(task):
         return
     if end.checkpoint:
         task.checkpoint = end.checkpoint
     requeue_task(cell, task, now=now)
 
 
+def _finishes(end: EndedAttempt, task: Task) -> bool:
+    return end.cause is EndCause.DONE and not task.step.spec.long_running
+
+
 def _log_dropped_end(
     worker: Worker, end: EndedAttempt, attempt: Attempt | None, task: Task | None
 ) -> None:
@@ -130,7 +135,7 @@
         reason = DropReason.NOT_OPEN
     elif task.done:
         reason = DropReason.TASK_DONE
-    elif _accepts_unknown_end(task):
+    elif _finishes(end, task) or _accepts_unknown_end(task):
         return
     elif task.step.job.inherited:
         reason = DropReason.OTHER_ATTEMPT
@@ -161,7 +166,7 @@
 
 
 def _accepts_unknown_end(task: Task) -> bool:
-    """Return whether to process an end of an attempt unknown to this owner.
+    """Return whether to resume from an end, not as done, of an unknown attempt.
 
     It was started by an earlier owner. A speculative task may have another attempt
     that is known and still runs; any other task must have none.
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -17,7 +17,7 @@
 from ..fleet.operator import Workspace
 from ..jobs.model import JobRecord, TaskKey
 from ..placement.quotas import QuotaUsage
-from .leases import LeaseTerms
+from .leases import START_LEASE_RATIO_MIN, LeaseTerms, compute_lease
 from .model import OpenJob, OpenStep, Task, Trial, Worker
 from .orders import Command
 from .outages import LossCause, Outage
@@ -43,6 +43,9 @@
         Durations of leases.
     started_at : float
         Monotonic seconds at which this ownership began.
+    confirmed_at : float
+        Monotonic seconds at which no later owner had taken over yet, by the newest
+        answer of the log.
     closed_domains : frozenset of DomainId
         Failure domains that take no new work.
     guarded_services : frozenset of ServiceId
@@ -53,6 +56,8 @@
         Resources of the attempts bound to workers, by workspace.
     find_record : callable
         Returns the record of a job that isn't open any more, or None.
+    answering_workers : int
+        Number of workers that answered when the directory was last read.
     directory_synced_at : float
         Monotonic seconds; all directory entries written before it are known.
     fenced : bool
@@ -78,6 +83,11 @@
         Monotonic seconds at which the record for the next owner was last written.
     handover_checked_at : float
         Monotonic seconds of the last check whether to write it.
+    handover_refused : bool
+        Whether the log refused the last handover for its size.
+    is_handover_known : bool
+        Whether an earlier owner's handover was read. It names all workers that may run
+        attempts of earlier owners.
     moves_checked_at : float
         Monotonic seconds of the last check for throttled attempts to move.
     long_running_arrived_at : float
@@ -126,6 +136,7 @@
     workspaces: Mapping[WorkspaceId, Workspace] = field(default_factory=dict)
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
     find_record: Callable[[JobId], JobRecord | None] = lambda job: None
+    answering_workers: int = 0
     directory_synced_at: float = float("inf")
     fenced: bool = False
     weights: ImageWeights = field(default_factory=ImageWeights)
@@ -138,6 +149,8 @@
     ended_jobs: set[JobId] = field(default_factory=set)
     handover_written_at: float = float("-inf")
     handover_checked_at: float = float("-inf")
+    handover_refused: bool = False
+    is_handover_known: bool = False
     moves_checked_at: float = float("-inf")
     speculation_checked_at: float = float("-inf")
     long_running_arrived_at: float = float("-inf")
@@ -156,11 +169,22 @@
     load: LoadMeter = field(default_factory=LoadMeter)
     retried_at: float = float("-inf")
     tended_at: float = float("-inf")
+    confirmed_at: float = field(init=False)
 
     def __post_init__(self) -> None:
+        self.confirmed_at = self.started_at
         first = self.epoch <= FIRST_EPOCH
         self.earlier_lease_max = self.terms.length if first else self.terms.length_max
 
+    def compute_lease(self, *, now: float) -> Seconds:
+        """Return how many seconds a lease that is granted now may last."""
+        return compute_lease(self.terms, confirmed_at=self.confirmed_at, now=now)
+
+    def may_start(self, *, now: float) -> bool:
+        """Return whether new attempts may be started, by what the log confirmed."""
+        length_min = START_LEASE_RATIO_MIN * self.terms.length
+        return self.compute_lease(now=now) >= length_min
+
     @property
     def recovering(self) -> bool:
         """Whether each inherited task may still run under an earlier owner."""
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -3,10 +3,15 @@
 import asyncio
 import time
 from collections import Counter
+from contextlib import suppress
+from dataclasses import replace
+from random import Random
 
 import msgspec
 import pytest
+from hypothesis import given, settings, strategies as st
 
+from plantainhinge.core.errors import TooLargeError
 from plantainhinge.core.ids import Epoch, JobId, QueueName
 from plantainhinge.daemons import cell_runner
 from plantainhinge.daemons.cell_runner import DIRECTORY_INTERVAL_SECONDS, CellRunner
@@ -17,9 +22,19 @@
 from plantainhinge.daemons.renewals import Renewals
 from plantainhinge.daemons.worker_view import WorkerView
 from plantainhinge.dispatch import polling
+from plantainhinge.dispatch.bindings import bind_attempt
 from plantainhinge.dispatch.cell import Flush
-from plantainhinge.fleet.handover import Handover
+from plantainhinge.dispatch.model import Attempt, AttemptPhase
+from plantainhinge.fleet.handover import (
+    HANDOVER_KEY,
+    Handover,
+    HandoverRecords,
+    SilentWorker,
+    encode_handover,
+)
 from plantainhinge.fleet.model import (
+    EndCause,
+    EndedAttempt,
     OrderOutcome,
     OrderResponse,
     WorkerEntry,
@@ -40,7 +55,7 @@
 )
 
 from .keyed_log import MemoryKeyedLog
-from .simulated_cell import TERMS, make_entry, make_job, make_step
+from .simulated_cell import TERMS, SimulatedCell, make_entry, make_job, make_step
 
 
 class NoWorkers:
@@ -58,6 +73,17 @@
         pass
 
 
+class IdleWorkers:
+    """A fake of calls to workers that run nothing and all answer."""
+
+    async def renew(self, entry, renewal):
+        await asyncio.sleep(0)
+        return WorkerReport(clock=0.0, incarnation=1, running=(), ended=())
+
+    def close_connections(self, entry):
+        pass
+
+
 def make_runner(log, lost=None):
     async def check():
         return None
@@ -82,6 +108,8 @@
 def read_states(log):
     states = {}
     for entry in log.topics[PROGRESS_TOPIC]:
+        if entry.key.startswith(HANDOVER_KEY):
+            continue
         record = decode_record(entry.key, entry.value)
         states[record.job] = record.state.value
     return states
@@ -374,7 +402,8 @@
         self.round_seconds = round_seconds
         self.check_seconds = check_seconds
         runner._decide_once = self._decide_once
-        runner.check_ownership = self._check
+        runner.confirmation.run = self._confirm_nothing
+        runner.confirmation.check_ownership = self._check
 
     def _decide_once(self, cell):
         self.events.append("round")
@@ -384,6 +413,9 @@
         self.events.append("check")
         await asyncio.sleep(self.check_seconds)
 
+    async def _confirm_nothing(self, epoch, *, is_owner):
+        pass
+
     async def wait_for(self, event):
         """Wait for the next event of this kind; return all events up to it."""
         self.events.clear()
@@ -439,7 +471,7 @@
         async def check():
             runner.stop("replaced")
 
-        runner.check_ownership = check
+        runner.confirmation.check_ownership = check
         await runner.take_over(Epoch(1))
         await rounds.wait_for("round")
         rounds.events.clear()
@@ -471,42 +503,99 @@
         make_large_directory(log, 4000)
         runner = make_runner(log)
         runner.workers = WorkerView(log, "workers", decode_worker)
-        runner.calls = SilentWorkers()
+        runner.calls = IdleWorkers()
         await accept(log, make_job("a"))
         await runner.take_over(Epoch(1))
+        while not all(worker.reachable for worker in runner.cell.workers.values()):
+            await asyncio.sleep(0.01)
         cancel(runner, "a")
         async with asyncio.timeout(2.0):
             await runner.flush()
-        runner.stop("test")
-        successor = JobView(log)
-        await successor.progress_tail.catch_up()
-        return successor.table.rows["a"].state.value, len(successor.handover.workers)
+        return await read_successor(runner)
 
     assert asyncio.run(scenario()) == ("cancelled", 4000)
 
 
-def make_progress(job, tasks, checkpoint):
+async def read_successor(runner):
+    """Return what the log tells the next owner: the job's state, a count of workers."""
+    runner.stop("test")
+    successor = JobView(runner.log)
+    await successor.progress_tail.catch_up()
+    row = successor.table.rows.get("a")
+    return row and row.state.value, len(successor.handover.workers)
+
+
+# the handover copied such entries; past the log's limit no progress was logged any more
+@pytest.mark.parametrize(
+    ("count", "labels"), [(2, 3500), (600, 2)], ids=["large", "many"]
+)
+def test_entries_of_another_writer_hold_up_no_progress(count, labels):
+    async def scenario():
+        log = MemoryKeyedLog()
+        entry = make_entry("", labels=("x" * 50,) * labels)
+        for index in range(count):
+            odd = msgspec.structs.replace(entry, worker=f"odd{index}")
+            log.topics["workers"].append(Entry(odd.worker, msgspec.msgpack.encode(odd)))
+        runner = make_runner(log)
+        runner.workers = WorkerView(log, "workers", decode_worker)
+        runner.calls = SilentWorkers()
+        await accept(log, make_job("a"))
+        await runner.take_over(Epoch(1))
+        cancel(runner, "a")
+        with suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await runner.flush()
+        return await read_successor(runner)
+
+    assert asyncio.run(scenario()) == ("cancelled", 0)
+
+
+@settings(max_examples=30)
+@given(
+    st.lists(st.tuples(st.integers(1, 120), st.integers(0, 60)), max_size=40),
+    st.integers(600, 3000),
+)
+def test_no_record_of_a_handover_is_too_large_whatever_its_entries(sizes, bytes_max):
+    workers = tuple(
+        make_entry(f"w{index}-" + "x" * name, labels=("y",) * labels)
+        for index, (name, labels) in enumerate(sizes)
+    )
+    silent = tuple(SilentWorker(entry.worker, ()) for entry in workers)
+    handover = Handover(workers=workers, silent=silent)
+    records = encode_handover(handover, record_bytes_max=bytes_max)
+    assert max(map(len, records.values())) <= bytes_max
+    known = HandoverRecords()
+    for key, value in records.items():
+        known.apply(key, value)
+    assert sorted(known.combine().workers, key=repr) == sorted(workers, key=repr)
+
+
+def make_progress(job, tasks, checkpoint, done=b""):
     rows = {index: TaskProgress(1, checkpoint=checkpoint) for index in range(tasks)}
     return Progress(
         job=JobId(job),
         queue=QueueName("q"),
         state=JobState.RUNNING,
-        occurrences={0: OccurrenceProgress((StepProgress(tasks=rows),))},
+        occurrences={0: OccurrenceProgress((StepProgress(done, rows),))},
     )
 
 
 @pytest.mark.parametrize(
-    ("tasks", "logged"),
-    [(50, ["pbig", "psmall"]), (500, ["psmall"])],
-    ids=["without checkpoints", "left out"],
+    ("tasks", "done", "logged"),
+    [
+        (50, b"", ["pbig", "psmall"]),
+        (500, b"", ["pbig", "psmall"]),
+        (500, Random(1).randbytes(1000), ["psmall"]),
+    ],
+    ids=["without checkpoints", "summary", "left out"],
 )
-def test_progress_that_is_too_large_holds_up_no_other(tasks, logged):
+def test_progress_that_is_too_large_holds_up_no_other(tasks, done, logged):
     async def scenario():
         log = MemoryKeyedLog()
         log.record_bytes_max = log.append_bytes_max = 1000
         progress = ProgressLog(log)
         await progress.begin_epoch(Epoch(1))
-        big = make_progress("big", tasks, "x" * 100)
+        big = make_progress("big", tasks, "x" * 100, done)
         small = make_progress("small", 1, "x")
         flush = Flush((big, small), ())
         await progress.write_flush(flush, is_owner=lambda: True)
@@ -515,6 +604,92 @@
     assert asyncio.run(scenario()) == logged
 
 
+class RefusingLog(MemoryKeyedLog):
+    """A log that refuses some keys as too large; it notes the keys of each append."""
+
+    def __init__(self, *refused):
+        super().__init__()
+        self.refused = set(refused)
+        self.attempts = []
+
+    async def append(self, topic, entries, **options):
+        keys = [entry.key for entry in entries]
+        if topic == PROGRESS_TOPIC:
+            self.attempts.append(keys)
+            if self.refused.intersection(keys):
+                raise TooLargeError("status 413", step="log.append")
+        return await super().append(topic, entries, **options)
+
+
+def test_a_refused_record_holds_up_no_other_and_is_not_sent_again():
+    async def scenario():
+        log = RefusingLog("pb", "handover")
+        progress = ProgressLog(log)
+        await progress.begin_epoch(Epoch(1))
+        records = tuple(make_progress(job, 1, "x") for job in "abcd")
+        handover = Handover(workers=(make_entry("w1"),))
+        flush = Flush(records, (("w1", 1, 5),), handover)
+        logged = await progress.write_flush(flush, is_owner=lambda: True)
+        again = Flush((), (("w1", 1, 5),), handover)
+        sent = len(log.attempts)
+        repeated = await progress.write_flush(again, is_owner=lambda: True)
+        return log, logged, repeated, len(log.attempts) - sent
+
+    log, logged, repeated, sent_again = asyncio.run(scenario())
+    assert [entry.key for entry in log.topics[PROGRESS_TOPIC]] == ["pa", "pc", "pd"]
+    assert [each.job for each in logged.progress] == ["a", "c", "d"]
+    assert (logged.handover, logged.ends) == (None, ())
+    assert (repeated.handover, repeated.ends) == (None, (("w1", 1, 5),))
+    assert sent_again == 0
+
+
+# its ends were acknowledged, so that a new owner ran its tasks again
+def test_ends_wait_for_the_end_of_a_job_whose_progress_is_refused():
+    async def scenario():
+        log = RefusingLog("pa")
+        runner = make_runner(log)
+        await accept(log, make_job("a", make_step(count=2)), make_job("b"))
+        await runner.take_over(Epoch(1))
+        cell = runner.cell
+        cell.update_workers([make_entry("w1")], now=0.0)
+        worker = cell.workers["w1"]
+        for sequence, (job, index) in enumerate((("b", 0), ("a", 0)), start=1):
+            task = cell.jobs[JobId(job)].occurrences[0][0].tasks[index]
+            bind_attempt(Attempt(task, 1, worker, AttemptPhase.RUNNING, 0.0, 0.0))
+            end = EndedAttempt(sequence, task.key, 1, EndCause.DONE, "")
+            report = WorkerReport(clock=0.0, incarnation=1, running=(), ended=(end,))
+            cell.handle_report(worker, report, sent=0.0, now=0.0)
+        await runner.flush()
+        before = worker.acknowledged, read_states(log)
+        log.refused.clear()
+        await runner.flush()
+        runner.stop("test")
+        return before, (worker.acknowledged, read_states(log))
+
+    before, after = asyncio.run(scenario())
+    assert before == (0, {"b": "completed"})
+    assert after == (2, {"a": "failed", "b": "completed"})
+
+
+def test_a_worker_gets_no_start_while_the_log_refuses_the_handover_that_names_it():
+    site = SimulatedCell(make_entry("w1"))
+    site.submit(make_job("a"))
+    taken = 0
+    for _ in range(40):
+        site.log_up = False
+        site.run(0.05)
+        flush, site.pending_flush = site.pending_flush, None
+        if flush is not None and flush.handover is not None:
+            taken += 1
+            logged = replace(flush, handover=None)
+            site.cell.confirm_flush(logged)
+            site.cell.handle_refusal(flush, logged, now=site.now)
+    assert (site.count_starts(), taken) == (0, 1)
+    site.log_up = True
+    site.run(4)
+    assert site.count_starts() == 1
+
+
 def test_only_changed_records_of_a_large_handover_are_written_again():
     async def scenario():
         log = MemoryKeyedLog()
@@ -598,6 +773,67 @@
         return OrderResponse(outcome=OrderOutcome.ACCEPTED)
 
 
+class CountingSilence(SilentWorkers):
+    """Workers none of which answers; notes the calls to them."""
+
+    def __init__(self):
+        self.calls = self.open = self.open_max = 0
+
+    async def renew(self, entry, renewal):
+        self.calls += 1
+        self.open += 1
+        self.open_max = max(self.open, self.open_max)
+        await asyncio.sleep(0.001)
+        self.open -= 1
+        return OrderResponse(outcome=OrderOutcome.NOT_SENT)
+
+
+@pytest.mark.parametrize(("count", "calls_max"), [(300, 20), (6, 22)])
+def test_calls_to_workers_that_never_answered_are_limited_in_all(
+    monkeypatch, count, calls_max
+):
+    monkeypatch.setattr(polling, "UNKNOWN_LOOKS_PER_SECOND_MAX", 20.0)
+
+    async def scenario():
+        log = MemoryKeyedLog()
+        make_large_directory(log, count)
+        runner = make_runner(log)
+        runner.workers = WorkerView(log, "workers", decode_worker)
+        runner.calls = silence = CountingSilence()
+        await runner.take_over(Epoch(1))
+        await asyncio.sleep(0.5)
+        first = silence.calls
+        await asyncio.sleep(1.0)
+        runner.stop("test")
+        return first, silence.calls - first, silence.open_max
+
+    first, later, open_max = asyncio.run(scenario())
+    assert first >= count
+    assert open_max <= 100
+    assert later <= calls_max
+    assert count > 6 or later >= 12
+
+
+def test_another_writers_entries_make_no_look_at_idle_workers_rarer():
+    site = SimulatedCell(make_entry("w1"))
+    site.run(0.5)
+    site.submit(make_job("a"))
+    entries = [make_entry(f"odd{index}") for index in range(3000)]
+    site.cell.update_workers([make_entry("w1"), *entries], now=site.now)
+    worker = site.cell.workers["w1"]
+    assert site.cell.plan_pause(worker) == 0.0
+
+
+def test_a_log_line_names_few_of_many_entries_at_one_address(caplog):
+    caplog.set_level("INFO")
+    site = SimulatedCell()
+    entries = [make_entry(f"odd{index}", address="h:1") for index in range(50)]
+    site.cell.update_workers(entries, now=0.0)
+    named = [record.predecessors for record in caplog.records]
+    assert max(map(len, named)) == 3
+    assert list(named[-1]) == ["odd46", "odd47", "odd48"]
+
+
 def test_an_idle_worker_of_a_large_site_is_looked_at_again_once_it_gets_an_order(
     monkeypatch,
 ):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,13 +13,14 @@
     HttpCall,
     HttpResponse,
 )
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
 from plantainhinge.core.errors import (
     BadInputError,
     ConflictError,
     CorruptRecordError,
     NotOwnerError,
     PlantainhingeError,
+    TooLargeError,
     TrimmedError,
     UnavailableError,
     UncertainError,
@@ -32,13 +33,20 @@
     decode_handover,
     encode_handover,
 )
-from plantainhinge.fleet.model import OrderOutcome, OrderResponse, Renewal, StopOrder
+from plantainhinge.fleet.model import (
+    OrderOutcome,
+    OrderResponse,
+    Renewal,
+    StopOrder,
+    WorkerReport,
+)
 from plantainhinge.fleet.operator import DomainClosure, SchedulingConfiguration
 from plantainhinge.fleet.protocols import Entry
 from plantainhinge.jobs.records import RecordKind, decode_record
 from plantainhinge.platform import ingress, operator, store, workers
 from plantainhinge.platform.settings import read_platform_settings
 from standins.addresses import find_free_address
+from standins.platform_store import StandInStore
 
 ENTRY = {
     "coldLeftMs": 1500,
@@ -117,6 +125,26 @@
     assert workers.decode_entry("i-1", encode(ENTRY | change)) is None
 
 
+# another writer's entry decides neither the size of our records nor of our log lines
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
+        ("w" * 129, {}),
+        ("i-1", {"service": "s" * 129}),
+        ("i-1", {"zone": "\u4e2d" * 50}),
+        ("i-1", {"labels": ["x"] * 17}),
+        ("i-1", {"labels": ["x" * 129]}),
+        ("i-1", {"other": "x" * 20_000}),
+        ("i-1", {"state": "x" * 10_000}),
+        ("i-1", {"addr": "x" * 10_000 + ":80"}),
+        ("i-1", {"addr": "10.0.0.1:" + "0" * 400 + "80"}),
+    ],
+)
+def test_an_entry_larger_than_any_of_a_worker_names_none(key, change, caplog):
+    assert workers.decode_entry(key, encode(ENTRY | change)) is None
+    assert all(len(record.cause) <= 200 for record in caplog.records)
+
+
 # a call to such a worker raised an error, which ended the whole ownership
 @pytest.mark.parametrize(
     "key", ["", "w-\ufffd", "w 1", "w\r\nX-Other: y", "w-\u4e2d", "\x00", "w\x7f"]
@@ -411,6 +439,8 @@
         (409, b'{"reason":"fenced"}', NotOwnerError),
         (409, b'{"reason":"seq"}', ConflictError),
         (410, b'{"startOffset":9}', TrimmedError),
+        (413, b"", TooLargeError),
+        (507, b"", UnavailableError),
         (500, b"\xff", PlantainhingeError),
     ],
 )
@@ -441,6 +471,51 @@
     assert answer.clock == 1.5
 
 
+RUNNING = ["0123456789abcdef.0.0.0", 1, "", 40]
+ENDED = [1, "0123456789abcdef.0.0.0", 1, "done", ""]
+
+
+def read_report(running, ended):
+    """Return a worker client's outcome of a renewal, or the report."""
+    body = encode({"clockMs": 1, "running": [running], "ended": [ended], "born": 1})
+
+    class Answering:
+        async def call(self, *args, **kwargs):
+            return HttpResponse(200, {}, body)
+
+    client = workers.PlatformWorkerClient()
+    entry = workers.decode_entry("i-1", encode(ENTRY))
+    client._clients[entry.address] = Answering()
+    renewal = Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None)
+    answer = asyncio.run(client.renew(entry, renewal))
+    return answer if isinstance(answer, WorkerReport) else answer.outcome
+
+
+# such values went into progress, which then couldn't be written or read any more
+@pytest.mark.parametrize("value", [2**64, -1, "1", None, [], {}, 1e300])
+@pytest.mark.parametrize("column", ["running", "ended", "sequence", "checkpoint"])
+def test_a_report_with_a_value_that_no_progress_can_hold_is_malformed(column, value):
+    running, ended = list(RUNNING), list(ENDED)
+    match column:
+        case "running":
+            running[1] = value
+        case "ended":
+            ended[2] = value
+        case "sequence":
+            ended[0] = value
+        case "checkpoint":
+            running[2] = 5 if isinstance(value, str) else value
+    assert read_report(running, ended) is OrderOutcome.UNKNOWN
+
+
+def test_a_checkpoint_that_is_too_long_to_keep_counts_as_none():
+    report = read_report(
+        [*RUNNING[:2], "x" * 1025, 40.5, 3.5], [*ENDED[:4], "y" * 1024]
+    )
+    assert report.running[0].checkpoint == ""
+    assert report.ended[0].checkpoint == "y" * 1024
+
+
 @given(JSON_VALUES)
 def test_a_malformed_report_raises_only_what_the_caller_handles(value):
     try:
@@ -487,3 +562,18 @@
         return found
 
     assert asyncio.run(scenario()) == open_
+
+
+@pytest.mark.parametrize(
+    ("sizes", "status"),
+    [((90,), 200), ((91,), 413), ((90, 90), 200), ((90, 90, 1), 413)],
+)
+def test_the_stand_in_store_keeps_the_limits_of_a_record_and_of_a_call(sizes, status):
+    stand_in = StandInStore("h:1", record_bytes_max=100, append_bytes_max=200)
+    entries = [Entry("k" * 9, b"x" * size) for size in sizes]
+    body = b"".join(store._encode_record(entry) for entry in entries)
+    path = "/-/log-append?topic=keyed.jobs&part=0"
+    call = HttpRequest(method="POST", path=path, headers={}, body=body)
+    reply = asyncio.run(stand_in.handle(call))
+    kept = len(stand_in.topics["keyed.jobs"].records)
+    assert (reply.status, kept) == (status, len(sizes) if status == 200 else 0)
