Let an owner go on in an outage for all while the other members vouch for it

What callers saw with the bound on unconfirmed owners alone: in an outage of the whole store of over 4 s nothing started, and over 6 s all running tasks lapsed.

Cause: an owner alone can't tell an outage for all from a cut that it is behind.

Change: without a confirmation for 0.7 s it asks all other members. One vouches if the log is silent for it too and it knows no other owner; it then claims nothing for 2 s. That counts as a confirmation only if all members vouch, none may be unknown, and the log fell silent for each before anyone could miss the owner. After an outage members wait a second for the owner to join again.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -80,6 +80,8 @@
     check_ownership : callable
         Reads who owns the cell and drops it if that is another instance; returns
         whether the log answered that it is this one.
+    ask_members : callable
+        See ``Confirmation``.
     """
 
     log: KeyedLog
@@ -90,6 +92,7 @@
     operator: OperatorView
     report_fenced: Callable[[str], None]
     check_ownership: Callable[[], Coroutine[Any, Any, bool]]
+    ask_members: Callable[[float], Coroutine[Any, Any, float]]
     metrics: Metrics = field(default_factory=NullMetrics)
     cell: Cell | None = None
     _epoch: Epoch | None = None
@@ -100,7 +103,7 @@
     _dirty: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        self.confirmation = Confirmation(self.check_ownership)
+        self.confirmation = Confirmation(self.check_ownership, self.ask_members)
         self.progress = ProgressLog(self.log, self.confirmation.note)
         self._reports = LoadReports(self.metrics)
 
--- a/plantainhinge/daemons/confirmation.py
+++ b/plantainhinge/daemons/confirmation.py
@@ -2,7 +2,7 @@
 
 Another process owns the cell only after an append that the log accepted. So an answer
 of the log that shows no such append proves that there was none when the question was
-sent.
+sent. While the log doesn't answer, the other members can vouch that there is none.
 """
 
 import asyncio
@@ -35,15 +35,20 @@
     check_ownership : callable
         Reads who owns the cell; returns whether the log answered that it is this
         process.
+    ask_members : callable
+        Given when the log last confirmed the ownership, returns until when the other
+        members rule out another owner; both by ``read_uptime``.
     """
 
     check_ownership: Callable[[], Awaitable[bool]]
+    ask_members: Callable[[float], Awaitable[float]]
     _confirmed_at: float = float("-inf")
+    _vouched_until: float = float("-inf")
     _is_overdue: bool = False
 
     def reset(self) -> None:
         """Forget the confirmations of an earlier ownership."""
-        self._confirmed_at = float("-inf")
+        self._confirmed_at = self._vouched_until = float("-inf")
         self._is_overdue = False
 
     def note(self, sent: Seconds) -> None:
@@ -57,8 +62,12 @@
         self._confirmed_at = max(self._confirmed_at, sent)
 
     def measure_age(self) -> float:
-        """Return the seconds since the newest confirmation; infinite before any."""
-        return read_uptime() - self._confirmed_at
+        """Return the seconds since another owner was last ruled out.
+
+        Infinite before any confirmation; zero as long as the members vouch.
+        """
+        newest = max(self._confirmed_at, self._vouched_until)
+        return max(0.0, read_uptime() - newest)
 
     def read(self) -> float:
         """Return the newest confirmation in monotonic seconds."""
@@ -73,12 +82,16 @@
     async def run(self, epoch: Epoch, *, is_owner: Callable[[], bool]) -> None:
         """Ask for a confirmation whenever accepted appends haven't just been one."""
         while is_owner():
-            if self.measure_age() >= INTERVAL_SECONDS:
-                await self.request()
+            if read_uptime() - self._confirmed_at >= INTERVAL_SECONDS:
+                await asyncio.gather(self.request(), self._ask_members())
             if is_owner():
                 self._log_change(epoch)
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _ask_members(self) -> None:
+        until = await self.ask_members(self._confirmed_at)
+        self._vouched_until = max(self._vouched_until, until)
+
     def _log_change(self, epoch: Epoch) -> None:
         age = self.measure_age()
         if self._is_overdue is (age > OVERDUE_SECONDS):
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -23,6 +23,7 @@
 from ..fleet.protocols import KeyedLog, WorkerCalls
 from ..jobs.forwarding import (
     PassedConfigurationQuery,
+    PassedDeferral,
     PassedLoadQuery,
     decode_call,
     encode_response,
@@ -33,6 +34,7 @@
 from .authentication import Authenticator
 from .call_events import PeerCallMalformed
 from .cell_runner import CellRunner
+from .deferrals import Deferrals
 from .instance_peers import InstancePeers
 from .job_service import JobService
 from .job_view import JobView
@@ -140,6 +142,7 @@
             operator=self.operator,
             report_fenced=self._drop_ownership,
             check_ownership=self._verify_ownership,
+            ask_members=self._ask_members,
             metrics=self.metrics,
         )
         self.ownership = Ownership(
@@ -156,6 +159,7 @@
             is_recovering=self.runner.is_recovering,
         )
         peers = InstancePeers(self.ownership.member, lambda: self.ownership.members)
+        self.deferrals = Deferrals(self.ownership, peers, self._measure_log_silence)
         self.admission = AdmissionControl(
             owns_cell=lambda: self.runner.cell is not None,
             measure=self.runner.measure_admission,
@@ -298,6 +302,8 @@
                 answer = self.authenticator.describe_configuration(call)
             case PassedLoadQuery():
                 answer = self.admission.describe_load()
+            case PassedDeferral():
+                answer = self.deferrals.grant(call)
             case _:
                 answer = await self.service.handle_forwarded_call(call)
         return HttpReply(status=200, body=encode_response(answer))
@@ -341,6 +347,9 @@
             write_event(logger, OwnershipNotVerified(cause=str(error)))
             return False
 
+    async def _ask_members(self, confirmed_at: float) -> float:
+        return await self.deferrals.request(confirmed_at)
+
 
 async def keep_running(work: Callable[[], Awaitable[None]]) -> None:
     """Run a loop until it returns; restart it after an exception, which is logged."""
--- a/plantainhinge/daemons/instance_peers.py
+++ b/plantainhinge/daemons/instance_peers.py
@@ -4,13 +4,14 @@
 when it could not write it to the log itself.
 """
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from ..adapters.stream_http_client import HttpCall, HttpClient
-from ..core.clock import read_monotonic
+from ..core.clock import read_monotonic, read_uptime
 from ..core.errors import PlantainhingeError, UnavailableError, UncertainError
 from ..core.ids import MemberName, Seconds
 from ..core.log_events import write_event
@@ -65,6 +66,18 @@
             return PassedResponse(CallOutcome.REFUSED)
         return await self._call(peer, call, timeout=timeout)
 
+    async def ask_all(
+        self, call: PassedCall, *, timeout: Seconds
+    ) -> list[tuple[PassedResponse, Seconds]]:
+        """Return each other member's answer, and when it was received (uptime)."""
+
+        async def ask(peer: MemberName) -> tuple[PassedResponse, Seconds]:
+            response = await self._call(peer, call, timeout=timeout)
+            return response, read_uptime()
+
+        others = set(self.get_members()) - {self.member}
+        return list(await asyncio.gather(*map(ask, others)))
+
     async def ask_any(self, call: PassedCall, *, timeout: Seconds) -> PassedResponse:
         """Return the answer of a peer chosen at random; REFUSED if there is none."""
         for peer in self._choose_peers()[:1]:
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from ..core.clock import read_monotonic
+from ..core.clock import read_monotonic, read_uptime
 from ..core.errors import (
     ConflictError,
     CorruptRecordError,
@@ -26,6 +26,7 @@
     choose_candidate,
     decode_owner,
     encode_owner,
+    has_ended,
     should_hand_over,
     should_take_over,
 )
@@ -48,6 +49,8 @@
 JOIN_PAUSE_SECONDS_MIN = 0.02
 WATCH_WAIT_SECONDS = Seconds(2.0)
 RECHECK_INTERVAL_SECONDS = Seconds(2.0)
+# after an outage of the log, an owner that lives has joined the group again by then
+REJOIN_SECONDS = Seconds(1.0)
 
 
 @dataclass
@@ -73,6 +76,8 @@
         The members of the group as of the last read.
     owner : MemberName
         The owner by the latest record read; empty if there is none.
+    joined_at : float
+        ``read_uptime`` before the newest join that was answered, in seconds.
     """
 
     log: KeyedLog
@@ -83,12 +88,17 @@
     is_recovering: Callable[[], bool] = lambda: False
     epoch: Epoch | None = None
     answered_at: float = float("-inf")
+    joined_at: float = float("-inf")
     members: frozenset[MemberName] = frozenset()
     owner: MemberName = MemberName("")
     leaving: bool = False
     _generation: int = 0
     _handled_generation: int = 0
     _is_candidate: bool = False
+    _is_group_complete: bool = False
+    _is_claiming: bool = False
+    _deferred_until: float = float("-inf")
+    _regained_at: float = float("-inf")
     _checked_at: float = float("-inf")
     _position: int | None = None
     _owner_changed: bool = False
@@ -101,6 +111,21 @@
         others = self.members - {self.owner}
         return self.epoch is None and choose_candidate(others) == self.member
 
+    @property
+    def knows_all_members(self) -> bool:
+        """Whether ``members`` were all members at the newest join."""
+        return self._is_group_complete and self._handled_generation == self._generation
+
+    def defer_claims(self, seconds: Seconds, *, owner: MemberName) -> bool:
+        """Don't take the cell over for some seconds; return whether that is granted.
+
+        It isn't if this process may own the cell now, or knows another owner.
+        """
+        if self.epoch is not None or self._is_claiming or self.owner != owner:
+            return False
+        self._deferred_until = max(self._deferred_until, read_uptime() + seconds)
+        return True
+
     async def run(self) -> None:
         """Stay in the group, and claim or hand over the cell as members change.
 
@@ -175,10 +200,15 @@
     async def _renew_membership(self) -> None:
         if self.leaving:
             return
+        sent = read_uptime()
         generation = await self.log.join(self.member, generation=self._generation)
         if self.answered_at == float("-inf"):
             write_event(logger, JoinedGroup(member=self.member))
+        if self._was_cut_off():
+            # the owner was probably cut off too, and is about to join again
+            self._regained_at = read_uptime()
         self.answered_at = read_monotonic()
+        self.joined_at = sent
         if generation != self._generation:
             self._generation = generation
             self._wake.set()
@@ -245,13 +275,25 @@
 
     async def _claim_if_due(self) -> None:
         owner, end = await self._read_owner()
-        members = self.members = await self.log.list_members()
+        members = await self._list_members()
         self._is_candidate = choose_candidate(members) == self.member
         if not should_take_over(owner, this_member=self.member, members=members):
             self._checked_at = read_monotonic()
             return
         if self.leaving:
             return
+        if self._is_deferred(owner):
+            self._owner_changed = True
+            return
+        self._is_claiming = True
+        try:
+            await self._claim(owner, end, members=len(members))
+        finally:
+            self._is_claiming = False
+
+    async def _claim(
+        self, owner: OwnerRecord | None, end: int, *, members: int
+    ) -> None:
         epoch = Epoch(owner.epoch + 1 if owner is not None else 1)
         try:
             await self._write_owner(OwnerRecord(epoch, self.member), end)
@@ -262,7 +304,7 @@
             epoch=epoch,
             generation=self._generation,
             previous=owner.member if owner else MemberName(""),
-            members=len(members),
+            members=members,
         )
         write_event(logger, event)
         self.epoch = epoch
@@ -274,13 +316,33 @@
         except PlantainhingeError as error:
             self.drop(f"takeover failed: {error}")
 
+    def _is_deferred(self, owner: OwnerRecord | None) -> bool:
+        """Return whether the recorded owner may act by the others' deferrals."""
+        if has_ended(owner, this_member=self.member):
+            return False
+        now = read_uptime()
+        if now < self._deferred_until:
+            return True
+        if owner is not None and owner.member == self.member:
+            return False
+        return self._was_cut_off() or now < self._regained_at + REJOIN_SECONDS
+
+    def _was_cut_off(self) -> bool:
+        """Return whether the group hasn't answered for longer than a membership."""
+        return read_monotonic() - self.answered_at > REJOIN_SECONDS
+
+    async def _list_members(self) -> frozenset[MemberName]:
+        group = await self.log.list_members()
+        self.members, self._is_group_complete = group
+        return self.members
+
     async def _hand_over_if_due(self) -> None:
         """Release the cell if a member with many more cores has joined.
 
         Not while this owner waits for workers: the next one would begin to wait anew.
         """
         self._checked_at = read_monotonic()
-        members = self.members = await self.log.list_members()
+        members = await self._list_members()
         candidate = choose_candidate(members)
         if candidate is None or not should_hand_over(self.member, members):
             return
--- a/plantainhinge/fleet/protocols.py
+++ b/plantainhinge/fleet/protocols.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from ..core.ids import Epoch, MemberName, Seconds
 from .model import (
@@ -64,6 +64,21 @@
     sequence: int
 
 
+class Group(NamedTuple):
+    """Members of the group of instances.
+
+    Parameters
+    ----------
+    members : frozenset of MemberName
+        Those whose membership has not expired.
+    is_complete : bool
+        Whether there can be no others.
+    """
+
+    members: frozenset[MemberName]
+    is_complete: bool
+
+
 class KeyedLog(Protocol):
     """An append-only log of topics that retains the newest record of each key.
 
@@ -134,8 +149,8 @@
         """Leave the group without waiting for the membership to expire."""
         ...
 
-    async def list_members(self) -> frozenset[MemberName]:
-        """Return the members whose membership has not expired."""
+    async def list_members(self) -> Group:
+        """Return the members of the group."""
         ...
 
 
--- a/plantainhinge/jobs/forwarding.py
+++ b/plantainhinge/jobs/forwarding.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..core.errors import CorruptRecordError
-from ..core.ids import JobId, QueueName, Revision, Seconds
+from ..core.ids import JobId, MemberName, QueueName, Revision, Seconds
 from ..core.packing import DECODING_ERRORS, decode_record
 from .model import Caller, JobRecord, JobState
 from .outcomes import CallOutcome
@@ -67,12 +67,24 @@
     revision: Revision
 
 
+class PassedDeferral(msgspec.Struct, frozen=True, tag="deferral"):
+    """Ask a member not to take the cell over for ``DEFERRAL_SECONDS``.
+
+    Parameters
+    ----------
+    member : MemberName
+        The owner, which asks while the log doesn't answer it.
+    """
+
+    member: MemberName
+
+
 class PassedLoadQuery(msgspec.Struct, frozen=True, tag="load"):
     """Query to the owner for its newest admission digest."""
 
 
 PassedJobCall = PassedJob | PassedCancellation | PassedStateQuery | PassedCountQuery
-PassedCall = PassedJobCall | PassedConfigurationQuery | PassedLoadQuery
+PassedCall = PassedJobCall | PassedConfigurationQuery | PassedLoadQuery | PassedDeferral
 _CALL_DECODER: msgspec.msgpack.Decoder = msgspec.msgpack.Decoder(PassedCall)
 
 
@@ -89,8 +101,8 @@
         Result of a configuration query: the encoded configuration; empty if there is
         none that is newer.
     age : float, optional
-        Seconds since the log last confirmed the configuration, or since the digest was
-        measured.
+        Seconds since the log last confirmed the configuration, since the digest was
+        measured, or, of a granted deferral, since the log last answered the member.
     digest : bytes
         Result of a load query: the encoded digest.
     """
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -5,17 +5,26 @@
 cell and which one.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import msgspec
 
-from ..core.ids import Epoch, InstanceId, MemberName
+from ..core.ids import Epoch, InstanceId, MemberName, Seconds
 from ..core.packing import decode_record
 
 OWNER_KEY = "owner"
 # key of the ``EpochMarker`` records among the jobs in the log
 EPOCH_KEY = "epoch"
 CENTICORES_PER_CORE = 100
+# of the address in a member name, from its end
+ADDRESS_POSITION = 2
+# for which a member defers its claims when the owner asks
+DEFERRAL_SECONDS = Seconds(2.0)
+# the slower of two clocks, relative to the other
+CLOCK_RATIO_MIN = 0.97
+# memberships last a second at least, so nobody can miss an owner sooner than this after
+# it was last confirmed
+UNNOTICED_SECONDS = Seconds(0.7)
 # a handover briefly pauses all starts, so the gain in cores must outweigh that
 HANDOVER_CORES_RATIO_MIN = 1.5
 
@@ -96,7 +105,7 @@
 
 def parse_address(member: MemberName) -> str:
     """Return the ``host:port`` in a member name."""
-    return member.split("/")[-2]
+    return member.split("/")[-ADDRESS_POSITION]
 
 
 def choose_candidate(members: Collection[MemberName]) -> MemberName | None:
@@ -130,6 +139,45 @@
     return choose_candidate(members) == this_member
 
 
+def has_ended(owner: OwnerRecord | None, *, this_member: MemberName) -> bool:
+    """Return whether the recorded owner has surely ended or released the cell.
+
+    An earlier process of this instance has: it held this process's port.
+    """
+    if owner is None or not owner.member:
+        return True
+    if owner.member == this_member or owner.member.count("/") < ADDRESS_POSITION:
+        return False
+    return parse_address(owner.member) == parse_address(this_member)
+
+
+def compute_deferral_end(
+    last_answers: Iterable[float], *, confirmed_at: float, asked_at: float
+) -> float:
+    """Return the time before which no member takes the cell over.
+
+    Each member has deferred its claims. None can have claimed the cell before if the
+    log fell silent for all of them before anyone could miss the owner.
+
+    Parameters
+    ----------
+    last_answers : iterable of float
+        Latest time at which the log can have answered each other member.
+    confirmed_at : float
+        When the log last confirmed the owner and its membership.
+    asked_at : float
+        When the members were asked.
+
+    Returns
+    -------
+    float
+        Minus infinity if another member may have taken the cell over.
+    """
+    if max(last_answers, default=float("-inf")) > confirmed_at + UNNOTICED_SECONDS:
+        return float("-inf")
+    return asked_at + CLOCK_RATIO_MIN * DEFERRAL_SECONDS
+
+
 def should_hand_over(this_member: MemberName, members: Collection[MemberName]) -> bool:
     """Return whether a live process with clearly more cores should own the cell."""
     candidate = choose_candidate(members)
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -24,7 +24,7 @@
 )
 from ..core.ids import MemberName, Seconds
 from ..core.packing import DECODING_ERRORS
-from ..fleet.protocols import Entry, Fence, Page
+from ..fleet.protocols import Entry, Fence, Group, Page
 
 T = TypeVar("T")
 
@@ -183,14 +183,15 @@
         body = msgspec.json.encode({"group": GROUP, "memberId": member})
         await self._post("/-/log-leave", body, "leave")
 
-    async def list_members(self) -> frozenset[MemberName]:
+    async def list_members(self) -> Group:
         """List the group; see ``KeyedLog.list_members``."""
         query = urlencode({"group": GROUP})
         call = HttpCall(method="GET", path=f"/-/log-owners?{query}")
         response = await self.client.call(call, timeout=READ_TIMEOUT_SECONDS)
         _check_status(response, "store.members", self.client.address)
         owners = _decode(response, _Owners, "store.members", self.client.address)
-        return frozenset(MemberName(row[2]) for row in owners.partitions)
+        members = frozenset(MemberName(row[2]) for row in owners.partitions)
+        return Group(members, is_complete=len(members) < len(owners.partitions))
 
     async def _post(self, path: str, body: bytes, step: str) -> HttpResponse:
         call = HttpCall(method="POST", path=path, body=body, headers=JSON_HEADERS)
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -14,7 +14,7 @@
     UnavailableError,
     UncertainError,
 )
-from plantainhinge.fleet.protocols import Page
+from plantainhinge.fleet.protocols import Group, Page
 
 REMEMBERED_APPENDS_MAX = 5
 READ_POLL_SECONDS = 0.002
@@ -135,7 +135,7 @@
 
     async def list_members(self):
         self._remove_silent_members()
-        return frozenset(self.members)
+        return Group(frozenset(self.members), is_complete=True)
 
     def _remove_silent_members(self):
         now = self._read_time()
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -84,6 +84,10 @@
         pass
 
 
+async def ask_nobody(confirmed_at):
+    return float("-inf")
+
+
 def make_runner(log, lost=None):
     async def check():
         return None
@@ -97,6 +101,7 @@
         operator=OperatorView(log, "operator", lambda key, value: None),
         report_fenced=lambda reason: lost is not None and lost.append(reason),
         check_ownership=check,
+        ask_members=ask_nobody,
     )
 
 
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -42,18 +42,22 @@
     return True
 
 
+async def ask_nobody(confirmed_at):
+    return float("-inf")
+
+
 def test_a_confirmation_counts_from_when_it_was_asked_for(clocks):
     async def answer_slowly():
         clocks.advance(0.7)
         return True
 
-    confirmation = Confirmation(answer_slowly)
+    confirmation = Confirmation(answer_slowly, ask_nobody)
     asyncio.run(confirmation.request())
     assert confirmation.read() == 100.0
 
 
 def test_a_suspension_makes_a_confirmation_older(clocks):
-    confirmation = Confirmation(confirm)
+    confirmation = Confirmation(confirm, ask_nobody)
     asyncio.run(confirmation.request())
     clocks.suspend(20.0)
     clocks.advance(0.1)
@@ -65,7 +69,7 @@
     async def deny():
         return False
 
-    confirmation = Confirmation(deny)
+    confirmation = Confirmation(deny, ask_nobody)
     asyncio.run(confirmation.request())
     assert confirmation.measure_age() == float("inf")
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,7 +7,7 @@
 from plantainhinge.core.errors import CorruptRecordError, UnavailableError
 from plantainhinge.core.ids import Epoch, InstanceId, MemberName
 from plantainhinge.daemons.ownership import OWNER_TOPIC, Ownership
-from plantainhinge.fleet.protocols import Entry
+from plantainhinge.fleet.protocols import Entry, Group
 from plantainhinge.jobs.ownership import (
     OWNER_KEY,
     OwnerRecord,
@@ -66,7 +66,7 @@
         self.member = member
 
     async def list_members(self):
-        return frozenset({self.member})
+        return Group(frozenset({self.member}), is_complete=True)
 
 
 def read_epochs(log):
