Stop a gang's run of which a member won't start

If the start of one member was refused, since its worker was full, its ticket had run out or the order came late, the others waited for it until they ended alone, and only then the gang was placed again.

Cause: a refused or lost member was released by itself; nothing looked at the others.

Change: when an attempt of a gang's member is released, or ends other than done, the attempts of the same run are stopped. The gang is placed again once all have ended.

No real process showed the refusal; it was found by reading.

--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -26,6 +26,7 @@
 from .outages import LossCause
 from .scheduling_state import SchedulingState
 from .tasks import (
+    break_gang,
     fail_task,
     find_task,
     finish_task,
@@ -110,6 +111,7 @@
         return
     note_checkpoint(task, end.checkpoint)
     requeue_task(cell, task, now=now)
+    break_gang(cell, task, end.attempt, now=now)
 
 
 def _find_started_task(cell: SchedulingState, key: TaskKey) -> Task | None:
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -139,6 +139,22 @@
     """Remove an attempt and requeue its task."""
     remove_attempt(attempt, now=now)
     requeue_task(cell, attempt.task, now=now)
+    break_gang(cell, attempt.task, attempt.number, now=now)
+
+
+def break_gang(
+    cell: SchedulingState, task: Task, number: AttemptNumber, *, now: float
+) -> None:
+    """Stop a gang's run of which a member has ended or won't start.
+
+    The others would hold their workers in vain, and end alone.
+    """
+    if not task.step.spec.gang or task.done:
+        return
+    for member in task.step.tasks:
+        for attempt in list(member.attempts):
+            if attempt.number == number and attempt.phase is not AttemptPhase.STOPPING:
+                stop_attempt(cell, attempt, now=now)
 
 
 def find_task(cell: SchedulingState, key: tuple[JobId, int, int, int]) -> Task | None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -1,13 +1,15 @@
 """What the members of a gang have in common: one run, one checkpoint, one end."""
 
 import msgspec
+import pytest
 from hypothesis import given, settings, strategies as st
 
-from plantainhinge.fleet.model import EndCause, WorkerState
+from plantainhinge.fleet.model import EndCause, OrderOutcome, OrderResponse, WorkerState
 
 from .simulated_cell import (
     STEP_SECONDS,
     SimulatedCell,
+    SimulatedWorker,
     make_entry,
     make_job,
     make_step,
@@ -83,6 +85,33 @@
     assert len(site.list_running()) == SIZE
 
 
+def refuse_once(site, outcome):
+    """Let the second worker that gets an order refuse it."""
+    asked = []
+    for worker in site.workers.values():
+
+        def start(order, step, worker=worker):
+            asked.append(order)
+            if len(asked) == 2:
+                return OrderResponse(outcome=outcome)
+            return SimulatedWorker.start(worker, order, step)
+
+        worker.start = start
+
+
+# the others waited in vain for the refused member, and ended alone
+@pytest.mark.parametrize(
+    "outcome", [OrderOutcome.NO_CAPACITY, OrderOutcome.NO_TICKET, OrderOutcome.TOO_LATE]
+)
+def test_a_gang_of_which_one_member_is_refused_starts_again_as_a_whole(outcome):
+    site = SimulatedCell(*(make_entry(name, cores=1) for name in WORKERS))
+    site.run(0.5)
+    refuse_once(site, outcome)
+    site.submit(make_job("g", make_step(count=SIZE, gang=True, estimate=9.0)))
+    site.run(1.0)
+    assert [number for _, _, number in site.list_running()] == [2] * SIZE
+
+
 EVENTS = ["silence", "answer", "drain", "take over", "log down", "log up", "lose"]
 
 
