--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -34,6 +34,7 @@
 from .outages import LossCause
 from .scheduling_state import SchedulingState
 from .tasks import (
+    break_gang,
     fail_task,
     find_task,
     finish_task,
@@ -119,6 +120,7 @@
         return
     note_checkpoint(task, end.checkpoint)
     requeue_task(cell, task, now=now)
+    break_gang(cell, task, end.attempt, now=now)
 
 
 def _finishes(end: EndedAttempt, task: Task) -> bool:
