--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -5,6 +5,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from plantainhinge.fleet.model import WorkerReport
+
 from .simulated_cell import (
     LEASE_SECONDS_MAX,
     SimulatedCell,
@@ -60,6 +62,7 @@
     for index in range(count):
         add_worker(site, f"odd{index}")
         site.workers[f"odd{index}"].unreachable = True
+    site.update_workers()
 
 
 def test_silent_entries_of_another_writer_hide_no_silent_worker_from_a_successor():
@@ -83,6 +86,38 @@
     assert len(list_started_jobs(site, "w3")) == 8
 
 
+@settings(max_examples=20)
+@given(
+    st.lists(st.dictionaries(st.integers(0, 9), st.integers(1, 5)), max_size=40),
+)
+def test_entries_that_come_go_and_change_hold_up_no_job(directories):
+    site = SimulatedCell(make_entry("w1"))
+    add_silent_entries(site, 10)
+    job = make_job("j", make_step(count=4, estimate=0.5))
+    site.submit(job)
+    for directory in [*directories, {}, {0: 9}]:
+        odd = [make_entry(f"odd{n}", incarnation=born) for n, born in directory.items()]
+        site.cell.update_workers([make_entry("w1"), *odd], now=site.now)
+        site.run(0.2)
+    site.run(2)
+    assert site.state_of("j") == "completed"
+    assert {entry.worker for entry in site.handover.workers} == {"w1"}
+
+
+def test_new_workers_that_answer_one_after_another_share_handovers():
+    cell = SimulatedCell(*(make_entry(f"w{index}") for index in range(40))).cell
+    written = 0
+    for index, worker in enumerate(cell.workers.values()):
+        now = 1.0 + index * 0.005
+        report = WorkerReport(clock=now, incarnation=1, running=(), ended=())
+        cell.handle_report(worker, report, sent=now, now=now)
+        flush = cell.take_flush(now=now)
+        if flush is not None and flush.handover is not None:
+            written += 1
+            cell.confirm_flush(flush)
+    assert written <= 5
+
+
 def test_workers_that_left_the_handover_get_no_start_before_they_are_in_it_again():
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
     site.run(0.3)
@@ -131,15 +166,19 @@
     assert len(site.workers["w1"].started) == 8
 
 
-def test_workers_that_were_all_silent_at_once_get_starts_while_the_log_is_down():
+@pytest.mark.parametrize("silent_entries", [0, 5])
+def test_workers_that_were_all_silent_at_once_get_starts_while_the_log_is_down(
+    silent_entries,
+):
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
+    add_silent_entries(site, silent_entries)
     site.run(0.3)
     site.log_up = False
-    for worker in site.workers.values():
-        worker.unreachable = True
+    for name in ("w1", "w2"):
+        site.workers[name].unreachable = True
     site.run(0.7)
-    for worker in site.workers.values():
-        worker.unreachable = False
+    for name in ("w1", "w2"):
+        site.workers[name].unreachable = False
     site.submit(make_job("j"))
     site.run(0.5)
     assert site.count_starts() == 1
