Let a stopping instance learn who owns the cell after it

Cause: the watch of the owner's record ended as soon as the instance left.

Change: it goes on until the process cancels it.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -139,9 +139,11 @@
     async def watch(self) -> None:
         """Wake ``run`` as soon as the owner's record changes.
 
-        This way a planned release is noticed before the next renewal.
+        This way a planned release is noticed before the next renewal. It goes on until
+        it is cancelled: an instance that has left still serves for a while, and asks
+        its successor.
         """
-        while not self.leaving:
+        while True:
             try:
                 await self._poll_owner()
             except PlantainhingeError as error:
