Say in the log how long an owner was unconfirmed, in place of when it read workers

Cause: the age of the directory, logged with lapses and loads, stood in for what wasn't measured then: when another owner was last ruled out.

Change: unconfirmed_s in both lines.

--- a/plantainhinge/dispatch/load.py
+++ b/plantainhinge/dispatch/load.py
@@ -38,8 +38,8 @@
         Whether inherited jobs wait until all workers have reported.
     epoch : int
         The owner's epoch.
-    unread_s : float
-        Seconds since the owner last read the directory of workers in the log.
+    unconfirmed_s : float
+        Seconds since another owner was last ruled out.
     """
 
     jobs: int
@@ -59,7 +59,7 @@
     aside: int
     recovering: bool
     epoch: Epoch
-    unread_s: float
+    unconfirmed_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +132,7 @@
         aside=sum(now < worker.quarantined_until for worker in workers),
         recovering=cell.recovering,
         epoch=cell.epoch,
-        unread_s=round(cell.measure_unread(now=now), 3),
+        unconfirmed_s=round(cell.measure_unconfirmed(now=now), 3),
     )
 
 
--- a/plantainhinge/dispatch/log_events.py
+++ b/plantainhinge/dispatch/log_events.py
@@ -57,15 +57,15 @@
         Attempts of its task that were lost so far, as far as this owner knows.
     epoch : int
         The owner's epoch; another owner with a higher one may know better.
-    unread_s : float
-        Seconds since the owner last read the directory of workers in the log.
+    unconfirmed_s : float
+        Seconds since another owner was last ruled out.
     """
 
     ran_s: float
     beside: int
     losses: int
     epoch: Epoch
-    unread_s: float
+    unconfirmed_s: float
 
 
 @log_event("lease lapsed")
--- a/plantainhinge/dispatch/losses.py
+++ b/plantainhinge/dispatch/losses.py
@@ -253,7 +253,7 @@
         beside=len(attempt.worker.attempts) - 1,
         losses=len(attempt.task.losses),
         epoch=cell.epoch,
-        unread_s=round(cell.measure_unread(now=now), 3),
+        unconfirmed_s=round(cell.measure_unconfirmed(now=now), 3),
     )
     if cause is LossCause.SILENT:
         write_event(logger, LeaseExpired(about=about, loss=loss))
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -190,9 +190,9 @@
         """Whether each inherited task may still run under an earlier owner."""
         return bool(self.unverified_workers)
 
-    def measure_unread(self, *, now: float) -> Seconds:
-        """Return the seconds since the directory was last read; zero if unknown."""
-        return Seconds(max(0.0, now - self.directory_synced_at))
+    def measure_unconfirmed(self, *, now: float) -> Seconds:
+        """Return the seconds since another owner was last ruled out."""
+        return Seconds(max(0.0, now - self.confirmed_at))
 
     def mark_verified(self, worker: WorkerId) -> None:
         """Note that all that a worker runs is known."""
