--- a/tests/split_cell.py
+++ b/tests/split_cell.py
@@ -36,10 +36,11 @@
         self.jobs.append(job)
         self.owner.submit(job)
 
-    def run(self, seconds):
+    def run(self, seconds, *, missed=frozenset()):
+        """Run without a cut; the owner doesn't reach the ``missed`` workers."""
         end = self.now + seconds
         while self.now < end:
-            self._step(is_cut=False)
+            self._step(frozenset(WORKERS) - missed, frozenset(WORKERS))
 
     def cut(self, seconds):
         cut_at = self.now
@@ -47,7 +48,7 @@
         while self.now < cut_at + seconds:
             if self.successor is None and self.now >= cut_at + self.takeover_seconds:
                 self._take_over()
-            self._step(is_cut=True)
+            self._step(self.reached, self.successor_reached, is_cut=True)
         self.owner.log_up = True
 
     def list_repeats(self):
@@ -77,15 +78,14 @@
         successor.cell = Cell(Epoch(1), owner.terms, owner.now, find_record=find_record)
         successor.take_over(self.jobs)
 
-    def _step(self, *, is_cut):
+    def _step(self, reached, successor_reached, *, is_cut=False):
         self.now += STEP_SECONDS
         for worker in self.owner.workers.values():
             worker.advance(STEP_SECONDS)
         if is_cut or self.successor is None:
-            self._act(self.owner, self.reached if is_cut else frozenset(WORKERS))
+            self._act(self.owner, reached)
         if self.successor is not None:
-            reached = self.successor_reached if is_cut else frozenset(WORKERS)
-            self._act(self.successor, reached)
+            self._act(self.successor, successor_reached)
         self._note_overlaps()
 
     def _act(self, side, reached):
--- a/tests/test_cut_owner.py
+++ b/tests/test_cut_owner.py
@@ -36,6 +36,16 @@
     assert split.count_done() == (0 if step.get("long_running") else len(split.jobs))
 
 
+# the lease that it had granted ended just after its successor had renewed it
+def test_an_owner_cut_off_takes_no_lapse_as_proof_of_an_end():
+    split = make_split(estimate=20.0)
+    split.run(4.5, missed=frozenset({"w1"}))
+    split.cut(8.0)
+    split.run(40.0)
+    assert split.overlaps == {}
+    assert split.list_repeats() == []
+
+
 @settings(max_examples=100)
 @given(
     reached=REACHED,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -202,15 +202,28 @@
         read_newest(HttpResponse(200, {}, body))
 
 
-def read_newest(response):
+def make_log(response):
     class Answering:
         address = "store:1"
 
         async def call(self, *args, **kwargs):
             return response
 
-    log = store.Store(Answering(), Answering(), member_seconds=1.0)
-    return asyncio.run(log.read_newest("workers"))
+    return store.Store(Answering(), Answering(), member_seconds=1.0)
+
+
+def read_newest(response):
+    return asyncio.run(make_log(response).read_newest("workers"))
+
+
+@pytest.mark.parametrize(("partitions", "is_complete"), [(3, True), (2, False)])
+def test_a_list_of_members_is_complete_if_one_holds_several_partitions(
+    partitions, is_complete
+):
+    rows = [["members-0", part, "ab"[part % 2], 0] for part in range(partitions)]
+    log = make_log(HttpResponse(200, {}, encode({"parts": rows})))
+    group = asyncio.run(log.list_members())
+    assert group == ({"a", "b"}, is_complete)
 
 
 def test_the_largest_integers_of_an_entry_fit_into_the_handover():
