Name a worker in the handover again before a start there

What callers could see: two runs of a task, after a fault of most workers and the loss of the owner.

Cause: nothing is started on a worker before the logged handover names it, since the next owner learns there where to ask. A worker that had left the directory and whose leases had passed was left out of the handover, but kept its mark. If more than half of all workers were silent (then none counts as silent), it got starts at once when it came back, up to 3 s before a handover named it.

Change: a worker that the handover leaves out loses its mark, and a handover is due at once when it is back.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -41,12 +41,11 @@
     if not _is_due(cell, now=now):
         return None
     cell.handover_written_at = now
+    named = _list_named_workers(cell, now=now)
+    for worker in set(cell.workers.values()).difference(named):
+        worker.handover = HandoverMark.MISSING
     return Handover(
-        workers=tuple(
-            worker.entry
-            for worker in cell.workers.values()
-            if worker.listed or now < worker.latest_expiry
-        ),
+        workers=tuple(worker.entry for worker in named),
         pairs=tuple(
             PairWeight(serving, best_effort, round(estimate.weight, WEIGHT_DIGITS))
             for (serving, best_effort), estimate in cell.weights.estimates.items()
@@ -67,6 +66,15 @@
     )
 
 
+def _list_named_workers(cell: SchedulingState, *, now: float) -> list[Worker]:
+    """Return the workers that a handover names: those that may run something."""
+    return [
+        worker
+        for worker in cell.workers.values()
+        if worker.listed or now < worker.latest_expiry
+    ]
+
+
 def _compute_longest_lease(cell: SchedulingState, *, now: float) -> Seconds:
     """Return the longest lease that may still be valid, whichever owner granted it."""
     if now >= cell.earlier_leases_end:
@@ -84,8 +92,8 @@
     elapsed = now - cell.handover_written_at
     if elapsed >= HANDOVER_INTERVAL_SECONDS:
         return True
-    marks = {worker.handover for worker in cell.workers.values()}
-    if HandoverMark.MISSING in marks:
+    named = _list_named_workers(cell, now=now)
+    if any(worker.handover is HandoverMark.MISSING for worker in named):
         return True
     return elapsed >= SILENCE_INTERVAL_SECONDS and _is_silence_misnamed(cell, now=now)
 
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -97,6 +97,21 @@
     assert site.count_starts() == 1
 
 
+# it kept its mark of before, and a next owner could have missed what was started there
+def test_a_worker_that_the_handover_left_out_is_named_before_a_start_there():
+    site = SimulatedCell(*(make_entry(name) for name in ("w1", "w2", "w3")))
+    site.run(0.5)
+    set_silent(site, ["w1", "w2"], True)
+    site.cell.update_workers([site.workers["w3"].entry], now=site.now)
+    site.run(12.0)
+    assert [entry.worker for entry in site.handover.workers] == ["w3"]
+    set_silent(site, ["w1", "w2"], False)
+    site.update_workers()
+    site.submit(make_job("j", make_step(count=24, estimate=9.0)))
+    site.run_until(lambda: site.workers["w1"].started)
+    assert "w1" in {entry.worker for entry in site.handover.workers}
+
+
 def test_a_silent_worker_that_answers_the_new_owner_keeps_its_attempts():
     site, jobs = fill_site()
     make_silent(site, "w1")
