Drop the cell once the record names another, and when leaving

An owner whose record another process had overwritten, or whose late release was carried out, went on until a worker or the log refused it, up to 3 s with a handover due; a stopping owner whose release was refused or not answered went on renewing and starting for the rest of its drain, though it had left the group and a successor could claim at once.

Cause: the watch on the record woke the owner, which looked at the members only. Leaving dropped the cell only after a release that succeeded.

Change: an owner that is woken reads the record first and drops the cell if it isn't its own. Leaving always ends with dropping the cell. The price: during an outage of the log a stopping owner renews leases for up to 4 s less.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -142,6 +142,9 @@
                 await self._release("leaving")
         except PlantainhingeError as error:
             write_event(logger, LeavingFailed(cause=str(error)))
+        finally:
+            # another process may claim the cell now, and this one wouldn't learn of it
+            self.drop("leaving")
 
     def drop(self, reason: str) -> None:
         """Stop acting as the owner, without changing the owner's record."""
@@ -268,8 +271,13 @@
         """Release the cell if a member with many more cores has joined.
 
         Not while this owner waits for workers: the next one would begin to wait anew.
+        If the record names another owner already, the cell is dropped.
         """
         self._checked_at = read_monotonic()
+        await self.verify()
+        if self.epoch is None:
+            self._owner_changed = True
+            return
         members = self.members = await self.log.list_members()
         candidate = choose_candidate(members)
         if candidate is None or not should_hand_over(self.member, members):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -410,3 +410,25 @@
         return one.epoch
 
     assert asyncio.run(scenario()) == 1
+
+
+# an owner acted on until a worker or the log refused it
+def test_an_owner_drops_the_cell_as_soon_as_the_record_names_another():
+    async def scenario(log, one, two):
+        record = OwnerRecord(Epoch(7), MemberName("other"))
+        log.topics[OWNER_TOPIC].append(Entry(OWNER_KEY, encode_owner(record)))
+        await wait_for(lambda: one.events[-1][0] == "lost")
+        return one.ownership.epoch
+
+    assert run_members(scenario) is None
+
+
+# a stopping owner acted on beside its successor
+@pytest.mark.parametrize("fault", ["refuse", "lose"])
+def test_an_owner_that_leaves_stops_acting_although_its_release_fails(fault):
+    async def scenario(log, one, two):
+        log.append_faults = [fault]
+        await one.ownership.leave()
+        return one.events
+
+    assert run_members(scenario)[-1][0] == "lost"
