Let the epochs' property see a group that answers

Its fake group returns what the protocol asks for now, and the members count as joined, since otherwise each claim would wait for the owner to join again.

--- a/tests/test_ownership_epochs.py
+++ b/tests/test_ownership_epochs.py
@@ -4,8 +4,10 @@
 
 from hypothesis import given, settings, strategies as st
 
+from plantainhinge.core.clock import read_monotonic
 from plantainhinge.core.errors import ConflictError, PlantainhingeError, UncertainError
 from plantainhinge.daemons.ownership import OWNER_TOPIC
+from plantainhinge.fleet.protocols import Group
 from plantainhinge.jobs.ownership import decode_owner
 
 from .keyed_log import MemoryKeyedLog
@@ -79,9 +81,11 @@
 
 async def apply(action, ownership, log):
     async def list_members():
-        return frozenset({ownership.member})
+        return Group(frozenset({ownership.member}), is_complete=True)
 
     log.list_members = list_members
+    # the group answers, so that a claim needn't wait for an owner to join again
+    ownership.answered_at = read_monotonic()
     try:
         await action(ownership, log)
     except PlantainhingeError:
