Keep an unlisted, silent worker until its leases have certainly ended

What callers would see: with leases of more than 14 s a task could run twice.

Cause: after 15 s without an answer a worker that had left the directory was forgotten, whatever leases it may still have had. Found by reading.

Change: it is forgotten only once its leases have ended and the log has confirmed the ownership since.

Measured: the new test of test_takeover.py, with leases of 20 s, fails before and passes.

--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -152,21 +152,27 @@
         write_event(logger, WorkerUnlisted(about=describe_worker(worker)))
     worker.listed = False
     unanswered_seconds = now - max(worker.answered_at, cell.started_at)
-    if not worker.attempts and unanswered_seconds > UNLISTED_RETENTION_SECONDS:
+    is_forgotten = unanswered_seconds > UNLISTED_RETENTION_SECONDS
+    if not worker.attempts and is_forgotten and _has_lapsed(cell, worker, now=now):
         cell.mark_verified(worker.name)
         cell.unconfirmed_losses.pop(worker.name, None)
         cell.outages.pop(worker.name, None)
         del cell.workers[worker.name]
 
 
-def release_expired(cell: SchedulingState, *, now: float) -> None:
-    """Release the attempts of unreachable workers whose leases have certainly ended.
+def _has_lapsed(cell: SchedulingState, worker: Worker, *, now: float) -> bool:
+    """Return whether all leases of a worker have certainly ended.
 
     A later owner may have renewed them, unless the log has confirmed since that there
     was none.
     """
+    return min(now, cell.confirmed_at) >= worker.latest_expiry
+
+
+def release_expired(cell: SchedulingState, *, now: float) -> None:
+    """Release the attempts of unreachable workers whose leases have certainly ended."""
     for worker in cell.workers.values():
-        if worker.reachable or min(now, cell.confirmed_at) < worker.latest_expiry:
+        if worker.reachable or not _has_lapsed(cell, worker, now=now):
             continue
         if worker.attempts:
             attempts = worker.attempts.values()
--- a/plantainhinge/platform/store.py
+++ b/plantainhinge/platform/store.py
@@ -45,8 +45,8 @@
 SURROGATES = re.compile("[\ud800-\udfff]")
 PRODUCER = "owner"
 GROUP = "instances"
-# The store lists only members that hold a partition. With eight topics, each of up to
-# eight members can hold one.
+# The store lists only members that hold a partition. Each topic has at least one, so
+# that at least eight members can hold one.
 GROUP_TOPICS = tuple(f"members-{index}" for index in range(8))
 JSON_HEADERS = (("Content-Type", "application/json"),)
 READ_KIB_MAX = 256
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -128,6 +128,21 @@
     assert site.count_starts() == 2
 
 
+# it was forgotten after 15 s, and its task started elsewhere beside it
+def test_a_new_owner_waits_for_long_leases_of_a_worker_that_left_the_directory():
+    site, job, first = start_one_task(long_running=True)
+    site.terms = site.cell.terms = LeaseTerms(length=20.0, length_max=20.0)
+    site.run(3.5)
+    hidden = site.workers.pop(first)
+    hidden.unreachable = True
+    site.take_over([job])
+    site.workers[first] = hidden
+    site.run(19.0)
+    assert site.count_starts() == 1
+    site.run(3.0)
+    assert site.count_starts() == 2
+
+
 def test_a_new_owner_reaches_a_worker_that_left_the_directory():
     site, job, first = start_one_task(long_running=True)
     unlisted = site.workers.pop(first)
