--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -135,9 +135,12 @@
     site.run(3.5)
     hidden = site.workers.pop(first)
     hidden.unreachable = True
+    (listed,) = (worker.entry for worker in site.workers.values())
     site.take_over([job])
     site.workers[first] = hidden
-    site.run(19.0)
+    for _ in range(19):
+        site.run(1.0)
+        site.cell.update_workers([listed], now=site.now)
     assert site.count_starts() == 1
     site.run(3.0)
     assert site.count_starts() == 2
