Let a successor know each lease length before and for as long as it is granted

What callers would see: after a reload that changes the length of leases, an owner lost within seconds could have its tasks run twice.

Cause: a successor waits for the length in the newest handover, while the owner granted a longer one up to 3 s before it logged that, and logged a shorter one while longer leases still ran.

Change: no lease is longer than the logged length, a longer one is logged at once, and a shorter one only once the earlier leases have ended.

Measured: three tests of test_takeover.py; two fail on the code before, the third without the wait for the earlier leases.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -189,7 +189,7 @@
         """Use new terms for all leases granted from now on."""
         self.terms = terms
         if self.cell is not None:
-            self.cell.terms = terms
+            self.cell.change_terms(terms, now=read_monotonic())
 
     # Loops
 
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -40,7 +40,7 @@
     tasks,
 )
 from .forecast import select_periods
-from .leases import grant_lease
+from .leases import LeaseTerms, compute_duration_max, grant_lease
 from .model import Attempt, OpenStep, Trial, Worker
 from .orders import Command
 from .scheduling_state import SchedulingState
@@ -177,6 +177,16 @@
             else None,
         )
 
+    def change_terms(self, terms: LeaseTerms, *, now: float) -> None:
+        """Use new terms from now on; leases granted before may still last longer."""
+        granted = self.terms.length
+        if now < self.earlier_leases_end < float("inf"):
+            granted = max(granted, self.earlier_lease_max)
+        end = now + compute_duration_max(granted)
+        self.earlier_lease_max = Seconds(granted)
+        self.earlier_leases_end = max(self.earlier_leases_end, end)
+        self.terms = terms
+
     def plan_pause(self, worker: Worker) -> Seconds:
         """Return how long to wait before the next renewal of a worker that answered."""
         return polling.plan_pause(self, worker)
--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -106,6 +106,8 @@
         return True
     if cell.handover_refused:
         return False
+    if cell.terms.length > cell.logged_lease:
+        return True
     if elapsed >= NEW_INTERVAL_SECONDS and any(
         worker.handover is HandoverMark.MISSING and _may_run_attempts(worker, now=now)
         for worker in cell.workers.values()
@@ -176,6 +178,7 @@
 def confirm_handover(cell: SchedulingState, handover: Handover) -> None:
     """Allow starts on the workers that a logged handover doesn't name as silent."""
     cell.handover_refused = False
+    cell.logged_lease = handover.lease_seconds
     silent = {row.worker for row in handover.silent}
     for entry in handover.workers:
         worker = cell.workers.get(entry.worker)
@@ -196,6 +199,7 @@
     cell.is_handover_known = handover.epoch > 0
     if handover.lease_seconds:
         cell.earlier_lease_max = Seconds(handover.lease_seconds)
+        cell.logged_lease = handover.lease_seconds
     cell.earlier_leases_end = now + compute_duration_max(cell.earlier_lease_max)
     for pair in handover.pairs:
         cell.weights.restore(
--- a/plantainhinge/dispatch/leases.py
+++ b/plantainhinge/dispatch/leases.py
@@ -42,7 +42,7 @@
     worker.reachable = True
 
 
-def compute_lease(terms: LeaseTerms, *, confirmed_at: float, now: float) -> Seconds:
+def compute_lease(length: Seconds, *, confirmed_at: float, now: float) -> Seconds:
     """Return how many seconds a lease that is granted now may last.
 
     A later owner waits for a full lease from its takeover on. So no lease of an owner
@@ -50,10 +50,12 @@
 
     Parameters
     ----------
+    length : float
+        Seconds of a full lease, which a later owner waits for.
     confirmed_at : float
         Monotonic seconds at which there was no later owner yet.
     """
-    return Seconds(max(0.0, terms.length - max(0.0, now - confirmed_at)))
+    return Seconds(max(0.0, length - max(0.0, now - confirmed_at)))
 
 
 def grant_lease(worker: Worker, length: Seconds, *, now: float) -> Seconds:
--- a/plantainhinge/dispatch/scheduling_state.py
+++ b/plantainhinge/dispatch/scheduling_state.py
@@ -106,6 +106,9 @@
         Longest lease in seconds that an earlier owner may have granted.
     earlier_leases_end : float
         Monotonic seconds by which all leases of earlier owners have certainly ended.
+    logged_lease : float
+        Longest lease in seconds that a later owner expects, by the newest handover;
+        infinite if there is none.
     speculation_checked_at : float
         Monotonic seconds of the last check for slow attempts.
     losses : Counter of LossCause
@@ -158,6 +161,7 @@
     clock_offset: Seconds = Seconds(0.0)
     earlier_lease_max: Seconds = Seconds(0.0)
     earlier_leases_end: float = float("inf")
+    logged_lease: float = float("inf")
     periods_selected_at: float = float("-inf")
     consolidated_at: float = float("-inf")
     moving: set[Task] = field(default_factory=set)
@@ -178,7 +182,8 @@
 
     def compute_lease(self, *, now: float) -> Seconds:
         """Return how many seconds a lease that is granted now may last."""
-        return compute_lease(self.terms, confirmed_at=self.confirmed_at, now=now)
+        length = Seconds(min(self.terms.length, self.logged_lease))
+        return compute_lease(length, confirmed_at=self.confirmed_at, now=now)
 
     def may_start(self, *, now: float) -> bool:
         """Return whether new attempts may be started, by what the log confirmed."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -19,6 +19,8 @@
     start_one_task,
 )
 
+LONG_TERMS = LeaseTerms(length=20.0, length_max=20.0)
+
 
 def test_a_new_owner_adopts_running_attempts_and_starts_nothing_twice():
     site = SimulatedCell(make_entry("w1"), make_entry("w2"))
@@ -128,10 +130,55 @@
     assert site.count_starts() == 2
 
 
+# a successor knew only the shorter leases of the last handover
+def test_longer_leases_are_granted_only_once_the_log_tells_of_them():
+    site, job, first = start_one_task(long_running=True)
+    site.run(1.0)
+    handover = site.handover
+    site.terms = LONG_TERMS
+    site.cell.change_terms(LONG_TERMS, now=site.now)
+    site.log_up = False
+    site.run(0.2)
+    site.workers[first].unreachable = True
+    site.log_up, site.handover = True, handover
+    site.take_over([job])
+    site.run(LEASE_SECONDS_MAX + 1)
+    assert site.count_starts() == 2
+    assert len(site.list_running()) == 1
+
+
+# a successor knew only the shorter leases, while a longer one still ran
+def test_a_new_owner_waits_for_the_leases_granted_before_they_were_shortened():
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"), terms=LONG_TERMS)
+    job = make_job("j", make_step(long_running=True))
+    site.submit(job)
+    site.run(0.5)
+    site.take_over([job])
+    site.run(25.0)
+    ((first, _, _),) = site.list_running()
+    site.workers[first].unreachable = True
+    site.terms = LeaseTerms(length=6.0, length_max=20.0)
+    site.cell.change_terms(site.terms, now=site.now)
+    site.run(3.5)
+    site.take_over([job])
+    site.run(15.0)
+    assert site.count_starts() == 1
+    site.run(10.0)
+    assert site.count_starts() == 2
+
+
+def test_longer_leases_are_handed_over_at_once():
+    site, _, _ = start_one_task(long_running=True)
+    site.cell.change_terms(LONG_TERMS, now=site.now)
+    site.run(0.2)
+    assert site.handover.lease_seconds == 20.0
+
+
 # it was forgotten after 15 s, and its task started elsewhere beside it
 def test_a_new_owner_waits_for_long_leases_of_a_worker_that_left_the_directory():
     site, job, first = start_one_task(long_running=True)
-    site.terms = site.cell.terms = LeaseTerms(length=20.0, length_max=20.0)
+    site.terms = LONG_TERMS
+    site.cell.change_terms(LONG_TERMS, now=site.now)
     site.run(3.5)
     hidden = site.workers.pop(first)
     hidden.unreachable = True
