Verify a worker only by a report that lists all its ends

What callers would see: after a change of the owner a task that had ended as done could run again, if its worker listed 500 ends or more.

Cause: such a report is only the first page, but the worker counted as verified.

Change: it counts once a report may be whole.

Measured: test_a_report_that_may_not_list_all_ends_leaves_its_worker_unverified fails before and passes.

--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -78,7 +78,7 @@
     worker.mark_changed()
     if len(report.ended) < ENDS_PER_REPORT_MAX:
         _release_missing(cell, worker, report, sent=sent, now=now)
-    cell.mark_verified(worker.name)
+        cell.mark_verified(worker.name)
     protect_serving(cell, worker, now=now)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,6 +7,7 @@
 from plantainhinge.fleet.model import (
     EndCause,
     EndedAttempt,
+    WorkerReport,
 )
 
 from .simulated_cell import (
@@ -130,6 +131,27 @@
     assert site.count_starts() == 2
 
 
+# an end in a later page of the report was missed, and its task started again
+def test_a_report_that_may_not_list_all_ends_leaves_its_worker_unverified():
+    site = SimulatedCell(make_entry("w1"), make_entry("w2"))
+    job = make_job("j", make_step(count=501))
+    site.run(0.3)
+    site.take_over([job])
+    cell = site.cell
+    tasks = cell.jobs["j"].occurrences[0][0].tasks
+    ends = tuple(
+        EndedAttempt(number, task.key, 1, EndCause.DONE, "")
+        for number, task in enumerate(tasks[:500], start=1)
+    )
+    for name, ended in (("w1", ends), ("w2", ())):
+        report = WorkerReport(clock=site.now, incarnation=1, running=(), ended=ended)
+        row = cell.workers[name]
+        cell.handle_report(row, report, sent=site.now, now=site.now)
+    cell.confirm_flush(cell.take_flush(now=site.now))
+    cell.decide(now=site.now, wall=site.now)
+    assert cell.take_commands() == []
+
+
 # a successor knew only the shorter leases of the last handover
 def test_longer_leases_are_granted_only_once_the_log_tells_of_them():
     site, job, first = start_one_task(long_running=True)
