Acknowledge nothing of a flush that a planned stop cuts short

What callers would see: with the log silent at a SIGTERM, an end could be acknowledged and forgotten although it was never logged, and its task run again.

Cause: a cancelled flush had taken the progress, and the next one acknowledged all ends up to the newest.

Change: the cell is given up as soon as the flush is cut short.

Measured: test_a_flush_cut_short_by_a_stop_acknowledges_no_end fails before (end 2 acknowledged, only job b logged) and passes. Beside it: a test that decisions know the age of the confirmation (fails if they use the present, or without the loop), and the 2 s of the handover of 4,000 workers cover its writing again, which the waiting for open workers had taken out of the bound.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -85,6 +85,8 @@
             async with asyncio.timeout(seconds):
                 await work()
         except TimeoutError:
+            # what the flush had taken would be acknowledged with the next one
+            runner.stop("a planned stop was cut short")
             write_event(logger, HandoverCutShort(waited_s=seconds))
 
 
--- a/tests/test_cell_runner.py
+++ b/tests/test_cell_runner.py
@@ -235,6 +235,60 @@
     assert left == [True]
 
 
+# the flush's ends were acknowledged with the next one, though nothing was logged
+def test_a_flush_cut_short_by_a_stop_acknowledges_no_end():
+    async def scenario():
+        log = MemoryKeyedLog()
+        runner = make_runner(log)
+        await accept(log, make_job("a"), make_job("b"))
+        await runner.take_over(Epoch(1))
+        cell = runner.cell
+        cell.update_workers([make_entry("w1")], now=0.0)
+        worker = cell.workers["w1"]
+
+        class Ownership:
+            async def leave(self):
+                log.append_faults = []
+                end_task(cell, worker, "b", sequence=2)
+                await asyncio.sleep(0.5)
+
+        await runner.flush()
+        log.append_faults = ["refuse"] * 1000
+        end_task(cell, worker, "a", sequence=1)
+        await hand_over(runner, Ownership())
+        runner.stop("test")
+        return worker.acknowledged, read_states(log)
+
+    assert asyncio.run(scenario()) == (0, {})
+
+
+def end_task(cell, worker, job, *, sequence):
+    """Let a worker report that a job's only task is done."""
+    task = cell.jobs[job].occurrences[0][0].tasks[0]
+    bind_attempt(Attempt(task, 1, worker, AttemptPhase.RUNNING, 0.0, 0.0))
+    end = EndedAttempt(sequence, task.key, 1, EndCause.DONE, "")
+    report = WorkerReport(clock=0.0, incarnation=1, running=(), ended=(end,))
+    cell.handle_report(worker, report, sent=0.0, now=0.0)
+
+
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_decisions_know_how_old_the_newest_confirmation_is(is_confirmed):
+    async def scenario():
+        runner = make_runner(MemoryKeyedLog())
+        await runner.take_over(Epoch(1))
+
+        async def check():
+            return is_confirmed
+
+        runner.confirmation.check_ownership = check
+        await asyncio.sleep(1.2)
+        age = time.monotonic() - runner.cell.confirmed_at
+        runner.stop("test")
+        return age
+
+    assert (asyncio.run(scenario()) < 0.8) is is_confirmed
+
+
 def test_an_owner_stopped_during_its_takeover_never_acts():
     async def scenario():
         log = MemoryKeyedLog()
@@ -512,10 +566,12 @@
         await accept(log, make_job("a"))
         await runner.take_over(Epoch(1))
         known = runner.cell.workers.values()
-        while not all(each.handover is HandoverMark.OPEN for each in known):
+        while not all(worker.reachable for worker in known):
             await asyncio.sleep(0.01)
         cancel(runner, "a")
         async with asyncio.timeout(2.0):
+            while not all(each.handover is HandoverMark.OPEN for each in known):
+                await asyncio.sleep(0.01)
             await runner.flush()
         return await read_successor(runner)
 
