Let members vouch only if every process that could take over is known and asked

Cause: "all other members" meant those that the group listed last. The list lacks members that joined lately or are missing, and for nobody it granted all.

Change: every address seen within a minute is asked, the group must not have changed for 5 s, and with nobody to ask nobody vouches. A deferral holds whatever the record says. The wait for an owner to join again is withdrawn with its test: each lost answer of a join delayed a takeover by a second. A slow read of the log no longer holds up the asking.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -152,6 +152,9 @@
         )
         self._spawn(self._poll_directory(cell, self._renewals))
         self._spawn(self.confirmation.run(epoch, is_owner=lambda: self.cell is cell))
+        self._spawn(
+            self.confirmation.rely_on_members(is_owner=lambda: self.cell is cell)
+        )
         for loop in (
             self._tail_jobs,
             self._flush,
--- a/plantainhinge/daemons/confirmation.py
+++ b/plantainhinge/daemons/confirmation.py
@@ -83,14 +83,17 @@
         """Ask for a confirmation whenever accepted appends haven't just been one."""
         while is_owner():
             if read_uptime() - self._confirmed_at >= INTERVAL_SECONDS:
-                await asyncio.gather(self.request(), self._ask_members())
+                await self.request()
             if is_owner():
                 self._log_change(epoch)
             await asyncio.sleep(PAUSE_SECONDS)
 
-    async def _ask_members(self) -> None:
-        until = await self.ask_members(self._confirmed_at)
-        self._vouched_until = max(self._vouched_until, until)
+    async def rely_on_members(self, *, is_owner: Callable[[], bool]) -> None:
+        """Let the other members vouch while the log doesn't answer."""
+        while is_owner():
+            until = await self.ask_members(self._confirmed_at)
+            self._vouched_until = max(self._vouched_until, until)
+            await asyncio.sleep(INTERVAL_SECONDS)
 
     def _log_change(self, epoch: Epoch) -> None:
         age = self.measure_age()
--- a/plantainhinge/daemons/deferrals.py
+++ b/plantainhinge/daemons/deferrals.py
@@ -12,7 +12,7 @@
 from ..core.ids import Seconds
 from ..jobs.forwarding import PassedDeferral, PassedResponse
 from ..jobs.outcomes import CallOutcome
-from ..jobs.ownership import DEFERRAL_SECONDS, compute_deferral_end
+from ..jobs.ownership import DEFERRAL_SECONDS, compute_deferral_end, find_address
 from .instance_peers import InstancePeers
 from .ownership import Ownership
 
@@ -66,10 +66,11 @@
         asked_at = read_uptime()
         if asked_at - confirmed_at <= SILENT_SECONDS:
             return NOT_DEFERRED
-        if not self.ownership.knows_all_members:
+        vouchers = self.ownership.list_vouchers()
+        if not all(map(find_address, vouchers)):
             return NOT_DEFERRED
         call = PassedDeferral(self.ownership.member)
-        answers = await self.peers.ask_all(call, timeout=ASK_TIMEOUT_SECONDS)
+        answers = await self.peers.ask_all(vouchers, call, timeout=ASK_TIMEOUT_SECONDS)
         last_answers = [
             received - response.age
             for response, received in answers
--- a/plantainhinge/daemons/instance_peers.py
+++ b/plantainhinge/daemons/instance_peers.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..adapters.stream_http_client import HttpCall, HttpClient
@@ -67,16 +67,15 @@
         return await self._call(peer, call, timeout=timeout)
 
     async def ask_all(
-        self, call: PassedCall, *, timeout: Seconds
+        self, peers: Iterable[MemberName], call: PassedCall, *, timeout: Seconds
     ) -> list[tuple[PassedResponse, Seconds]]:
-        """Return each other member's answer, and when it was received (uptime)."""
+        """Return each peer's answer, and when it was received (uptime)."""
 
         async def ask(peer: MemberName) -> tuple[PassedResponse, Seconds]:
             response = await self._call(peer, call, timeout=timeout)
             return response, read_uptime()
 
-        others = set(self.get_members()) - {self.member}
-        return list(await asyncio.gather(*map(ask, others)))
+        return list(await asyncio.gather(*map(ask, peers)))
 
     async def ask_any(self, call: PassedCall, *, timeout: Seconds) -> PassedResponse:
         """Return the answer of a peer chosen at random; REFUSED if there is none."""
--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -26,7 +26,6 @@
     choose_candidate,
     decode_owner,
     encode_owner,
-    has_ended,
     should_hand_over,
     should_take_over,
 )
@@ -41,6 +40,7 @@
     OwnerUnreadable,
     OwnerUnwatched,
 )
+from .roster import Roster
 
 logger = logging.getLogger(__name__)
 
@@ -49,8 +49,6 @@
 JOIN_PAUSE_SECONDS_MIN = 0.02
 WATCH_WAIT_SECONDS = Seconds(2.0)
 RECHECK_INTERVAL_SECONDS = Seconds(2.0)
-# after an outage of the log, an owner that lives has joined the group again by then
-REJOIN_SECONDS = Seconds(1.0)
 
 
 @dataclass
@@ -95,10 +93,9 @@
     _generation: int = 0
     _handled_generation: int = 0
     _is_candidate: bool = False
-    _is_group_complete: bool = False
     _is_claiming: bool = False
     _deferred_until: float = float("-inf")
-    _regained_at: float = float("-inf")
+    _roster: Roster = field(default_factory=Roster)
     _checked_at: float = float("-inf")
     _position: int | None = None
     _owner_changed: bool = False
@@ -111,10 +108,11 @@
         others = self.members - {self.owner}
         return self.epoch is None and choose_candidate(others) == self.member
 
-    @property
-    def knows_all_members(self) -> bool:
-        """Whether ``members`` were all members at the newest join."""
-        return self._is_group_complete and self._handled_generation == self._generation
+    def list_vouchers(self) -> list[MemberName]:
+        """Return the other processes that could take over; none if that isn't sure."""
+        if self._handled_generation != self._generation:
+            return []
+        return self._roster.list_others(self.member, now=self.joined_at)
 
     def defer_claims(self, seconds: Seconds, *, owner: MemberName) -> bool:
         """Don't take the cell over for some seconds; return whether that is granted.
@@ -209,13 +207,11 @@
         generation = await self.log.join(self.member, generation=self._generation)
         if self.answered_at == float("-inf"):
             write_event(logger, JoinedGroup(member=self.member))
-        if self._was_cut_off():
-            # the owner was probably cut off too, and is about to join again
-            self._regained_at = read_uptime()
         self.answered_at = read_monotonic()
         self.joined_at = sent
         if generation != self._generation:
             self._generation = generation
+            self._roster.changed_at = sent
             self._wake.set()
 
     async def _follow_changes(self) -> None:
@@ -258,7 +254,8 @@
     def _is_recheck_due(self) -> bool:
         # the others wait for the member that the record names, so that one rechecks too
         is_only_recorded = self.epoch is None and self.owner == self.member
-        return (self._is_candidate or is_only_recorded) and (
+        is_due = self._is_candidate or is_only_recorded or self.epoch is not None
+        return is_due and (
             read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
         )
 
@@ -287,7 +284,7 @@
             return
         if self.leaving:
             return
-        if self._is_deferred(owner):
+        if read_uptime() < self._deferred_until:
             self._owner_changed = True
             return
         self._is_claiming = True
@@ -313,6 +310,7 @@
         )
         write_event(logger, event)
         self.epoch = epoch
+        self.owner = self.member
         if self.leaving:
             await self._release("leaving")
             return
@@ -321,24 +319,10 @@
         except PlantainhingeError as error:
             self.drop(f"takeover failed: {error}")
 
-    def _is_deferred(self, owner: OwnerRecord | None) -> bool:
-        """Return whether the recorded owner may act by the others' deferrals."""
-        if has_ended(owner, this_member=self.member):
-            return False
-        now = read_uptime()
-        if now < self._deferred_until:
-            return True
-        if owner is not None and owner.member == self.member:
-            return False
-        return self._was_cut_off() or now < self._regained_at + REJOIN_SECONDS
-
-    def _was_cut_off(self) -> bool:
-        """Return whether the group hasn't answered for longer than a membership."""
-        return read_monotonic() - self.answered_at > REJOIN_SECONDS
-
     async def _list_members(self) -> frozenset[MemberName]:
         group = await self.log.list_members()
-        self.members, self._is_group_complete = group
+        self._roster.note(group, now=read_uptime())
+        self.members = group.members
         return self.members
 
     async def _hand_over_if_due(self) -> None:
--- a/plantainhinge/jobs/ownership.py
+++ b/plantainhinge/jobs/ownership.py
@@ -108,6 +108,11 @@
     return member.split("/")[-ADDRESS_POSITION]
 
 
+def find_address(member: MemberName) -> str:
+    """Return the ``host:port`` in a member name; empty if the name is malformed."""
+    return parse_address(member) if member.count("/") >= ADDRESS_POSITION else ""
+
+
 def choose_candidate(members: Collection[MemberName]) -> MemberName | None:
     """Return the live process that should own the cell: the one with the most cores.
 
@@ -139,18 +144,6 @@
     return choose_candidate(members) == this_member
 
 
-def has_ended(owner: OwnerRecord | None, *, this_member: MemberName) -> bool:
-    """Return whether the recorded owner has surely ended or released the cell.
-
-    An earlier process of this instance has: it held this process's port.
-    """
-    if owner is None or not owner.member:
-        return True
-    if owner.member == this_member or owner.member.count("/") < ADDRESS_POSITION:
-        return False
-    return parse_address(owner.member) == parse_address(this_member)
-
-
 def compute_deferral_end(
     last_answers: Iterable[float], *, confirmed_at: float, asked_at: float
 ) -> float:
@@ -171,9 +164,10 @@
     Returns
     -------
     float
-        Minus infinity if another member may have taken the cell over.
+        Minus infinity if another member may have taken the cell over, or if there is
+        none to tell.
     """
-    if max(last_answers, default=float("-inf")) > confirmed_at + UNNOTICED_SECONDS:
+    if max(last_answers, default=float("inf")) > confirmed_at + UNNOTICED_SECONDS:
         return float("-inf")
     return asked_at + CLOCK_RATIO_MIN * DEFERRAL_SECONDS
 
