A cell whose owner is gone is claimed by a member that is listed late

Cause: the store lists a member once it holds a partition, which others give up after the join, without a new generation. Members looked at the group only when the generation changed, or if they were the candidate by the last look. The one that should claim wasn't listed at its look; the others wait for it, for ever. Callers saw accepted jobs that never ran: after all instances were killed twice, 68 of 130 stayed undone for 45 s, nothing ran twice. Whether a generation comes with such a move isn't said by the protocol.

--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -258,7 +258,9 @@
     def _is_recheck_due(self) -> bool:
         # the others wait for the member that the record names, so that one rechecks too
         is_only_recorded = self.epoch is None and self.owner == self.member
-        return (self._is_candidate or is_only_recorded) and (
+        # a member may be listed later, without a new generation
+        is_unowned = self.epoch is None and self.owner not in self.members
+        return (self._is_candidate or is_only_recorded or is_unowned) and (
             read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
         )
 
