--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -252,9 +252,10 @@
         self._handled_generation = generation
 
     def _is_recheck_due(self) -> bool:
-        # the others wait for the member that the record names, so that one rechecks too
-        is_only_recorded = self.epoch is None and self.owner == self.member
-        is_due = self._is_candidate or is_only_recorded or self.epoch is not None
+        # the others wait for the member that the record names, so that one rechecks too;
+        # and a member may be listed later, without a new generation
+        is_owner_missing = self.owner not in self.members
+        is_due = self._is_candidate or is_owner_missing or self.owner == self.member
         return is_due and (
             read_monotonic() - self._checked_at > RECHECK_INTERVAL_SECONDS
         )
