--- a/plantainhinge/daemons/ownership.py
+++ b/plantainhinge/daemons/ownership.py
@@ -252,7 +252,7 @@
         self._handled_generation = generation
 
     def _is_recheck_due(self) -> bool:
-        # the others wait for the member that the record names, so that one rechecks too;
+        # the others wait for the member that the record names, so that one looks too;
         # and a member may be listed later, without a new generation
         is_owner_missing = self.owner not in self.members
         is_due = self._is_candidate or is_owner_missing or self.owner == self.member
