--- a/plantainhinge/daemons/job_writer.py
+++ b/plantainhinge/daemons/job_writer.py
@@ -15,6 +15,7 @@
 from ..core.log_events import write_event
 from ..fleet.protocols import Entry, KeyedLog
 from ..jobs.outcomes import CallOutcome
+from ..jobs.record_sizes import compress
 from ..jobs.records import Record, build_key, encode_record
 from .call_events import AppendFailed
 from .job_view import JOB_TOPIC
@@ -50,7 +51,9 @@
         or may yet do so, MALFORMED that the log can't hold the record at all.
         """
         deadline = read_monotonic() + timeout - ANSWER_MARGIN_SECONDS
-        entry = Entry(build_key(record), encode_record(record))
+        key = build_key(record)
+        limit = self.log.record_bytes_max - len(key.encode()) - 1
+        entry = Entry(key, compress(encode_record(record), bytes_max=limit))
         if entry.size > self.log.record_bytes_max:
             return CallOutcome.MALFORMED
         return await self._write_entry(record, entry, deadline)
