Show queue lengths that leave out jobs which no worker has begun

Cause: a job counts as begun once a start of it is ordered, also where the worker that got the order is gone.

Change: review/10, a script with real instances.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1 \
+    exec timeout --kill-after=5 115 python3 -m "review.$(basename "$folder").case"
