--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -248,8 +248,19 @@
 
 
 def is_troubled() -> bool:
-    """Return whether the disruption is to be brought about."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Return whether the disruption is to be brought about, as run.sh passes it on.
+
+    Raises
+    ------
+    CannotRunError
+        If the script wasn't told, so that neither is taken for granted.
+    """
+    match sys.argv[1:]:
+        case ["with-trouble"]:
+            return True
+        case ["without-trouble"]:
+            return False
+    raise CannotRunError(f"with-trouble or without-trouble, not {sys.argv[1:]}")
 
 
 def run_case(
