Count a job as begun only once a worker has shown it

Cause: a job's state became running with the order of a start. An order may be refused, unanswered or lost with its worker, and nothing set the state back. The owner logged it, and every instance counts by the log.

Change: the state changes when a worker accepts a start or lists an attempt as running or ended, whoever ordered it. What the log holds before an order goes out is as it was.

Queue, state and order of waiting jobs read this one state; a new owner that adopts an attempt marks its job as well.

--- a/plantainhinge/dispatch/answers.py
+++ b/plantainhinge/dispatch/answers.py
@@ -10,7 +10,7 @@
 from .model import Attempt, AttemptPhase
 from .ordering import RETRY_SECONDS_MAX, schedule_retry
 from .scheduling_state import SchedulingState
-from .tasks import release_attempt
+from .tasks import note_begun, release_attempt
 
 logger = logging.getLogger(__name__)
 
@@ -24,10 +24,17 @@
     cell: SchedulingState, attempt: Attempt, answer: OrderResponse, *, now: float
 ) -> None:
     """Handle the answer to a start order."""
-    if attempt.worker.attempts.get((attempt.task.key, attempt.number)) is not attempt:
-        return
-    if attempt.phase is not AttemptPhase.ORDERED:
-        return
+    if answer.outcome is OrderOutcome.ACCEPTED:
+        note_begun(cell, attempt.task.step.job)
+    known = attempt.worker.attempts.get((attempt.task.key, attempt.number))
+    if known is attempt and attempt.phase is AttemptPhase.ORDERED:
+        _settle_start(cell, attempt, answer, now=now)
+
+
+def _settle_start(
+    cell: SchedulingState, attempt: Attempt, answer: OrderResponse, *, now: float
+) -> None:
+    """Handle the answer to a start order that is still open."""
     match answer.outcome:
         case OrderOutcome.ACCEPTED:
             attempt.phase = AttemptPhase.RUNNING
--- a/plantainhinge/dispatch/reports.py
+++ b/plantainhinge/dispatch/reports.py
@@ -38,6 +38,7 @@
     fail_task,
     find_task,
     finish_task,
+    note_begun,
     release_attempt,
     remove_attempt,
     requeue_task,
@@ -100,6 +101,7 @@
     _log_dropped_end(worker, end, attempt, task)
     if task is None or task.done:
         return
+    note_begun(cell, task.step.job)
     task.last_attempt = max(task.last_attempt, end.attempt)
     if end.cause is EndCause.FAILED:
         health.record_failure(worker, now=now)
@@ -190,6 +192,7 @@
         attempt.retry_at = float("inf")
     attempt.reported = True
     attempt.incarnation = worker.incarnation
+    note_begun(cell, attempt.task.step.job)
     clear_task(cell, attempt, now=now)
     if running.progress_percent != attempt.progress_percent:
         attempt.progress_percent = running.progress_percent
@@ -212,6 +215,7 @@
         worker.orphans.append(running.task)
         stop_orphaned_attempt(cell, worker, running)
         return
+    note_begun(cell, task.step.job)
     task.last_attempt = max(task.last_attempt, running.attempt)
     attempt = Attempt(
         task,
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -37,14 +37,22 @@
     )
     bind_attempt(attempt)
     health.note_start(attempt, now=now)
-    job = task.step.job
-    if job.state is JobState.QUEUED or task.losses:
-        job.state = JobState.RUNNING
-        cell.dirty[job.job_id] = job
+    if task.losses:
+        cell.dirty[task.step.job.job_id] = task.step.job
     send_start(cell, attempt, now=now)
     return attempt
 
 
+def note_begun(cell: SchedulingState, job: OpenJob) -> None:
+    """Note that a worker has shown that it began a task of a job.
+
+    An order shows nothing: it may be refused, or lost with its worker.
+    """
+    if job.state is JobState.QUEUED:
+        job.state = JobState.RUNNING
+        cell.dirty[job.job_id] = job
+
+
 def finish_task(
     cell: SchedulingState, task: Task, number: AttemptNumber, *, now: float
 ) -> None:
