Ask for advice until a step's waiting tasks can start

Cause: one usable ticket stopped the next request, also where a gang needs several at once; workers beyond the 30 of a call were named only once no ticket was valid, and then those with the most free processors again and again.

Change: a request follows from what placement needs, all members of a gang at once. Workers allowed before go first and alone if they suffice, then unknown ones without a pause, then refused ones, the oldest advice first. Tickets belong to one incarnation of their worker.

--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -296,7 +296,7 @@
         pools = assignment.list_available_workers(self, now=now)
         workers = [worker for pool in pools.values() for worker in pool]
         return advice.find_advice_request(
-            self.list_waiting_steps(), workers, now=now, wall=wall
+            self.list_waiting_steps(), workers, self.weights, now=now, wall=wall
         )
 
     def handle_advice(
@@ -308,4 +308,4 @@
         now: float,
     ) -> None:
         """Store the tickets of an answer; None means that no answer arrived."""
-        advice.handle_advice(step, request, answer, now=now)
+        advice.handle_advice(step, request, answer, self.workers, now=now)
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -88,6 +88,23 @@
     suspect: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Leave of the advice service to run a step on a worker.
+
+    Parameters
+    ----------
+    expires_at : float
+        Monotonic seconds from which it is of no use.
+    incarnation : int
+        Incarnation of the worker for which it holds.
+    """
+
+    value: str
+    expires_at: float
+    incarnation: int
+
+
 @dataclass(slots=True, eq=False)
 class Trial:
     """A worker that is kept for one attempt of a task that may crash it.
@@ -165,11 +182,13 @@
         Attempts of the step that are bound to each worker.
     due : float
         Due time of its occurrence, in seconds since the Unix epoch.
-    tickets : dict
-        Ticket and its expiry by worker, for queues that need tickets.
-    asked_workers, asked_at
-        Workers named in requests for advice, and the monotonic seconds of the last
-        answer or failure.
+    tickets : dict of WorkerId to Ticket
+        Newest ticket for each worker that advice allowed, expired or not.
+    asked_workers : dict of WorkerId to float
+        Monotonic seconds of the newest advice on each worker.
+    asked_at, advice_failed_at
+        Monotonic seconds of the last request for advice, and of the last one that
+        brought none.
     unplaced_since : float
         Monotonic seconds at which one of its tasks first found no worker; infinite
         before that.
@@ -193,9 +212,10 @@
     unfinished: int = 0
     attempts_per_worker: dict[WorkerId, int] = field(default_factory=dict)
     due: float = 0.0
-    tickets: dict[WorkerId, tuple[str, float]] = field(default_factory=dict)
-    asked_workers: set[WorkerId] = field(default_factory=set)
+    tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
+    asked_workers: dict[WorkerId, float] = field(default_factory=dict)
     asked_at: float = float("-inf")
+    advice_failed_at: float = float("-inf")
     unplaced_since: float = float("inf")
     waiting_since: float = float("inf")
     arrived_with_others: bool = False
--- a/plantainhinge/dispatch/ordering.py
+++ b/plantainhinge/dispatch/ordering.py
@@ -25,6 +25,7 @@
     attempt.orders_sent += 1
     attempt.retry_at = float("inf")
     attempt.incarnation = attempt.worker.incarnation
+    ticket = attempt.task.step.tickets.get(attempt.worker.name)
     order = StartOrder(
         task=attempt.task.key,
         attempt=attempt.number,
@@ -32,7 +33,7 @@
         checkpoint=attempt.task.checkpoint,
         epoch=cell.epoch,
         lease_end=grant_lease(attempt.worker, cell.compute_lease(now=now), now=now),
-        ticket=attempt.task.step.tickets.get(attempt.worker.name, ("", 0.0))[0],
+        ticket=ticket.value if ticket is not None else "",
     )
     cell.commands.append(Start(attempt, order))
 
--- a/plantainhinge/dispatch/trials.py
+++ b/plantainhinge/dispatch/trials.py
@@ -14,7 +14,7 @@
 from .scheduling_state import SchedulingState
 from .suspicion import measure_suspicion
 from .tasks import start_task
-from .worker_choice import has_capacity, list_candidates
+from .worker_choice import has_capacity, holds_ticket, list_candidates
 
 # suspicion from which the next attempt is a trial
 TRIAL_SUSPICION_MIN = 2
@@ -82,8 +82,11 @@
 
 def _is_usable(trial: Trial, workers: list[Worker], *, now: float) -> bool:
     """Return whether a reserved worker can still take the trial."""
-    return trial.worker in workers and has_capacity(
-        trial.task.step, trial.worker, now=now
+    step = trial.task.step
+    return (
+        trial.worker in workers
+        and has_capacity(step, trial.worker, now=now)
+        and holds_ticket(step, trial.worker, now=now)
     )
 
 
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -87,22 +87,30 @@
     that have them.
     """
     step = task.step
-    demand = measure_demand(step, now=now)
-    candidates = [
-        each
-        for each in demand.list_fitting(workers)
-        if each.probe is None and each.trial is None
-    ]
+    candidates = list_open_workers(step, workers, now=now)
     if task.avoided_workers:
         avoided = task.avoided_workers
         candidates = [each for each in candidates if each.name not in avoided]
-    if step.spec.label or step.spec.per_worker_max:
-        candidates = [each for each in candidates if meets_constraints(step, each)]
     if step.job.record.policy.advised:
         candidates = [each for each in candidates if holds_ticket(step, each, now=now)]
     return candidates
 
 
+def list_open_workers(
+    step: OpenStep, workers: Iterable[Worker], *, now: float
+) -> list[Worker]:
+    """Return the workers that can take one more task of a step, given a ticket."""
+    demand = measure_demand(step, now=now)
+    workers = [
+        each
+        for each in demand.list_fitting(workers)
+        if each.probe is None and each.trial is None
+    ]
+    if step.spec.label or step.spec.per_worker_max:
+        return [each for each in workers if meets_constraints(step, each)]
+    return workers
+
+
 def choose_destination(
     task: Task, workers: Iterable[Worker], *, now: float
 ) -> Worker | None:
@@ -193,6 +201,23 @@
                 fitting.append(worker)
         return fitting
 
+    def count_room(self, worker: Worker, *, most: int) -> int:
+        """Return how many times a worker has the capacity, up to ``most``."""
+        needs, free = self.needs, worker.free
+        headroom = int(worker.entry.capacity.millicores * self.headroom_ratio)
+        pairs = [
+            (free.millicores - headroom, needs.millicores),
+            (free.memory_mib, needs.memory_mib),
+            (free.accelerators, needs.accelerators),
+        ]
+        room = min((have // need for have, need in pairs if need), default=most)
+        if self.spare_millicores:
+            # each task takes up its whole request, of which a share must be spare
+            request = self.spare_millicores / BEST_EFFORT_SHARE_MIN
+            excess = worker.spare_millicores - self.spare_millicores
+            room = min(room, int(excess // request) + 1)
+        return min(room, most)
+
 
 def measure_demand(step: OpenStep, *, now: float) -> Demand:
     """Return what a worker must have for one more task of a step.
@@ -207,6 +232,18 @@
     return Demand(needs, headroom_ratio, spare_millicores)
 
 
+def count_room(step: OpenStep, worker: Worker, *, most: int, now: float) -> int:
+    """Return how many more tasks of a step have capacity on a worker, up to ``most``.
+
+    The step's limit per worker counts as well.
+    """
+    room = min(most, measure_demand(step, now=now).count_room(worker, most=most))
+    limit = step.spec.per_worker_max
+    if limit:
+        room = min(room, limit - step.attempts_per_worker.get(worker.name, 0))
+    return max(0, room)
+
+
 def has_capacity(step: OpenStep, worker: Worker, *, now: float) -> bool:
     """Return whether a worker has capacity for one more task of a step."""
     return bool(measure_demand(step, now=now).list_fitting([worker]))
@@ -222,6 +259,17 @@
     return step.spec.long_running and not is_restart(step) and waited < HEADROOM_SECONDS
 
 
+def is_bearable(
+    step: OpenStep, worker: Worker, weights: ImageWeights, *, now: float
+) -> bool:
+    """Return whether serving tasks on a worker bear a best-effort task of a step."""
+    spec = step.spec
+    added_pressure = predict_added_pressure(
+        spec.image, spec.request.millicores, worker, weights, now=now
+    )
+    return added_pressure is not None
+
+
 def holds_ticket(step: OpenStep, worker: Worker, *, now: float) -> bool:
     """Return whether a step has a valid ticket for a worker, or needs none.
 
@@ -229,7 +277,12 @@
     """
     if not step.job.record.policy.advised:
         return True
-    return now < step.tickets.get(worker.name, ("", 0.0))[1]
+    ticket = step.tickets.get(worker.name)
+    return (
+        ticket is not None
+        and now < ticket.expires_at
+        and ticket.incarnation == worker.incarnation
+    )
 
 
 def is_restart(step: OpenStep) -> bool:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -1,12 +1,20 @@
 """Queues that need advice: requests, and the tickets that starts carry."""
 
 import msgspec
+import pytest
 
 from plantainhinge.core.resources import Resources
 from plantainhinge.fleet.model import Advice, WorkerState
 from plantainhinge.jobs.model import Step
 
-from .simulated_cell import SimulatedCell, make_entry, make_job, make_policy
+from .advice_service import AdviceService
+from .simulated_cell import (
+    SimulatedCell,
+    make_entry,
+    make_job,
+    make_policy,
+    make_step,
+)
 
 ADVISED = make_policy(advised=True)
 
@@ -88,3 +96,123 @@
     ask(site, "w4")
     site.run(0.2)
     assert {worker for worker, _, _ in site.list_running()} == {"w4"}
+
+
+# seconds for which a job may have nothing running although there is capacity for it
+IDLE_SECONDS_MAX = 3.0
+GANG = make_step(
+    count=6,
+    gang=True,
+    per_worker_max=1,
+    request=Resources(4000, 100),
+    estimate=30.0,
+)
+
+
+def submit_advised(site, step):
+    site.submit(make_job("j", step, policy=ADVISED, accepted_at=site.now))
+
+
+def count_running(site):
+    return sum(key.job == "j" for _, key, _ in site.list_running())
+
+
+def make_large_site(count):
+    """Return a site on which the last workers have the least free processors."""
+    site = SimulatedCell(*[make_entry(f"w{index}") for index in range(count)])
+    site.run(0.2)
+    for index in range(count):
+        step = make_step(
+            long_running=True, request=Resources(4 * index, 0), label=f"n{index}"
+        )
+        worker = site.workers[f"w{index}"]
+        worker.entry = make_entry(f"w{index}", labels=(f"n{index}",))
+        site.submit(make_job(f"busy{index}", step))
+    site.update_workers()
+    site.run(1)
+    return site
+
+
+@pytest.mark.parametrize("count", [37, 350])
+def test_a_gang_starts_although_few_of_many_workers_are_allowed(count):
+    # review/7: one usable ticket stopped the search for the others that a gang needs
+    site = make_large_site(count)
+    allowed = {f"w{index}" for index in range(count - 1, 0, -count // 6)}
+    assert len(allowed) == GANG.count
+    service = AdviceService(site, allowed)
+    submit_advised(site, GANG)
+    waited = service.run_until(lambda: count_running(site) == GANG.count, limit=30)
+    assert waited <= IDLE_SECONDS_MAX
+
+
+def test_a_gang_that_starts_again_needs_one_short_call():
+    # review/7 at scale: a search through all workers may take longer than tickets last
+    site = make_large_site(350)
+    allowed = {f"w{index}" for index in range(300, 306)}
+    service = AdviceService(site, allowed, valid_seconds=1.5)
+    submit_advised(site, GANG)
+    service.run_until(lambda: count_running(site) == GANG.count, limit=30)
+    site.run(service.valid_seconds)
+    ((worker, _, _), *_) = [row for row in site.list_running() if row[1].job == "j"]
+    site.workers[worker].lease_end = 0.0
+    service.run_until(lambda: count_running(site) < GANG.count, limit=1)
+    calls = len(service.calls)
+    service.run_until(lambda: count_running(site) == GANG.count, limit=3)
+    assert [set(names) <= allowed for names in service.calls[calls:]] == [True]
+
+
+def test_a_gang_starts_once_the_service_has_changed_its_mind():
+    # review/7: the same workers were asked about again, however often they were refused
+    site = make_large_site(70)
+    service = AdviceService(site, {f"w{index}" for index in range(5)})
+    submit_advised(site, GANG)
+    service.run_until(lambda: site.now > 5, limit=10)
+    assert count_running(site) == 0
+    service.allowed = {f"w{index}" for index in range(60, 66)}
+    service.run_until(lambda: count_running(site) == GANG.count, limit=6)
+
+
+def test_a_ticket_for_a_worker_that_a_task_avoids_prevents_no_further_request():
+    # review/7 on a related path: the only allowed worker so far is one it failed on
+    site = make_site(count=1)
+    ask(site, "w3", valid=60.0)
+    site.workers["w3"].fails_at_once = True
+    site.run(1.1)
+    assert site.list_running() == []
+    request = ask(site, "w4")
+    assert "w3" not in request.workers
+    site.run(0.2)
+    assert {worker for worker, _, _ in site.list_running()} == {"w4"}
+
+
+def test_a_ticket_of_a_former_incarnation_is_asked_for_again():
+    # review/7 on a related path: a ticket is valid during one life of its worker
+    site = make_site(count=1)
+    worker = site.workers["w3"]
+    step, request = site.cell.find_advice_request(now=site.now, wall=site.now)
+    advice = Advice(tickets=(("w3", "former"),), valid_seconds=60.0)
+    site.cell.handle_advice(step, request, advice, now=site.now)
+    worker.entry = make_entry("w3", incarnation=2)
+    site.update_workers()
+    site.run(1.1)
+    assert site.count_starts() == 0
+    assert ask(site, "w3").workers == ("w3",)
+
+
+def test_no_advice_is_asked_for_a_gang_without_room():
+    # the other side of review/7: a search for a gang that can't start delays others
+    site = make_site()
+    too_many = make_step(count=500, gang=True, request=Resources(4000, 100))
+    site.submit(make_job("a", too_many, policy=ADVISED, accepted_at=-1))
+    assert ask(site).task.job == "j0"
+
+
+def test_a_search_lets_other_steps_go_between_its_calls():
+    # the other side of review/7: the most urgent step could keep the service for itself
+    site = make_large_site(70)
+    service = AdviceService(site, set())
+    submit_advised(site, GANG)
+    site.submit(make_job("k", make_step(), policy=ADVISED, accepted_at=site.now + 60))
+    service.run_until(lambda: len(service.calls) == 3, limit=5)
+    assert service.calls[0] == service.calls[1]
+    assert not set(service.calls[2]) & set(service.calls[0])
--- a/tests/test_avoidance.py
+++ b/tests/test_avoidance.py
@@ -8,6 +8,7 @@
     LAST_ATTEMPT_AVOIDANCE_SECONDS,
     avoid_worker,
 )
+from plantainhinge.dispatch.model import Ticket
 from plantainhinge.dispatch.ordering import stop_attempt
 from plantainhinge.fleet.model import EndCause, WorkerState
 
@@ -132,8 +133,8 @@
 def give_ticket(site, job, worker):
     """Let the advice service allow a step on one worker only."""
     for task in site.cell.jobs[job].list_tasks():
-        task.step.asked_workers.update(site.workers)
-        task.step.tickets[worker] = ("ticket", float("inf"))
+        task.step.asked_workers.update(dict.fromkeys(site.workers, site.now))
+        task.step.tickets[worker] = Ticket("ticket", float("inf"), incarnation=1)
 
 
 # work that ends makes room: the last attempt waits for it, though not for good
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -7,7 +7,13 @@
 from plantainhinge.core.ids import AttemptNumber, Seconds, WorkerId
 from plantainhinge.core.resources import Resources
 from plantainhinge.dispatch.bindings import bind_attempt
-from plantainhinge.dispatch.model import Attempt, AttemptPhase, OpenStep, Worker
+from plantainhinge.dispatch.model import (
+    Attempt,
+    AttemptPhase,
+    OpenStep,
+    Ticket,
+    Worker,
+)
 from plantainhinge.dispatch.open_jobs import open_job
 from plantainhinge.dispatch.worker_choice import list_candidates
 from plantainhinge.fleet.model import (
@@ -178,7 +184,7 @@
 def test_candidates_meet_every_condition(spec, taken, advised, waited, avoided):
     task, other = (step := open_step(spec, advised=advised)).tasks
     step.unplaced_since = NOW - waited
-    step.tickets[WorkerId("w1")] = ("ticket", NOW + 1.0)
+    step.tickets[WorkerId("w1")] = Ticket("ticket", NOW + 1.0, incarnation=1)
     task.avoided_workers = set(map(WorkerId, avoided))
     workers = []
     for number, (request, labelled) in enumerate(taken):
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -22,6 +22,7 @@
     AttemptPhase,
     OpenStep,
     Task,
+    Ticket,
     Trial as ReservedTrial,
     Worker,
 )
@@ -108,7 +109,7 @@
     step = open_step(name, arrival.spec, advised=arrival.tickets is not None)
     step.unplaced_since = arrival.unplaced_since
     for worker in arrival.tickets or ():
-        step.tickets[WorkerId(worker)] = ("ticket", NOW + 1.0)
+        step.tickets[WorkerId(worker)] = Ticket("ticket", NOW + 1.0, incarnation=1)
     return step
 
 
