Let a job without a choice start beside the probe of its worker

Cause: the attempt after two faults is the worker's probe, and nothing else started there until it succeeded or had run for a second more than its estimate, however long that was and whether or not there was another worker.

Change: the rule is a preference. A task that has waited a second for other workers starts beside a probe that has run for a second, if its job has nothing running and no other worker will do, and is the probe from then on; so a worker that fails everything gets one such job a second at most, and none in quarantine.

--- a/plantainhinge/dispatch/advice.py
+++ b/plantainhinge/dispatch/advice.py
@@ -18,6 +18,7 @@
 from ..core.ids import Seconds, WorkerId
 from ..fleet.model import Advice, AdviceRequest
 from .model import OpenStep, Ticket, Worker
+from .preferences import list_unpreferred
 from .queueing import order_steps
 from .weights import ImageWeights
 from .worker_choice import count_room, holds_ticket, is_bearable, list_open_workers
@@ -119,6 +120,7 @@
     workers = [worker for worker in pool if worker.entry.service == service]
     candidates = list_open_workers(step, workers, now=now)
     candidates.extend(_list_own_trials(step, workers))
+    candidates.extend(list_unpreferred(step.waiting[0], workers, now=now))
     if step.spec.best_effort:
         candidates = [
             each for each in candidates if is_bearable(step, each, weights, now=now)
--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -9,6 +9,7 @@
 from .bindings import bind_attempt, unbind_attempt
 from .checkpoints import share_checkpoint
 from .model import Attempt, AttemptPhase, OpenJob, OpenStep, Task, Worker
+from .preferences import choose_unpreferred
 from .queueing import rank_step
 from .scheduling_state import SchedulingState
 from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
@@ -191,9 +192,7 @@
             trial = trials.advance_trial(cell, task, workers, now=now)
             placed.extend([trial] if trial is not None else [])
             continue
-        worker = choose_destination(task, workers, now=now)
-        if worker is None:
-            worker = pool.choose(task)
+        worker = _choose_for_task(cell, task, pool, now=now)
         if worker is None and task.avoided_workers:
             continue
         if worker is None:
@@ -205,6 +204,16 @@
     return placed
 
 
+def _choose_for_task(
+    cell: SchedulingState, task: Task, pool: WorkerPool, *, now: float
+) -> Worker | None:
+    """Return the worker for a task that is placed by itself, or None."""
+    worker = choose_destination(task, pool.workers, now=now) or pool.choose(task)
+    if worker is None and pool.is_any_probed:
+        return choose_unpreferred(task, pool.workers, cell.weights, now=now)
+    return worker
+
+
 def _place_gang(
     cell: SchedulingState,
     step: OpenStep,
@@ -264,7 +273,10 @@
 ) -> Worker | None:
     if task.trial is not None:
         return task.trial.worker
-    return choose_worker(task, workers, cell.weights, now=now)
+    worker = choose_worker(task, workers, cell.weights, now=now)
+    if worker is None:
+        return choose_unpreferred(task, workers, cell.weights, now=now)
+    return worker
 
 
 def _prepare_trials(
--- a/plantainhinge/dispatch/avoidance.py
+++ b/plantainhinge/dispatch/avoidance.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 
 from .model import Task, Worker
+from .preferences import is_lightly_used
 from .worker_choice import fits_when_empty, may_fit_later
 
 # how long a task waits for capacity on workers on which it hasn't failed
@@ -18,8 +19,6 @@
 LONG_RUNNING_AVOIDANCE_SECONDS = 1.0
 # the same if waiting is of little use: a job must not idle beside free capacity
 SHORT_AVOIDANCE_SECONDS = 2.5
-# share of all processors below which the workers are lightly used
-LIGHT_USE_RATIO = 0.5
 
 
 def avoid_worker(task: Task, worker: Worker) -> None:
@@ -53,7 +52,7 @@
     """
     if task.step.spec.long_running:
         return LONG_RUNNING_AVOIDANCE_SECONDS
-    if _is_lightly_used(workers) or not _will_fit(task, others):
+    if is_lightly_used(workers) or not _will_fit(task, others):
         return SHORT_AVOIDANCE_SECONDS
     if _has_one_attempt_left(task):
         return LAST_ATTEMPT_AVOIDANCE_SECONDS
@@ -65,12 +64,6 @@
     return any(may_fit_later(task.step, worker) for worker in workers)
 
 
-def _is_lightly_used(workers: Collection[Worker]) -> bool:
-    total = sum(worker.entry.capacity.millicores for worker in workers)
-    used = sum(worker.committed.millicores for worker in workers)
-    return used < LIGHT_USE_RATIO * total
-
-
 def _has_one_attempt_left(task: Task) -> bool:
     policy = task.step.job.record.policy
     return len(task.failed_attempts) >= policy.attempts - 1
--- a/plantainhinge/dispatch/worker_choice.py
+++ b/plantainhinge/dispatch/worker_choice.py
@@ -52,7 +52,15 @@
     workers : iterable of Worker
         Workers of the task's service that accept new work.
     """
-    ranked = rank_workers(task, workers, weights, now=now)
+    candidates = list_candidates(task, workers, now=now)
+    return choose_scored(task, candidates, weights, now=now)
+
+
+def choose_scored(
+    task: Task, candidates: Iterable[Worker], weights: ImageWeights, *, now: float
+) -> Worker | None:
+    """Return the best of the workers on which a task may start, or None."""
+    ranked = score_workers(task, candidates, weights, now=now)
     return max(ranked, key=lambda row: row[0], default=(0.0, None))[1]
 
 
@@ -60,11 +68,19 @@
     task: Task, workers: Iterable[Worker], weights: ImageWeights, *, now: float
 ) -> list[tuple[float, Worker]]:
     """Return the workers on which a task may start, each with its score."""
+    candidates = list_candidates(task, workers, now=now)
+    return score_workers(task, candidates, weights, now=now)
+
+
+def score_workers(
+    task: Task, candidates: Iterable[Worker], weights: ImageWeights, *, now: float
+) -> list[tuple[float, Worker]]:
+    """Return workers with their scores, without those that can't bear the task."""
     step = task.step
     score = SCORES.find(select_score(step))
     suspect = is_suspect(task)
     ranked: list[tuple[float, Worker]] = []
-    for worker in list_candidates(task, workers, now=now):
+    for worker in candidates:
         value = score(step, worker, weights, now)
         if step.spec.rack and step.spec.rack == worker.rack:
             value += DATA_RACK_BONUS
@@ -99,16 +115,22 @@
 def list_open_workers(
     step: OpenStep, workers: Iterable[Worker], *, now: float
 ) -> list[Worker]:
-    """Return the workers that can take one more task of a step, given a ticket."""
-    demand = measure_demand(step, now=now)
-    workers = [
-        each
-        for each in demand.list_fitting(workers)
-        if each.probe is None and each.trial is None
-    ]
+    """Return the workers that can take one more task of a step, given a ticket.
+
+    Those with a probe or a trial are left out.
+    """
+    fitting = list_fitting_workers(step, workers, now=now)
+    return [each for each in fitting if each.probe is None and each.trial is None]
+
+
+def list_fitting_workers(
+    step: OpenStep, workers: Iterable[Worker], *, now: float
+) -> list[Worker]:
+    """Return the workers on which one more task of a step fits."""
+    fitting = measure_demand(step, now=now).list_fitting(workers)
     if step.spec.label or step.spec.per_worker_max:
-        return [each for each in workers if meets_constraints(step, each)]
-    return workers
+        return [each for each in fitting if meets_constraints(step, each)]
+    return fitting
 
 
 def choose_destination(
--- /dev/null
+++ b/tests/test_preferences.py
@@ -0,0 +1,115 @@
+"""Rules that keep work off a worker as long as there is another one."""
+
+import pytest
+
+from plantainhinge.core.resources import Resources
+from plantainhinge.fleet.model import EndCause
+
+from .simulated_cell import SimulatedCell, make_entry, make_job, make_policy, make_step
+
+# seconds for which a job may have nothing running although there is capacity for it
+IDLE_SECONDS_MAX = 3.0
+KIND = "kind-b"
+OTHER = "kind-a"
+PATIENT = make_policy(attempts=50)
+
+
+def make_site(*, others=3):
+    """Return a site with one worker of a kind, which has just been faulty."""
+    entries = [make_entry(f"w{index}", labels=(OTHER,)) for index in range(others)]
+    site = SimulatedCell(make_entry("faulty", labels=(KIND,)), *entries)
+    site.run(0.2)
+    faulty = site.workers["faulty"]
+    faulty.fails_at_once = True
+    site.submit(make_job("early", make_step(count=4, label=KIND), policy=PATIENT))
+    site.run(1)
+    site.cell.cancel_job("early", now=site.now)
+    faulty.fails_at_once = False
+    site.run(4.5)
+    return site
+
+
+def count_running(site, job):
+    return sum(key.job == job for _, key, _ in site.list_running())
+
+
+def submit_probe(site, **step):
+    """Submit a job whose task is the probe of the faulty worker."""
+    step = {"label": KIND, "estimate": 200.0} | step
+    site.submit(make_job("probe", make_step(**step), policy=PATIENT))
+    site.run_until(lambda: count_running(site, "probe"), limit=5)
+    assert site.cell.workers["faulty"].probe is not None
+
+
+PROBES = {
+    "long": {},
+    "best-effort": {"best_effort": True},
+    "long-running": {"long_running": True},
+}
+
+
+@pytest.mark.parametrize("probe", PROBES.values(), ids=PROBES)
+@pytest.mark.parametrize(
+    "step",
+    [{"estimate": 0.3}, {"long_running": True}, {"count": 3, "gang": True}],
+    ids=["short", "long-running", "gang"],
+)
+def test_a_job_does_not_wait_for_the_probe_of_its_only_worker(probe, step):
+    # review/8: it waited for as long as the estimate of the probe said, or for good
+    site = make_site()
+    submit_probe(site, **probe)
+    site.submit(make_job("j", make_step(label=KIND, **step)))
+    site.run_until(lambda: count_running(site, "j"), limit=IDLE_SECONDS_MAX)
+
+
+def test_a_job_does_not_wait_for_a_probe_that_was_silent():
+    # review/8 on a related path: the probe outlives an outage of its worker
+    site = make_site()
+    submit_probe(site)
+    site.workers["faulty"].unreachable = True
+    site.run(1)
+    site.workers["faulty"].unreachable = False
+    site.submit(make_job("j", make_step(label=KIND, estimate=0.3)))
+    site.run_until(lambda: count_running(site, "j"), limit=IDLE_SECONDS_MAX)
+
+
+def test_a_success_beside_a_long_probe_opens_the_worker():
+    # review/8: what the worker has finished shows that it is well
+    site = make_site()
+    submit_probe(site)
+    site.submit(make_job("j", make_step(label=KIND, estimate=0.3)))
+    site.run_until(lambda: site.state_of("j") == "completed", limit=5)
+    site.run(0.1)
+    site.submit(make_job("k", make_step(count=4, label=KIND)))
+    site.run(0.2)
+    assert count_running(site, "k") == 4
+
+
+def test_a_worker_that_fails_everything_gets_one_job_a_second():
+    # the other side of review/8: such a worker must not take the whole queue
+    site = make_site()
+    submit_probe(site)
+    faulty = site.workers["faulty"]
+    faulty.fails = True
+    before = len(faulty.started)
+    for index in range(20):
+        step = make_step(label=KIND, estimate=1.8)
+        site.submit(make_job(f"j{index}", step, policy=PATIENT))
+    site.run(9)
+    assert len(faulty.started) - before <= 9
+
+
+def test_a_job_that_others_will_have_room_for_waits_for_them():
+    # the other side of review/8: in an overload the faulty worker gets one at a time
+    site = SimulatedCell(make_entry("faulty"), make_entry("w1"))
+    site.run(0.2)
+    site.submit(make_job("busy", make_step(count=16, estimate=20.0), policy=PATIENT))
+    site.run(0.2)
+    faulty = site.workers["faulty"]
+    for key in list(faulty.attempts):
+        faulty._end(key, EndCause.FAILED)
+    site.submit(make_job("probe", make_step(estimate=200.0)))
+    site.run_until(lambda: count_running(site, "probe"), limit=5)
+    site.submit(make_job("j", make_step(request=Resources(500, 100))))
+    site.run(4)
+    assert count_running(site, "j") == 0
