Acknowledge ends only to the incarnation that reported them

Cause: a renewal after an unanswered one carried the number of ends of the former incarnation. The new one forgot its own ends up to that number before anybody had seen them.

Change: renewals name their incarnation. Numbers of ends and leases are sent only on a connection on which that incarnation has answered; on any other one a renewal only asks for a report. A connection never outlives the process that accepted it, so this also holds for a restart between an answer and the next call.

Tests: the renewal's half of test_a_deeply_nested_answer_of_a_worker_ends_no_loop answers on the connection now, where renewals are sent; both halves check what they checked.

--- a/plantainhinge/adapters/stream_http_client.py
+++ b/plantainhinge/adapters/stream_http_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import httptools
@@ -62,8 +64,15 @@
         return head + b"\r\n\r\n" + self.body
 
 
-class _Connection(asyncio.Protocol):
-    """A connection that carries one exchange at a time."""
+class HttpConnection(asyncio.Protocol):
+    """A connection that carries one exchange at a time.
+
+    Attributes
+    ----------
+    peer_incarnation : int, optional
+        Incarnation of the peer that has answered on it; None if that isn't known. No
+        other one can receive anything on this connection.
+    """
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
@@ -75,15 +84,19 @@
         self._body: list[bytes] = []
         self._answer_bytes = 0
         self.received_at = float("-inf")
+        self.peer_incarnation: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by asyncio, like the next two methods."""
         self._transport = transport  # type: ignore[assignment]
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Let an open exchange fail."""
         self.closed = True
         self._fail(CLOSED_EARLY_MESSAGE)
 
     def data_received(self, data: bytes) -> None:
+        """Parse a part of a response."""
         self.received_at = asyncio.get_running_loop().time()
         if self._parser is None:
             # bytes that no request asked for
@@ -101,12 +114,15 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser, like the next two methods."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
+        """Hand over the response."""
         parser, response = self._parser, self._response
         self._parser = self._response = None
         if parser is None or response is None:
@@ -119,6 +135,33 @@
                 HttpResponse(parser.get_status_code(), self._headers, body)
             )
 
+    async def call(
+        self, call: HttpCall, *, timeout: Seconds, deadline: float
+    ) -> HttpResponse:
+        """Send a request and return the response; see ``HttpClient.call``.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time in seconds without any received byte.
+        deadline : float
+            Time of the event loop by which the whole response must have arrived.
+        """
+        data = call.encode(self.peer)
+        try:
+            pending = self.exchange(data)
+            return await _wait_for(pending, self, timeout, deadline=deadline)
+        except TimeoutError:
+            self.close()
+            raise UncertainError(
+                f"no answer to {call.path.partition('?')[0]} within {timeout} s",
+                step=STEP,
+                peer=self.peer,
+            ) from None
+        except BaseException:
+            self.close()
+            raise
+
     def exchange(self, data: bytes) -> "asyncio.Future[HttpResponse]":
         """Send a request and return a future for its response."""
         assert self._transport is not None
@@ -178,7 +221,7 @@
     address: str
     connections_max: int = 8
     budget: ConnectionBudget = field(default_factory=ConnectionBudget)
-    _idle: list[_Connection] = field(default_factory=list)
+    _idle: list[HttpConnection] = field(default_factory=list)
     _open: int = 0
     _waiters: deque["asyncio.Future[None]"] = field(default_factory=deque)
 
@@ -203,26 +246,35 @@
         UncertainError
             If it was sent but no complete response arrived in time.
         """
-        started_at = asyncio.get_running_loop().time()
-        deadline = started_at + (total_timeout or timeout)
-        data = call.encode(self.address)
-        connection = await self._acquire(started_at + timeout)
+        now = asyncio.get_running_loop().time()
+        deadline = now + (total_timeout or timeout)
+        async with self.borrow(until=now + timeout) as connection:
+            return await connection.call(call, timeout=timeout, deadline=deadline)
+
+    @asynccontextmanager
+    async def borrow(
+        self, *, until: float, incarnation: int | None = None
+    ) -> AsyncIterator[HttpConnection]:
+        """Keep a connection from other calls for a while.
+
+        Parameters
+        ----------
+        until : float
+            Time of the event loop by which there must be one.
+        incarnation : int, optional
+            Incarnation of the peer to which the connection should lead, if one is known
+            to.
+
+        Raises
+        ------
+        UnavailableError
+            If no connection was available in time.
+        """
+        connection = await self._acquire(until, incarnation)
         try:
-            pending = connection.exchange(data)
-            response = await _wait_for(pending, connection, timeout, deadline=deadline)
-        except TimeoutError:
-            connection.close()
-            raise UncertainError(
-                f"no answer to {call.path.partition('?')[0]} within {timeout} s",
-                step=STEP,
-                peer=self.address,
-            ) from None
-        except BaseException:
-            connection.close()
-            raise
+            yield connection
         finally:
             self._release(connection)
-        return response
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -230,10 +282,12 @@
             self._idle.pop().close()
             self._count(-1)
 
-    async def _acquire(self, deadline: float) -> _Connection:
+    async def _acquire(
+        self, deadline: float, incarnation: int | None
+    ) -> HttpConnection:
         while True:
             while self._idle:
-                connection = self._idle.pop()
+                connection = self._pop_idle(incarnation)
                 if not connection.closed:
                     return connection
                 self._count(-1)
@@ -241,7 +295,15 @@
                 return await self._connect(deadline)
             await self._wait_for_connection(deadline)
 
-    async def _connect(self, deadline: float) -> _Connection:
+    def _pop_idle(self, incarnation: int | None) -> HttpConnection:
+        """Remove and return the newest idle connection, if possible a preferred one."""
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
+            if incarnation is not None and connection.peer_incarnation == incarnation:
+                return self._idle.pop(index)
+        return self._idle.pop()
+
+    async def _connect(self, deadline: float) -> HttpConnection:
         loop = asyncio.get_running_loop()
         host, _, port = self.address.rpartition(":")
         self._count(1)
@@ -250,7 +312,7 @@
                 min(deadline, loop.time() + CONNECT_TIMEOUT_SECONDS)
             ):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self.address), host, int(port)
+                    lambda: HttpConnection(self.address), host, int(port)
                 )
         except BaseException as error:
             self._count(-1)
@@ -277,7 +339,7 @@
                 peer=self.address,
             ) from None
 
-    def _release(self, connection: _Connection) -> None:
+    def _release(self, connection: HttpConnection) -> None:
         if connection.closed:
             self._count(-1)
         else:
@@ -298,7 +360,7 @@
 
 async def _wait_for(
     pending: "asyncio.Future[HttpResponse]",
-    connection: _Connection,
+    connection: HttpConnection,
     timeout: Seconds,
     *,
     deadline: float,
--- a/plantainhinge/dispatch/cell.py
+++ b/plantainhinge/dispatch/cell.py
@@ -170,6 +170,7 @@
         wait = SHARED_RENEWAL_WAIT_SECONDS_MAX if shared else RENEWAL_WAIT_SECONDS_MAX
         return Renewal(
             epoch=self.epoch,
+            incarnation=worker.incarnation,
             acknowledged=worker.acknowledged,
             wait=Seconds(0.0) if at_once else wait,
             lease_end=grant_lease(worker, length, now=now)
--- a/plantainhinge/fleet/model.py
+++ b/plantainhinge/fleet/model.py
@@ -193,6 +193,9 @@
 
     Parameters
     ----------
+    incarnation : int
+        Incarnation of the worker to which ``acknowledged`` and ``lease_end`` refer.
+        They must not reach any other one: it would forget ends that nobody has seen.
     acknowledged : int
         Ends up to this sequence number are in the log, so the worker need not list
         them any more.
@@ -204,6 +207,7 @@
     """
 
     epoch: Epoch
+    incarnation: int
     acknowledged: int
     wait: Seconds
     lease_end: Seconds | None
--- a/plantainhinge/platform/workers.py
+++ b/plantainhinge/platform/workers.py
@@ -1,5 +1,6 @@
 """Client for the platform's workers, and the decoding of their directory entries."""
 
+import asyncio
 import ipaddress
 import logging
 import re
@@ -45,6 +46,7 @@
 logger = logging.getLogger(__name__)
 
 OK = 200
+RENEW_PATH = "/-/hold"
 ADVICE_TIMEOUT_SECONDS = Seconds(3.0)
 ORDER_TIMEOUT_SECONDS = Seconds(0.5)
 RENEWAL_TIMEOUT_SECONDS = Seconds(0.7)
@@ -210,31 +212,51 @@
     async def renew(
         self, entry: WorkerEntry, renewal: Renewal
     ) -> WorkerReport | OrderResponse:
-        """Renew the leases of a worker; return its report, or why there is none."""
-        body: dict[str, Any] = {
-            "fencingToken": renewal.epoch,
-            "lastSeen": renewal.acknowledged,
-        }
-        if renewal.lease_end is not None:
-            body["deadlineMs"] = int(renewal.lease_end * 1000)
-        if renewal.wait > 0:
-            body["waitMs"] = int(renewal.wait * 1000)
+        """Renew the leases of a worker; return its report, or why there is none.
+
+        A worker may have restarted under its id. A connection on which it has answered
+        leads to this incarnation alone; on any other one the renewal only asks for a
+        report.
+        """
         timeout = Seconds(renewal.wait + RENEWAL_TIMEOUT_SECONDS)
-        response = await self._call(entry, "/-/hold", body, timeout)
-        if isinstance(response, OrderResponse):
-            return response
+        until = asyncio.get_running_loop().time() + timeout
+        client = self._get_client(entry.address)
+        try:
+            async with client.borrow(
+                until=until, incarnation=renewal.incarnation
+            ) as connection:
+                is_proven = connection.peer_incarnation == renewal.incarnation
+                call = _build_call(
+                    entry, RENEW_PATH, _describe_renewal(renewal, is_proven=is_proven)
+                )
+                response = await connection.call(call, timeout=timeout, deadline=until)
+                report = self._read_report(entry, response)
+                if isinstance(report, WorkerReport):
+                    connection.peer_incarnation = report.incarnation
+        except (UnavailableError, UncertainError) as error:
+            return _describe_failure(entry, RENEW_PATH, error)
+        if self.budget.exceeded and isinstance(report, WorkerReport):
+            self._close_idle(client, report)
+        return report
+
+    def _read_report(
+        self, entry: WorkerEntry, response: HttpResponse
+    ) -> WorkerReport | OrderResponse:
         if response.status != OK:
             return _decode_order_response(response)
         try:
-            report = msgspec.json.decode(response.body, type=Report)
-            if not report.running and self.budget.exceeded:
-                self._get_client(entry.address).close()
-            return decode_report(report)
+            return decode_report(msgspec.json.decode(response.body, type=Report))
         except (*DECODING_ERRORS, ValueError, TypeError, IndexError) as error:
             event = ReportMalformed(worker=entry.worker, cause=str(error))
             write_event(logger, event)
             return OrderResponse(outcome=OrderOutcome.UNKNOWN)
 
+    @staticmethod
+    def _close_idle(client: HttpClient, report: WorkerReport) -> None:
+        """Close the connections to a worker that has nothing to tell."""
+        if not report.running and not report.ended:
+            client.close()
+
     async def advise(self, request: AdviceRequest) -> Advice | None:
         """Ask which workers may run a step; None if there is no valid response."""
         step = format_task(request.task).rpartition(".")[0]
@@ -286,28 +308,51 @@
         self, entry: WorkerEntry, path: str, body: dict[str, Any], timeout: Seconds
     ) -> HttpResponse | OrderResponse:
         client = self._get_client(entry.address)
-        call = HttpCall(
-            method="POST",
-            path=path,
-            body=msgspec.json.encode(body),
-            headers=(
-                ("Content-Type", "application/json"),
-                ("X-Expect-Instance", entry.worker),
-            ),
-        )
+        call = _build_call(entry, path, body)
         try:
             return await client.call(call, timeout=timeout)
-        except UnavailableError as error:
-            _log_failure(entry, path, error)
-            return OrderResponse(outcome=OrderOutcome.NOT_SENT)
-        except UncertainError as error:
-            _log_failure(entry, path, error)
-            return OrderResponse(outcome=OrderOutcome.UNKNOWN)
+        except (UnavailableError, UncertainError) as error:
+            return _describe_failure(entry, path, error)
+
 
+def _build_call(entry: WorkerEntry, path: str, body: dict[str, Any]) -> HttpCall:
+    return HttpCall(
+        method="POST",
+        path=path,
+        body=msgspec.json.encode(body),
+        headers=(
+            ("Content-Type", "application/json"),
+            ("X-Expect-Instance", entry.worker),
+        ),
+    )
 
-def _log_failure(entry: WorkerEntry, path: str, error: PlantainhingeError) -> None:
+
+def _describe_renewal(renewal: Renewal, *, is_proven: bool) -> dict[str, Any]:
+    """Return the body of a renewal, which may reach another incarnation if not proven.
+
+    What refers to the clock and the ends of an incarnation is left out then.
+    """
+    body: dict[str, Any] = {"fencingToken": renewal.epoch, "lastSeen": 0}
+    if not is_proven:
+        return body
+    body["lastSeen"] = renewal.acknowledged
+    if renewal.lease_end is not None:
+        body["deadlineMs"] = int(renewal.lease_end * 1000)
+    if renewal.wait > 0:
+        body["waitMs"] = int(renewal.wait * 1000)
+    return body
+
+
+def _describe_failure(
+    entry: WorkerEntry, path: str, error: UnavailableError | UncertainError
+) -> OrderResponse:
+    """Log why a call has no answer, and return whether it may have arrived."""
     event = WorkerCallFailed(worker=entry.worker, call=path, cause=str(error))
     write_event(logger, event)
+    is_sent = isinstance(error, UncertainError)
+    return OrderResponse(
+        outcome=OrderOutcome.UNKNOWN if is_sent else OrderOutcome.NOT_SENT
+    )
 
 
 def _decode_order_response(response: HttpResponse) -> OrderResponse:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import struct
+from contextlib import asynccontextmanager
 
 import msgspec
 import pytest
@@ -320,21 +321,21 @@
 
 
 @pytest.mark.parametrize("status", [200, 503])
-@pytest.mark.parametrize("call", ["renew", "stop"])
-def test_a_deeply_nested_answer_of_a_worker_ends_no_loop(monkeypatch, call, status):
+def test_a_deeply_nested_answer_to_a_renewal_ends_no_loop(status):
+    response = renew_once(HttpResponse(status, {}, DEEPLY_NESTED))
+    assert isinstance(response, OrderResponse)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_a_deeply_nested_answer_to_an_order_ends_no_loop(monkeypatch, status):
     async def answer(*args):
         return HttpResponse(status, {}, DEEPLY_NESTED)
 
     monkeypatch.setattr(workers.PlatformWorkerClient, "_call", answer)
     client = workers.PlatformWorkerClient()
     entry = workers.decode_entry("i-1", encode(ENTRY))
-    task = worker_reports.parse_task("j.0.0.0")
-    order = {
-        "renew": Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None),
-        "stop": StopOrder(task=task, attempt=1, epoch=1),
-    }[call]
-    response = asyncio.run(getattr(client, call)(entry, order))
-    assert isinstance(response, OrderResponse)
+    order = StopOrder(task=worker_reports.parse_task("j.0.0.0"), attempt=1, epoch=1)
+    assert isinstance(asyncio.run(client.stop(entry, order)), OrderResponse)
 
 
 @pytest.mark.parametrize("born", [2**63, -1])
@@ -488,19 +489,31 @@
 ENDED = [1, "0123456789abcdef.0.0.0", 1, "done", ""]
 
 
-def read_report(running, ended):
-    """Return a worker client's outcome of a renewal, or the report."""
-    body = encode({"clockMs": 1, "running": [running], "ended": [ended], "born": 1})
+def renew_once(response):
+    """Return what a worker client makes of a response to a renewal."""
 
     class Answering:
+        peer_incarnation = None
+
+        @asynccontextmanager
+        async def borrow(self, **kwargs):
+            yield self
+
         async def call(self, *args, **kwargs):
-            return HttpResponse(200, {}, body)
+            return response
 
     client = workers.PlatformWorkerClient()
     entry = workers.decode_entry("i-1", encode(ENTRY))
     client._clients[entry.address] = Answering()
-    renewal = Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None)
-    answer = asyncio.run(client.renew(entry, renewal))
+    renewal = Renewal(epoch=1, incarnation=1, acknowledged=0, wait=0.0, lease_end=None)
+    return asyncio.run(client.renew(entry, renewal))
+
+
+def read_report(running, ended):
+    """Return a worker client's outcome of a renewal, or the report."""
+    body = encode({"clockMs": 1, "running": [running], "ended": [ended], "born": 1})
+
+    answer = renew_once(HttpResponse(200, {}, body))
     return answer if isinstance(answer, WorkerReport) else answer.outcome
 
 
@@ -554,14 +567,14 @@
 
 
 @pytest.mark.parametrize(
-    ("running", "limit", "open_"),
-    [([], 0, 0), ([], 1, 1), ([["j.0.0.0", 1, "", 5]], 0, 1)],
-    ids=["idle", "within the budget", "busy"],
+    ("running", "ended", "limit", "open_"),
+    [([], [], 0, 0), ([], [], 1, 1), ([RUNNING], [], 0, 1), ([], [ENDED], 0, 1)],
+    ids=["idle", "within the budget", "busy", "with an end to acknowledge"],
 )
 def test_connections_to_idle_workers_are_closed_beyond_the_budget(
-    running, limit, open_
+    running, ended, limit, open_
 ):
-    body = encode({"clockMs": 1, "running": running, "ended": []})
+    body = encode({"clockMs": 1, "running": running, "ended": ended})
 
     async def answer(request):
         return HttpReply(status=200, body=body)
@@ -573,7 +586,9 @@
         client = workers.PlatformWorkerClient(budget=budget)
         value = encode(ENTRY | {"addr": server.address})
         entry = workers.decode_entry("i-1", value)
-        renewal = Renewal(epoch=1, acknowledged=0, wait=0.0, lease_end=None)
+        renewal = Renewal(
+            epoch=1, incarnation=1, acknowledged=0, wait=0.0, lease_end=None
+        )
         await client.renew(entry, renewal)
         found = budget.open
         client.close_connections(entry)
