Wait for the longest lease where a start may have reached the next incarnation

The worker grants its maximum (10 s on one of the users' sites), and the owner reckoned with the usual length of 6 s if the worker then fell silent.

Change: at the next incarnation, attempts that stay bound since it may have started them are waited for as long as the longest lease lasts. assume_earlier_leases is assume_lease now, as it serves both.

--- a/plantainhinge/dispatch/handovers.py
+++ b/plantainhinge/dispatch/handovers.py
@@ -9,7 +9,7 @@
 from ..core.ids import KindId, Seconds
 from ..fleet.handover import Handover, PairWeight, SilentWorker, StepLoad
 from ..jobs.model import TaskKey
-from .leases import assume_earlier_leases, compute_duration_max
+from .leases import assume_lease, compute_duration_max
 from .model import HandoverMark, OpenJob, OpenStep, Worker
 from .scheduling_state import SchedulingState
 
@@ -212,7 +212,7 @@
         mark = HandoverMark.CLOSED if is_silent else HandoverMark.OPEN
         worker = Worker(entry, entry.incarnation, listed=False, handover=mark)
         worker.unreachable_since = float("-inf") if is_silent else now
-        assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
+        assume_lease(worker, cell.earlier_lease_max, now=now)
         cell.workers[entry.worker] = worker
         if is_silent:
             cell.withheld_tasks[entry.worker] = frozenset(silent[entry.worker])
--- a/plantainhinge/dispatch/incarnations.py
+++ b/plantainhinge/dispatch/incarnations.py
@@ -7,7 +7,7 @@
 from ..core.log_events import write_event
 from ..fleet.model import WorkerEntry
 from .health import record_success
-from .leases import assume_earlier_leases
+from .leases import assume_lease
 from .losses import explain_losses, lose_attempts, lose_withheld, note_outage
 from .model import AttemptPhase, Worker
 from .outages import LossCause
@@ -53,7 +53,7 @@
             worker.unreachable_since = worker.listed_at = now
             cell.workers[entry.worker] = worker
             if inherited and not cell.is_handover_known:
-                assume_earlier_leases(worker, cell.earlier_lease_max, now=now)
+                assume_lease(worker, cell.earlier_lease_max, now=now)
                 cell.unverified_workers.add(entry.worker)
             names = names_by_address.setdefault(entry.address, [])
             _log_listed(worker, names[-PREDECESSORS_MAX:])
@@ -114,6 +114,9 @@
     lose_attempts(cell, worker, lost, LossCause.RESTARTED, now=now)
     lose_withheld(cell, worker, LossCause.RESTARTED, now=now)
     explain_losses(cell, worker.name, survivor=incarnation, now=now)
+    if worker.attempts:
+        # a start by the former clock may have been granted the longest lease there is
+        assume_lease(worker, cell.terms.length_max, now=now)
     worker.incarnation = incarnation
     worker.listed_at = now
     worker.orphans.clear()
--- a/plantainhinge/dispatch/leases.py
+++ b/plantainhinge/dispatch/leases.py
@@ -67,13 +67,13 @@
     return Seconds(lease_end)
 
 
-def assume_earlier_leases(worker: Worker, longest: Seconds, *, now: float) -> None:
-    """Assume that an earlier owner granted a lease immediately before ``now``.
+def assume_lease(worker: Worker, longest: Seconds, *, now: float) -> None:
+    """Assume that a lease of unknown length was granted immediately before ``now``.
 
     Parameters
     ----------
     longest : float
-        Longest lease in seconds that it may have granted.
+        Longest lease in seconds that it may be.
     """
     expiry = now + compute_duration_max(longest)
     worker.latest_expiry = max(worker.latest_expiry, expiry)
--- a/tests/test_crashed_workers.py
+++ b/tests/test_crashed_workers.py
@@ -1,6 +1,8 @@
 """Workers that crash: when what they ran has surely ended."""
 
-from .simulated_cell import make_job, make_step
+from plantainhinge.dispatch.leases import LeaseTerms
+
+from .simulated_cell import SimulatedCell, make_entry, make_job, make_step
 from .simulated_crashes import DOWN_SECONDS, open_crashing_site
 
 
@@ -48,3 +50,22 @@
     assert site.list_running() == []
     site.run(0.6)
     assert [task.job for _, task, _ in site.list_running()] == ["j"]
+
+
+def test_a_start_that_reached_the_next_incarnation_may_hold_the_longest_lease():
+    # review/6 on a related path: a lease by the former clock is far beyond the new one
+    terms = LeaseTerms(length=6.0, length_max=10.0)
+    site = SimulatedCell(make_entry("w1"), terms=terms)
+    site.run(0.5)
+    worker = site.workers["w1"]
+    worker.answers_to_lose = 1
+    site.submit(make_job("j", make_step(long_running=True)))
+    site.run(0.05)
+    assert worker.started
+    restarted_at = site.now
+    worker.entry = make_entry("w1", incarnation=2)
+    worker.unreachable = True
+    site.workers["w2"] = type(worker)(make_entry("w2"), now=site.now)
+    site.update_workers()
+    site.run_until(lambda: site.workers["w2"].attempts, limit=30)
+    assert site.now - restarted_at >= terms.length_max
