Move the placement of gangs into a module of its own

Change: gangs.py has what starts a gang's members together; the functions are as they were.

Result: tests of gangs, trials, assignment and the cost of rounds pass.

--- a/plantainhinge/dispatch/assignment.py
+++ b/plantainhinge/dispatch/assignment.py
@@ -2,19 +2,17 @@
 
 import logging
 
-from ..core.ids import AttemptNumber, Seconds, ServiceId
+from ..core.ids import Seconds, ServiceId
 from ..core.log_events import write_event
 from ..jobs.model import FINAL_JOB_STATES, TaskKey
-from . import avoidance, batching, trials
-from .bindings import bind_attempt, unbind_attempt
-from .checkpoints import share_checkpoint
-from .model import Attempt, AttemptPhase, OpenJob, OpenStep, Task, Worker
+from . import avoidance, batching, gangs, trials
+from .model import Attempt, OpenJob, OpenStep, Task, Worker
 from .preferences import choose_unpreferred
 from .queueing import rank_step
 from .scheduling_state import SchedulingState
 from .step_events import StepFailed, StepPlaced, StepWaits, describe_step
 from .tasks import start_task
-from .worker_choice import choose_destination, choose_worker
+from .worker_choice import choose_destination
 from .worker_pool import WorkerPool
 from .workspaces import CapCheck, order_by_share
 
@@ -112,7 +110,7 @@
         return _place_step(cell, step, pool, caps, withheld, starts_max, now=now)
     if not caps.allows(step, tasks=len(step.tasks)):
         return []
-    return _place_gang(cell, step, pool, withheld, now=now)
+    return gangs.place_gang(cell, step, pool, withheld, now=now)
 
 
 def _open_pools(cell: SchedulingState, *, now: float) -> dict[ServiceId, WorkerPool]:
@@ -214,108 +212,6 @@
     return worker
 
 
-def _place_gang(
-    cell: SchedulingState,
-    step: OpenStep,
-    pool: WorkerPool,
-    withheld: frozenset[TaskKey],
-    *,
-    now: float,
-) -> list[Attempt]:
-    """Start all members of a gang or none, and return their attempts."""
-    if not _all_wait(step, withheld):
-        return []
-    for task in step.tasks:
-        avoidance.readmit_workers(task, pool.workers, now=now)
-    if not _prepare_trials(cell, step, pool, now=now):
-        return []
-    number = max(task.last_attempt for task in step.tasks) + 1
-    for group in _list_gang_candidates(step, pool.workers):
-        chosen = _choose_group(cell, step, group, pool, number, now=now)
-        if len(chosen) == len(step.tasks):
-            share_checkpoint(step)
-            return [
-                _start_member(cell, task, worker, number, now=now)
-                for task, worker in zip(step.tasks, chosen, strict=True)
-            ]
-    return []
-
-
-def _choose_group(
-    cell: SchedulingState,
-    step: OpenStep,
-    workers: list[Worker],
-    pool: WorkerPool,
-    number: int,
-    *,
-    now: float,
-) -> list[Worker]:
-    """Return workers for the members of a gang, as far as there are any."""
-    attempts: list[Attempt] = []
-    for task in step.tasks:
-        worker = _choose_for_member(cell, task, workers, now=now)
-        if worker is None:
-            break
-        attempt = Attempt(
-            task, AttemptNumber(number), worker, AttemptPhase.ORDERED, now
-        )
-        # bound for the moment, so that the next choice sees less free capacity
-        bind_attempt(attempt)
-        pool.note_change(worker)
-        attempts.append(attempt)
-    for attempt in attempts:
-        unbind_attempt(attempt)
-    return [attempt.worker for attempt in attempts]
-
-
-def _choose_for_member(
-    cell: SchedulingState, task: Task, workers: list[Worker], *, now: float
-) -> Worker | None:
-    if task.trial is not None:
-        return task.trial.worker
-    worker = choose_worker(task, workers, cell.weights, now=now)
-    if worker is None:
-        return choose_unpreferred(task, workers, cell.weights, now=now)
-    return worker
-
-
-def _prepare_trials(
-    cell: SchedulingState, step: OpenStep, pool: WorkerPool, *, now: float
-) -> bool:
-    """Return whether all members of a gang that need a trial can start one."""
-    suspects = [task for task in step.tasks if trials.needs_trial(task)]
-    ready = [
-        trials.prepare_trial(cell, task, pool.workers, limit=len(pool.workers), now=now)
-        for task in suspects
-    ]
-    return all(ready)
-
-
-def _start_member(
-    cell: SchedulingState, task: Task, worker: Worker, number: int, *, now: float
-) -> Attempt:
-    attempt = start_task(cell, task, worker, number, now=now)
-    if task.trial is not None:
-        task.trial.attempt = attempt
-    return attempt
-
-
-def _all_wait(step: OpenStep, withheld: frozenset[TaskKey]) -> bool:
-    """Return whether all tasks of a step wait, and none may still run elsewhere."""
-    is_withheld = any(task.key in withheld for task in step.tasks)
-    return len(step.waiting) == len(step.tasks) and not is_withheld
-
-
-def _list_gang_candidates(step: OpenStep, workers: list[Worker]) -> list[list[Worker]]:
-    """Return the sets of workers to try in turn, single racks first if preferred."""
-    if not step.spec.same_rack:
-        return [workers]
-    racks: dict[str, list[Worker]] = {}
-    for worker in workers:
-        racks.setdefault(worker.rack, []).append(worker)
-    return [*racks.values(), workers]
-
-
 def _log_placed(step: OpenStep, placed: list[Attempt], *, wall: Seconds) -> None:
     if not placed:
         return
--- /dev/null
+++ b/plantainhinge/dispatch/gangs.py
@@ -0,0 +1,115 @@
+"""Placement of gangs, whose tasks start together or not at all."""
+
+from ..core.ids import AttemptNumber
+from ..jobs.model import TaskKey
+from . import avoidance, trials
+from .bindings import bind_attempt, unbind_attempt
+from .checkpoints import share_checkpoint
+from .model import Attempt, AttemptPhase, OpenStep, Task, Worker
+from .preferences import choose_unpreferred
+from .scheduling_state import SchedulingState
+from .tasks import start_task
+from .worker_choice import choose_worker
+from .worker_pool import WorkerPool
+
+
+def place_gang(
+    cell: SchedulingState,
+    step: OpenStep,
+    pool: WorkerPool,
+    withheld: frozenset[TaskKey],
+    *,
+    now: float,
+) -> list[Attempt]:
+    """Start all members of a gang or none, and return their attempts."""
+    if not _all_wait(step, withheld):
+        return []
+    for task in step.tasks:
+        avoidance.readmit_workers(task, pool.workers, now=now)
+    if not _prepare_trials(cell, step, pool, now=now):
+        return []
+    number = max(task.last_attempt for task in step.tasks) + 1
+    for group in _list_gang_candidates(step, pool.workers):
+        chosen = _choose_group(cell, step, group, pool, number, now=now)
+        if len(chosen) == len(step.tasks):
+            share_checkpoint(step)
+            return [
+                _start_member(cell, task, worker, number, now=now)
+                for task, worker in zip(step.tasks, chosen, strict=True)
+            ]
+    return []
+
+
+def _choose_group(
+    cell: SchedulingState,
+    step: OpenStep,
+    workers: list[Worker],
+    pool: WorkerPool,
+    number: int,
+    *,
+    now: float,
+) -> list[Worker]:
+    """Return workers for the members of a gang, as far as there are any."""
+    attempts: list[Attempt] = []
+    for task in step.tasks:
+        worker = _choose_for_member(cell, task, workers, now=now)
+        if worker is None:
+            break
+        attempt = Attempt(
+            task, AttemptNumber(number), worker, AttemptPhase.ORDERED, now
+        )
+        # bound for the moment, so that the next choice sees less free capacity
+        bind_attempt(attempt)
+        pool.note_change(worker)
+        attempts.append(attempt)
+    for attempt in attempts:
+        unbind_attempt(attempt)
+    return [attempt.worker for attempt in attempts]
+
+
+def _choose_for_member(
+    cell: SchedulingState, task: Task, workers: list[Worker], *, now: float
+) -> Worker | None:
+    if task.trial is not None:
+        return task.trial.worker
+    worker = choose_worker(task, workers, cell.weights, now=now)
+    if worker is None:
+        return choose_unpreferred(task, workers, cell.weights, now=now)
+    return worker
+
+
+def _prepare_trials(
+    cell: SchedulingState, step: OpenStep, pool: WorkerPool, *, now: float
+) -> bool:
+    """Return whether all members of a gang that need a trial can start one."""
+    suspects = [task for task in step.tasks if trials.needs_trial(task)]
+    ready = [
+        trials.prepare_trial(cell, task, pool.workers, limit=len(pool.workers), now=now)
+        for task in suspects
+    ]
+    return all(ready)
+
+
+def _start_member(
+    cell: SchedulingState, task: Task, worker: Worker, number: int, *, now: float
+) -> Attempt:
+    attempt = start_task(cell, task, worker, number, now=now)
+    if task.trial is not None:
+        task.trial.attempt = attempt
+    return attempt
+
+
+def _all_wait(step: OpenStep, withheld: frozenset[TaskKey]) -> bool:
+    """Return whether all tasks of a step wait, and none may still run elsewhere."""
+    is_withheld = any(task.key in withheld for task in step.tasks)
+    return len(step.waiting) == len(step.tasks) and not is_withheld
+
+
+def _list_gang_candidates(step: OpenStep, workers: list[Worker]) -> list[list[Worker]]:
+    """Return the sets of workers to try in turn, single racks first if preferred."""
+    if not step.spec.same_rack:
+        return [workers]
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.rack, []).append(worker)
+    return [*racks.values(), workers]
