Let members of a gang share trials where there are too few workers

Cause: each suspect member wants a worker for itself, all at once, and the other members need further ones: four workers where there were two. Nothing ended the wish.

Change: after a second, suspect members join the worker of another one's trial, and the other members run beside them; the gang is judged as a whole. The limit of trials yields to a task that has waited for a second while workers are lightly used, and the wait for a steady worker ends after a second if none will have room.

All other tests pass.

--- a/plantainhinge/dispatch/advice.py
+++ b/plantainhinge/dispatch/advice.py
@@ -199,8 +199,7 @@
     for worker in workers:
         if left <= 0:
             return
-        most = left if worker.trial is None else 1
-        room = count_room(step, worker, most=most, now=now)
+        room = count_room(step, worker, most=left, now=now)
         left -= room
         yield room
 
--- a/plantainhinge/dispatch/bindings.py
+++ b/plantainhinge/dispatch/bindings.py
@@ -34,8 +34,9 @@
     worker.suspects -= attempt.suspect
     if worker.probe is attempt:
         worker.probe = None
-    if worker.trial is not None and worker.trial.attempt is attempt:
-        close_trial(worker.trial)
+    trial = attempt.task.trial
+    if trial is not None and trial.attempt is attempt:
+        close_trial(trial)
     step.attempts_per_worker[worker.name] -= 1
     worker.committed -= compute_committed_resources(step.spec)
     step.job.usage.subtract(step.job.record.workspace, step.spec.request)
@@ -47,9 +48,17 @@
 
 
 def close_trial(trial: Trial) -> None:
-    """End a trial: its worker takes other tasks again."""
-    trial.task.trial = trial.worker.trial = None
-    trial.worker.revision += 1
+    """End a trial: its worker takes other tasks again, unless others share it."""
+    worker = trial.worker
+    trial.task.trial = None
+    if worker.trial is not trial:
+        if worker.trial is not None and trial in worker.trial.companions:
+            worker.trial.companions.remove(trial)
+        return
+    for companion in trial.companions:
+        companion.task.trial = None
+    worker.trial = None
+    worker.revision += 1
 
 
 def set_speed(attempt: Attempt, percent: int) -> None:
--- a/plantainhinge/dispatch/gangs.py
+++ b/plantainhinge/dispatch/gangs.py
@@ -6,10 +6,10 @@
 from .bindings import bind_attempt, unbind_attempt
 from .checkpoints import share_checkpoint
 from .model import Attempt, AttemptPhase, OpenStep, Task, Worker
-from .preferences import choose_unpreferred
+from .preferences import choose_unpreferred, has_waited
 from .scheduling_state import SchedulingState
 from .tasks import start_task
-from .worker_choice import choose_worker
+from .worker_choice import choose_worker, holds_ticket, list_fitting_workers
 from .worker_pool import WorkerPool
 
 
@@ -35,7 +35,7 @@
             share_checkpoint(step)
             return [
                 _start_member(cell, task, worker, number, now=now)
-                for task, worker in zip(step.tasks, chosen, strict=True)
+                for task, worker in zip(_order_members(step), chosen, strict=True)
             ]
     return []
 
@@ -51,7 +51,7 @@
 ) -> list[Worker]:
     """Return workers for the members of a gang, as far as there are any."""
     attempts: list[Attempt] = []
-    for task in step.tasks:
+    for task in _order_members(step):
         worker = _choose_for_member(cell, task, workers, now=now)
         if worker is None:
             break
@@ -71,22 +71,54 @@
     cell: SchedulingState, task: Task, workers: list[Worker], *, now: float
 ) -> Worker | None:
     if task.trial is not None:
-        return task.trial.worker
+        fitting = list_fitting_workers(task.step, [task.trial.worker], now=now)
+        return fitting[0] if fitting else None
     worker = choose_worker(task, workers, cell.weights, now=now)
+    if worker is None and has_waited(task, now=now):
+        worker = _choose_beside_trial(task, workers, now=now)
     if worker is None:
-        return choose_unpreferred(task, workers, cell.weights, now=now)
+        worker = choose_unpreferred(task, workers, cell.weights, now=now)
     return worker
 
 
+def _choose_beside_trial(
+    task: Task, workers: list[Worker], *, now: float
+) -> Worker | None:
+    """Return the emptiest worker that is kept for trials of a task's own gang."""
+    kept = [
+        worker
+        for worker in workers
+        if worker.trial is not None
+        and worker.trial.task.step is task.step
+        and holds_ticket(task.step, worker, now=now)
+    ]
+    return max(
+        list_fitting_workers(task.step, kept, now=now),
+        key=lambda worker: worker.free_millicores,
+        default=None,
+    )
+
+
+def _order_members(step: OpenStep) -> list[Task]:
+    """Return a gang's members, those that are bound to a worker by a trial first."""
+    return sorted(step.tasks, key=lambda task: task.trial is None)
+
+
 def _prepare_trials(
     cell: SchedulingState, step: OpenStep, pool: WorkerPool, *, now: float
 ) -> bool:
-    """Return whether all members of a gang that need a trial can start one."""
+    """Return whether all members of a gang that need a trial can start one.
+
+    Each has a worker of its own, or shares one if there are too few for too long.
+    """
     suspects = [task for task in step.tasks if trials.needs_trial(task)]
     ready = [
         trials.prepare_trial(cell, task, pool.workers, limit=len(pool.workers), now=now)
         for task in suspects
     ]
+    for task in suspects:
+        if task.trial is None and has_waited(task, now=now):
+            trials.join_trial(cell, task, pool.workers, now=now)
     return all(ready)
 
 
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -117,6 +117,9 @@
         Whether the log says that the attempt is about to be ordered.
     attempt : Attempt, optional
         The attempt, once it is ordered.
+    companions : list of Trial
+        Trials of other members of its gang that share the worker, as there are too few
+        of them.
     """
 
     task: "Task"
@@ -124,6 +127,7 @@
     reserved_at: float
     logged: bool = False
     attempt: Attempt | None = None
+    companions: list["Trial"] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainhinge/dispatch/preferences.py
+++ b/plantainhinge/dispatch/preferences.py
@@ -46,7 +46,7 @@
     task: Task, workers: Collection[Worker], *, now: float
 ) -> list[Worker]:
     """Return the workers that a task may take for want of others, given a ticket."""
-    if not _has_waited(task, now=now):
+    if not has_waited(task, now=now):
         return []
     probed = [worker for worker in workers if worker.probe is not None]
     yielding = [worker for worker in probed if _may_yield(worker, now=now)]
@@ -66,7 +66,8 @@
     return used < LIGHT_USE_RATIO * total
 
 
-def _has_waited(task: Task, *, now: float) -> bool:
+def has_waited(task: Task, *, now: float) -> bool:
+    """Return whether a task has waited for what it prefers for long enough."""
     waiting_since = max(task.waiting_since, task.step.unplaced_since)
     return now - waiting_since >= YIELD_SECONDS
 
--- a/plantainhinge/dispatch/suspicion.py
+++ b/plantainhinge/dispatch/suspicion.py
@@ -5,8 +5,8 @@
 
 
 def is_on_trial(attempt: Attempt) -> bool:
-    """Return whether nothing else had just started on an attempt's worker."""
-    trial = attempt.worker.trial
+    """Return whether nothing but its gang had just started on an attempt's worker."""
+    trial = attempt.task.trial
     return trial is not None and trial.attempt is attempt
 
 
--- a/plantainhinge/dispatch/trials.py
+++ b/plantainhinge/dispatch/trials.py
@@ -11,10 +11,17 @@
 from ..jobs.model import FINAL_JOB_STATES
 from .bindings import close_trial
 from .model import Attempt, AttemptPhase, Task, Trial, Worker
+from .preferences import has_waited, is_lightly_used
 from .scheduling_state import SchedulingState
 from .suspicion import measure_suspicion
 from .tasks import start_task
-from .worker_choice import has_capacity, holds_ticket, list_candidates
+from .worker_choice import (
+    count_room,
+    has_capacity,
+    holds_ticket,
+    list_candidates,
+    may_fit_later,
+)
 
 # suspicion from which the next attempt is a trial
 TRIAL_SUSPICION_MIN = 2
@@ -65,6 +72,9 @@
 ) -> bool:
     """Reserve a worker for a trial; return whether the trial can start there.
 
+    An attempt that has waited for long isn't kept back by the limit while the workers
+    are lightly used.
+
     Parameters
     ----------
     limit : int
@@ -75,6 +85,8 @@
         close_trial(trial)
         trial = None
     if trial is None:
+        if has_waited(task, now=now) and is_lightly_used(workers):
+            limit = len(workers)
         _reserve_worker(cell, task, workers, limit=limit, now=now)
         return False
     return trial.logged and now >= trial.reserved_at + SETTLE_SECONDS
@@ -102,7 +114,7 @@
     if held >= limit:
         return
     candidates = list_candidates(task, workers, now=now)
-    if now - task.waiting_since < PATIENCE_SECONDS:
+    if _is_patient(cell, task, workers, now=now):
         candidates = [
             worker
             for worker in candidates
@@ -111,9 +123,60 @@
     if not candidates:
         return
     worker = min(candidates, key=_measure_risk)
-    task.trial = worker.trial = Trial(task, worker, reserved_at=now)
+    worker.trial = _open_trial(cell, task, worker, reserved_at=now)
+
+
+def _open_trial(
+    cell: SchedulingState, task: Task, worker: Worker, *, reserved_at: float
+) -> Trial:
+    """Return a new trial, of which the log is to tell."""
+    task.trial = Trial(task, worker, reserved_at)
     cell.unlogged_trials.append(task.trial)
     cell.dirty[task.step.job.job_id] = task.step.job
+    return task.trial
+
+
+def _is_patient(
+    cell: SchedulingState, task: Task, workers: list[Worker], *, now: float
+) -> bool:
+    """Return whether a trial should wait for a steady worker without other suspects."""
+    if now - task.waiting_since >= PATIENCE_SECONDS:
+        return False
+    return not has_waited(task, now=now) or any(
+        not worker.suspects
+        and _is_steady(cell, worker, now=now)
+        and worker.name not in task.avoided_workers
+        and may_fit_later(task.step, worker)
+        for worker in workers
+    )
+
+
+def join_trial(
+    cell: SchedulingState, task: Task, workers: Iterable[Worker], *, now: float
+) -> None:
+    """Let a member of a gang share the worker of another one's trial.
+
+    The gang is judged as a whole then, which is enough: it fails as a whole.
+    """
+    step = task.step
+    room_by_worker = {
+        worker: _count_room_beside(worker, worker.trial, now=now)
+        for worker in workers
+        if worker.trial is not None and worker.trial.task.step is step
+    }
+    worker = max(room_by_worker, key=room_by_worker.__getitem__, default=None)
+    if worker is None or worker.trial is None or room_by_worker[worker] <= 0:
+        return
+    reserved_at = worker.trial.reserved_at
+    trial = _open_trial(cell, task, worker, reserved_at=reserved_at)
+    worker.trial.companions.append(trial)
+
+
+def _count_room_beside(worker: Worker, trial: Trial, *, now: float) -> int:
+    """Return how many more members of a gang have room on the worker of a trial."""
+    step = trial.task.step
+    room = count_room(step, worker, most=len(step.tasks), now=now)
+    return room - 1 - len(trial.companions)
 
 
 def _is_steady(cell: SchedulingState, worker: Worker, *, now: float) -> bool:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -10,8 +10,14 @@
 from plantainhinge.fleet.model import WorkerState
 from plantainhinge.jobs.model import TaskKey
 
-from .simulated_cell import STEP_SECONDS, make_job, make_policy, make_step
-from .simulated_crashes import DOWN_SECONDS, open_crashing_site
+from .simulated_cell import (
+    STEP_SECONDS,
+    make_entry,
+    make_job,
+    make_policy,
+    make_step,
+)
+from .simulated_crashes import DOWN_SECONDS, CrashingCell, open_crashing_site
 from .test_crashed_workers import crash_worker_of
 from .test_deadly_tasks import DEADLY, STARTS_MAX, submit_deadly, submit_neighbours
 
@@ -251,3 +257,59 @@
     site.run(9)
     assert find_task(site, "j").losses == []
     assert len(site.list_running()) == 1
+
+
+# the page counts a job as idle from 4 s after the last disruption, for 3 s
+CALM_SECONDS, IDLE_SECONDS = 4.0, 3.0
+KIND = "kind-b"
+
+
+def open_narrow_site(*, deadly=(), delay=0.0):
+    """Return a site of eight workers, two of which are of a kind."""
+    labels = {0: (KIND,), 1: (KIND,)}
+    entries = [
+        make_entry(f"w{index}", cores=16, labels=labels.get(index, ()))
+        for index in range(8)
+    ]
+    site = CrashingCell(*entries, keeps_id=True, deadly=deadly, delay=delay)
+    site.run(6)
+    return site
+
+
+def count_running(site, job):
+    return sum(key.job == job for _, key, _ in site.list_running())
+
+
+def crash_under(site, job, count):
+    """Crash the worker that runs most of a job once all its tasks have run a while."""
+    site.run_until(lambda: count_running(site, job) == count, limit=20)
+    site.run(4)
+    site.crash(max(site.workers, key=lambda name: len(site.workers[name].attempts)))
+    site.run(DOWN_SECONDS + STEP_SECONDS)
+
+
+@pytest.mark.parametrize("changes", [{"gang": True}, {"long_running": True}])
+def test_tasks_with_more_suspects_than_workers_start_again(changes):
+    # review/9: each suspect member of a gang wanted a worker for itself, for good
+    site = open_narrow_site()
+    site.submit(make_job("j", make_step(count=6, label=KIND, estimate=60.0, **changes)))
+    for _ in range(2):
+        crash_under(site, "j", 6)
+    site.run_until(
+        lambda: count_running(site, "j") == 6, limit=CALM_SECONDS + IDLE_SECONDS
+    )
+    site.run(10)
+    assert count_running(site, "j") == 6
+
+
+@pytest.mark.parametrize(
+    ("delay", "starts_max"),
+    [(0.0, 3), (0.3, 3), (1.5, 3), (4.0, 4)],
+    ids=["at once", "soon", "in the trial", "after the trial"],
+)
+def test_a_deadly_gang_with_few_workers_is_given_up(delay, starts_max):
+    # the other side of review/9: members that share a trial are judged by it
+    site = open_narrow_site(deadly=[DEADLY], delay=delay)
+    submit_deadly(site, gang=True, count=6, label=KIND, estimate=60.0)
+    site.run_until(lambda: site.state_of("deadly") == "failed", limit=120)
+    assert site.count_task_starts(DEADLY) <= starts_max
