Let a job without a choice end the trial that keeps its only worker

Cause: nothing else starts on the worker of a trial, and the next trial reserves it in the same round in which the last one ends.

Change: a worker that has been kept for a second, for a probe or a trial, yields to a job that has nothing running and no other worker; the trial ends then. A suspect that finds no worker it prefers is tried on another one.

--- a/plantainhinge/dispatch/preferences.py
+++ b/plantainhinge/dispatch/preferences.py
@@ -3,12 +3,13 @@
 A worker that was faulty runs one attempt at a time, its probe, until that one shows
 that it is well. This keeps work from a worker that fails everything. A job that has
 nothing running and finds no other worker must not wait for the probe, however long it
-takes: its task starts there as well, and is the probe from then on.
+takes: its task starts there as well, and is the probe from then on. A trial, for which
+a worker is kept as well, ends when another task starts beside it.
 """
 
 from collections.abc import Collection, Iterable
 
-from .model import OpenStep, Task, Worker
+from .model import OpenStep, Task, Trial, Worker
 from .weights import ImageWeights
 from .worker_choice import (
     Demand,
@@ -59,7 +60,7 @@
     if not has_waited(task, now=now) or now < step.unpreferred_search_at:
         return []
     found = [
-        *_list_probed(task, workers, now=now),
+        *_list_kept(task, workers, now=now),
         *_list_tight(task, workers, now=now),
     ]
     if not found:
@@ -67,12 +68,14 @@
     return found
 
 
-def _list_probed(
-    task: Task, workers: Collection[Worker], *, now: float
-) -> list[Worker]:
-    """Return the workers with probes that a task may start beside."""
-    probed = [worker for worker in workers if worker.probe is not None]
-    yielding = [worker for worker in probed if _may_yield(worker, now=now)]
+def _list_kept(task: Task, workers: Collection[Worker], *, now: float) -> list[Worker]:
+    """Return the workers with probes or trials that a task may start beside."""
+    kept = [
+        worker
+        for worker in workers
+        if worker.probe is not None or worker.trial is not None
+    ]
+    yielding = [worker for worker in kept if _may_yield(worker, now=now)]
     fitting = list_fitting_workers(task.step, yielding, now=now)
     found = [each for each in fitting if each.name not in task.avoided_workers]
     if not found or not _is_idle(task) or _has_choice(task, workers, found):
@@ -146,13 +149,19 @@
 
 
 def _may_yield(worker: Worker, *, now: float) -> bool:
-    """Return whether a worker may take another attempt beside its probe."""
-    probe = worker.probe
-    return (
-        probe is not None
-        and worker.trial is None
-        and now - probe.ordered_at >= YIELD_SECONDS
-    )
+    """Return whether a worker may take another attempt beside its probe or trial."""
+    kept_since = float("-inf")
+    if worker.probe is not None:
+        kept_since = worker.probe.ordered_at
+    if worker.trial is not None:
+        kept_since = max(kept_since, _find_start(worker.trial))
+    return now - kept_since >= YIELD_SECONDS
+
+
+def _find_start(trial: Trial) -> float:
+    """Return when a trial was ordered, or when its worker was reserved before that."""
+    attempt = trial.attempt
+    return attempt.ordered_at if attempt is not None else trial.reserved_at
 
 
 def _is_idle(task: Task) -> bool:
--- a/plantainhinge/dispatch/tasks.py
+++ b/plantainhinge/dispatch/tasks.py
@@ -8,7 +8,7 @@
 from . import health, open_jobs
 from .admission import note_finished
 from .avoidance import avoid_worker
-from .bindings import bind_attempt, unbind_attempt
+from .bindings import bind_attempt, close_trial, unbind_attempt
 from .log_events import JobEnded
 from .model import Attempt, AttemptPhase, OpenJob, Task, Worker
 from .ordering import send_start, stop_attempt
@@ -35,6 +35,7 @@
         now,
         incarnation=worker.incarnation,
     )
+    _end_other_trial(task, worker)
     bind_attempt(attempt)
     health.note_start(attempt, now=now)
     if task.losses:
@@ -43,6 +44,15 @@
     return attempt
 
 
+def _end_other_trial(task: Task, worker: Worker) -> None:
+    """End a trial beside which a task starts, unless it is of its own gang."""
+    trial = worker.trial
+    if trial is None or trial.task is task:
+        return
+    if trial.task.step is not task.step or not task.step.spec.gang:
+        close_trial(trial)
+
+
 def note_begun(cell: SchedulingState, job: OpenJob) -> None:
     """Note that a worker has shown that it began a task of a job.
 
--- a/plantainhinge/dispatch/trials.py
+++ b/plantainhinge/dispatch/trials.py
@@ -11,16 +11,16 @@
 from ..jobs.model import FINAL_JOB_STATES
 from .bindings import close_trial
 from .model import Attempt, AttemptPhase, Task, Trial, Worker
-from .preferences import has_waited, is_lightly_used
+from .preferences import has_waited, is_lightly_used, list_unpreferred
 from .scheduling_state import SchedulingState
 from .suspicion import measure_suspicion
 from .tasks import start_task
 from .worker_choice import (
     count_room,
-    has_capacity,
     holds_ticket,
     list_candidates,
     may_fit_later,
+    measure_demand,
 )
 
 # suspicion from which the next attempt is a trial
@@ -95,9 +95,10 @@
 def _is_usable(trial: Trial, workers: list[Worker], *, now: float) -> bool:
     """Return whether a reserved worker can still take the trial."""
     step = trial.task.step
+    demand = measure_demand(step, now=now).drop_preferences()
     return (
         trial.worker in workers
-        and has_capacity(step, trial.worker, now=now)
+        and bool(demand.list_fitting([trial.worker]))
         and holds_ticket(step, trial.worker, now=now)
     )
 
@@ -120,6 +121,12 @@
             for worker in candidates
             if not worker.suspects and _is_steady(cell, worker, now=now)
         ]
+    if not candidates:
+        candidates = [
+            worker
+            for worker in list_unpreferred(task, workers, now=now)
+            if worker.trial is None and holds_ticket(task.step, worker, now=now)
+        ]
     if not candidates:
         return
     worker = min(candidates, key=_measure_risk)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -264,9 +264,9 @@
 KIND = "kind-b"
 
 
-def open_narrow_site(*, deadly=(), delay=0.0):
-    """Return a site of eight workers, two of which are of a kind."""
-    labels = {0: (KIND,), 1: (KIND,)}
+def open_narrow_site(*, deadly=(), delay=0.0, narrow=2):
+    """Return a site of eight workers, one or two of which are of a kind."""
+    labels = dict.fromkeys(range(narrow), (KIND,))
     entries = [
         make_entry(f"w{index}", cores=16, labels=labels.get(index, ()))
         for index in range(8)
@@ -313,3 +313,27 @@
     submit_deadly(site, gang=True, count=6, label=KIND, estimate=60.0)
     site.run_until(lambda: site.state_of("deadly") == "failed", limit=120)
     assert site.count_task_starts(DEADLY) <= starts_max
+
+
+def test_a_job_does_not_wait_for_trial_after_trial_on_its_only_worker():
+    # the class of review/8: one suspect after the other kept the worker for itself
+    site = open_narrow_site(narrow=1)
+    suspects = make_step(label=KIND, estimate=60.0, long_running=True, count=6)
+    site.submit(make_job("j", suspects))
+    for _ in range(2):
+        crash_under(site, "j", 6)
+    site.run_until(lambda: site.cell.workers["w0"].trial is not None)
+    site.submit(make_job("new", make_step(label=KIND, estimate=0.3)))
+    site.run_until(lambda: count_running(site, "new"), limit=IDLE_SECONDS)
+
+
+def test_more_suspects_than_trials_in_time_start_again():
+    # the class of review/9: single suspects are tried one round after the other
+    site = open_narrow_site(narrow=1)
+    step = make_step(label=KIND, estimate=60.0, long_running=True, count=6)
+    site.submit(make_job("j", step))
+    for _ in range(2):
+        crash_under(site, "j", 6)
+    site.run_until(
+        lambda: count_running(site, "j") == 6, limit=CALM_SECONDS + IDLE_SECONDS
+    )
