Name the rule that keeps a waiting job from starting

The event, tasks idle now, also tells of a job that has nothing running beside a worker with room, for ten steps at most every 2 s, and plantainhinge.cell.kept_steps counts them by rule.

--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -51,6 +51,7 @@
     CELL_CORES = "plantainhinge.cell.cores"
     CELL_WORKERS = "plantainhinge.cell.workers"
     LONGEST_IDLE = "plantainhinge.cell.longest_idle"
+    KEPT_STEPS = "plantainhinge.cell.kept_steps"
 
 
 class Metrics(Protocol):
--- a/plantainhinge/daemons/load_report.py
+++ b/plantainhinge/daemons/load_report.py
@@ -11,6 +11,7 @@
 from ..dispatch.idle_tasks import IdleTasks
 from ..dispatch.load import CellLoad, measure_load
 from ..dispatch.outages import LossCause
+from ..dispatch.placement_rules import RULES
 from .round_times import RoundTimes
 
 logger = logging.getLogger(__name__)
@@ -47,6 +48,8 @@
             write_event(logger, event)
         longest = self._idle_tasks.measure_longest(now=now)
         self.metrics.set(Level.LONGEST_IDLE, longest)
+        for rule in RULES:
+            self.metrics.set(Level.KEPT_STEPS, self._idle_tasks.kept[rule], rule=rule)
         self._count_losses(cell)
         write_event(logger, self.round_times.take())
 
--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -1,20 +1,18 @@
-"""Explains why long-running tasks don't run: what keeps them off each worker.
+"""Explains why tasks don't run: what keeps them off each worker.
+
+Each long-running task counts, and of any other job that has nothing running one task.
 
 This only describes the state that decisions are made from; it decides nothing.
 """
 
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum
 
-from ..fleet.model import WorkerState
-from .assignment import is_capacity_known
 from .bindings import compute_committed_resources
 from .cell import Cell
-from .model import AttemptPhase, HandoverMark, OpenStep, Task, Worker
+from .model import AttemptPhase, OpenStep, Task
+from .placement_rules import find_obstacle
 from .step_events import TasksIdle, describe_step
-from .worker_choice import has_capacity, holds_ticket, meets_constraints
 
 # tasks that have been idle for less are about to be started
 IDLE_SECONDS_MIN = 2.0
@@ -22,54 +20,49 @@
 STEPS_MAX = 10
 
 
-class Obstacle(Enum):
-    """Why a task with enough free resources on a worker isn't started there."""
-
-    NONE = "none"
-    UNLISTED = "unlisted"
-    ENTRY_OUTDATED = "entry-outdated"
-    UNREACHABLE = "unreachable"
-    DRAINING = "draining"
-    NOT_IN_HANDOVER = "not-in-handover"
-    QUARANTINED = "quarantined"
-    PROBED = "probed"
-    CAPACITY_UNKNOWN = "capacity-unknown"
-    TRIED = "tried"
-    CLOSED_DOMAIN = "closed-domain"
-    CONSTRAINED = "constrained"
-    NO_TICKET = "no-ticket"
-    AVOIDED = "avoided"
-    RESERVED = "reserved"
-
-
 @dataclass
 class IdleTasks:
-    """Remembers since when long-running tasks have been seen idle.
+    """Remembers since when tasks have been seen idle.
 
     Parameters
     ----------
     seen : dict of Task to float
         Monotonic seconds of the first look at which a task was idle.
+    kept : Counter of str
+        How many of the steps in the last events each rule keeps off a worker.
     """
 
     seen: dict[Task, float] = field(default_factory=dict)
+    kept: Counter[str] = field(default_factory=Counter)
 
     def observe(self, cell: Cell, *, now: float) -> list[TasksIdle]:
-        """Look once; return events for the steps that have been idle for longest."""
-        idle = list_idle_tasks(cell)
+        """Look once; return events for the steps that have been idle for longest.
+
+        A task that only waits for room isn't worth one, unless it should always run.
+        """
+        idle = [*list_idle_tasks(cell), *list_idle_jobs(cell)]
         self.seen = {task: self.seen.get(task, now) for task in idle}
         steps: dict[OpenStep, list[Task]] = {}
         for task, since in sorted(self.seen.items(), key=lambda item: item[1]):
             if now - since >= IDLE_SECONDS_MIN:
                 steps.setdefault(task.step, []).append(task)
-        return [
+        events = [
             self._describe(cell, step, tasks, now=now)
             for step, tasks in list(steps.items())[:STEPS_MAX]
         ]
+        self.kept = Counter(
+            obstacle.partition("=")[0]
+            for event in events
+            for obstacle in event.obstacles
+        )
+        return [event for event in events if event.lasting or event.obstacles]
 
     def measure_longest(self, *, now: float) -> float:
-        """Return the seconds for which a task has been seen idle; zero if none is."""
-        return now - min(self.seen.values(), default=now)
+        """Return for how long a long-running task has been seen idle, in seconds."""
+        lasting = [
+            since for task, since in self.seen.items() if task.step.spec.long_running
+        ]
+        return now - min(lasting, default=now)
 
     def _describe(
         self, cell: Cell, step: OpenStep, tasks: list[Task], *, now: float
@@ -81,6 +74,7 @@
             about=describe_step(step),
             positions=tuple(task.key.position for task in tasks),
             idle_s=now - self.seen[tasks[0]],
+            lasting=step.spec.long_running,
             waiting=len(waiting),
             ordered=phases[AttemptPhase.ORDERED],
             stopping=phases[AttemptPhase.STOPPING],
@@ -112,26 +106,14 @@
     ]
 
 
-def find_obstacle(cell: Cell, task: Task, worker: Worker, *, now: float) -> Obstacle:
-    """Return the first reason why a task isn't started on a worker."""
-    step = task.step
-    checks: Iterable[tuple[Obstacle, bool]] = (
-        (Obstacle.UNLISTED, worker.listed),
-        (Obstacle.ENTRY_OUTDATED, worker.entry.incarnation >= worker.incarnation),
-        (Obstacle.UNREACHABLE, worker.reachable),
-        (Obstacle.DRAINING, worker.entry.state is WorkerState.READY),
-        (Obstacle.NOT_IN_HANDOVER, worker.handover is HandoverMark.OPEN),
-        (Obstacle.QUARANTINED, now >= worker.quarantined_until),
-        (Obstacle.PROBED, worker.probe is None),
-        (Obstacle.CAPACITY_UNKNOWN, is_capacity_known(cell, worker, now=now)),
-        (Obstacle.TRIED, worker.trial is None),
-        (Obstacle.CLOSED_DOMAIN, worker.entry.domain not in cell.closed_domains),
-        (Obstacle.CONSTRAINED, meets_constraints(step, worker)),
-        (Obstacle.NO_TICKET, holds_ticket(step, worker, now=now)),
-        (Obstacle.AVOIDED, worker.name not in task.avoided_workers),
-        (Obstacle.RESERVED, has_capacity(step, worker, now=now)),
-    )
-    return next((obstacle for obstacle, ok in checks if not ok), Obstacle.NONE)
+def list_idle_jobs(cell: Cell) -> list[Task]:
+    """Return the first waiting task of each finite step whose job runs nothing."""
+    return [
+        step.waiting[0]
+        for step in cell.list_waiting_steps()
+        if not step.spec.long_running
+        and not any(task.attempts for task in step.job.list_tasks())
+    ]
 
 
 def _count_obstacles(cell: Cell, task: Task, *, now: float) -> tuple[str, ...]:
@@ -143,8 +125,4 @@
         if worker.entry.service == task.step.job.record.policy.service
         and needs.fits_within(worker.free)
     )
-    return tuple(
-        f"{obstacle.value}={counts[obstacle]}"
-        for obstacle in Obstacle
-        if counts[obstacle]
-    )
+    return tuple(f"{name}={count}" for name, count in sorted(counts.items()))
--- a/plantainhinge/dispatch/step_events.py
+++ b/plantainhinge/dispatch/step_events.py
@@ -106,9 +106,12 @@
     worker: WorkerId
 
 
-@log_event("long-running tasks idle")
+@log_event("tasks idle")
 class TasksIdle(StepEvent, frozen=True, kw_only=True):
-    """Tasks of a long-running step haven't run for seconds; written every 2 s.
+    """Tasks of a step haven't run for seconds; written every 2 s.
+
+    It tells of ten steps at most: those of long-running tasks, and those of jobs that
+    have nothing running although a worker has room.
 
     Parameters
     ----------
@@ -116,19 +119,23 @@
         Positions of the tasks in the step.
     idle_s : float
         Seconds for which one of them has been seen idle.
+    lasting : bool
+        Whether the tasks are long-running.
     waiting, ordered, stopping : int
         How many of them have no worker, an unconfirmed start, or a stop under way.
     millicores, memory_mib : int
         Resources that each task needs.
     obstacles : list of str
         For the first task that waits: workers on which it has enough free resources, by
-        what keeps it from there, as ``OBSTACLE=WORKERS``.
+        the rule that keeps it from there (``dispatch.placement_rules``), as
+        ``RULE=WORKERS``.
     recovering : bool
         Whether a task waits for workers that may run it under an earlier owner.
     """
 
     positions: tuple[int, ...]
     idle_s: float
+    lasting: bool
     waiting: int
     ordered: int
     stopping: int
