Search for unpreferred workers by task, and look at each idle job once

Cause: read as a newcomer would: a step's first task could keep the others from a search that it lost, and the report of idle jobs went through all tasks of a job once for each of its steps.

Change: the pause after a search that found none is a task's; of each job without anything running one waiting task is looked at.

--- a/plantainhinge/dispatch/idle_tasks.py
+++ b/plantainhinge/dispatch/idle_tasks.py
@@ -10,7 +10,7 @@
 
 from .bindings import compute_committed_resources
 from .cell import Cell
-from .model import AttemptPhase, OpenStep, Task
+from .model import AttemptPhase, OpenJob, OpenStep, Task
 from .placement_rules import find_obstacle
 from .step_events import TasksIdle, describe_step
 
@@ -107,12 +107,15 @@
 
 
 def list_idle_jobs(cell: Cell) -> list[Task]:
-    """Return the first waiting task of each finite step whose job runs nothing."""
+    """Return a waiting task of each job that has finite ones and runs nothing."""
+    first_by_job: dict[OpenJob, Task] = {}
+    for step in cell.list_waiting_steps():
+        if not step.spec.long_running:
+            first_by_job.setdefault(step.job, step.waiting[0])
     return [
-        step.waiting[0]
-        for step in cell.list_waiting_steps()
-        if not step.spec.long_running
-        and not any(task.attempts for task in step.job.list_tasks())
+        task
+        for job, task in first_by_job.items()
+        if not any(other.attempts for other in job.list_tasks())
     ]
 
 
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -154,6 +154,8 @@
         Attempts that ended with their workers (see ``dispatch.losses``).
     trial : Trial, optional
         The worker that is kept for its next attempt, or that runs this one apart.
+    unpreferred_search_at : float
+        Monotonic seconds of the next search among workers that it doesn't prefer.
     """
 
     key: TaskKey
@@ -168,6 +170,7 @@
     destination: WorkerId | None = None
     losses: list[LostAttempt] = field(default_factory=list)
     trial: Trial | None = None
+    unpreferred_search_at: float = float("-inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -201,8 +204,6 @@
         that, and whether other such steps were at that time.
     failed_until : float
         Monotonic seconds until which it isn't placed, after an error.
-    unpreferred_search_at : float
-        Monotonic seconds of the next search among workers that it doesn't prefer.
     own_load : LoadForecast
         Forecast of the pressure that a serving task of the step has without neighbours
         (see ``dispatch.interference``); all tasks of a step share it.
@@ -226,7 +227,6 @@
     waiting_since: float = float("inf")
     arrived_with_others: bool = False
     failed_until: float = float("-inf")
-    unpreferred_search_at: float = float("-inf")
     own_load: LoadForecast = field(default_factory=make_forecast)
 
     @property
--- a/plantainhinge/dispatch/preferences.py
+++ b/plantainhinge/dispatch/preferences.py
@@ -1,5 +1,8 @@
 """Preferences, which keep a task off a worker only as long as it has a choice.
 
+``placement_rules`` lists them. A job without a choice has nothing running, and the
+workers that it prefers won't have room, or are full although all are lightly used.
+
 A worker that was faulty runs one attempt at a time, its probe, until that one shows
 that it is well. This keeps work from a worker that fails everything. A job that has
 nothing running and finds no other worker must not wait for the probe, however long it
@@ -25,7 +28,7 @@
 # how long a task waits for workers that it prefers, and the shortest time between the
 # starts of two attempts on a worker that may be faulty
 YIELD_SECONDS = 1.0
-# pause after a search among the other workers, which is made for each waiting step
+# pause after a search that found none, as there may be many waiting tasks
 SEARCH_INTERVAL_SECONDS = 0.25
 # share of all processors below which the workers are lightly used
 LIGHT_USE_RATIO = 0.5
@@ -56,15 +59,14 @@
 
     A search that found none isn't repeated for ``SEARCH_INTERVAL_SECONDS``.
     """
-    step = task.step
-    if not has_waited(task, now=now) or now < step.unpreferred_search_at:
+    if not has_waited(task, now=now) or now < task.unpreferred_search_at:
         return []
     found = [
         *_list_kept(task, workers, now=now),
         *_list_tight(task, workers, now=now),
     ]
     if not found:
-        step.unpreferred_search_at = now + SEARCH_INTERVAL_SECONDS
+        task.unpreferred_search_at = now + SEARCH_INTERVAL_SECONDS
     return found
 
 
