--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,8 @@
 	$(PYTHON) -m standins.site $(if $(KEEP),--keep)
 
 test: $(VENV)/.ready
-	$(VENV)/bin/pytest -n 8 --dist worksteal
+	$(VENV)/bin/pytest -n 8 --dist worksteal -m "not crowd"
+	$(VENV)/bin/pytest -m crowd
 
 check: $(VENV)/.ready
 	$(VENV)/bin/ruff format --check .
--- a/standins/site.py
+++ b/standins/site.py
@@ -15,7 +15,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 from typing import TypeVar
@@ -63,11 +63,24 @@
     """The processes of one site and their addresses.
 
     Settings, log files and the output of processes are in ``folder``.
+
+    Parameters
+    ----------
+    callers : mapping, optional
+        The section ``callers`` of the daemons' settings.
     """
 
-    def __init__(self, folder: Path, *, instances: int, domains: list[str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        instances: int,
+        domains: list[str],
+        callers: Mapping[str, object] | None = None,
+    ) -> None:
         self.folder = folder
         self.domains = domains
+        self.callers = dict(callers or {})
         self.octet, self._reservation = _reserve_network()
         self.entries = [f"127.{self.octet}.1.{n + 1}" for n in range(instances)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -126,7 +139,7 @@
             "log_address": f"{self.platform}:{PLATFORM_LOG_PORT}",
             "instance_list_address": f"{self.platform}:{INSTANCES_PORT}",
         }
-        settings["callers"] = {"linger_seconds": LINGER_SECONDS}
+        settings["callers"] = {"linger_seconds": LINGER_SECONDS} | self.callers
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings), encoding="utf-8")
         return path
@@ -265,12 +278,22 @@
 
 @contextmanager
 def run_site(
-    *, instances: int = 2, workers: int = 4, domains: list[str]
+    *,
+    instances: int = 2,
+    workers: int = 4,
+    domains: list[str],
+    callers: Mapping[str, object] | None = None,
 ) -> Iterator[Site]:
-    """Start a site; all of its processes are stopped when the block ends."""
+    """Start a site; all of its processes are stopped when the block ends.
+
+    Parameters
+    ----------
+    callers : mapping, optional
+        The section ``callers`` of the daemons' settings.
+    """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        site = Site(folder, instances=instances, domains=domains)
+        site = Site(folder, instances=instances, domains=domains, callers=callers)
         stack.callback(site.stop)
         site.start_platform()
         site.start_workers(workers)
