Split the asyncio HTTP server into messages, reader, connection and server

Cause: limits on what a client may send belong to four places that stood in one module, private to each other.

Change: modules of their own for requests and replies, for the reader that the parser calls, and for a connection; nothing behaves differently. A rejected request is one error with its status.

--- /dev/null
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -0,0 +1,112 @@
+"""Reads HTTP/1.1 requests from the bytes of a connection, within limits."""
+
+from collections.abc import Callable
+
+import httptools
+
+from .stream_http_messages import HttpRequest
+
+BODY_BYTES_MAX = 1 << 20
+HEADER_BYTES_MAX = 16384
+# of these, no value is picked if there are several
+UNIQUE_HEADERS = frozenset({"authorization"})
+
+
+class RequestRejectedError(Exception):
+    """What was received is no request, or over a limit.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status that tells the peer so.
+    """
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class RequestReader:
+    """Reads the requests of one connection; the ``on_`` methods are for the parser.
+
+    Parameters
+    ----------
+    take : callable
+        Takes a complete request, and whether the connection stays open after it. May
+        raise ``RequestRejectedError``.
+
+    Attributes
+    ----------
+    receiving : bool
+        Whether a request has begun that isn't complete.
+    """
+
+    def __init__(self, take: Callable[[HttpRequest, bool], None]) -> None:
+        self.receiving = False
+        self._take = take
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Read the next bytes.
+
+        Raises
+        ------
+        RequestRejectedError
+            If they are no request or over a limit; nothing may be fed after that.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            # the parser raises an error of its own if a callback raised one
+            if isinstance(error.__context__, RequestRejectedError):
+                raise error.__context__ from None
+            raise RequestRejectedError(400, str(error)) from None
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.receiving = True
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the URL."""
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self._count_header(len(name) + len(value))
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        if key in UNIQUE_HEADERS and key in self._headers:
+            text = f"{self._headers[key]}, {text}"
+        self._headers[key] = text
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > BODY_BYTES_MAX:
+            raise RequestRejectedError(413, f"body over {BODY_BYTES_MAX} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand over the request."""
+        self.receiving = False
+        request = HttpRequest(
+            self._parser.get_method().decode(),
+            self._url.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+        )
+        self._take(request, self._parser.should_keep_alive())
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > HEADER_BYTES_MAX:
+            raise RequestRejectedError(431, f"headers over {HEADER_BYTES_MAX} bytes")
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from ..adapters.metrics_text import TextMetrics
-from ..adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
+from ..adapters.stream_http_messages import HttpReply, HttpRequest
+from ..adapters.stream_http_server import HttpServer
 from ..core.clock import read_monotonic
 from ..core.errors import CorruptRecordError, PlantainhingeError
 from ..core.ids import InstanceId, Seconds
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..adapters.stream_http_server import HttpReply, HttpRequest
+from ..adapters.stream_http_messages import HttpReply, HttpRequest
 from ..core.errors import BadInputError
 from ..core.ids import JobId, Seconds
 from ..core.log_events import write_event
--- a/review/standins_2/advice.py
+++ b/review/standins_2/advice.py
@@ -5,7 +5,8 @@
 import time
 from dataclasses import dataclass, field
 
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_server import HttpServer
 from standins.addresses import find_free_address
 
 from .record import Record
--- a/review/standins_2/port.py
+++ b/review/standins_2/port.py
@@ -5,7 +5,8 @@
 import socket
 from contextlib import suppress
 
-from plantainhinge.adapters.stream_http_server import HttpServer, _Connection
+from plantainhinge.adapters.stream_http_connection import Connection
+from plantainhinge.adapters.stream_http_server import HttpServer
 
 # with one more, the kernel drops the opening packets of further connections
 BACKLOG = 1
@@ -78,4 +79,4 @@
         loop = asyncio.get_running_loop()
         while True:
             accepted, _ = await loop.sock_accept(self._socket)
-            await loop.connect_accepted_socket(lambda: _Connection(self), accepted)
+            await loop.connect_accepted_socket(lambda: Connection(self), accepted)
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
 from standins.platform_store import StandInStore, build_json_reply
 
 from .port import Port
--- a/soak/fronts.py
+++ b/soak/fronts.py
@@ -9,11 +9,8 @@
 import re
 from dataclasses import dataclass, field, replace
 
-from plantainhinge.adapters.stream_http_server import (
-    HttpReply,
-    HttpRequest,
-    HttpServer,
-)
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_server import HttpServer
 from standins.platform_store import StandInStore, build_json_reply
 
 # all of one length, so that a record keeps its length too
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
 from standins.platform_worker import StandInWorker
 
 from .observations import Observations, ObservedAttempt, parse_task, read_time
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,11 +12,8 @@
 from typing import Any, TypeVar
 from urllib.parse import parse_qs, urlsplit
 
-from plantainhinge.adapters.stream_http_server import (
-    HttpReply,
-    HttpRequest,
-    HttpServer,
-)
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_server import HttpServer
 
 from .platform_group import StandInGroup
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -7,11 +7,8 @@
 import time
 from dataclasses import dataclass, field
 
-from plantainhinge.adapters.stream_http_server import (
-    HttpReply,
-    HttpRequest,
-    HttpServer,
-)
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_server import HttpServer
 
 from .platform_store import StandInStore, build_json_reply
 
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from plantainhinge.adapters.stream_http_server import HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpRequest
 from plantainhinge.core.clock import read_monotonic
 from plantainhinge.core.errors import UnavailableError
 from plantainhinge.core.ids import QueueName, Revision
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,7 +6,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.adapters.stream_http_messages import HttpReply
+from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.core.errors import CorruptRecordError
 from plantainhinge.core.ids import InstanceId, JobId
 from plantainhinge.daemons.instance_peers import InstancePeers
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from plantainhinge.adapters.stream_http_server import HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpRequest
 from plantainhinge.core.ids import Revision
 from plantainhinge.daemons.instance import keep_running
 from plantainhinge.fleet.operator import QueueRoute, SchedulingConfiguration
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,7 +14,8 @@
     HttpCall,
     HttpResponse,
 )
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpRequest, HttpServer
+from plantainhinge.adapters.stream_http_messages import HttpReply, HttpRequest
+from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.core.errors import (
     BadInputError,
     ConflictError,
--- a/tests/test_platform_standins.py
+++ b/tests/test_platform_standins.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from plantainhinge.adapters.stream_http_server import HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpRequest
 from standins import platform_store, platform_worker
 from standins.platform_group import StandInGroup
 from standins.platform_store import (
--- a/tests/test_renewed_incarnations.py
+++ b/tests/test_renewed_incarnations.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.adapters.stream_http_messages import HttpReply
+from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.fleet.model import OrderResponse, Renewal, WorkerReport
 from plantainhinge.platform import workers
 from standins.addresses import find_free_address
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from plantainhinge.adapters.stream_http_server import HttpRequest
+from plantainhinge.adapters.stream_http_messages import HttpRequest
 from soak.__main__ import REGRESSIONS, Regression, _list_others
 from soak.faults import FAULTS, LONG_SECONDS, FaultContext, _cut
 from soak.fronts import StoreFront
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -7,7 +7,8 @@
 
 from plantainhinge.adapters import stream_http_client
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
-from plantainhinge.adapters.stream_http_server import HttpReply, HttpServer
+from plantainhinge.adapters.stream_http_messages import HttpReply
+from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.core.errors import UnavailableError, UncertainError
 from standins.addresses import find_free_address
 
