Refuse a body over the configured limit before it has been read

What callers saw: 300 clients, each with one chunk of 1 MiB short of its end, took an instance of 300 MB to 335 MB.

Cause: the configuration's maxBodyBytes (256 KiB) was compared with a body that was whole already. Until then the server read up to a limit of its own, 1 MiB, four times as much.

Evidence: peaks of 134 to 143 MB in three tests of test_crowds.py with 100 clients.

Change: the server asks for the limit when a head is complete. An announced length over it is refused at once, anything else as soon as the count passes it. A configuration may also allow more than 1 MiB now. Probes carry no body.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -31,6 +31,9 @@
     async def respond(self, request: HttpRequest) -> HttpReply:
         """Return the reply to a request."""
 
+    def get_body_bytes_max(self) -> int:
+        """Return the size of the largest body that is read."""
+
 
 class Connection(asyncio.Protocol):
     """A client's connection; pipelined requests are answered in order."""
@@ -38,7 +41,7 @@
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._reader = RequestReader(self._take)
+        self._reader = RequestReader(self._take, server.get_body_bytes_max)
         self._queue: list[tuple[HttpRequest, bool]] = []
         self._task: asyncio.Task[None] | None = None
 
--- a/plantainhinge/adapters/stream_http_reader.py
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -6,7 +6,6 @@
 
 from .stream_http_messages import HttpRequest
 
-BODY_BYTES_MAX = 1 << 20
 HEADER_BYTES_MAX = 16384
 # of empty lines, a head, a chunk's size with its extension, or a trailer
 FRAMING_BYTES_MAX = HEADER_BYTES_MAX
@@ -38,6 +37,8 @@
     take : callable
         Takes a complete request, and whether the connection stays open after it. May
         raise ``RequestRejectedError``.
+    get_body_bytes_max : callable
+        Returns the size of the largest body that is read.
 
     Attributes
     ----------
@@ -45,9 +46,14 @@
         Whether a request has begun that isn't complete.
     """
 
-    def __init__(self, take: Callable[[HttpRequest, bool], None]) -> None:
+    def __init__(
+        self,
+        take: Callable[[HttpRequest, bool], None],
+        get_body_bytes_max: Callable[[], int],
+    ) -> None:
         self.receiving = False
         self._take = take
+        self._get_body_bytes_max = get_body_bytes_max
         self._framing_bytes = 0
         self._progressed = False
         self._parser = httptools.HttpRequestParser(self)
@@ -98,14 +104,15 @@
         self._headers[key] = text
 
     def on_headers_complete(self) -> None:
-        """Note that the head is complete."""
+        """Reject a body that is announced as too large before any of it is read."""
         self._progressed = True
+        self._body_bytes_max = self._get_body_bytes_max()
+        self._check_body(int(self._headers.get("content-length", 0)))
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
         self._progressed = True
-        if len(self._body) + len(body) > BODY_BYTES_MAX:
-            raise RequestRejectedError(413, f"body over {BODY_BYTES_MAX} bytes")
+        self._check_body(len(self._body) + len(body))
         self._body += body
 
     def on_message_complete(self) -> None:
@@ -126,6 +133,11 @@
         self._header_bytes = 0
         # not a list: an object for each of many small chunks takes far more than them
         self._body = bytearray()
+        self._body_bytes_max = 0
+
+    def _check_body(self, size: int) -> None:
+        if size > self._body_bytes_max:
+            raise RequestRejectedError(413, f"body over {self._body_bytes_max} bytes")
 
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
 logger = logging.getLogger(__name__)
 
 BACKLOG = 512
+BODY_BYTES_MAX = 1 << 20
 # share of a drain's time after which requests still in progress are answered anyway
 DRAIN_WAIT_RATIO = 0.8
 
@@ -28,10 +30,13 @@
         ``host:port`` to listen on.
     handle : callable
         Returns the reply to a request.
+    get_body_bytes_max : callable
+        Returns the size of the largest body that is read.
     """
 
     address: str
     handle: Handler
+    get_body_bytes_max: Callable[[], int] = lambda: BODY_BYTES_MAX
     draining: bool = False
     connections: set[Connection] = field(default_factory=set)
     _server: asyncio.Server | None = None
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -21,6 +21,7 @@
 from ..core.log_events import write_event
 from ..core.metrics import Level
 from ..dispatch.leases import LeaseTerms
+from ..fleet.operator import BODY_BYTES_MAX
 from ..fleet.protocols import KeyedLog, WorkerCalls
 from ..jobs.forwarding import (
     PassedConfigurationQuery,
@@ -65,6 +66,7 @@
 # least time between becoming not ready and closing the callers' server, so that the
 # balancer notices
 DRAIN_SECONDS = Seconds(2.5)
+PROBE_BODY_BYTES_MAX = 1024
 METRICS_CONTENT_TYPE = ("Content-Type", "text/plain; version=0.0.4")
 CLOSE_TIMEOUT_SECONDS = Seconds(2.0)
 # the log may be silent; together they must not take longer than the drain
@@ -194,8 +196,16 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        callers = HttpServer(self.settings.callers_address, handle)
-        probes = HttpServer(self.settings.ready_address, self._handle_probe)
+        callers = HttpServer(
+            self.settings.callers_address,
+            handle,
+            get_body_bytes_max=self._get_body_bytes_max,
+        )
+        probes = HttpServer(
+            self.settings.ready_address,
+            self._handle_probe,
+            get_body_bytes_max=lambda: PROBE_BODY_BYTES_MAX,
+        )
         await callers.start()
         await probes.start()
         await HttpServer(
@@ -283,6 +293,10 @@
         if self.ownership.epoch is None:
             self.view.take_new_records()
 
+    def _get_body_bytes_max(self) -> int:
+        configuration = self.operator.configuration
+        return BODY_BYTES_MAX if configuration is None else configuration.body_bytes_max
+
     async def _handle_probe(self, request: HttpRequest) -> HttpReply:
         return HttpReply(status=200 if self._is_ready() else 503)
 
--- a/plantainhinge/fleet/operator.py
+++ b/plantainhinge/fleet/operator.py
@@ -7,6 +7,9 @@
 from ..core.resources import Resources
 from ..jobs.model import QueuePolicy
 
+# unless the configuration says otherwise, and before there is one
+BODY_BYTES_MAX = 262_144
+
 
 class QueueRoute(msgspec.Struct, frozen=True, kw_only=True):
     """Maps callers' requests for a host and path prefix to a queue.
--- a/plantainhinge/platform/operator.py
+++ b/plantainhinge/platform/operator.py
@@ -13,6 +13,7 @@
 from ..fleet.credentials import check_workspaces, digest_key
 from ..fleet.log_events import ConfigurationUnreadable
 from ..fleet.operator import (
+    BODY_BYTES_MAX,
     DomainClosure,
     OperatorRecord,
     QueueRoute,
@@ -53,7 +54,7 @@
 
 
 class _Limits(msgspec.Struct):
-    body_bytes_max: int = msgspec.field(name="maxBodyBytes", default=262144)
+    body_bytes_max: int = msgspec.field(name="maxBodyBytes", default=BODY_BYTES_MAX)
 
 
 class _Cap(msgspec.Struct, kw_only=True):
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -241,6 +241,7 @@
             b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n" + b"b" * 1_100_000,
             b"413",
         ),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n", b"413"),
         # what the parser gathers by itself until it is complete
         (b"\r\n" * 10_000, b"431"),
         (b"GET /" + b"u" * 20_000, b"431"),
@@ -265,6 +266,27 @@
     assert body == b"/still"
 
 
+@pytest.mark.parametrize("chunk", [1, 2, 100_000])
+def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
+    size = 300_000
+    body = b"%x\r\n%s\r\n" % (chunk, b"x" * chunk) * (size // chunk) + b"0\r\n\r\n"
+
+    async def run():
+        server = HttpServer(find_free_address(), echo, get_body_bytes_max=lambda: size)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(CHUNKED + body)
+        head = await reader.readuntil(b"\r\n\r\n")
+        answer = await reader.readexactly(size + 1)
+        writer.close()
+        return head, answer
+
+    head, answer = asyncio.run(asyncio.wait_for(run(), 30))
+    assert b" 200 " in head
+    assert answer == b"x" * size + b"/"
+
+
 @pytest.mark.parametrize("answer", [b"nonsense\r\n", b"HTTP/1.1 200 OK\r\n", b""])
 def test_a_malformed_response_is_uncertain(answer):
     async def run():
