Limit the number of a request's headers

What callers saw: 300 clients with 3,000 short headers each, 16 kB and so inside the limit, took an instance to 124 MB.

Cause: each header is two strings and an entry of a dictionary, some 300 bytes for six that were sent. The limit counted bytes only.

Evidence: test_crowds.py many-headers, and a row of test_stream_http.py that got no answer.

Change: at most 100 headers, the usual limit; a request with more gets 431.

--- a/plantainhinge/adapters/stream_http_reader.py
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -7,6 +7,8 @@
 from .stream_http_messages import HttpRequest
 
 HEADER_BYTES_MAX = 16384
+# each takes some 300 bytes of memory, however short it is
+HEADERS_MAX = 100
 # of empty lines, a head, a chunk's size with its extension, or a trailer
 FRAMING_BYTES_MAX = HEADER_BYTES_MAX
 # fed to the parser at once, so that what it keeps for itself can be counted
@@ -98,6 +100,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
         self._count_header(len(name) + len(value))
+        self._header_lines += 1
+        if self._header_lines > HEADERS_MAX:
+            raise RequestRejectedError(431, f"over {HEADERS_MAX} headers")
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
         if key in UNIQUE_HEADERS and key in self._headers:
             text = f"{self._headers[key]}, {text}"
@@ -131,6 +136,7 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
+        self._header_lines = 0
         # not a list: an object for each of many small chunks takes far more than them
         self._body = bytearray()
         self._body_bytes_max = 0
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -242,6 +242,7 @@
             b"413",
         ),
         (b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n", b"413"),
+        (b"GET / HTTP/1.1\r\n" + b"X:\r\n" * 102, b"431"),
         # what the parser gathers by itself until it is complete
         (b"\r\n" * 10_000, b"431"),
         (b"GET /" + b"u" * 20_000, b"431"),
