Send a refusal after the answers to the requests read before it

What callers saw: of 17 pipelined jobs, one answer came, 429, and the first job's GET said 200 afterwards; after a good job followed by garbage or by a head that is too large, 400 or 431 was all that came, and the job was there.

Cause: a refusal was written at once, ahead of the answers still owed, and the connection closed. What had been read ran on.

Evidence: six new rows in test_stream_http.py, all of which failed: the refusal was the only answer.

Change: a refusal takes its place in the queue of requests to answer, behind those that were read. Nothing is read after it, and nothing follows a request that asked for the connection to be closed. A refusal with 429 says when to come back. In a planned stop refused requests keep their own status, as they have surely not run.

Result: the rows pass: each request that ran has its answer, in order, and the refusal is the last.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import logging
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from ..core.log_events import write_event
@@ -12,6 +15,9 @@
 logger = logging.getLogger(__name__)
 
 PIPELINED_REQUESTS_MAX = 16
+RETRY_AFTER_SECONDS = 1
+# of these, the client may send the same request again
+RETRYABLE_STATUSES = frozenset({429, 503})
 
 
 class Server(Protocol):
@@ -35,15 +41,36 @@
         """Return the size of the largest body that is read."""
 
 
+class Phase(Enum):
+    """What a connection does with the bytes that it receives."""
+
+    READING = "reading"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """A request to answer, or a refusal that waits for the answers before it."""
+
+    request: HttpRequest | None
+    keep_alive: bool
+    refusal: HttpReply | None = None
+
+
 class Connection(asyncio.Protocol):
-    """A client's connection; pipelined requests are answered in order."""
+    """A client's connection; pipelined requests are answered in order.
+
+    A refusal keeps that order too: it comes after the answers to all requests that were
+    read before, so that it never speaks for one of them, and nothing is read after it.
+    """
 
     def __init__(self, server: Server) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self._take, server.get_body_bytes_max)
-        self._queue: list[tuple[HttpRequest, bool]] = []
+        self._queue: deque[_Exchange] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._phase = Phase.READING
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by asyncio, like the next two methods."""
@@ -56,16 +83,20 @@
         self._transport = None
 
     def data_received(self, data: bytes) -> None:
-        """Read requests."""
+        """Read requests, or throw away what follows a refusal."""
+        if self._phase is Phase.REFUSED:
+            return
         try:
             self._reader.feed(data)
         except RequestRejectedError as error:
-            self._reject(error)
+            self._refuse(error)
 
     @property
     def busy(self) -> bool:
         """Whether a request is being received or handled."""
-        return self._reader.receiving or self._task is not None
+        return self._task is not None or (
+            self._phase is Phase.READING and self._reader.receiving
+        )
 
     def close(self) -> None:
         """Close the connection once the written data has been sent."""
@@ -77,41 +108,52 @@
 
         They may have been carried out.
         """
-        unanswered, self._queue = len(self._queue), []
+        exchanges, self._queue = self._queue, deque()
         if self._task is not None:
             self._task.cancel()
             self._task = None
-        if unanswered and self._transport is not None:
-            last = HttpReply(status=504).encode(keep_alive=False)
-            others = HttpReply(status=504).encode(keep_alive=True)
-            self._transport.write(others * (unanswered - 1) + last)
+        last = len(exchanges) - 1
+        for index, exchange in enumerate(exchanges):
+            reply = exchange.refusal or HttpReply(status=504)
+            self._write(reply, keep_alive=index < last)
         self.close()
-        return unanswered
+        return sum(exchange.request is not None for exchange in exchanges)
 
     def _take(self, request: HttpRequest, keep_alive: bool) -> None:
         if len(self._queue) >= PIPELINED_REQUESTS_MAX:
             raise RequestRejectedError(429, "too many pipelined requests")
-        self._queue.append((request, keep_alive))
+        self._add(_Exchange(request, keep_alive))
+
+    def _refuse(self, error: RequestRejectedError) -> None:
+        write_event(logger, RequestRejected(status=error.status, cause=str(error)))
+        self._phase = Phase.REFUSED
+        headers: tuple[tuple[str, str], ...] = ()
+        if error.status in RETRYABLE_STATUSES:
+            headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
+        reply = HttpReply(status=error.status, headers=headers)
+        self._add(_Exchange(None, keep_alive=False, refusal=reply))
+
+    def _add(self, exchange: _Exchange) -> None:
+        self._queue.append(exchange)
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
     async def _serve(self) -> None:
         while self._queue:
-            request, keep_alive = self._queue[0]
-            reply = await self._server.respond(request)
+            exchange = self._queue[0]
+            reply = exchange.refusal
+            if exchange.request is not None:
+                reply = await self._server.respond(exchange.request)
+            assert reply is not None
             is_last = len(self._queue) == 1 and not self._reader.receiving
-            keep_alive = keep_alive and not (self._server.draining and is_last)
-            if self._transport is not None:
-                self._transport.write(reply.encode(keep_alive=keep_alive))
-            self._queue.pop(0)
+            keep_alive = exchange.keep_alive and not (self._server.draining and is_last)
+            self._write(reply, keep_alive=keep_alive)
+            self._queue.popleft()
             if not keep_alive:
                 self._queue.clear()
                 self.close()
         self._task = None
 
-    def _reject(self, error: RequestRejectedError) -> None:
-        write_event(logger, RequestRejected(status=error.status, cause=str(error)))
+    def _write(self, reply: HttpReply, *, keep_alive: bool) -> None:
         if self._transport is not None:
-            reply = HttpReply(status=error.status)
-            self._transport.write(reply.encode(keep_alive=False))
-            self._transport.close()
+            self._transport.write(reply.encode(keep_alive=keep_alive))
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -1,6 +1,7 @@
 """The asyncio HTTP client and server, against each other and faulty peers."""
 
 import asyncio
+import re
 from contextlib import suppress
 
 import pytest
@@ -267,6 +268,36 @@
     assert body == b"/still"
 
 
+async def read_statuses(reader):
+    """Return the statuses of all answers until the connection ends."""
+    received = await asyncio.wait_for(reader.read(), 10)
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", received)]
+
+
+# the only answer to 17 jobs was the refusal of the last one, and the others ran
+@pytest.mark.parametrize(
+    ("data", "ran", "refusal"),
+    [
+        (b"POST /a HTTP/1.1\r\n\r\n" * 17, 16, 429),
+        (b"POST /a HTTP/1.1\r\n\r\n" * 30, 16, 429),
+        (b"POST /a HTTP/1.1\r\n\r\nnonsense\r\n\r\n", 1, 400),
+        (b"POST /a HTTP/1.1\r\n\r\n" * 2 + b"GET /" + b"u" * 20_000, 2, 431),
+        (b"POST /slow HTTP/1.1\r\n\r\n" + CHUNKED + b"x\r\n", 1, 400),
+        (b"POST /a HTTP/1.1\r\nConnection: close\r\n\r\nnonsense\r\n\r\n", 1, None),
+    ],
+)
+def test_a_refusal_comes_after_the_answers_to_what_was_read_before(data, ran, refusal):
+    async def scenario(server, client):
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        statuses = await read_statuses(reader)
+        writer.close()
+        return statuses
+
+    assert serve(scenario) == [200] * ran + ([refusal] if refusal else [])
+
+
 @pytest.mark.parametrize("chunk", [1, 2, 100_000])
 def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
     size = 300_000
