Let a client read its refusal before its connection is reset

What callers saw: a client that sent a body over the limit and read the answer only afterwards found its connection reset, without the 413.

Cause: the connection was closed with bytes that nobody had read; the kernel resets it then, and what the client hasn't read is lost.

Evidence: test_a_client_that_sends_on_gets_its_refusal got ConnectionResetError.

Change: after a refusal the server sends its end of the stream and throws away what comes, for two seconds and 1 MiB at most. While answers are owed it reads nothing more, so that the kernel holds the client back.

Result: the test passes.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
+from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.log_events import RequestRejected
 from .stream_http_messages import HttpReply, HttpRequest
@@ -15,6 +16,10 @@
 logger = logging.getLogger(__name__)
 
 PIPELINED_REQUESTS_MAX = 16
+# after a refusal, what the client still sends is thrown away for so long and so much: a
+# connection that is closed with unread bytes is reset, and the client loses the answer
+LINGER_SECONDS = Seconds(2.0)
+LINGER_BYTES_MAX = 1 << 20
 RETRY_AFTER_SECONDS = 1
 # of these, the client may send the same request again
 RETRYABLE_STATUSES = frozenset({429, 503})
@@ -45,7 +50,9 @@
     """What a connection does with the bytes that it receives."""
 
     READING = "reading"
+    # it leaves them where they are until the answers that it owes are written
     REFUSED = "refused"
+    LINGERING = "lingering"
 
 
 @dataclass(slots=True)
@@ -71,6 +78,7 @@
         self._queue: deque[_Exchange] = deque()
         self._task: asyncio.Task[None] | None = None
         self._phase = Phase.READING
+        self._lingered_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by asyncio, like the next two methods."""
@@ -84,7 +92,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Read requests, or throw away what follows a refusal."""
-        if self._phase is Phase.REFUSED:
+        if self._phase is not Phase.READING:
+            self._throw_away(data)
             return
         try:
             self._reader.feed(data)
@@ -127,6 +136,8 @@
     def _refuse(self, error: RequestRejectedError) -> None:
         write_event(logger, RequestRejected(status=error.status, cause=str(error)))
         self._phase = Phase.REFUSED
+        if self._transport is not None:
+            self._transport.pause_reading()
         headers: tuple[tuple[str, str], ...] = ()
         if error.status in RETRYABLE_STATUSES:
             headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
@@ -151,9 +162,24 @@
             self._queue.popleft()
             if not keep_alive:
                 self._queue.clear()
-                self.close()
+                self._end()
         self._task = None
 
     def _write(self, reply: HttpReply, *, keep_alive: bool) -> None:
         if self._transport is not None:
             self._transport.write(reply.encode(keep_alive=keep_alive))
+
+    def _end(self) -> None:
+        """Close the connection; after a refusal, leave the client time to read it."""
+        if self._phase is Phase.READING or self._transport is None:
+            self.close()
+            return
+        self._phase = Phase.LINGERING
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        asyncio.get_running_loop().call_later(LINGER_SECONDS, self.close)
+
+    def _throw_away(self, data: bytes) -> None:
+        self._lingered_bytes += len(data)
+        if self._lingered_bytes > LINGER_BYTES_MAX:
+            self.close()
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -298,6 +298,25 @@
     assert serve(scenario) == [200] * ran + ([refusal] if refusal else [])
 
 
+# the connection was reset, and the answer lost with it
+def test_a_client_that_sends_on_gets_its_refusal():
+    async def run():
+        server = HttpServer(find_free_address(), echo, get_body_bytes_max=lambda: 1000)
+        await server.start()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n")
+        for _ in range(9):
+            writer.write(b"x" * 100_000)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        statuses = await read_statuses(reader)
+        writer.close()
+        return statuses
+
+    assert asyncio.run(run()) == [413]
+
+
 @pytest.mark.parametrize("chunk", [1, 2, 100_000])
 def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
     size = 300_000
