Bound the memory for the requests of all connections together

What callers saw: an instance was killed by clients that each kept to the limits: 300 bodies of 256 KiB short of their end, or 30 connections with 16 good jobs of 250 kB sent ahead.

When it is spent, the largest request that isn't complete gives way with 503; a complete one never does, and a single request is read in calm whatever its size. The listeners have budgets of their own, so that a crowd of callers turns no peer away.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -10,6 +10,7 @@
 from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.log_events import RequestRejected
+from .stream_http_limits import ReceiveBudget
 from .stream_http_messages import HttpReply, HttpRequest
 from .stream_http_reader import RequestReader, RequestRejectedError
 
@@ -32,11 +33,14 @@
     ----------
     draining : bool
         Whether connections are closed once their requests are answered.
+    budget : ReceiveBudget
+        Memory for the requests of all connections.
     connections : set of Connection
         The open ones.
     """
 
     draining: bool
+    budget: ReceiveBudget
     connections: "set[Connection]"
 
     async def respond(self, request: HttpRequest) -> HttpReply:
@@ -57,9 +61,16 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """A request to answer, or a refusal that waits for the answers before it."""
+    """A request to answer, or a refusal that waits for the answers before it.
+
+    Parameters
+    ----------
+    size : int
+        Bytes of memory that the request takes up.
+    """
 
     request: HttpRequest | None
+    size: int
     keep_alive: bool
     refusal: HttpReply | None = None
 
@@ -75,6 +86,7 @@
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(self._take, server.get_body_bytes_max)
+        self._held_bytes = 0
         self._queue: deque[_Exchange] = deque()
         self._task: asyncio.Task[None] | None = None
         self._phase = Phase.READING
@@ -86,9 +98,11 @@
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the transport."""
+        """Forget the transport and what was being received."""
         self._server.connections.discard(self)
         self._transport = None
+        self._reader.abandon()
+        self._update_budget()
 
     def data_received(self, data: bytes) -> None:
         """Read requests, or throw away what follows a refusal."""
@@ -96,16 +110,31 @@
             self._throw_away(data)
             return
         try:
+            self._make_room(len(data))
             self._reader.feed(data)
         except RequestRejectedError as error:
             self._refuse(error)
+        self._update_budget()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that its requests take up, as the server's budget knows it."""
+        return self._held_bytes
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Memory that the request that is being received takes up."""
+        return self._reader.held_bytes
+
+    def give_way(self) -> None:
+        """Refuse the request that is being received, for the sake of others."""
+        self._refuse(RequestRejectedError(503, "no memory for the request"))
+        self._update_budget()
 
     @property
     def busy(self) -> bool:
         """Whether a request is being received or handled."""
-        return self._task is not None or (
-            self._phase is Phase.READING and self._reader.receiving
-        )
+        return self._reader.receiving or self._task is not None
 
     def close(self) -> None:
         """Close the connection once the written data has been sent."""
@@ -126,23 +155,25 @@
             reply = exchange.refusal or HttpReply(status=504)
             self._write(reply, keep_alive=index < last)
         self.close()
+        self._update_budget()
         return sum(exchange.request is not None for exchange in exchanges)
 
-    def _take(self, request: HttpRequest, keep_alive: bool) -> None:
+    def _take(self, request: HttpRequest, size: int, keep_alive: bool) -> None:
         if len(self._queue) >= PIPELINED_REQUESTS_MAX:
             raise RequestRejectedError(429, "too many pipelined requests")
-        self._add(_Exchange(request, keep_alive))
+        self._add(_Exchange(request, size, keep_alive))
 
     def _refuse(self, error: RequestRejectedError) -> None:
         write_event(logger, RequestRejected(status=error.status, cause=str(error)))
         self._phase = Phase.REFUSED
+        self._reader.abandon()
         if self._transport is not None:
             self._transport.pause_reading()
         headers: tuple[tuple[str, str], ...] = ()
         if error.status in RETRYABLE_STATUSES:
             headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
         reply = HttpReply(status=error.status, headers=headers)
-        self._add(_Exchange(None, keep_alive=False, refusal=reply))
+        self._add(_Exchange(None, 0, keep_alive=False, refusal=reply))
 
     def _add(self, exchange: _Exchange) -> None:
         self._queue.append(exchange)
@@ -163,8 +194,20 @@
             if not keep_alive:
                 self._queue.clear()
                 self._end()
+            self._update_budget()
         self._task = None
 
+    def _make_room(self, size: int) -> None:
+        server = self._server
+        if not server.budget.make_room(self, size, server.connections):
+            raise RequestRejectedError(503, "no memory for the request")
+
+    def _update_budget(self) -> None:
+        queued = sum(exchange.size for exchange in self._queue)
+        held = queued + self._reader.held_bytes
+        self._server.budget.held += held - self._held_bytes
+        self._held_bytes = held
+
     def _write(self, reply: HttpReply, *, keep_alive: bool) -> None:
         if self._transport is not None:
             self._transport.write(reply.encode(keep_alive=keep_alive))
--- /dev/null
+++ b/plantainhinge/adapters/stream_http_limits.py
@@ -0,0 +1,76 @@
+"""What the clients of the asyncio HTTP/1.1 server may use, all together."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerLimits:
+    """Limits of one server for all of its connections together.
+
+    Parameters
+    ----------
+    received_bytes : int
+        Memory for requests, from their first byte until they are answered.
+    """
+
+    received_bytes: int = 64 * 1024 * 1024
+
+
+class Holder(Protocol):
+    """A connection that holds requests in memory."""
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Memory of the request that is being received; it can be given up."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of all its requests."""
+
+    def give_way(self) -> None:
+        """Refuse the request that is being received."""
+
+
+@dataclass
+class ReceiveBudget:
+    """Shares a server's memory for requests among its connections.
+
+    When it is spent, the connection whose unfinished request is largest gives way. A
+    request that has been read whole never does.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that all connections may hold together. One alone may hold more, so that
+        any request within its own limits can be read in calm.
+    held : int
+        Bytes that they hold.
+    """
+
+    limit: int
+    held: int = 0
+
+    def make_room(
+        self, asking: Holder, size: int, connections: Iterable[Holder]
+    ) -> bool:
+        """Let others give way until a connection can hold more; return whether it can.
+
+        Parameters
+        ----------
+        asking : Holder
+            The connection.
+        size : int
+            Bytes that it is going to hold in addition.
+        connections : iterable of Holder
+            All connections.
+        """
+        while self.held + size > self.limit:
+            if self.held == asking.held_bytes:
+                return True
+            largest = max(connections, key=lambda holder: holder.unfinished_bytes)
+            if largest.unfinished_bytes <= asking.unfinished_bytes + size:
+                return False
+            largest.give_way()
+        return True
--- a/plantainhinge/adapters/stream_http_reader.py
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -7,8 +7,10 @@
 from .stream_http_messages import HttpRequest
 
 HEADER_BYTES_MAX = 16384
-# each takes some 300 bytes of memory, however short it is
 HEADERS_MAX = 100
+# memory that a request and each of its headers take up beside their bytes
+REQUEST_OVERHEAD_BYTES = 1024
+HEADER_OVERHEAD_BYTES = 256
 # of empty lines, a head, a chunk's size with its extension, or a trailer
 FRAMING_BYTES_MAX = HEADER_BYTES_MAX
 # fed to the parser at once, so that what it keeps for itself can be counted
@@ -37,8 +39,8 @@
     Parameters
     ----------
     take : callable
-        Takes a complete request, and whether the connection stays open after it. May
-        raise ``RequestRejectedError``.
+        Takes a complete request, its size in memory, and whether the connection stays
+        open after it. May raise ``RequestRejectedError``.
     get_body_bytes_max : callable
         Returns the size of the largest body that is read.
 
@@ -50,7 +52,7 @@
 
     def __init__(
         self,
-        take: Callable[[HttpRequest, bool], None],
+        take: Callable[[HttpRequest, int, bool], None],
         get_body_bytes_max: Callable[[], int],
     ) -> None:
         self.receiving = False
@@ -61,6 +63,17 @@
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request that is being received takes up."""
+        return self._measure() if self.receiving or self._framing_bytes else 0
+
+    def abandon(self) -> None:
+        """Let go of the request that is being received; nothing may be fed after it."""
+        self.receiving = False
+        self._framing_bytes = 0
+        self._reset()
+
     def feed(self, data: bytes) -> None:
         """Read the next bytes.
 
@@ -130,7 +143,18 @@
             self._headers,
             bytes(self._body),
         )
-        self._take(request, self._parser.should_keep_alive())
+        size = self._measure()
+        self._reset()
+        self._take(request, size, self._parser.should_keep_alive())
+
+    def _measure(self) -> int:
+        return (
+            REQUEST_OVERHEAD_BYTES
+            + self._header_lines * HEADER_OVERHEAD_BYTES
+            + self._header_bytes
+            + self._framing_bytes
+            + len(self._body)
+        )
 
     def _reset(self) -> None:
         self._url = b""
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -10,6 +10,7 @@
 from ..core.log_events import write_event
 from ..fleet.log_events import HandlerFailed, RequestsGivenUp
 from .stream_http_connection import Connection
+from .stream_http_limits import ReceiveBudget, ServerLimits
 from .stream_http_messages import Handler, HttpReply, HttpRequest
 
 logger = logging.getLogger(__name__)
@@ -32,15 +33,21 @@
         Returns the reply to a request.
     get_body_bytes_max : callable
         Returns the size of the largest body that is read.
+    limits : ServerLimits
+        What all connections may use together.
     """
 
     address: str
     handle: Handler
     get_body_bytes_max: Callable[[], int] = lambda: BODY_BYTES_MAX
+    limits: ServerLimits = ServerLimits()
     draining: bool = False
     connections: set[Connection] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
+    def __post_init__(self) -> None:
+        self.budget = ReceiveBudget(self.limits.received_bytes)
+
     async def start(self) -> None:
         """Start listening."""
         host, _, port = self.address.rpartition(":")
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from ..adapters.metrics_text import TextMetrics
+from ..adapters.stream_http_limits import ServerLimits
 from ..adapters.stream_http_messages import HttpReply, HttpRequest
 from ..adapters.stream_http_server import HttpServer
 from ..core.clock import read_monotonic
@@ -40,6 +41,7 @@
 from .instance_peers import InstancePeers
 from .job_service import JobService
 from .job_view import JobView
+from .listener_limits import Listener, compute_limits
 from .operator_view import OperatorView
 from .ownership import Ownership
 from .ownership_events import OwnershipNotVerified, StandbyBehind
@@ -106,6 +108,8 @@
         Durations of the leases that the owner grants to workers.
     cores : float
         Available processor cores; the instance with the most should own the cell.
+    memory_bytes : int
+        Memory that the process may use.
     """
 
     instance: InstanceId
@@ -114,6 +118,7 @@
     control_address: str
     terms: LeaseTerms
     cores: float = 1.0
+    memory_bytes: int = 200_000_000
 
 
 @dataclass
@@ -200,16 +205,20 @@
             self.settings.callers_address,
             handle,
             get_body_bytes_max=self._get_body_bytes_max,
+            limits=self._compute_limits(Listener.CALLERS),
         )
         probes = HttpServer(
             self.settings.ready_address,
             self._handle_probe,
             get_body_bytes_max=lambda: PROBE_BODY_BYTES_MAX,
+            limits=self._compute_limits(Listener.PROBES),
         )
         await callers.start()
         await probes.start()
         await HttpServer(
-            self.settings.control_address, self._handle_control_request
+            self.settings.control_address,
+            self._handle_control_request,
+            limits=self._compute_limits(Listener.PEERS),
         ).start()
         event = Started(
             address=self.settings.callers_address, cores=self.settings.cores
@@ -293,6 +302,9 @@
         if self.ownership.epoch is None:
             self.view.take_new_records()
 
+    def _compute_limits(self, listener: Listener) -> ServerLimits:
+        return compute_limits(listener, memory_bytes=self.settings.memory_bytes)
+
     def _get_body_bytes_max(self) -> int:
         configuration = self.operator.configuration
         return BODY_BYTES_MAX if configuration is None else configuration.body_bytes_max
--- a/plantainhinge/platform/program.py
+++ b/plantainhinge/platform/program.py
@@ -25,6 +25,7 @@
 WORKER_TOPIC = "keyed.servers"
 LEASE_SECONDS = Seconds(6.0)
 LOG_CONNECTIONS_MAX = 16
+BYTES_PER_MB = 1_000_000
 # share of the file descriptors for connections to workers; the rest is for callers
 WORKER_FILES_RATIO = 0.5
 
@@ -60,6 +61,7 @@
             control_address=settings.control_address,
             terms=_build_lease_terms(settings),
             cores=settings.core_share * settings.core_speed,
+            memory_bytes=int(settings.memory_mb * BYTES_PER_MB),
         ),
         log=store,
         calls=PlatformWorkerClient(
--- a/plantainhinge/platform/settings.py
+++ b/plantainhinge/platform/settings.py
@@ -10,6 +10,7 @@
 from .store import APPEND_BYTES_MAX, RECORD_BYTES_MAX
 
 FILES_MAX = 4096
+MEMORY_MB = 200.0
 
 PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
@@ -39,6 +40,9 @@
         Largest record and append that the store takes, in bytes.
     files_max : int
         File descriptors that the process may have open.
+    memory_mb : float
+        Memory that the process may use, in MB; a share of it is for requests that
+        are being received.
     core_share, core_speed : float
         Share of a CPU core that the process has, and the core's speed relative to a
         standard core.
@@ -56,6 +60,7 @@
     record_bytes_max: PositiveInteger = RECORD_BYTES_MAX
     append_bytes_max: PositiveInteger = APPEND_BYTES_MAX
     files_max: PositiveInteger = FILES_MAX
+    memory_mb: PositiveNumber = MEMORY_MB
     core_share: PositiveNumber = 1.0
     core_speed: PositiveNumber = 1.0
 
