Bound a listener's connections, and let the longest idle one give way

What callers saw: with 120 descriptors, 300 connections that sent nothing, or half a head, kept everyone else out: an ordinary GET had no answer while they stayed.

Cause: nothing closed an idle or unfinished connection, and nothing bounded their number. They drew on the descriptors that the store, the workers and the peers need too.

Change: each listener accepts as many connections as its share of the descriptors (files_max, or the system's limit if that is lower). At that number, the one that has waited longest for its client is closed, with 503 if it had begun a request; one whose request is being answered never is. While all are busy, new connections wait in the kernel. An error of accept, too many open files among them, stops accepting for a tenth of a second.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -49,6 +49,12 @@
     def get_body_bytes_max(self) -> int:
         """Return the size of the largest body that is read."""
 
+    def note_waiting(self, connection: "Connection", *, waits: bool) -> None:
+        """Note whether a connection waits for its client, so that it may give way."""
+
+    def remove(self, connection: "Connection") -> None:
+        """Forget a connection that is closed."""
+
 
 class Phase(Enum):
     """What a connection does with the bytes that it receives."""
@@ -96,10 +102,11 @@
         """Keep the transport; called by asyncio, like the next two methods."""
         self._transport = transport  # type: ignore[assignment]
         self._server.connections.add(self)
+        self._server.note_waiting(self, waits=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the transport and what was being received."""
-        self._server.connections.discard(self)
+        self._server.remove(self)
         self._transport = None
         self._reader.abandon()
         self._update_budget()
@@ -131,6 +138,16 @@
         self._refuse(RequestRejectedError(503, "no memory for the request"))
         self._update_budget()
 
+    def make_way(self) -> None:
+        """Close the connection, which waits for its client, for the sake of a new one.
+
+        A request that isn't complete is refused, so that its client knows.
+        """
+        if self._reader.receiving:
+            refusal = _build_refusal(503)
+            self._write(refusal, keep_alive=False)
+        self.close()
+
     @property
     def busy(self) -> bool:
         """Whether a request is being received or handled."""
@@ -169,16 +186,14 @@
         self._reader.abandon()
         if self._transport is not None:
             self._transport.pause_reading()
-        headers: tuple[tuple[str, str], ...] = ()
-        if error.status in RETRYABLE_STATUSES:
-            headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
-        reply = HttpReply(status=error.status, headers=headers)
-        self._add(_Exchange(None, 0, keep_alive=False, refusal=reply))
+        refusal = _build_refusal(error.status)
+        self._add(_Exchange(None, 0, keep_alive=False, refusal=refusal))
 
     def _add(self, exchange: _Exchange) -> None:
         self._queue.append(exchange)
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
+            self._server.note_waiting(self, waits=False)
 
     async def _serve(self) -> None:
         while self._queue:
@@ -196,6 +211,8 @@
                 self._end()
             self._update_budget()
         self._task = None
+        if self._transport is not None:
+            self._server.note_waiting(self, waits=True)
 
     def _make_room(self, size: int) -> None:
         server = self._server
@@ -226,3 +243,10 @@
         self._lingered_bytes += len(data)
         if self._lingered_bytes > LINGER_BYTES_MAX:
             self.close()
+
+
+def _build_refusal(status: int) -> HttpReply:
+    headers: tuple[tuple[str, str], ...] = ()
+    if status in RETRYABLE_STATUSES:
+        headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
+    return HttpReply(status=status, headers=headers)
--- a/plantainhinge/adapters/stream_http_limits.py
+++ b/plantainhinge/adapters/stream_http_limits.py
@@ -11,10 +11,13 @@
 
     Parameters
     ----------
+    connections : int
+        Open connections.
     received_bytes : int
         Memory for requests, from their first byte until they are answered.
     """
 
+    connections: int = 1000
     received_bytes: int = 64 * 1024 * 1024
 
 
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -9,13 +9,13 @@
 from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.log_events import HandlerFailed, RequestsGivenUp
+from .stream_http_acceptor import Acceptor
 from .stream_http_connection import Connection
 from .stream_http_limits import ReceiveBudget, ServerLimits
 from .stream_http_messages import Handler, HttpReply, HttpRequest
 
 logger = logging.getLogger(__name__)
 
-BACKLOG = 512
 BODY_BYTES_MAX = 1 << 20
 # share of a drain's time after which requests still in progress are answered anyway
 DRAIN_WAIT_RATIO = 0.8
@@ -43,17 +43,48 @@
     limits: ServerLimits = ServerLimits()
     draining: bool = False
     connections: set[Connection] = field(default_factory=set)
-    _server: asyncio.Server | None = None
+    # those that wait for their clients, the longest first
+    _waiting: dict[Connection, None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.budget = ReceiveBudget(self.limits.received_bytes)
+        self._acceptor = Acceptor(lambda: Connection(self), self._has_room)
 
     async def start(self) -> None:
         """Start listening."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), host, int(port), backlog=BACKLOG
-        )
+        self._acceptor.start(self.address)
+
+    @property
+    def bound_address(self) -> str:
+        """``host:port`` on which it listens, whose port the system may have chosen."""
+        return self._acceptor.bound_address
+
+    def note_waiting(self, connection: Connection, *, waits: bool) -> None:
+        """Note whether a connection waits for its client, so that it may give way."""
+        self._waiting.pop(connection, None)
+        if waits:
+            self._waiting[connection] = None
+        self._acceptor.resume()
+
+    def remove(self, connection: Connection) -> None:
+        """Forget a connection that is closed."""
+        self.connections.discard(connection)
+        self._waiting.pop(connection, None)
+        self._acceptor.resume()
+
+    def _has_room(self) -> bool:
+        """Return whether another connection may be opened.
+
+        If not, the one that has waited longest for its client is closed.
+        """
+        opened = len(self.connections) + self._acceptor.opening
+        if opened < self.limits.connections:
+            return True
+        longest = next(iter(self._waiting), None)
+        if longest is not None:
+            self._waiting.pop(longest)
+            longest.make_way()
+        return False
 
     async def respond(self, request: HttpRequest) -> HttpReply:
         """Return the handler's reply; log an exception and reply with status 500."""
@@ -71,8 +102,7 @@
         connection closed.
         """
         self.draining = True
-        if self._server is not None:
-            self._server.close()
+        self._acceptor.close()
         started = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             if not connection.busy:
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -110,6 +110,8 @@
         Available processor cores; the instance with the most should own the cell.
     memory_bytes : int
         Memory that the process may use.
+    files : int
+        File descriptors that it may have open.
     """
 
     instance: InstanceId
@@ -119,6 +121,7 @@
     terms: LeaseTerms
     cores: float = 1.0
     memory_bytes: int = 200_000_000
+    files: int = 4096
 
 
 @dataclass
@@ -303,7 +306,11 @@
             self.view.take_new_records()
 
     def _compute_limits(self, listener: Listener) -> ServerLimits:
-        return compute_limits(listener, memory_bytes=self.settings.memory_bytes)
+        return compute_limits(
+            listener,
+            memory_bytes=self.settings.memory_bytes,
+            files=self.settings.files,
+        )
 
     def _get_body_bytes_max(self) -> int:
         configuration = self.operator.configuration
--- a/plantainhinge/daemons/listener_limits.py
+++ b/plantainhinge/daemons/listener_limits.py
@@ -1,4 +1,4 @@
-"""Shares of an instance's memory that its listeners may use for requests."""
+"""Shares of an instance's memory and file descriptors that its listeners may use."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -17,23 +17,33 @@
 @dataclass(frozen=True, kw_only=True)
 class _Share:
     memory_ratio: float
+    files_ratio: float
 
 
-# a crowd at one listener takes nothing from the others; most of the memory is for jobs
+# a crowd at one listener takes nothing from the others; most of the memory is for jobs,
+# most descriptors for workers and the log
 SHARES = {
-    Listener.CALLERS: _Share(memory_ratio=1 / 8),
-    Listener.PROBES: _Share(memory_ratio=1 / 128),
-    Listener.PEERS: _Share(memory_ratio=1 / 16),
+    Listener.CALLERS: _Share(memory_ratio=1 / 8, files_ratio=1 / 4),
+    Listener.PROBES: _Share(memory_ratio=1 / 128, files_ratio=1 / 64),
+    Listener.PEERS: _Share(memory_ratio=1 / 16, files_ratio=1 / 8),
 }
+CONNECTIONS_MIN = 8
 
 
-def compute_limits(listener: Listener, *, memory_bytes: int) -> ServerLimits:
+def compute_limits(
+    listener: Listener, *, memory_bytes: int, files: int
+) -> ServerLimits:
     """Return what the clients of a listener may use together.
 
     Parameters
     ----------
     memory_bytes : int
         Memory of the process.
+    files : int
+        File descriptors of the process.
     """
     share = SHARES[listener]
-    return ServerLimits(received_bytes=int(share.memory_ratio * memory_bytes))
+    return ServerLimits(
+        connections=max(CONNECTIONS_MIN, int(share.files_ratio * files)),
+        received_bytes=int(share.memory_ratio * memory_bytes),
+    )
--- a/plantainhinge/fleet/log_events.py
+++ b/plantainhinge/fleet/log_events.py
@@ -147,6 +147,19 @@
     cause: str
 
 
+@log_event("accept failed")
+class AcceptFailed(LogEvent, frozen=True, kw_only=True):
+    """A server can't accept a connection; it tries again after a tenth of a second.
+
+    Parameters
+    ----------
+    cause : str
+        The system's error, such as too many open files.
+    """
+
+    cause: str
+
+
 @log_event("handler failed", level=logging.ERROR)
 class HandlerFailed(LogEvent, frozen=True, kw_only=True):
     """A request handler raised an unexpected exception; the caller gets status 500.
--- a/plantainhinge/platform/program.py
+++ b/plantainhinge/platform/program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 import sys
 from pathlib import Path
 
@@ -26,7 +27,7 @@
 LEASE_SECONDS = Seconds(6.0)
 LOG_CONNECTIONS_MAX = 16
 BYTES_PER_MB = 1_000_000
-# share of the file descriptors for connections to workers; the rest is for callers
+# share of the file descriptors for connections to workers
 WORKER_FILES_RATIO = 0.5
 
 
@@ -53,6 +54,7 @@
         record_bytes_max=settings.record_bytes_max,
         append_bytes_max=settings.append_bytes_max,
     )
+    files = min(settings.files_max, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     instance = Instance(
         settings=InstanceSettings(
             instance=settings.instance,
@@ -62,11 +64,12 @@
             terms=_build_lease_terms(settings),
             cores=settings.core_share * settings.core_speed,
             memory_bytes=int(settings.memory_mb * BYTES_PER_MB),
+            files=files,
         ),
         log=store,
         calls=PlatformWorkerClient(
             settings.advice_address,
-            ConnectionBudget(int(WORKER_FILES_RATIO * settings.files_max)),
+            ConnectionBudget(int(WORKER_FILES_RATIO * files)),
         ),
         operator=OperatorView(store, OPERATOR_TOPIC, decode_operator_record),
         workers=WorkerView(store, WORKER_TOPIC, decode_entry),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -51,7 +51,7 @@
     async def add(self, name):
         server = HttpServer("127.0.0.1:0", None)
         await server.start()
-        address = "{}:{}".format(*server._server.sockets[0].getsockname())
+        address = server.bound_address
         member = build_member_name(InstanceId(name), "p", address=address, cores=1)
         service = JobService(
             log=self.log,
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -8,6 +8,7 @@
 
 from plantainhinge.adapters import stream_http_client
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
+from plantainhinge.adapters.stream_http_limits import ServerLimits
 from plantainhinge.adapters.stream_http_messages import HttpReply
 from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.core.errors import UnavailableError, UncertainError
@@ -317,6 +318,62 @@
     assert asyncio.run(run()) == [413]
 
 
+async def connect(server, data=b""):
+    host, _, port = server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+# connections that nobody used kept everyone else out
+def test_the_connection_that_has_waited_longest_for_its_client_gives_way():
+    async def run():
+        limits = ServerLimits(connections=3)
+        server = HttpServer(find_free_address(), echo, limits=limits)
+        await server.start()
+        opened = [
+            await connect(server, data)
+            for data in (b"GET /slow HTTP/1.1\r\n\r\n", b"POST /half", b"", b"", b"")
+        ]
+        readers = [reader for reader, _ in opened]
+        half = await read_statuses(readers[1])
+        idle = await read_statuses(readers[2])
+        slow = await readers[0].readuntil(b"/slow")
+        opened[4][1].write(b"GET /last HTTP/1.1\r\n\r\n")
+        last = await readers[4].readuntil(b"/last")
+        for _, writer in opened:
+            writer.close()
+        return half, idle, slow, last
+
+    half, idle, slow, last = asyncio.run(asyncio.wait_for(run(), 10))
+    assert half == [503]
+    assert idle == []
+    assert b" 200 " in slow
+    assert b" 200 " in last
+
+
+def test_a_connection_waits_while_all_others_are_being_answered():
+    async def run():
+        limits = ServerLimits(connections=1)
+        server = HttpServer(find_free_address(), echo, limits=limits)
+        await server.start()
+        first = await connect(server, b"GET /slow HTTP/1.1\r\n\r\n")
+        second = await connect(server, b"GET /second HTTP/1.1\r\n\r\n")
+        open_before = len(server.connections)
+        answers = [
+            await reader.readuntil(path)
+            for (reader, _), path in ((first, b"/slow"), (second, b"/second"))
+        ]
+        for _, writer in (first, second):
+            writer.close()
+        return open_before, answers
+
+    open_before, answers = asyncio.run(asyncio.wait_for(run(), 10))
+    assert open_before == 1
+    assert all(b" 200 " in answer for answer in answers)
+
+
 @pytest.mark.parametrize("chunk", [1, 2, 100_000])
 def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
     size = 300_000
