Refuse a forwarded job of too many steps before its steps are decoded

Cause: an empty step is three bytes on the wire and some 300 in memory, and the limit of 20,000 tasks a job was checked by the callers' address only, after everything was decoded.

Change: the limit stands in the type of a job's steps, so that MessagePack's decoder refuses a longer array by its announced length.

--- a/plantainhinge/jobs/model.py
+++ b/plantainhinge/jobs/model.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 from enum import Enum
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -11,6 +11,8 @@
 
 # of jobs that were submitted without a key
 NO_WORKSPACE = WorkspaceId("")
+# per job; without a limit, a small body could make the process use much memory
+TASKS_MAX = 20_000
 
 
 class JobState(Enum):
@@ -115,7 +117,8 @@
     """
 
     payload: str
-    steps: tuple[Step, ...]
+    # each step has a task; a longer array is refused before its steps are decoded
+    steps: Annotated[tuple[Step, ...], msgspec.Meta(max_length=TASKS_MAX)]
     recurrence: Recurrence | None = None
 
 
--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -19,7 +19,14 @@
 from ..fleet.log_events import JobMalformed
 from ..fleet.operator import QueueRoute, SchedulingConfiguration, Workspace
 from ..jobs.admission import Refusal
-from ..jobs.model import NO_WORKSPACE, Caller, JobSpec, Recurrence, Step
+from ..jobs.model import (
+    NO_WORKSPACE,
+    TASKS_MAX,
+    Caller,
+    JobSpec,
+    Recurrence,
+    Step,
+)
 from ..jobs.outcomes import CallOutcome
 from .amounts import Amount
 
@@ -31,8 +38,6 @@
 AUTHORIZATION_HEADER = "authorization"
 AUTHORIZATION_SCHEME = "token"
 DEFAULT_TIMEOUT_SECONDS = Seconds(3.0)
-# per job; without a limit, a small body could make the process use much memory
-TASKS_MAX = 20_000
 
 # outcomes after which the caller may try again later
 NOT_RUN = frozenset({CallOutcome.REFUSED, CallOutcome.OVER_CAP, CallOutcome.OVERLOADED})
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -23,7 +23,7 @@
     encode_call,
     encode_response,
 )
-from plantainhinge.jobs.model import JobState
+from plantainhinge.jobs.model import TASKS_MAX, JobRecord, JobSpec, JobState, Step
 from plantainhinge.jobs.outcomes import CallOutcome
 from plantainhinge.jobs.ownership import build_member_name
 
@@ -195,6 +195,14 @@
     assert decode_response(encode_response(response)) == response
 
 
+# one call of 1 MB took a process to hundreds of megabytes
+def test_a_call_with_a_job_of_too_many_steps_is_refused():
+    spec = JobSpec(payload="", steps=(Step(),) * (TASKS_MAX + 1))
+    record = JobRecord(job=JobId("j"), policy=POLICY, spec=spec, accepted_at=0.0)
+    with pytest.raises(CorruptRecordError, match=str(TASKS_MAX)):
+        decode_call(encode_call(PassedJob(record)))
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_decode_or_raise_a_corrupt_record_error(body):
     for decode in (decode_call, decode_response):
