Count a job's steps before they are decoded

What callers saw: while 100 clients sent one body of 261 kB each, with 87,000 empty steps, another caller's GET had no answer in 5 s, and an ordinary job after them got 503.

Cause: such a body is refused, but only after all its steps were decoded and built: 87,000 objects, a tenth of a second of a whole core, one request after the other on the loop that also holds the owner's place in the group.

Change: the opening braces of the body are counted first; a job has one for each step.

--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -38,6 +38,9 @@
 AUTHORIZATION_HEADER = "authorization"
 AUTHORIZATION_SCHEME = "token"
 DEFAULT_TIMEOUT_SECONDS = Seconds(3.0)
+# objects in the body of a job: the job, its steps, and braces in its payload. They are
+# counted first, as decoding takes a hundred times the memory of a short step
+OBJECTS_MAX = 1 + TASKS_MAX + 4000
 
 # outcomes after which the caller may try again later
 NOT_RUN = frozenset({CallOutcome.REFUSED, CallOutcome.OVER_CAP, CallOutcome.OVERLOADED})
@@ -235,6 +238,8 @@
     BadInputError
         If the body is invalid; the message names the field.
     """
+    if body.count(b"{") > OBJECTS_MAX:
+        raise BadInputError(f"too many steps; at most {TASKS_MAX}", step="ingress.job")
     try:
         job = msgspec.json.decode(body, type=_Job)
     except DECODING_ERRORS as error:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -382,6 +382,14 @@
         ingress.decode_spec(encode({"spec": "", "steps": steps}))
 
 
+# a hundred such bodies stopped an instance for seconds
+def test_too_many_steps_are_refused_without_decoding_them(monkeypatch):
+    monkeypatch.setattr(ingress, "_Job", None)
+    body = b'{"spec":"","steps":[' + b"{}," * 86_999 + b"{}]}"
+    with pytest.raises(BadInputError, match="too many steps"):
+        ingress.decode_spec(body)
+
+
 @given(st.text(), st.binary())
 def test_any_operator_record_is_decoded_or_ignored(key, value):
     record = operator.decode_operator_record(key, value)
