Bound the memory of decoded jobs that wait for the log

What callers saw: 60 clients with one good job of 20,000 short steps each (60 kB, inside every limit) took an instance to 221 MB.

Cause: a step is three bytes on the wire and some 500 when it is decoded, and all jobs that wait for the log were held decoded, on the way of callers as on that of forwarded jobs.

Evidence: test_crowds.py largest-jobs (new).

Change: the specs between decoding and answer have a budget, a sixteenth of memory_mb. A job beyond it is refused with 429 before anything is written, a forwarded one is left to another instance. One alone is always taken.

--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -32,6 +32,7 @@
     encode_response,
 )
 from ..jobs.ownership import build_member_name
+from ..jobs.spec_budget import SpecBudget
 from . import instance_peers
 from .admission import AdmissionControl
 from .authentication import Authenticator
@@ -41,7 +42,7 @@
 from .instance_peers import InstancePeers
 from .job_service import JobService
 from .job_view import JobView
-from .listener_limits import Listener, compute_limits
+from .listener_limits import SPEC_MEMORY_RATIO, Listener, compute_limits
 from .operator_view import OperatorView
 from .ownership import Ownership
 from .ownership_events import OwnershipNotVerified, StandbyBehind
@@ -190,6 +191,7 @@
             peers=peers,
             metrics=self.metrics,
             admission=self.admission,
+            specs=SpecBudget(int(SPEC_MEMORY_RATIO * self.settings.memory_bytes)),
         )
         self.authenticator = Authenticator(
             self.operator, self._is_log_lost, peers, self.metrics
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -36,6 +36,7 @@
 )
 from ..jobs.outcomes import CallOutcome
 from ..jobs.records import Cancellation
+from ..jobs.spec_budget import SpecBudget
 from ..jobs.table import JobRow
 from .admission import AdmissionControl
 from .call_events import (
@@ -52,6 +53,7 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_SECONDS = 1.0
+SPEC_BYTES_MAX = 16_000_000
 TIMEOUT_SECONDS_MIN = Seconds(0.1)
 # how long an instance works on a call that another one forwarded
 FORWARDED_TIMEOUT_SECONDS = Seconds(0.7)
@@ -90,6 +92,8 @@
         Decides which jobs to refuse while capacity is short.
     retry_after : float
         Seconds after which a refused caller should try again.
+    specs : SpecBudget
+        Bounds the memory of the jobs that are being submitted.
     """
 
     log: KeyedLog
@@ -102,6 +106,7 @@
     metrics: Metrics = field(default_factory=NullMetrics)
     admission: AdmissionControl = field(default_factory=AdmissionControl)
     retry_after: float = RETRY_AFTER_SECONDS
+    specs: SpecBudget = field(default_factory=lambda: SpecBudget(SPEC_BYTES_MAX))
 
     def __post_init__(self) -> None:
         self.writer = JobWriter(self.log, self.is_log_lost)
@@ -149,15 +154,24 @@
             accepted_at=read_wall(),
             workspace=name,
         )
+        outcome, cause = CallOutcome.OVERLOADED, "no memory for the job"
+        with self.specs.hold(spec) as has_room:
+            if has_room:
+                outcome = await self._write_job(record, started, timeout)
+                cause = policy.queue
+        return self._report_outcome(SubmitAnswered, job, outcome, started, cause=cause)
+
+    async def _write_job(
+        self, record: JobRecord, started: float, timeout: Seconds
+    ) -> CallOutcome:
+        """Append a job here, or let another instance do it."""
         outcome = CallOutcome.REFUSED
         if not self.is_log_lost():
             outcome = await self._append_record(record, timeout=timeout)
         if outcome in UNSETTLED:
             forwarded = await self._forward(PassedJob(record), started, timeout)
             outcome = combine_outcomes(outcome, forwarded.outcome)
-        return self._report_outcome(
-            SubmitAnswered, job, outcome, started, cause=policy.queue
-        )
+        return outcome
 
     async def _is_unknown(self, job: JobId, timeout: Seconds) -> bool:
         """Return whether a job was certainly not accepted before.
@@ -259,12 +273,16 @@
         if self.is_log_lost():
             return CallOutcome.REFUSED
         if isinstance(call, PassedJob):
-            return await self._append_record(
-                call.record, timeout=FORWARDED_TIMEOUT_SECONDS
-            )
+            return await self._write_forwarded_job(call.record)
         outcome, _ = await self._cancel_locally(call, timeout=FORWARDED_TIMEOUT_SECONDS)
         return outcome
 
+    async def _write_forwarded_job(self, record: JobRecord) -> CallOutcome:
+        with self.specs.hold(record.spec) as has_room:
+            if not has_room:
+                return CallOutcome.REFUSED
+            return await self._append_record(record, timeout=FORWARDED_TIMEOUT_SECONDS)
+
     async def _ask_owner(self, call: PassedJobCall, timeout: Seconds) -> PassedResponse:
         """Ask the owner, whose view of the jobs is the most recent.
 
--- a/plantainhinge/daemons/listener_limits.py
+++ b/plantainhinge/daemons/listener_limits.py
@@ -28,6 +28,8 @@
     Listener.PEERS: _Share(memory_ratio=1 / 16, files_ratio=1 / 8),
 }
 CONNECTIONS_MIN = 8
+# of the memory, for jobs that have been read and aren't in the log yet
+SPEC_MEMORY_RATIO = 1 / 16
 
 
 def compute_limits(
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -262,6 +262,13 @@
     yield _build_head(number, f"Content-Length: {len(body)}") + b"\r\n" + body
 
 
+@crowd("largest-jobs", connections=60)
+def send_largest_job(number: int) -> Iterator[bytes]:
+    """Submit a good job with as many steps as a job may have."""
+    body = b'{"spec":"0.1","steps":[' + b"{}," * 19_999 + b"{}]}"
+    yield _build_head(number + 1000, f"Content-Length: {len(body)}") + b"\r\n" + body
+
+
 @crowd("forwarded-steps", connections=5)
 def forward_many_steps(number: int) -> Iterator[bytes]:
     """Forward a job of very many steps, as one instance does to another."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -59,6 +59,7 @@
     ("callers", "many-headers", LITTLE_MEMORY),
     ("callers", "pipelined-bodies", LITTLE_MEMORY),
     ("callers", "many-steps", LITTLE_MEMORY),
+    ("callers", "largest-jobs", LITTLE_MEMORY),
     ("control", "large-chunk", LITTLE_MEMORY),
     ("control", "forwarded-steps", LITTLE_MEMORY),
     ("ready", "header-value", LITTLE_MEMORY),
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -8,9 +8,11 @@
 from plantainhinge.daemons.job_service import JobService
 from plantainhinge.daemons.job_view import JOB_TOPIC, PROGRESS_TOPIC, JobView
 from plantainhinge.fleet.protocols import Entry, Fence
-from plantainhinge.jobs.model import JobState
+from plantainhinge.jobs.forwarding import PassedJob
+from plantainhinge.jobs.model import JobRecord, JobSpec, JobState, Step
 from plantainhinge.jobs.outcomes import CallOutcome
 from plantainhinge.jobs.records import Progress, build_key, encode_record
+from plantainhinge.jobs.spec_budget import estimate_memory
 
 from .keyed_log import MemoryKeyedLog
 from .simulated_cell import make_job, make_policy
@@ -190,3 +192,32 @@
         return await service.get_job_state(JobId("a"), timeout=1.0)
 
     assert run_service(scenario) is JobState.QUEUED
+
+
+# jobs of many steps that waited for a slow log took a process to hundreds of megabytes
+def test_large_jobs_are_refused_while_others_wait_for_the_log():
+    large = JobSpec(payload="", steps=(Step(),) * 1000)
+
+    async def scenario(log, service):
+        service.specs.limit = 2 * estimate_memory(large)
+        log.append_delay = 0.1
+
+        def post(job, spec):
+            return service.submit(JobId(job), POLICY, spec, timeout=1.0)
+
+        calls = [post(f"large-{number}", large) for number in range(4)]
+        outcomes = await asyncio.gather(*calls)
+        forwarded = [post_forwarded(service, f"f-{n}", large) for n in range(4)]
+        answers = await asyncio.gather(*forwarded)
+        alone = await post("alone", JobSpec(payload="", steps=(Step(),) * 9000))
+        return outcomes, [answer.outcome for answer in answers], alone
+
+    outcomes, forwarded, alone = run_service(scenario)
+    assert outcomes == [CallOutcome.DONE] * 2 + [CallOutcome.OVERLOADED] * 2
+    assert forwarded == [CallOutcome.DONE] * 2 + [CallOutcome.REFUSED] * 2
+    assert alone is CallOutcome.DONE
+
+
+def post_forwarded(service, job, spec):
+    record = JobRecord(job=JobId(job), policy=POLICY, spec=spec, accepted_at=0.0)
+    return service.handle_forwarded_call(PassedJob(record))
