Decode large bodies in turn, so that small requests come in between

What callers saw: while many large bodies came in together, an ordinary request was answered only after all of them.

Cause: decoding a body with thousands of steps takes up to a tenth of a second of a whole core, and all bodies that are ready were decoded in one turn of the event loop.

Evidence: in a new test of test_instance.py a small job that comes with five of 10,000 steps was submitted last.

Change: bodies over 16 KiB are decoded one a turn. A request whose turn doesn't come within its deadline is refused with 503; it has not run.

Result: the small job is submitted first.

--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -1,9 +1,10 @@
 """The platform's HTTP API for jobs, translated to calls of the job service."""
 
+import asyncio
 import logging
 import math
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 import msgspec
@@ -42,6 +43,9 @@
 # counted first, as decoding takes a hundred times the memory of a short step
 OBJECTS_MAX = 1 + TASKS_MAX + 4000
 
+# a larger body may hold so many steps that decoding it takes a noticeable time
+LARGE_BODY_BYTES = 16_384
+
 # outcomes after which the caller may try again later
 NOT_RUN = frozenset({CallOutcome.REFUSED, CallOutcome.OVER_CAP, CallOutcome.OVERLOADED})
 STATUSES = {
@@ -108,6 +112,7 @@
 
     service: JobService
     authenticator: Authenticator
+    _large_body_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Handle one request; it is refused until a configuration has been read."""
@@ -162,22 +167,45 @@
         return HttpReply(status=405)
 
     async def _submit(self, call: "_Call", job: JobId) -> HttpReply:
+        timeout = _read_timeout(call.request)
         try:
-            spec = decode_spec(call.request.body)
+            spec = await self._decode(call.request.body, timeout)
         except BadInputError as error:
             write_event(logger, JobMalformed(job=job, cause=str(error)))
             return HttpReply(status=STATUSES[CallOutcome.MALFORMED])
+        except TimeoutError:
+            return _build_outcome_reply(CallOutcome.REFUSED, self.service.retry_after)
         outcome = await self.service.submit(
             job,
             call.route.policy,
             spec,
             workspace=call.workspace,
-            timeout=_read_timeout(call.request),
+            timeout=timeout,
         )
         if isinstance(outcome, Refusal):
             return _build_outcome_reply(CallOutcome.OVERLOADED, outcome.retry_after)
         return _build_outcome_reply(outcome, self.service.retry_after)
 
+    async def _decode(self, body: bytes, timeout: Seconds) -> JobSpec:
+        """Decode the body of a submitted job, large ones in turn.
+
+        Otherwise many large bodies that arrive together would keep everything else
+        waiting until the last one is decoded.
+
+        Raises
+        ------
+        BadInputError
+            If the body is invalid.
+        TimeoutError
+            If its turn doesn't come in time.
+        """
+        if len(body) <= LARGE_BODY_BYTES:
+            return decode_spec(body)
+        async with asyncio.timeout(timeout), self._large_body_lock:
+            # lets go of the event loop, as decoding itself doesn't
+            await asyncio.sleep(0)
+            return decode_spec(body)
+
     async def _get_state(self, call: "_Call", job: JobId) -> HttpReply:
         state = await self.service.get_job_state(
             job, caller=call.caller, timeout=_read_timeout(call.request)
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import msgspec
+
 from plantainhinge.adapters.stream_http_messages import HttpRequest
 from plantainhinge.core.ids import Revision
 from plantainhinge.daemons.instance import keep_running
 from plantainhinge.fleet.operator import QueueRoute, SchedulingConfiguration
+from plantainhinge.jobs.outcomes import CallOutcome
 from plantainhinge.platform.ingress import Ingress
 
 from .simulated_cell import make_policy
@@ -24,6 +27,11 @@
 
     def __init__(self, configuration):
         self.configuration = configuration
+        self.submitted = []
+
+    async def submit(self, job, policy, spec, *, workspace, timeout):
+        self.submitted.append(len(spec.steps))
+        return CallOutcome.DONE
 
 
 def call(configuration, method, path, body=b""):
@@ -57,3 +65,38 @@
 
 def test_a_body_over_the_configured_limit_is_rejected():
     assert call(CONFIGURATION, "POST", "/p/0123456789abcdef", b"x" * 11)[0] == 413
+
+
+# one caller after the other waited until all large bodies were decoded
+def test_a_small_job_does_not_wait_for_all_large_ones():
+    configuration = msgspec.structs.replace(CONFIGURATION, body_bytes_max=100_000)
+    service = Service(configuration)
+    ingress = Ingress(service, None)
+
+    def post(number, steps):
+        body = b'{"spec":"","steps":[' + b"{}," * (steps - 1) + b"{}]}"
+        path = f"/p/{number:016x}"
+        return ingress.handle(HttpRequest("POST", path, {"host": "h"}, body))
+
+    async def run():
+        large = [post(number, 10_000) for number in range(5)]
+        return await asyncio.gather(*large, post(5, 1))
+
+    replies = asyncio.run(run())
+    assert [reply.status for reply in replies] == [200] * 6
+    assert service.submitted.index(1) == 0
+
+
+def test_a_large_job_whose_turn_comes_too_late_is_refused():
+    configuration = msgspec.structs.replace(CONFIGURATION, body_bytes_max=100_000)
+    service = Service(configuration)
+    ingress = Ingress(service, None)
+    headers = {"host": "h", "x-deadline-ms": "50"}
+    request = HttpRequest("POST", "/p/0123456789abcdef", headers, b" " * 20_000)
+
+    async def run():
+        async with ingress._large_body_lock:
+            return await ingress.handle(request)
+
+    reply = asyncio.run(run())
+    assert (reply.status, dict(reply.headers)) == (503, {"Retry-After": "1"})
