Bound the time that a caller's deadline keeps a request

What callers saw: nothing yet; found by reading. A request with X-Deadline-Ms: inf asked for an owner as long as there was none, and kept its connection all the while, which never gives way then.

Cause: any number that float() reads was taken as the deadline, infinity and NaN too.

--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -39,6 +39,7 @@
 AUTHORIZATION_HEADER = "authorization"
 AUTHORIZATION_SCHEME = "token"
 DEFAULT_TIMEOUT_SECONDS = Seconds(3.0)
+TIMEOUT_SECONDS_MAX = Seconds(60.0)
 # objects in the body of a job: the job, its steps, and braces in its payload. They are
 # counted first, as decoding takes a hundred times the memory of a short step
 OBJECTS_MAX = 1 + TASKS_MAX + 4000
@@ -319,11 +320,17 @@
 
 
 def _read_timeout(request: HttpRequest) -> Seconds:
-    """Return the timeout that the caller sent, or the default, in seconds."""
+    """Return the timeout that the caller sent, or the default, in seconds.
+
+    It is bounded: a request is kept, with its connection, until it is answered.
+    """
     try:
-        return Seconds(float(request.headers[DEADLINE_HEADER]) / 1000)
+        timeout = Seconds(float(request.headers[DEADLINE_HEADER]) / 1000)
     except (KeyError, ValueError):
         return DEFAULT_TIMEOUT_SECONDS
+    if math.isnan(timeout):
+        return DEFAULT_TIMEOUT_SECONDS
+    return min(timeout, TIMEOUT_SECONDS_MAX)
 
 
 def _build_outcome_reply(outcome: CallOutcome, retry_after: float) -> HttpReply:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 
 from plantainhinge.adapters.stream_http_messages import HttpRequest
 from plantainhinge.core.ids import Revision
@@ -28,11 +29,16 @@
     def __init__(self, configuration):
         self.configuration = configuration
         self.submitted = []
+        self.timeouts = []
 
     async def submit(self, job, policy, spec, *, workspace, timeout):
         self.submitted.append(len(spec.steps))
         return CallOutcome.DONE
 
+    async def get_job_state(self, job, *, caller, timeout):
+        self.timeouts.append(timeout)
+        return CallOutcome.UNKNOWN_JOB
+
 
 def call(configuration, method, path, body=b""):
     request = HttpRequest(method, path, {"host": "h"}, body)
@@ -100,3 +106,16 @@
 
     reply = asyncio.run(run())
     assert (reply.status, dict(reply.headers)) == (503, {"Retry-After": "1"})
+
+
+# while the cell had no owner, such a request was kept for ever
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("1500", 1.5), ("inf", 60), ("1e300", 60), ("nan", 3), ("x", 3), ("", 3)],
+)
+def test_a_deadline_that_is_too_long_or_none_is_bounded(text, seconds):
+    service = Service(CONFIGURATION)
+    headers = {"host": "h", "x-deadline-ms": text}
+    request = HttpRequest("GET", "/p/0123456789abcdef", headers, b"")
+    asyncio.run(Ingress(service, None).handle(request))
+    assert service.timeouts == [seconds]
