Answer a request that offers another protocol, and close after it

What callers saw: no answer to a request with an Upgrade header, or to CONNECT, and its connection closed, while the request ran; the log got a traceback for each, at a level that nothing bounds.

Cause: httptools raises HttpParserUpgrade for them, which isn't one of its parser errors.

Evidence: two new rows of test_stream_http.py; 'Fatal error: protocol.data_received() call failed'.

Change: the request is answered as any other one, the connection is closed then, and what follows is not read.

Result: the rows pass.

--- a/plantainhinge/adapters/stream_http_reader.py
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -89,6 +89,9 @@
         self._progressed = False
         try:
             self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade as error:
+            # the request itself was handed over; what follows is for another protocol
+            raise RequestRejectedError(400, "no other protocol is spoken") from error
         except httptools.HttpParserError as error:
             # the parser raises an error of its own if a callback raised one
             if isinstance(error.__context__, RequestRejectedError):
@@ -145,7 +148,8 @@
         )
         size = self._measure()
         self._reset()
-        self._take(request, size, self._parser.should_keep_alive())
+        keep_alive = self._parser.should_keep_alive()
+        self._take(request, size, keep_alive and not self._parser.should_upgrade())
 
     def _measure(self) -> int:
         return (
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -285,6 +285,8 @@
         (b"POST /a HTTP/1.1\r\n\r\n" * 2 + b"GET /" + b"u" * 20_000, 2, 431),
         (b"POST /slow HTTP/1.1\r\n\r\n" + CHUNKED + b"x\r\n", 1, 400),
         (b"POST /a HTTP/1.1\r\nConnection: close\r\n\r\nnonsense\r\n\r\n", 1, None),
+        (b"GET /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", 1, None),
+        (b"CONNECT a:1 HTTP/1.1\r\n\r\nother", 1, None),
     ],
 )
 def test_a_refusal_comes_after_the_answers_to_what_was_read_before(data, ran, refusal):
