Handle no further request of a client that doesn't read its answers

What callers saw: nothing yet.

Cause: answers were written without flow control.

Evidence: a new test with 16 pipelined requests and answers of 1 MB: all 16 were handled and held. In a second one, a connection with unread answers kept a new one out for ever.

Change: beyond 16 KiB of unread answers no request of the connection is handled until the client has read them. They count in the budget of the listener; such a connection waits for its client, so that it gives way like an idle one, or when memory is short.

Result: both tests pass, and all answers arrive once the client reads. A third test checks that connections that are gone hold nothing.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -21,6 +21,8 @@
 # connection that is closed with unread bytes is reset, and the client loses the answer
 LINGER_SECONDS = Seconds(2.0)
 LINGER_BYTES_MAX = 1 << 20
+# of answers that wait for the client to read; beyond it, no request is handled
+UNREAD_BYTES_MAX = 16_384
 RETRY_AFTER_SECONDS = 1
 # of these, the client may send the same request again
 RETRYABLE_STATUSES = frozenset({429, 503})
@@ -97,12 +99,17 @@
         self._task: asyncio.Task[None] | None = None
         self._phase = Phase.READING
         self._lingered_bytes = 0
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._waits = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by asyncio, like the next two methods."""
-        self._transport = transport  # type: ignore[assignment]
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(UNREAD_BYTES_MAX, low=0)
+        self._transport = transport
         self._server.connections.add(self)
-        self._server.note_waiting(self, waits=True)
+        self._update_waiting()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the transport and what was being received."""
@@ -110,6 +117,19 @@
         self._transport = None
         self._reader.abandon()
         self._update_budget()
+        self._writable.set()
+
+    def pause_writing(self) -> None:
+        """Wait until the client has read its answers; called by asyncio."""
+        self._writable.clear()
+        self._update_budget()
+        self._update_waiting()
+
+    def resume_writing(self) -> None:
+        """Go on with the requests that are left; called by asyncio."""
+        self._writable.set()
+        self._update_budget()
+        self._update_waiting()
 
     def data_received(self, data: bytes) -> None:
         """Read requests, or throw away what follows a refusal."""
@@ -130,11 +150,18 @@
 
     @property
     def unfinished_bytes(self) -> int:
-        """Memory that the request that is being received takes up."""
-        return self._reader.held_bytes
+        """Memory that it holds because its client doesn't send or read the rest."""
+        return self._reader.held_bytes if self._writable.is_set() else self._held_bytes
 
     def give_way(self) -> None:
-        """Refuse the request that is being received, for the sake of others."""
+        """Let go of that memory, for the sake of others.
+
+        A request that is being received is refused. A client that doesn't read its
+        answers can't be told anything.
+        """
+        if not self._writable.is_set():
+            self._abort()
+            return
         self._refuse(RequestRejectedError(503, "no memory for the request"))
         self._update_budget()
 
@@ -143,6 +170,9 @@
 
         A request that isn't complete is refused, so that its client knows.
         """
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._abort()
+            return
         if self._reader.receiving:
             refusal = _build_refusal(503)
             self._write(refusal, keep_alive=False)
@@ -193,10 +223,13 @@
         self._queue.append(exchange)
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
-            self._server.note_waiting(self, waits=False)
+            self._update_waiting()
 
     async def _serve(self) -> None:
         while self._queue:
+            await self._writable.wait()
+            if not self._queue:
+                break
             exchange = self._queue[0]
             reply = exchange.refusal
             if exchange.request is not None:
@@ -211,8 +244,7 @@
                 self._end()
             self._update_budget()
         self._task = None
-        if self._transport is not None:
-            self._server.note_waiting(self, waits=True)
+        self._update_waiting()
 
     def _make_room(self, size: int) -> None:
         server = self._server
@@ -222,9 +254,24 @@
     def _update_budget(self) -> None:
         queued = sum(exchange.size for exchange in self._queue)
         held = queued + self._reader.held_bytes
+        if self._transport is not None and not self._writable.is_set():
+            held += self._transport.get_write_buffer_size()
         self._server.budget.held += held - self._held_bytes
         self._held_bytes = held
 
+    def _update_waiting(self) -> None:
+        """Tell the server when waiting for the client begins or ends."""
+        waits = self._task is None or not self._writable.is_set()
+        if waits is not self._waits and self._transport is not None:
+            self._waits = waits
+            self._server.note_waiting(self, waits=waits)
+
+    def _abort(self) -> None:
+        """Close the connection with the answers that its client hasn't read."""
+        self._queue.clear()
+        if self._transport is not None:
+            self._transport.abort()
+
     def _write(self, reply: HttpReply, *, keep_alive: bool) -> None:
         if self._transport is not None:
             self._transport.write(reply.encode(keep_alive=keep_alive))
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -376,6 +376,88 @@
     assert all(b" 200 " in answer for answer in answers)
 
 
+# answers that nobody read piled up in the process
+def test_a_client_that_reads_nothing_gets_no_further_answers_until_it_does():
+    size, requests = 1_000_000, 16
+    handled = []
+
+    async def answer(request):
+        handled.append(request)
+        return HttpReply(status=200, body=b"x" * size)
+
+    async def run():
+        server = HttpServer(find_free_address(), answer)
+        await server.start()
+        _, writer = opened = await connect(server)
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\n\r\n" * requests)
+        before = -1
+        while len(handled) != before:
+            before = len(handled)
+            await asyncio.sleep(0.2)
+        (connection,) = server.connections
+        unread = connection._transport.get_write_buffer_size()
+        writer.transport.resume_reading()
+        reader, received = opened[0], 0
+        while received < requests * size:
+            received += len(await reader.read(1 << 20))
+        writer.close()
+        return before, unread
+
+    before, unread = asyncio.run(asyncio.wait_for(run(), 30))
+    assert before < requests
+    assert unread <= size + 16_384
+    assert len(handled) == requests
+
+
+def test_a_client_that_reads_nothing_gives_way():
+    async def answer(request):
+        return HttpReply(status=200, body=b"x" * 20_000_000)
+
+    async def run():
+        limits = ServerLimits(connections=1)
+        server = HttpServer(find_free_address(), answer, limits=limits)
+        await server.start()
+        _, first = await connect(server)
+        first.transport.pause_reading()
+        first.write(b"GET / HTTP/1.1\r\n\r\n" * 3)
+        await asyncio.sleep(0.2)
+        reader, writer = await connect(server, b"GET / HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        for opened in (first, writer):
+            opened.close()
+
+    asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def test_connections_that_are_gone_hold_nothing():
+    parts = [
+        b"GET /a HTTP/1.1\r\n\r\n",
+        b"GET /slow HTTP/1.1\r\n\r\n" * 3,
+        b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + b"x" * 50,
+        b"POST / HTTP/1.1\r\nX: " + b"x" * 1000,
+        b"nonsense\r\n\r\n",
+        CHUNKED + b"5;" + b"x" * 1000,
+        b"\r\n" * 20_000,
+        b"",
+    ]
+
+    async def run():
+        limits = ServerLimits(received_bytes=8000)
+        server = HttpServer(find_free_address(), echo, limits=limits)
+        await server.start()
+        opened = [
+            await connect(server, first + second) for first in parts for second in parts
+        ]
+        for _, writer in opened:
+            writer.transport.abort()
+        while server.connections or server.budget.held:
+            await asyncio.sleep(0.01)
+        return server.budget.held, server._waiting
+
+    assert asyncio.run(asyncio.wait_for(run(), 30)) == (0, {})
+
+
 @pytest.mark.parametrize("chunk", [1, 2, 100_000])
 def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
     size = 300_000
