Give a client a minute for the rest of its request, or to read its answers

What callers saw: a connection with half a request, or with answers that nobody reads, stayed for ever, with all that it held, as long as nobody else needed the room.

Cause: no such time was limited.

Evidence: the connections of the crowds were still open when they were closed by the test.

Change: 60 s from the first byte of a request to its last, then 408; 60 s to read answers beyond 16 KiB, then the connection is closed. A client that goes on has the time anew with each request, and an idle connection has no limit, as callers keep theirs open between calls.

Result: two new tests of test_stream_http.py, with the time shortened.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -23,6 +23,8 @@
 LINGER_BYTES_MAX = 1 << 20
 # of answers that wait for the client to read; beyond it, no request is handled
 UNREAD_BYTES_MAX = 16_384
+# for a client to send the rest of a request, or to read its answers
+CLIENT_SECONDS_MAX = Seconds(60.0)
 RETRY_AFTER_SECONDS = 1
 # of these, the client may send the same request again
 RETRYABLE_STATUSES = frozenset({429, 503})
@@ -102,6 +104,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._waits = False
+        self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by asyncio, like the next two methods."""
@@ -117,17 +120,20 @@
         self._transport = None
         self._reader.abandon()
         self._update_budget()
+        self._stop_timer()
         self._writable.set()
 
     def pause_writing(self) -> None:
         """Wait until the client has read its answers; called by asyncio."""
         self._writable.clear()
+        self._watch_client()
         self._update_budget()
         self._update_waiting()
 
     def resume_writing(self) -> None:
         """Go on with the requests that are left; called by asyncio."""
         self._writable.set()
+        self._watch_client(progressed=True)
         self._update_budget()
         self._update_waiting()
 
@@ -141,6 +147,7 @@
             self._reader.feed(data)
         except RequestRejectedError as error:
             self._refuse(error)
+        self._watch_client()
         self._update_budget()
 
     @property
@@ -187,6 +194,7 @@
         """Close the connection once the written data has been sent."""
         if self._transport is not None:
             self._transport.close()
+            self._watch_client()
 
     def give_up(self) -> int:
         """Answer the requests that were read and have no answer; return their number.
@@ -208,6 +216,7 @@
     def _take(self, request: HttpRequest, size: int, keep_alive: bool) -> None:
         if len(self._queue) >= PIPELINED_REQUESTS_MAX:
             raise RequestRejectedError(429, "too many pipelined requests")
+        self._watch_client(progressed=self._writable.is_set())
         self._add(_Exchange(request, size, keep_alive))
 
     def _refuse(self, error: RequestRejectedError) -> None:
@@ -246,6 +255,41 @@
         self._task = None
         self._update_waiting()
 
+    def _watch_client(self, *, progressed: bool = False) -> None:
+        """Limit the time that the client has for the rest of a request or its answers.
+
+        Parameters
+        ----------
+        progressed : bool
+            Whether the client has done its part, so that its time begins anew.
+        """
+        owes = self._reader.held_bytes > 0 or self._has_unread_answers()
+        if progressed or not owes:
+            self._stop_timer()
+        if owes and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(CLIENT_SECONDS_MAX, self._time_out)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        self._timer = None
+        if self._has_unread_answers():
+            self._abort()
+        elif self._reader.held_bytes:
+            self._refuse(RequestRejectedError(408, "the rest didn't come in time"))
+            self._update_budget()
+
+    def _has_unread_answers(self) -> bool:
+        """Return whether it can't go on until its client reads."""
+        if self._transport is None:
+            return False
+        is_blocked = self._transport.is_closing() or not self._writable.is_set()
+        return is_blocked and self._transport.get_write_buffer_size() > 0
+
     def _make_room(self, size: int) -> None:
         server = self._server
         if not server.budget.make_room(self, size, server.connections):
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from plantainhinge.adapters import stream_http_client
+from plantainhinge.adapters import stream_http_client, stream_http_connection
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
 from plantainhinge.adapters.stream_http_limits import ServerLimits
 from plantainhinge.adapters.stream_http_messages import HttpReply
@@ -430,6 +430,45 @@
     asyncio.run(asyncio.wait_for(run(), 10))
 
 
+def test_a_client_that_never_sends_the_rest_is_told_so_and_an_idle_one_stays(
+    monkeypatch,
+):
+    monkeypatch.setattr(stream_http_connection, "CLIENT_SECONDS_MAX", 0.3)
+
+    async def scenario(server, client):
+        idle = await connect(server, b"GET /idle HTTP/1.1\r\n\r\n")
+        halves = [
+            await connect(server, data)
+            for data in (b"\r\n", b"GET /a", CHUNKED + b"2\r\n{}\r\n")
+        ]
+        statuses = [await read_statuses(reader) for reader, _ in halves]
+        reader, writer = idle
+        await reader.readuntil(b"/idle")
+        writer.write(b"GET /again HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"/again")
+        for _, opened in (idle, *halves):
+            opened.close()
+        return statuses
+
+    assert serve(scenario) == [[408]] * 3
+
+
+def test_a_client_that_sends_one_request_after_the_other_is_not_cut_off(monkeypatch):
+    monkeypatch.setattr(stream_http_connection, "CLIENT_SECONDS_MAX", 0.3)
+    request = b"GET /a HTTP/1.1\r\n\r\n"
+
+    async def scenario(server, client):
+        reader, writer = await connect(server, request[:5])
+        for _ in range(12):
+            writer.write(request[5:] + request[:5])
+            await reader.readuntil(b"/a")
+            await asyncio.sleep(0.05)
+        writer.close()
+        return True
+
+    assert serve(scenario)
+
+
 def test_connections_that_are_gone_hold_nothing():
     parts = [
         b"GET /a HTTP/1.1\r\n\r\n",
