Count refusals of the listeners by cause

What operators saw: a line of the log for each refusal, of which 60 a second are written, and no figure; and answers whose status line said 'Status' for 400, 413 and others.

Cause: the server knew neither metrics nor causes, only statuses.

Change: each refusal before the handler has a typed cause, from which its status follows, and is counted by listener and cause. The status lines name the usual reasons.

Result: four rows of a new test of test_stream_http.py.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -10,9 +10,14 @@
 from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.log_events import RequestRejected
-from .stream_http_limits import ReceiveBudget
+from .stream_http_limits import (
+    STATUSES,
+    ReceiveBudget,
+    RejectionCause,
+    RequestRejectedError,
+)
 from .stream_http_messages import HttpReply, HttpRequest
-from .stream_http_reader import RequestReader, RequestRejectedError
+from .stream_http_reader import RequestReader
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +58,9 @@
     def get_body_bytes_max(self) -> int:
         """Return the size of the largest body that is read."""
 
+    def count_rejection(self, cause: RejectionCause) -> None:
+        """Count a request that is refused before its handler sees it."""
+
     def note_waiting(self, connection: "Connection", *, waits: bool) -> None:
         """Note whether a connection waits for its client, so that it may give way."""
 
@@ -169,7 +177,9 @@
         if not self._writable.is_set():
             self._abort()
             return
-        self._refuse(RequestRejectedError(503, "no memory for the request"))
+        self._refuse(
+            RequestRejectedError(RejectionCause.NO_MEMORY, "no memory for the request")
+        )
         self._update_budget()
 
     def make_way(self) -> None:
@@ -181,7 +191,8 @@
             self._abort()
             return
         if self._reader.receiving:
-            refusal = _build_refusal(503)
+            self._server.count_rejection(RejectionCause.NO_CONNECTION)
+            refusal = _build_refusal(RejectionCause.NO_CONNECTION)
             self._write(refusal, keep_alive=False)
         self.close()
 
@@ -215,17 +226,21 @@
 
     def _take(self, request: HttpRequest, size: int, keep_alive: bool) -> None:
         if len(self._queue) >= PIPELINED_REQUESTS_MAX:
-            raise RequestRejectedError(429, "too many pipelined requests")
+            raise RequestRejectedError(
+                RejectionCause.TOO_MANY_AHEAD, "too many pipelined requests"
+            )
         self._watch_client(progressed=self._writable.is_set())
         self._add(_Exchange(request, size, keep_alive))
 
     def _refuse(self, error: RequestRejectedError) -> None:
-        write_event(logger, RequestRejected(status=error.status, cause=str(error)))
+        event = RequestRejected(status=STATUSES[error.cause], cause=str(error))
+        write_event(logger, event)
+        self._server.count_rejection(error.cause)
         self._phase = Phase.REFUSED
         self._reader.abandon()
         if self._transport is not None:
             self._transport.pause_reading()
-        refusal = _build_refusal(error.status)
+        refusal = _build_refusal(error.cause)
         self._add(_Exchange(None, 0, keep_alive=False, refusal=refusal))
 
     def _add(self, exchange: _Exchange) -> None:
@@ -280,7 +295,11 @@
         if self._has_unread_answers():
             self._abort()
         elif self._reader.held_bytes:
-            self._refuse(RequestRejectedError(408, "the rest didn't come in time"))
+            self._refuse(
+                RequestRejectedError(
+                    RejectionCause.TOO_SLOW, "the rest didn't come in time"
+                )
+            )
             self._update_budget()
 
     def _has_unread_answers(self) -> bool:
@@ -293,7 +312,9 @@
     def _make_room(self, size: int) -> None:
         server = self._server
         if not server.budget.make_room(self, size, server.connections):
-            raise RequestRejectedError(503, "no memory for the request")
+            raise RequestRejectedError(
+                RejectionCause.NO_MEMORY, "no memory for the request"
+            )
 
     def _update_budget(self) -> None:
         queued = sum(exchange.size for exchange in self._queue)
@@ -336,7 +357,8 @@
             self.close()
 
 
-def _build_refusal(status: int) -> HttpReply:
+def _build_refusal(cause: RejectionCause) -> HttpReply:
+    status = STATUSES[cause]
     headers: tuple[tuple[str, str], ...] = ()
     if status in RETRYABLE_STATUSES:
         headers = (("Retry-After", str(RETRY_AFTER_SECONDS)),)
--- a/plantainhinge/adapters/stream_http_limits.py
+++ b/plantainhinge/adapters/stream_http_limits.py
@@ -2,9 +2,41 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 
+class RejectionCause(Enum):
+    """Why a server refuses a request before its handler sees it."""
+
+    MALFORMED = "malformed"
+    HEAD_TOO_LARGE = "head-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    TOO_MANY_AHEAD = "too-many-ahead"
+    NO_MEMORY = "no-memory"
+    NO_CONNECTION = "no-connection"
+    TOO_SLOW = "too-slow"
+
+
+STATUSES = {
+    RejectionCause.MALFORMED: 400,
+    RejectionCause.TOO_SLOW: 408,
+    RejectionCause.BODY_TOO_LARGE: 413,
+    RejectionCause.TOO_MANY_AHEAD: 429,
+    RejectionCause.HEAD_TOO_LARGE: 431,
+    RejectionCause.NO_CONNECTION: 503,
+    RejectionCause.NO_MEMORY: 503,
+}
+
+
+class RequestRejectedError(Exception):
+    """What was received is no request, or over a limit."""
+
+    def __init__(self, cause: RejectionCause, message: str) -> None:
+        super().__init__(message)
+        self.cause = cause
+
+
 @dataclass(frozen=True, kw_only=True)
 class ServerLimits:
     """Limits of one server for all of its connections together.
--- a/plantainhinge/adapters/stream_http_messages.py
+++ b/plantainhinge/adapters/stream_http_messages.py
@@ -5,10 +5,16 @@
 
 REASONS = {
     200: "OK",
+    400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
     410: "Gone",
+    413: "Content Too Large",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
--- a/plantainhinge/adapters/stream_http_reader.py
+++ b/plantainhinge/adapters/stream_http_reader.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from .stream_http_limits import RejectionCause, RequestRejectedError
 from .stream_http_messages import HttpRequest
 
 HEADER_BYTES_MAX = 16384
@@ -19,20 +20,6 @@
 UNIQUE_HEADERS = frozenset({"authorization"})
 
 
-class RequestRejectedError(Exception):
-    """What was received is no request, or over a limit.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status that tells the peer so.
-    """
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
-
 class RequestReader:
     """Reads the requests of one connection; the ``on_`` methods are for the parser.
 
@@ -91,17 +78,21 @@
             self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade as error:
             # the request itself was handed over; what follows is for another protocol
-            raise RequestRejectedError(400, "no other protocol is spoken") from error
+            raise RequestRejectedError(
+                RejectionCause.MALFORMED, "no other protocol is spoken"
+            ) from error
         except httptools.HttpParserError as error:
             # the parser raises an error of its own if a callback raised one
             if isinstance(error.__context__, RequestRejectedError):
                 raise error.__context__ from None
-            raise RequestRejectedError(400, str(error)) from None
+            raise RequestRejectedError(RejectionCause.MALFORMED, str(error)) from None
         self._framing_bytes = (
             0 if self._progressed else self._framing_bytes + len(piece)
         )
         if self._framing_bytes > FRAMING_BYTES_MAX:
-            raise RequestRejectedError(431, f"framing over {FRAMING_BYTES_MAX} bytes")
+            raise RequestRejectedError(
+                RejectionCause.HEAD_TOO_LARGE, f"framing over {FRAMING_BYTES_MAX} bytes"
+            )
 
     def on_message_begin(self) -> None:
         """Begin a request."""
@@ -118,7 +109,9 @@
         self._count_header(len(name) + len(value))
         self._header_lines += 1
         if self._header_lines > HEADERS_MAX:
-            raise RequestRejectedError(431, f"over {HEADERS_MAX} headers")
+            raise RequestRejectedError(
+                RejectionCause.HEAD_TOO_LARGE, f"over {HEADERS_MAX} headers"
+            )
         key, text = name.decode("latin-1").lower(), value.decode("latin-1")
         if key in UNIQUE_HEADERS and key in self._headers:
             text = f"{self._headers[key]}, {text}"
@@ -171,9 +164,13 @@
 
     def _check_body(self, size: int) -> None:
         if size > self._body_bytes_max:
-            raise RequestRejectedError(413, f"body over {self._body_bytes_max} bytes")
+            raise RequestRejectedError(
+                RejectionCause.BODY_TOO_LARGE, f"body over {self._body_bytes_max} bytes"
+            )
 
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > HEADER_BYTES_MAX:
-            raise RequestRejectedError(431, f"headers over {HEADER_BYTES_MAX} bytes")
+            raise RequestRejectedError(
+                RejectionCause.HEAD_TOO_LARGE, f"headers over {HEADER_BYTES_MAX} bytes"
+            )
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -11,7 +11,7 @@
 from ..fleet.log_events import HandlerFailed, RequestsGivenUp
 from .stream_http_acceptor import Acceptor
 from .stream_http_connection import Connection
-from .stream_http_limits import ReceiveBudget, ServerLimits
+from .stream_http_limits import ReceiveBudget, RejectionCause, ServerLimits
 from .stream_http_messages import Handler, HttpReply, HttpRequest
 
 logger = logging.getLogger(__name__)
@@ -35,12 +35,15 @@
         Returns the size of the largest body that is read.
     limits : ServerLimits
         What all connections may use together.
+    count_rejection : callable
+        Counts a request that is refused before the handler sees it.
     """
 
     address: str
     handle: Handler
     get_body_bytes_max: Callable[[], int] = lambda: BODY_BYTES_MAX
     limits: ServerLimits = ServerLimits()
+    count_rejection: Callable[[RejectionCause], None] = lambda cause: None
     draining: bool = False
     connections: set[Connection] = field(default_factory=set)
     # those that wait for their clients, the longest first
--- a/plantainhinge/core/metrics.py
+++ b/plantainhinge/core/metrics.py
@@ -12,6 +12,7 @@
     """Monotonically increasing totals."""
 
     REFUSALS = "plantainhinge.requests.refused"
+    REJECTIONS = "plantainhinge.requests.rejected"
     RETRIES = "plantainhinge.requests.retried"
     UNKNOWN_OUTCOMES = "plantainhinge.requests.unknown"
     STARTS = "plantainhinge.attempts.started"
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -13,14 +13,14 @@
 from typing import Any
 
 from ..adapters.metrics_text import TextMetrics
-from ..adapters.stream_http_limits import ServerLimits
-from ..adapters.stream_http_messages import HttpReply, HttpRequest
+from ..adapters.stream_http_limits import RejectionCause
+from ..adapters.stream_http_messages import Handler, HttpReply, HttpRequest
 from ..adapters.stream_http_server import HttpServer
 from ..core.clock import read_monotonic
 from ..core.errors import CorruptRecordError, PlantainhingeError
 from ..core.ids import InstanceId, Seconds
 from ..core.log_events import write_event
-from ..core.metrics import Level
+from ..core.metrics import Counter, Level
 from ..dispatch.leases import LeaseTerms
 from ..fleet.operator import BODY_BYTES_MAX
 from ..fleet.protocols import KeyedLog, WorkerCalls
@@ -197,34 +197,27 @@
             self.operator, self._is_log_lost, peers, self.metrics
         )
 
-    async def run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
+    async def run(self, handle: Handler) -> None:
         """Serve until SIGTERM or SIGINT, then release the cell and drain calls."""
         with handle_reload_signals(self._reload_settings):
             await self._run(handle)
 
-    async def _run(self, handle: Callable[[HttpRequest], Awaitable[HttpReply]]) -> None:
+    async def _run(self, handle: Handler) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        callers = HttpServer(
-            self.settings.callers_address,
-            handle,
-            get_body_bytes_max=self._get_body_bytes_max,
-            limits=self._compute_limits(Listener.CALLERS),
+        settings = self.settings
+        callers = self._build_server(Listener.CALLERS, settings.callers_address, handle)
+        callers.get_body_bytes_max = self._get_body_bytes_max
+        probes = self._build_server(
+            Listener.PROBES, settings.ready_address, self._handle_probe
         )
-        probes = HttpServer(
-            self.settings.ready_address,
-            self._handle_probe,
-            get_body_bytes_max=lambda: PROBE_BODY_BYTES_MAX,
-            limits=self._compute_limits(Listener.PROBES),
+        probes.get_body_bytes_max = lambda: PROBE_BODY_BYTES_MAX
+        peers = self._build_server(
+            Listener.PEERS, settings.control_address, self._handle_control_request
         )
-        await callers.start()
-        await probes.start()
-        await HttpServer(
-            self.settings.control_address,
-            self._handle_control_request,
-            limits=self._compute_limits(Listener.PEERS),
-        ).start()
+        for server in (callers, probes, peers):
+            await server.start()
         event = Started(
             address=self.settings.callers_address, cores=self.settings.cores
         )
@@ -307,12 +300,20 @@
         if self.ownership.epoch is None:
             self.view.take_new_records()
 
-    def _compute_limits(self, listener: Listener) -> ServerLimits:
-        return compute_limits(
+    def _build_server(
+        self, listener: Listener, address: str, handle: Handler
+    ) -> HttpServer:
+        def count(cause: RejectionCause) -> None:
+            self.metrics.count(
+                Counter.REJECTIONS, listener=listener.value, cause=cause.value
+            )
+
+        limits = compute_limits(
             listener,
             memory_bytes=self.settings.memory_bytes,
             files=self.settings.files,
         )
+        return HttpServer(address, handle, limits=limits, count_rejection=count)
 
     def _get_body_bytes_max(self) -> int:
         configuration = self.operator.configuration
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -8,7 +8,7 @@
 
 from plantainhinge.adapters import stream_http_client, stream_http_connection
 from plantainhinge.adapters.stream_http_client import HttpCall, HttpClient
-from plantainhinge.adapters.stream_http_limits import ServerLimits
+from plantainhinge.adapters.stream_http_limits import RejectionCause, ServerLimits
 from plantainhinge.adapters.stream_http_messages import HttpReply
 from plantainhinge.adapters.stream_http_server import HttpServer
 from plantainhinge.core.errors import UnavailableError, UncertainError
@@ -430,6 +430,30 @@
     asyncio.run(asyncio.wait_for(run(), 10))
 
 
+@pytest.mark.parametrize(
+    ("data", "cause"),
+    [
+        (b"nonsense\r\n\r\n", RejectionCause.MALFORMED),
+        (b"GET /" + b"u" * 20_000, RejectionCause.HEAD_TOO_LARGE),
+        (b"GET / HTTP/1.1\r\n\r\n" * 17, RejectionCause.TOO_MANY_AHEAD),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n",
+            RejectionCause.BODY_TOO_LARGE,
+        ),
+    ],
+)
+def test_refusals_are_counted_by_cause(data, cause):
+    async def scenario(server, client):
+        counted = []
+        server.count_rejection = counted.append
+        reader, writer = await connect(server, data)
+        await read_statuses(reader)
+        writer.close()
+        return counted
+
+    assert serve(scenario) == [cause]
+
+
 def test_a_client_that_never_sends_the_rest_is_told_so_and_an_idle_one_stays(
     monkeypatch,
 ):
