Let the longest idle connection to the gateway give way to a new one

What callers saw: as many connections as callers.connections, silent or with half a head, and a gateway answered nobody else until they had been idle for two minutes; a byte now and then kept them open for ever.

Cause: at its limit waitress accepts nothing more, and an idle time that any byte begins anew was all that closed a connection. The limit also knew nothing of the system's limit of open files.

Evidence: gateway-silent and gateway-half-a-head of test_crowds.py, no answer in 20 s.

Change: at the limit, the connection that has waited longest for its client, since it was opened or since its last answer, is closed; one with a request to answer never is. The limit is at most half of the process's open files.

--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -6,8 +6,10 @@
 interrupts no request.
 """
 
+import resource
 import select
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -29,6 +31,8 @@
 HANDSHAKE_SECONDS = 0.1
 IDLE_GRACE_SECONDS = 0.5
 JOIN_TIMEOUT_SECONDS = 5.0
+# share of the system's limit of open files that callers' connections may take
+FILES_RATIO = 0.5
 
 
 class _Task(WSGITask):
@@ -49,6 +53,20 @@
     task_class = _Task
     error_task_class = _ErrorTask
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        # time at which it began to wait for its client: to send a request, or the rest
+        self.waiting_since = read_monotonic()
+        super().__init__(*arguments, **options)
+
+    def service(self) -> None:
+        super().service()
+        self.waiting_since = read_monotonic()
+
+    def is_waiting(self) -> bool:
+        """Return whether it waits for its client, with no request to answer."""
+        with self.requests_lock:
+            return not self.requests
+
     def is_idle(self) -> bool:
         """Return whether the connection has been idle for the grace period.
 
@@ -72,13 +90,17 @@
     ) -> None:
         self.draining = False
         self._limits = limits
+        self._connections_max = min(
+            limits.connections,
+            int(FILES_RATIO * resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
+        )
         super().__init__(
             application,
             map={},
             host=host,
             port=port,
             threads=limits.threads,
-            connection_limit=limits.connections,
+            connection_limit=sys.maxsize,  # see readable
             max_request_body_size=limits.body_bytes,
             max_request_header_size=limits.header_bytes,
             channel_timeout=limits.idle_seconds,
@@ -86,6 +108,20 @@
             asyncore_use_poll=True,
         )
 
+    def readable(self) -> bool:
+        """Return whether to accept a connection now; called before each poll.
+
+        At the limit, the connection that has waited longest for its client is closed,
+        so that those that nobody uses keep no one out.
+        """
+        is_listening: bool = super().readable()
+        if len(self.active_channels) < self._connections_max:
+            return is_listening
+        waiting = [c for c in self.active_channels.values() if c.is_waiting()]
+        if is_listening and waiting and not any(c.will_close for c in waiting):
+            min(waiting, key=lambda channel: channel.waiting_since).will_close = True
+        return False
+
     def drain(self) -> None:
         """Linger, stop accepting, then wait for the requests in flight.
 
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -60,7 +60,8 @@
     threads : int
         Maximum number of requests handled concurrently.
     connections : int
-        Maximum number of open connections; further ones wait to be accepted.
+        Maximum number of open connections, and at most half of the system's limit of
+        open files. A further one closes that which has waited longest for its caller.
     body_bytes : int
         Maximum size of a request body.
     header_bytes : int
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import msgspec
 import pytest
 
 from plantainhinge.adapters.callers_server import CallersServer, _Channel, serve_callers
@@ -12,6 +13,7 @@
 
 IP = "127.0.0.1"
 TIMEOUT_SECONDS = 10.0
+CLOSING_REQUEST = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
 LIMITS = Callers(
     threads=4,
     connections=50,
@@ -71,7 +73,7 @@
     port = find_port()
     with serve_callers(Application(), IP, port, LIMITS):
         found = read_status(port, data)
-        good = read_status(port, b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+        good = read_status(port, CLOSING_REQUEST)
     assert found.split()[1] == status
     assert good == "HTTP/1.1 200 OK"
 
@@ -115,6 +117,25 @@
     server.task_dispatcher.shutdown()
 
 
+# silent connections kept everyone else out until they had been idle for two minutes
+def test_the_connection_that_has_waited_longest_gives_way_to_a_new_one():
+    application, port = Application(), find_port()
+    limits = msgspec.structs.replace(LIMITS, connections=3)
+    with serve_callers(application, IP, port, limits):
+        busy = http.client.HTTPConnection(IP, port, timeout=TIMEOUT_SECONDS)
+        busy.request("GET", "/slow")
+        assert application.entered.wait(TIMEOUT_SECONDS)
+        silent = [socket.create_connection((IP, port)) for _ in range(2)]
+        silent[1].sendall(b"GET /half")
+        answers = [read_status(port, CLOSING_REQUEST) for _ in range(3)]
+        application.released.set()
+        assert busy.getresponse().read() == b"ok"
+        assert silent[0].recv(1) == b""
+        for connection in (busy, *silent):
+            connection.close()
+    assert answers == ["HTTP/1.1 200 OK"] * 3
+
+
 @pytest.mark.parametrize(("idle_seconds", "idle"), [(0.0, False), (60.0, True)])
 def test_a_connection_is_idle_only_after_the_grace_period(idle_seconds, idle):
     here, there = socket.socketpair()
