Let a connection give way only when another one waits

What callers saw: with as many connections as a listener may have, the one that had been idle longest was closed, though nobody waited for its place.

Cause: asked for room for the next connection right after it had accepted the last one.

Change: a connection is closed only at the start of a turn, which the event loop gives because another one waits.

--- a/plantainhinge/adapters/stream_http_acceptor.py
+++ b/plantainhinge/adapters/stream_http_acceptor.py
@@ -26,8 +26,10 @@
     build_protocol : callable
         Returns the protocol of a new connection.
     has_room : callable
-        Returns whether another connection may be opened now. If not, ``resume`` must be
-        called once there is room.
+        Returns whether another connection may be opened now.
+    make_room : callable
+        Closes a connection for a new one; returns False if none can be closed. Then
+        ``resume`` must be called once there is room.
 
     Attributes
     ----------
@@ -39,10 +41,12 @@
         self,
         build_protocol: Callable[[], asyncio.Protocol],
         has_room: Callable[[], bool],
+        make_room: Callable[[], bool],
     ) -> None:
         self.opening = 0
         self._build_protocol = build_protocol
         self._has_room = has_room
+        self._make_room = make_room
         self._socket: socket.socket | None = None
         self._accepting = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -87,9 +91,11 @@
 
     def _accept(self) -> None:
         assert self._socket is not None
+        # called because a connection waits, so that it is worth closing another one
+        if not self._has_room() and not self._make_room():
+            self._pause()
         for _ in range(ACCEPTS_AT_ONCE_MAX):
             if not self._has_room():
-                self._pause()
                 return
             try:
                 accepted, _ = self._socket.accept()
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -51,7 +51,9 @@
 
     def __post_init__(self) -> None:
         self.budget = ReceiveBudget(self.limits.received_bytes)
-        self._acceptor = Acceptor(lambda: Connection(self), self._has_room)
+        self._acceptor = Acceptor(
+            lambda: Connection(self), self._has_room, self._make_room
+        )
 
     async def start(self) -> None:
         """Start listening."""
@@ -76,18 +78,18 @@
         self._acceptor.resume()
 
     def _has_room(self) -> bool:
-        """Return whether another connection may be opened.
-
-        If not, the one that has waited longest for its client is closed.
-        """
+        """Return whether another connection may be opened."""
         opened = len(self.connections) + self._acceptor.opening
-        if opened < self.limits.connections:
-            return True
+        return opened < self.limits.connections
+
+    def _make_room(self) -> bool:
+        """Close the connection that has waited longest for its client, if one does."""
         longest = next(iter(self._waiting), None)
-        if longest is not None:
-            self._waiting.pop(longest)
-            longest.make_way()
-        return False
+        if longest is None:
+            return False
+        self._waiting.pop(longest)
+        longest.make_way()
+        return True
 
     async def respond(self, request: HttpRequest) -> HttpReply:
         """Return the handler's reply; log an exception and reply with status 500."""
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -355,6 +355,21 @@
     assert b" 200 " in last
 
 
+def test_no_connection_gives_way_as_long_as_no_other_one_comes():
+    async def run():
+        limits = ServerLimits(connections=2)
+        server = HttpServer(find_free_address(), echo, limits=limits)
+        await server.start()
+        first, second = await connect(server), await connect(server)
+        first[1].write(b"GET /a HTTP/1.1\r\n\r\n")
+        answer = await first[0].read(1000)
+        for _, writer in (first, second):
+            writer.close()
+        return answer
+
+    assert asyncio.run(run()).endswith(b"/a")
+
+
 def test_a_connection_waits_while_all_others_are_being_answered():
     async def run():
         limits = ServerLimits(connections=1)
