Free the memory of a client that doesn't read when it gives way

What callers saw: an instance hung for good once its memory for requests was spent and the largest holder was a client that reads no answers.

Cause: such a connection was aborted, but its bytes left the budget only in a later turn of the event loop, and the search for the largest holder went on for ever.

Evidence: the second case of test_a_client_that_reads_nothing_gives_way didn't end on the code before; found while the same was built for the gateway.

Change: giving way frees the bytes at once, and the search ends if nothing is freed.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -176,6 +176,7 @@
         """
         if not self._writable.is_set():
             self._abort()
+            self._update_budget()
             return
         self._refuse(
             RequestRejectedError(RejectionCause.NO_MEMORY, "no memory for the request")
@@ -334,6 +335,7 @@
     def _abort(self) -> None:
         """Close the connection with the answers that its client hasn't read."""
         self._queue.clear()
+        self._reader.abandon()
         if self._transport is not None:
             self._transport.abort()
 
--- a/plantainhinge/adapters/stream_http_limits.py
+++ b/plantainhinge/adapters/stream_http_limits.py
@@ -107,5 +107,8 @@
             largest = max(connections, key=lambda holder: holder.unfinished_bytes)
             if largest.unfinished_bytes <= asking.unfinished_bytes + size:
                 return False
+            before = self.held
             largest.give_way()
+            if self.held >= before:
+                return False
         return True
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -425,17 +425,22 @@
     assert len(handled) == requests
 
 
-def test_a_client_that_reads_nothing_gives_way():
+# the second pair of limits made the server look for memory for ever
+@pytest.mark.parametrize(
+    "limits",
+    [ServerLimits(connections=1), ServerLimits(connections=2, received_bytes=100_000)],
+    ids=["connections", "memory"],
+)
+def test_a_client_that_reads_nothing_gives_way(limits):
     async def answer(request):
         return HttpReply(status=200, body=b"x" * 20_000_000)
 
     async def run():
-        limits = ServerLimits(connections=1)
         server = HttpServer(find_free_address(), answer, limits=limits)
         await server.start()
         _, first = await connect(server)
         first.transport.pause_reading()
-        first.write(b"GET / HTTP/1.1\r\n\r\n" * 3)
+        first.write(b"GET / HTTP/1.1\r\n\r\n" * 3 + b"GET /unfinished")
         await asyncio.sleep(0.2)
         reader, writer = await connect(server, b"GET / HTTP/1.1\r\n\r\n")
         await reader.readuntil(b"\r\n\r\n")
