Bound the memory for requests that a gateway reads

What callers saw: 200 bodies of 500 kB short of their end, each inside the limit, took a gateway to 172 MB, beyond the 128 MB that a daemon may take; with 1,000 connections it would be half a GB.

Cause: each body had a limit, the sum over connections had none.

Change: callers.received_bytes, 32 MiB by default, for all requests from their first byte to their answer. Beyond it the largest that isn't complete is refused with 503, Retry-After and the outcome not-run, by the same budget as an instance's listeners. waitress's channel has a module of its own.

--- /dev/null
+++ b/plantainhinge/adapters/callers_channel.py
@@ -0,0 +1,149 @@
+"""A caller's connection to the gateway: waitress's channel with bounds for a crowd."""
+
+import select
+import socket
+import time
+from typing import Any
+
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.task import ErrorTask, WSGITask
+from waitress.utilities import Error
+
+from ..core.clock import read_monotonic
+
+IDLE_GRACE_SECONDS = 0.5
+# memory that a request takes up beside its bytes
+REQUEST_OVERHEAD_BYTES = 4096
+# of a request that wasn't read whole, so that it has surely not run
+REFUSAL_HEADERS = [("Retry-After", "1"), ("Plantainhinge-Outcome", "not-run")]
+
+
+class _OverloadedError(Error):
+    code = 503
+    reason = "Service Unavailable"
+
+    def to_response(self, ident: str | None = None) -> Any:
+        status, headers, body = super().to_response(ident)
+        return status, [*headers, *REFUSAL_HEADERS], body
+
+
+class _Task(WSGITask):
+    def build_response_header(self) -> Any:
+        if self.channel.server.draining:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+class _ErrorTask(ErrorTask):
+    def build_response_header(self) -> Any:
+        if self.channel.server.draining:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+class CallersChannel(HTTPChannel):
+    """A connection whose requests count in its server's budget of memory.
+
+    The server calls it in the thread of its loop only, except for ``service``.
+    """
+
+    task_class = _Task
+    error_task_class = _ErrorTask
+    request: HTTPRequestParser | None
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        # time at which it began to wait for its client: to send a request, or the rest
+        self.waiting_since = read_monotonic()
+        self.held_bytes = 0
+        self._has_served = False
+        super().__init__(*arguments, **options)
+
+    @property
+    def unfinished_bytes(self) -> int:
+        """Memory that the request that is being received takes up."""
+        return 0 if self.request is None else _measure(self.request)
+
+    def give_way(self) -> None:
+        """Refuse the request that is being received, for the sake of others."""
+        with self.requests_lock:
+            request = self.request or self.parser_class(self.adj)
+            self.request = None
+            request.close()
+            request.body_rcv = None
+            request.error = _OverloadedError("no memory for the request")
+            request.completed = True
+            self.requests.append(request)
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+        self._update_budget()
+
+    def received(self, data: bytes) -> bool:
+        """Read requests, if there is memory for them."""
+        channels = self.server.active_channels.values()
+        if not self.server.budget.make_room(self, len(data), channels):
+            self.give_way()
+            return False
+        is_read: bool = super().received(data)
+        self._update_budget()
+        return is_read
+
+    def service(self) -> None:
+        """Answer one request; called in a thread of the dispatcher."""
+        super().service()
+        self.waiting_since = read_monotonic()
+        self._has_served = True
+
+    def readable(self) -> bool:
+        """Return whether to read more; called before each poll."""
+        if self._has_served:
+            self._has_served = False
+            self._update_budget()
+        is_readable: bool = super().readable()
+        return is_readable
+
+    def handle_close(self) -> None:
+        """Close the connection, and let go of its memory."""
+        super().handle_close()
+        self.server.budget.held -= self.held_bytes
+        self.held_bytes = 0
+
+    def is_waiting(self) -> bool:
+        """Return whether it waits for its client, with no request to answer."""
+        with self.requests_lock:
+            return not self.requests
+
+    def is_idle(self) -> bool:
+        """Return whether the connection has been idle for the grace period.
+
+        A connection that was opened or used just before may still have a request
+        in transit.
+        """
+        if time.time() < self.last_activity + IDLE_GRACE_SECONDS:
+            return False
+        with self.requests_lock:
+            busy = self.requests or self.request is not None
+        return not (busy or self.total_outbufs_len or is_readable(self.socket))
+
+    def _update_budget(self) -> None:
+        if not self.connected:
+            return
+        with self.requests_lock:
+            whole = sum(_measure(request) for request in self.requests)
+        held = whole + self.unfinished_bytes
+        self.server.budget.held += held - self.held_bytes
+        self.held_bytes = held
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Return whether a socket has something to read or to accept."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _measure(request: HTTPRequestParser) -> int:
+    if request.error is not None:
+        return REQUEST_OVERHEAD_BYTES
+    received: int = request.header_bytes_received + request.body_bytes_received
+    return REQUEST_OVERHEAD_BYTES + received
--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -7,8 +7,6 @@
 """
 
 import resource
-import select
-import socket
 import sys
 import threading
 import time
@@ -17,79 +15,34 @@
 from typing import Any
 
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
-from waitress.task import ErrorTask, WSGITask
 
 from ..core.clock import read_monotonic
 from ..core.settings import Callers
+from .callers_channel import CallersChannel, is_readable
 from .listeners import drop_syn_segments
+from .stream_http_limits import ReceiveBudget
 
 IDENT = "plantainhinge"
 POLL_SECONDS = 0.02
 # for TCP handshakes that began before SYN segments are dropped
 HANDSHAKE_SECONDS = 0.1
-IDLE_GRACE_SECONDS = 0.5
 JOIN_TIMEOUT_SECONDS = 5.0
 # share of the system's limit of open files that callers' connections may take
 FILES_RATIO = 0.5
 
 
-class _Task(WSGITask):
-    def build_response_header(self) -> Any:
-        if self.channel.server.draining:
-            self.set_close_on_finish()
-        return super().build_response_header()
-
-
-class _ErrorTask(ErrorTask):
-    def build_response_header(self) -> Any:
-        if self.channel.server.draining:
-            self.set_close_on_finish()
-        return super().build_response_header()
-
-
-class _Channel(HTTPChannel):
-    task_class = _Task
-    error_task_class = _ErrorTask
-
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        # time at which it began to wait for its client: to send a request, or the rest
-        self.waiting_since = read_monotonic()
-        super().__init__(*arguments, **options)
-
-    def service(self) -> None:
-        super().service()
-        self.waiting_since = read_monotonic()
-
-    def is_waiting(self) -> bool:
-        """Return whether it waits for its client, with no request to answer."""
-        with self.requests_lock:
-            return not self.requests
-
-    def is_idle(self) -> bool:
-        """Return whether the connection has been idle for the grace period.
-
-        A connection that was opened or used just before may still have a request
-        in transit.
-        """
-        if time.time() < self.last_activity + IDLE_GRACE_SECONDS:
-            return False
-        with self.requests_lock:
-            busy = self.requests or self.request is not None
-        return not (busy or self.total_outbufs_len or _is_readable(self.socket))
-
-
 class CallersServer(TcpWSGIServer):
     """A waitress server that can be drained; ``application`` is any WSGI callable."""
 
-    channel_class = _Channel
+    channel_class = CallersChannel
 
     def __init__(
         self, application: Callable[..., Any], host: str, port: int, limits: Callers
     ) -> None:
         self.draining = False
         self._limits = limits
+        self.budget = ReceiveBudget(limits.received_bytes)
         self._connections_max = min(
             limits.connections,
             int(FILES_RATIO * resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
@@ -145,7 +98,7 @@
             self.trigger.pull_trigger(lambda: wasyncore.close_all(self._map))
 
     def _stop_accepting(self) -> None:
-        while _is_readable(self.socket):
+        while is_readable(self.socket):
             self.handle_accept()
         # Closes the listener only: the server's own method also closes the trigger.
         wasyncore.dispatcher.close(self)
@@ -171,9 +124,3 @@
         server.stop()
         thread.join(JOIN_TIMEOUT_SECONDS)
         server.task_dispatcher.shutdown()
-
-
-def _is_readable(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -66,6 +66,9 @@
         Maximum size of a request body.
     header_bytes : int
         Maximum total size of the header lines of a request.
+    received_bytes : int
+        Maximum total size of all requests from their first byte until they are
+        answered. Beyond it, the largest that isn't complete is refused.
     idle_seconds : int
         Time after which an idle connection is closed.
     linger_seconds : float
@@ -80,6 +83,7 @@
     connections: PositiveInt = 1000
     body_bytes: PositiveInt = 1_048_576
     header_bytes: PositiveInt = 16_384
+    received_bytes: PositiveInt = 33_554_432
     idle_seconds: PositiveInt = 120
     linger_seconds: NonNegativeSeconds = 3.0
     drain_seconds: PositiveSeconds = 30.0
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -8,7 +8,8 @@
 import msgspec
 import pytest
 
-from plantainhinge.adapters.callers_server import CallersServer, _Channel, serve_callers
+from plantainhinge.adapters.callers_channel import CallersChannel
+from plantainhinge.adapters.callers_server import CallersServer, serve_callers
 from plantainhinge.core.settings import Callers
 
 IP = "127.0.0.1"
@@ -136,11 +137,34 @@
     assert answers == ["HTTP/1.1 200 OK"] * 3
 
 
+def test_the_largest_incomplete_request_gives_way_when_memory_is_spent():
+    port = find_port()
+    limits = msgspec.structs.replace(LIMITS, body_bytes=50_000, received_bytes=60_000)
+    head = b"POST / HTTP/1.1\r\nContent-Length: 40000\r\n\r\n"
+    with serve_callers(Application(), IP, port, limits) as server:
+        large, small = (socket.create_connection((IP, port)) for _ in range(2))
+        large.sendall(head + b"x" * 39_000)
+        small.sendall(head + b"x" * 5_000)
+        whole = read_status(port, head + b"x" * 40_000)
+        refusal = large.recv(4096)
+        small.sendall(b"x" * 35_000)
+        answer = small.recv(4096)
+        large.close()
+        small.close()
+        while server.budget.held:
+            time.sleep(0.01)
+    assert whole == "HTTP/1.1 200 OK"
+    assert b" 503 " in refusal
+    assert b"Retry-After: 1\r\n" in refusal
+    assert b"Plantainhinge-Outcome: not-run\r\n" in refusal
+    assert b" 200 " in answer
+
+
 @pytest.mark.parametrize(("idle_seconds", "idle"), [(0.0, False), (60.0, True)])
 def test_a_connection_is_idle_only_after_the_grace_period(idle_seconds, idle):
     here, there = socket.socketpair()
     with here, there:
-        channel = _Channel.__new__(_Channel)
+        channel = CallersChannel.__new__(CallersChannel)
         channel.last_activity = time.time() - idle_seconds
         channel.requests_lock = threading.Lock()
         channel.requests = []
