Keep the bodies of requests to the gateway in memory

What callers saw: nothing as long as descriptors last; with 200 bodies of 600 kB short of their end a gateway had 255 of 256 descriptors open, and refused new connections to targets and the log.

Cause: waitress writes a body over 512 KiB to a temporary file.

Evidence: gateway-spooled-bodies of test_crowds.py as first listed; a new test of test_callers_server.py.

Change: bodies stay in memory up to the limit of one body; callers.received_bytes bounds their sum.

--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -57,6 +57,9 @@
             max_request_body_size=limits.body_bytes,
             max_request_header_size=limits.header_bytes,
             channel_timeout=limits.idle_seconds,
+            # bodies stay in memory, which has a budget: there may be no disk, and a
+            # file for each would take descriptors from the others
+            inbuf_overflow=limits.body_bytes + 1,
             ident=IDENT,
             asyncore_use_poll=True,
         )
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -1,6 +1,7 @@
 """The server for callers over real sockets: malformed requests, limits and drain."""
 
 import http.client
+import io
 import socket
 import threading
 import time
@@ -160,6 +161,23 @@
     assert b" 200 " in answer
 
 
+# each body over half a megabyte took a descriptor, and room on a disk
+def test_a_large_body_is_not_written_to_a_file():
+    port = find_port()
+    limits = msgspec.structs.replace(LIMITS, body_bytes=1_000_000)
+    with (
+        serve_callers(Application(), IP, port, limits) as server,
+        socket.create_connection((IP, port)) as connection,
+    ):
+        connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n")
+        connection.sendall(b"x" * 800_000)
+        while server.budget.held < 800_000:
+            time.sleep(0.01)
+        (channel,) = server.active_channels.values()
+        body = channel.request.body_rcv.getfile()
+    assert isinstance(body, io.BytesIO)
+
+
 @pytest.mark.parametrize(("idle_seconds", "idle"), [(0.0, False), (60.0, True)])
 def test_a_connection_is_idle_only_after_the_grace_period(idle_seconds, idle):
     here, there = socket.socketpair()
