Tell the outcome with each refusal of the gateway's server

Evidence: a new test of test_callers_server.py, red in its three rows.

Change: its refusals carry not-run, as the request wasn't handed over; an error of the application's own carries unknown.

Result: the rows pass.

--- a/plantainhinge/adapters/callers_channel.py
+++ b/plantainhinge/adapters/callers_channel.py
@@ -8,25 +8,21 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, WSGITask
-from waitress.utilities import Error
+from waitress.utilities import Error, InternalServerError
 
 from ..core.clock import read_monotonic
+from ..core.states import Outcome
 
 IDLE_GRACE_SECONDS = 0.5
 # memory that a request takes up beside its bytes
 REQUEST_OVERHEAD_BYTES = 4096
-# of a request that wasn't read whole, so that it has surely not run
-REFUSAL_HEADERS = [("Retry-After", "1"), ("Plantainhinge-Outcome", "not-run")]
+RETRY_AFTER_SECONDS = 1
 
 
 class _OverloadedError(Error):
     code = 503
     reason = "Service Unavailable"
 
-    def to_response(self, ident: str | None = None) -> Any:
-        status, headers, body = super().to_response(ident)
-        return status, [*headers, *REFUSAL_HEADERS], body
-
 
 class _Task(WSGITask):
     def build_response_header(self) -> Any:
@@ -36,6 +32,17 @@
 
 
 class _ErrorTask(ErrorTask):
+    """Answers a request that was refused as it was read, or whose handler failed."""
+
+    def execute(self) -> None:
+        error = self.request.error
+        is_refused = not isinstance(error, InternalServerError)
+        outcome = Outcome.NOT_RUN if is_refused else Outcome.UNKNOWN
+        self.response_headers.append(("Plantainhinge-Outcome", outcome.value))
+        if isinstance(error, _OverloadedError):
+            self.response_headers.append(("Retry-After", str(RETRY_AFTER_SECONDS)))
+        super().execute()
+
     def build_response_header(self) -> Any:
         if self.channel.server.draining:
             self.set_close_on_finish()
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -49,13 +49,18 @@
 
 def read_status(port, data):
     """Send raw bytes and return the status line of the response."""
+    return read_answer(port, data).split(b"\r\n")[0].decode()
+
+
+def read_answer(port, data):
+    """Send raw bytes and return all that comes back."""
     with socket.create_connection((IP, port), timeout=TIMEOUT_SECONDS) as connection:
         connection.sendall(data)
         connection.shutdown(socket.SHUT_WR)
         answer = b""
         while part := connection.recv(4096):
             answer += part
-    return answer.split(b"\r\n")[0].decode()
+    return answer
 
 
 @pytest.mark.parametrize(
@@ -80,6 +85,21 @@
     assert good == "HTTP/1.1 200 OK"
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff\r\n\r\n",
+        b"GET / HTTP/1.1\r\nX: " + b"y" * 5000 + b"\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n",
+    ],
+)
+def test_a_refusal_says_that_the_request_was_not_run(data):
+    port = find_port()
+    with serve_callers(Application(), IP, port, LIMITS):
+        answer = read_answer(port, data)
+    assert answer.count(b"Plantainhinge-Outcome: not-run\r\n") == 1
+
+
 def test_a_drain_answers_requests_in_flight_and_closes_idle_connections():
     application, port = Application(), find_port()
     idle = http.client.HTTPConnection(IP, port, timeout=TIMEOUT_SECONDS)
