Let a caller read its refusal before the gateway resets its connection

What callers saw: a caller that sent a body over the limit and read the answer only afterwards found its connection reset, without the 413.

Cause: as in the server of an instance, the connection was closed with bytes that nobody had read.

Evidence: a new test of test_callers_server.py: 'Connection reset by peer'.

Change: after a refusal the gateway sends its end of the stream and throws away what comes, for two seconds and 1 MiB at most, unless a new connection needs the place.

--- a/plantainhinge/adapters/callers_channel.py
+++ b/plantainhinge/adapters/callers_channel.py
@@ -11,12 +11,17 @@
 from waitress.utilities import Error, InternalServerError
 
 from ..core.clock import read_monotonic
+from ..core.ids import Seconds
 from ..core.states import Outcome
 
 IDLE_GRACE_SECONDS = 0.5
 # memory that a request takes up beside its bytes
 REQUEST_OVERHEAD_BYTES = 4096
 RETRY_AFTER_SECONDS = 1
+# after a refusal, what the client still sends is thrown away for so long and so much: a
+# connection that is closed with unread bytes is reset, and the client loses the answer
+LINGER_SECONDS = Seconds(2.0)
+LINGER_BYTES_MAX = 1 << 20
 
 
 class _OverloadedError(Error):
@@ -35,6 +40,7 @@
     """Answers a request that was refused as it was read, or whose handler failed."""
 
     def execute(self) -> None:
+        self.channel.is_refused = True
         error = self.request.error
         is_refused = not isinstance(error, InternalServerError)
         outcome = Outcome.NOT_RUN if is_refused else Outcome.UNKNOWN
@@ -63,7 +69,13 @@
         # time at which it began to wait for its client: to send a request, or the rest
         self.waiting_since = read_monotonic()
         self.held_bytes = 0
+        # whether its last answer is a refusal
+        self.is_refused = False
+        # whether it is about to be closed for the sake of a new connection
+        self.makes_way = False
         self._has_served = False
+        self._linger_until: float | None = None
+        self._lingered_bytes = 0
         super().__init__(*arguments, **options)
 
     @property
@@ -106,15 +118,60 @@
         if self._has_served:
             self._has_served = False
             self._update_budget()
-        is_readable: bool = super().readable()
-        return is_readable
+        return self._linger_until is not None or bool(super().readable())
+
+    def writable(self) -> bool:
+        """Return whether to write or close; called before each poll."""
+        if self._linger_until is not None:
+            return self.makes_way or read_monotonic() >= self._linger_until
+        return bool(super().writable())
+
+    def handle_read(self) -> None:
+        """Read requests, or throw away what follows a refusal."""
+        if self._linger_until is None:
+            super().handle_read()
+            return
+        try:
+            self._lingered_bytes += len(self.recv(self.adj.recv_bytes))
+        except OSError:
+            self.handle_close()
+        if self._lingered_bytes > LINGER_BYTES_MAX:
+            self.handle_close()
+
+    def handle_write(self) -> None:
+        """Send what is left, or close a connection that has lingered."""
+        if self._linger_until is None:
+            super().handle_write()
+        else:
+            self.handle_close()
+
+    def make_way(self) -> None:
+        """Close the connection in this turn of the loop."""
+        self.makes_way = self.will_close = True
 
     def handle_close(self) -> None:
-        """Close the connection, and let go of its memory."""
+        """Close the connection, and let go of its memory.
+
+        After a refusal, its client is left time to read it.
+        """
+        is_answered = self.will_close and not self.total_outbufs_len
+        if self.is_refused and is_answered and self._begin_to_linger():
+            return
         super().handle_close()
         self.server.budget.held -= self.held_bytes
         self.held_bytes = 0
 
+    def _begin_to_linger(self) -> bool:
+        """Send the end of the stream; return False if it was sent or can't be."""
+        if self._linger_until is not None or self.makes_way:
+            return False
+        self._linger_until = read_monotonic() + LINGER_SECONDS
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        return True
+
     def is_waiting(self) -> bool:
         """Return whether it waits for its client, with no request to answer."""
         with self.requests_lock:
--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -74,8 +74,8 @@
         if len(self.active_channels) < self._connections_max:
             return is_listening
         waiting = [c for c in self.active_channels.values() if c.is_waiting()]
-        if is_listening and waiting and not any(c.will_close for c in waiting):
-            min(waiting, key=lambda channel: channel.waiting_since).will_close = True
+        if is_listening and waiting and not any(c.makes_way for c in waiting):
+            min(waiting, key=lambda channel: channel.waiting_since).make_way()
         return False
 
     def drain(self) -> None:
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -100,6 +100,22 @@
     assert answer.count(b"Plantainhinge-Outcome: not-run\r\n") == 1
 
 
+# the connection was reset, and the answer lost with it
+def test_a_client_that_sends_on_gets_its_refusal():
+    port = find_port()
+    with (
+        serve_callers(Application(), IP, port, LIMITS),
+        socket.create_connection((IP, port), timeout=TIMEOUT_SECONDS) as connection,
+    ):
+        connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n")
+        for _ in range(9):
+            connection.sendall(b"x" * 100_000)
+            time.sleep(0.01)
+        answer = connection.recv(4096)
+        assert connection.recv(4096) == b""
+    assert b" 413 " in answer
+
+
 def test_a_drain_answers_requests_in_flight_and_closes_idle_connections():
     application, port = Application(), find_port()
     idle = http.client.HTTPConnection(IP, port, timeout=TIMEOUT_SECONDS)
