Close a gateway's connection for a new one at once, and only for one

What callers saw: at the limit of connections, a client that read none of its answers kept a place for ever, and the longest idle connection was closed though no other one came.

Cause: it was marked to be closed when its socket can be written to, which never comes if its client doesn't read; and that at the limit, not when a connection waited.

Change: the connection is closed where a new one is accepted, with what it still had to send.

--- a/plantainhinge/adapters/callers_channel.py
+++ b/plantainhinge/adapters/callers_channel.py
@@ -71,8 +71,7 @@
         self.held_bytes = 0
         # whether its last answer is a refusal
         self.is_refused = False
-        # whether it is about to be closed for the sake of a new connection
-        self.makes_way = False
+        self._may_linger = True
         self._has_served = False
         self._linger_until: float | None = None
         self._lingered_bytes = 0
@@ -123,7 +122,7 @@
     def writable(self) -> bool:
         """Return whether to write or close; called before each poll."""
         if self._linger_until is not None:
-            return self.makes_way or read_monotonic() >= self._linger_until
+            return read_monotonic() >= self._linger_until
         return bool(super().writable())
 
     def handle_read(self) -> None:
@@ -146,8 +145,10 @@
             self.handle_close()
 
     def make_way(self) -> None:
-        """Close the connection in this turn of the loop."""
-        self.makes_way = self.will_close = True
+        """Close the connection at once, also if its client doesn't read its answers."""
+        self._may_linger = False
+        self.will_close = True
+        self.handle_close()
 
     def handle_close(self) -> None:
         """Close the connection, and let go of its memory.
@@ -163,8 +164,9 @@
 
     def _begin_to_linger(self) -> bool:
         """Send the end of the stream; return False if it was sent or can't be."""
-        if self._linger_until is not None or self.makes_way:
+        if not self._may_linger:
             return False
+        self._may_linger = False
         self._linger_until = read_monotonic() + LINGER_SECONDS
         try:
             self.socket.shutdown(socket.SHUT_WR)
--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -65,18 +65,26 @@
         )
 
     def readable(self) -> bool:
-        """Return whether to accept a connection now; called before each poll.
+        """Return whether to accept a connection now; called before each poll."""
+        is_listening: bool = super().readable()
+        has_room = len(self.active_channels) < self._connections_max
+        return is_listening and (has_room or self._find_longest_waiting() is not None)
+
+    def handle_accept(self) -> None:
+        """Accept a connection.
 
-        At the limit, the connection that has waited longest for its client is closed,
+        At the limit, the one that has waited longest for its client is closed for it,
         so that those that nobody uses keep no one out.
         """
-        is_listening: bool = super().readable()
-        if len(self.active_channels) < self._connections_max:
-            return is_listening
+        if len(self.active_channels) >= self._connections_max:
+            longest = self._find_longest_waiting()
+            if longest is not None:
+                longest.make_way()
+        super().handle_accept()
+
+    def _find_longest_waiting(self) -> CallersChannel | None:
         waiting = [c for c in self.active_channels.values() if c.is_waiting()]
-        if is_listening and waiting and not any(c.makes_way for c in waiting):
-            min(waiting, key=lambda channel: channel.waiting_since).make_way()
-        return False
+        return min(waiting, key=lambda channel: channel.waiting_since, default=None)
 
     def drain(self) -> None:
         """Linger, stop accepting, then wait for the requests in flight.
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -27,7 +27,7 @@
 
 
 class Application:
-    """Responds to ``/slow`` only after ``released`` is set."""
+    """Responds to ``/slow`` once ``released`` is set, and to ``/large`` with 6 MB."""
 
     def __init__(self):
         self.entered = threading.Event()
@@ -38,8 +38,9 @@
         if environ["PATH_INFO"] == "/slow":
             self.entered.set()
             self.released.wait(TIMEOUT_SECONDS)
-        start_response("200 OK", [("Content-Length", "2")])
-        return [b"ok"]
+        answer = b"x" * 6_000_000 if environ["PATH_INFO"] == "/large" else b"ok"
+        start_response("200 OK", [("Content-Length", str(len(answer)))])
+        return [answer]
 
 
 def find_port():
@@ -214,6 +215,39 @@
     assert isinstance(body, io.BytesIO)
 
 
+@pytest.fixture
+def stalled_clients():
+    """Return a function that opens clients which ask for large answers."""
+    opened = []
+
+    def open_clients(port, count, *, requests=1):
+        for _ in range(count):
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect((IP, port))
+            client.sendall(b"GET /large HTTP/1.1\r\n\r\n" * requests)
+            opened.append(client)
+
+    yield open_clients
+    for client in opened:
+        client.close()
+
+
+def test_a_client_that_reads_no_answer_gives_way(stalled_clients):
+    port = find_port()
+    limits = msgspec.structs.replace(LIMITS, connections=1)
+    with serve_callers(Application(), IP, port, limits) as server:
+        stalled_clients(port, 1)
+        while not sum_unread(server):
+            time.sleep(0.01)
+        answers = [read_status(port, CLOSING_REQUEST) for _ in range(3)]
+    assert answers == ["HTTP/1.1 200 OK"] * 3
+
+
+def sum_unread(server):
+    return sum(c.total_outbufs_len for c in list(server.active_channels.values()))
+
+
 @pytest.mark.parametrize(("idle_seconds", "idle"), [(0.0, False), (60.0, True)])
 def test_a_connection_is_idle_only_after_the_grace_period(idle_seconds, idle):
     here, there = socket.socketpair()
