Close a gateway's idle connection also while a thread waits for its client

What callers saw: a client that asked for several large answers and read none kept a thread of the gateway waiting for ever; as many of them as threads, and nobody is answered any more.

Cause: beyond 16 MiB of unread answers the thread of the next request waits for the client, and waitress closes an idle connection only if it has no request.

Evidence: a new test of test_callers_server.py with one thread; an ordinary request had no answer.

Change: a connection with unread answers that has made no progress for callers.idle_seconds is closed too, which wakes the thread. Connections are looked at that often, each 30 s at least.

Result: the test passes.

--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -28,6 +28,8 @@
 # for TCP handshakes that began before SYN segments are dropped
 HANDSHAKE_SECONDS = 0.1
 JOIN_TIMEOUT_SECONDS = 5.0
+# interval at which idle connections are closed
+CLEANUP_SECONDS = 30
 # share of the system's limit of open files that callers' connections may take
 FILES_RATIO = 0.5
 
@@ -57,6 +59,7 @@
             max_request_body_size=limits.body_bytes,
             max_request_header_size=limits.header_bytes,
             channel_timeout=limits.idle_seconds,
+            cleanup_interval=min(CLEANUP_SECONDS, limits.idle_seconds),
             # bodies stay in memory, which has a budget: there may be no disk, and a
             # file for each would take descriptors from the others
             inbuf_overflow=limits.body_bytes + 1,
@@ -82,6 +85,18 @@
                 longest.make_way()
         super().handle_accept()
 
+    def maintenance(self, now: float) -> None:
+        """Close idle connections, also those whose client reads no answers.
+
+        Such a client may keep a thread waiting, so that it isn't enough to close those
+        without a request.
+        """
+        super().maintenance(now)
+        cutoff = now - self._limits.idle_seconds
+        for channel in list(self.active_channels.values()):
+            if channel.total_outbufs_len and channel.last_activity < cutoff:
+                channel.make_way()
+
     def _find_longest_waiting(self) -> CallersChannel | None:
         waiting = [c for c in self.active_channels.values() if c.is_waiting()]
         return min(waiting, key=lambda channel: channel.waiting_since, default=None)
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -244,6 +244,19 @@
     assert answers == ["HTTP/1.1 200 OK"] * 3
 
 
+# a thread waited for ever for the client to read
+def test_a_client_that_reads_no_answers_is_closed_once_it_has_been_idle(
+    stalled_clients,
+):
+    port = find_port()
+    limits = msgspec.structs.replace(LIMITS, threads=1, idle_seconds=1)
+    with serve_callers(Application(), IP, port, limits):
+        stalled_clients(port, 1, requests=8)
+        time.sleep(0.2)
+        answer = read_status(port, CLOSING_REQUEST)
+    assert answer == "HTTP/1.1 200 OK"
+
+
 def sum_unread(server):
     return sum(c.total_outbufs_len for c in list(server.active_channels.values()))
 
