Bound the answers of a gateway that nobody reads

What callers saw: nothing yet; by reading. Answers of targets have up to 4 MiB, and each connection could keep 16 MiB and one more of them unread, partly in temporary files, for as long as its client sent a byte now and then.

Cause: the limit was one for each connection.

Evidence: four clients with 6 MB each in a new test of test_callers_server.py.

Change: callers.unread_bytes, 32 MiB by default: beyond it, clients that have read nothing for two seconds are closed, those with most first. Answers on their way to a client that reads are left alone. They stay in memory, without temporary files.

Result: the test passes.

--- a/plantainhinge/adapters/callers_server.py
+++ b/plantainhinge/adapters/callers_server.py
@@ -28,6 +28,8 @@
 # for TCP handshakes that began before SYN segments are dropped
 HANDSHAKE_SECONDS = 0.1
 JOIN_TIMEOUT_SECONDS = 5.0
+# without progress, after which a client counts as one that doesn't read
+STALLED_SECONDS = 2.0
 # interval at which idle connections are closed
 CLEANUP_SECONDS = 30
 # share of the system's limit of open files that callers' connections may take
@@ -60,15 +62,17 @@
             max_request_header_size=limits.header_bytes,
             channel_timeout=limits.idle_seconds,
             cleanup_interval=min(CLEANUP_SECONDS, limits.idle_seconds),
-            # bodies stay in memory, which has a budget: there may be no disk, and a
+            # all stays in memory, which is bounded: there may be no disk, and a
             # file for each would take descriptors from the others
             inbuf_overflow=limits.body_bytes + 1,
+            outbuf_overflow=limits.unread_bytes + 1,
             ident=IDENT,
             asyncore_use_poll=True,
         )
 
     def readable(self) -> bool:
         """Return whether to accept a connection now; called before each poll."""
+        self._bound_unread_answers()
         is_listening: bool = super().readable()
         has_room = len(self.active_channels) < self._connections_max
         return is_listening and (has_room or self._find_longest_waiting() is not None)
@@ -97,6 +101,20 @@
             if channel.total_outbufs_len and channel.last_activity < cutoff:
                 channel.make_way()
 
+    def _bound_unread_answers(self) -> None:
+        """Close clients that read nothing while there are too many unread answers."""
+        channels = self.active_channels.values()
+        excess = sum(c.total_outbufs_len for c in channels) - self._limits.unread_bytes
+        if excess <= 0:
+            return
+        cutoff = time.time() - STALLED_SECONDS
+        stalled = [c for c in channels if c.last_activity < cutoff]
+        for channel in sorted(stalled, key=lambda c: -c.total_outbufs_len):
+            if excess <= 0:
+                return
+            excess -= channel.total_outbufs_len
+            channel.make_way()
+
     def _find_longest_waiting(self) -> CallersChannel | None:
         waiting = [c for c in self.active_channels.values() if c.is_waiting()]
         return min(waiting, key=lambda channel: channel.waiting_since, default=None)
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -69,6 +69,9 @@
     received_bytes : int
         Maximum total size of all requests from their first byte until they are
         answered. Beyond it, the largest that isn't complete is refused.
+    unread_bytes : int
+        Total size of answers that callers haven't read beyond which those that read
+        nothing for two seconds are closed.
     idle_seconds : int
         Time after which an idle connection is closed.
     linger_seconds : float
@@ -84,6 +87,7 @@
     body_bytes: PositiveInt = 1_048_576
     header_bytes: PositiveInt = 16_384
     received_bytes: PositiveInt = 33_554_432
+    unread_bytes: PositiveInt = 33_554_432
     idle_seconds: PositiveInt = 120
     linger_seconds: NonNegativeSeconds = 3.0
     drain_seconds: PositiveSeconds = 30.0
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -257,6 +257,23 @@
     assert answer == "HTTP/1.1 200 OK"
 
 
+def test_answers_that_nobody_reads_are_bounded(stalled_clients):
+    port = find_port()
+    limits = msgspec.structs.replace(LIMITS, unread_bytes=7_000_000)
+    with serve_callers(Application(), IP, port, limits) as server:
+        stalled_clients(port, 4)
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while len(server.active_channels) < 4 or not sum_unread(server):
+            time.sleep(0.01)
+        while sum_unread(server) > limits.unread_bytes:
+            assert time.monotonic() < deadline
+            time.sleep(0.1)
+        left = len(server.active_channels)
+        answer = read_status(port, CLOSING_REQUEST)
+    assert 0 < left < 4
+    assert answer == "HTTP/1.1 200 OK"
+
+
 def sum_unread(server):
     return sum(c.total_outbufs_len for c in list(server.active_channels.values()))
 
