Refuse empty lines without end at a gateway

What callers saw: nothing; a client may send empty lines for ever, and was never refused. Each pair of them cost the gateway a parser of its own.

Cause: waitress drops empty lines before a request one pair after the other and counts nothing.

Evidence: a new row of test_callers_server.py got no answer.

Change: they are skipped at once and counted; more than the limit of a head get 400.

Result: the row passes, and a request after 100 empty lines is served.

--- a/plantainhinge/adapters/callers_channel.py
+++ b/plantainhinge/adapters/callers_channel.py
@@ -8,7 +8,7 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask, WSGITask
-from waitress.utilities import Error, InternalServerError
+from waitress.utilities import BadRequest, Error, InternalServerError
 
 from ..core.clock import read_monotonic
 from ..core.ids import Seconds
@@ -75,6 +75,7 @@
         self._has_served = False
         self._linger_until: float | None = None
         self._lingered_bytes = 0
+        self._empty_bytes = 0
         super().__init__(*arguments, **options)
 
     @property
@@ -84,12 +85,15 @@
 
     def give_way(self) -> None:
         """Refuse the request that is being received, for the sake of others."""
+        self._refuse(_OverloadedError("no memory for the request"))
+
+    def _refuse(self, error: Error) -> None:
         with self.requests_lock:
             request = self.request or self.parser_class(self.adj)
             self.request = None
             request.close()
             request.body_rcv = None
-            request.error = _OverloadedError("no memory for the request")
+            request.error = error
             request.completed = True
             self.requests.append(request)
             if len(self.requests) == 1:
@@ -102,10 +106,22 @@
         if not self.server.budget.make_room(self, len(data), channels):
             self.give_way()
             return False
-        is_read: bool = super().received(data)
+        is_read = False
+        if data := self._skip_empty_lines(data):
+            is_read = super().received(data)
+        elif self._empty_bytes > self.adj.max_request_header_size:
+            self._refuse(BadRequest("empty lines instead of a request"))
         self._update_budget()
         return is_read
 
+    def _skip_empty_lines(self, data: bytes) -> bytes:
+        """Return what follows the empty lines before a request, which are counted."""
+        if self.request is not None:
+            return data
+        rest = data.lstrip(b"\r\n")
+        self._empty_bytes = 0 if rest else self._empty_bytes + len(data)
+        return rest
+
     def service(self) -> None:
         """Answer one request; called in a thread of the dispatcher."""
         super().service()
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -69,6 +69,8 @@
     [
         (b"\x00\xff\r\n\r\n", "400"),
         (b"GET / HTTP/9.9\r\n\r\n", "200"),
+        (b"\r\n" * 100 + b"GET / HTTP/9.9\r\n\r\n", "200"),
+        (b"\r\n" * 10_000, "400"),
         (b"GET / HTTP/1.1\r\nX: " + b"y" * 5000 + b"\r\n\r\n", "431"),
         (b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"y" * 5000, "413"),
         (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"),
