Bound what the peers of a daemon may send and leave unread

What operators saw: nothing yet, as only peers reach these ports; but one connection that announced a gRPC message of 1 GiB and sent 200 MiB of it took a gateway or a scheduler to 281 MB, beyond the 128 MB of a daemon, with no end in sight.

Cause: grpclib acknowledges a message as it arrives, whatever its length, so that the flow control of HTTP/2 holds nobody back. Heads in pieces, answers to pings and answers that nobody reads had no bound over all connections either. A frame of an unknown type ended its connection with a traceback.

Evidence: gateway-endless-message and scheduler-endless-message of test_crowds.py.

Change: a server of our own on top of grpclib's, adapters/peers_server.py: a message has at most peers.message_bytes (4 MiB, gRPC's usual limit), all calls and answers of all connections together at most peers.held_bytes (32 MiB); beyond it the connection with most is closed.

--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -18,7 +18,7 @@
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from ..core.clock import read_monotonic
 from ..core.errors import (
@@ -54,6 +54,8 @@
     TargetList,
 )
 from ..core.packing import DECODING_ERRORS
+from ..core.settings import PeerLimits
+from .peers_server import PeersServer
 
 SERVICE = "plantainhinge.Peers"
 STAMP_HEADER = "plantainhinge-stamp"
@@ -133,7 +135,9 @@
     __content_subtype__ = "msgpack"
 
     def encode(self, message: object, message_type: type) -> bytes:
-        """Encode a message; ``message_type`` is unused."""
+        """Encode a message, unless it is already; ``message_type`` is unused."""
+        if isinstance(message, bytes):
+            return message
         return msgspec.msgpack.encode(message)
 
     def decode(self, data: bytes, message_type: type[Response]) -> Response:
@@ -160,10 +164,15 @@
     ----------
     events : EventRing or None
         Holds the clock; if None, no stamps are sent or merged.
+    limits : PeerLimits, optional
+        What all connections to the server may use together.
     """
 
-    def __init__(self, events: EventRing | None = None) -> None:
+    def __init__(
+        self, events: EventRing | None = None, *, limits: PeerLimits | None = None
+    ) -> None:
         self.events = events
+        self._limits = limits or PeerLimits()
         self._channels: dict[str, Channel] = {}
         self._loop = asyncio.new_event_loop()
 
@@ -219,8 +228,9 @@
                 )
                 stopping.result()
 
-    async def _start(self, ip: str, port: int, service: "_Service") -> Server:
-        server = Server([service], codec=MessageCodec())
+    async def _start(self, ip: str, port: int, service: "_Service") -> PeersServer:
+        server = PeersServer([service], codec=MessageCodec(), limits=self._limits)
+        service.server = server
         await server.start(ip, port)
         return server
 
@@ -285,6 +295,7 @@
     """The handlers of all methods, in the form that grpclib's server expects."""
 
     def __init__(self, peers: Peers, on_call: Callable[[Call], None]) -> None:
+        self.server: PeersServer | None = None
         self._peers = peers
         self._on_call = on_call
         self._pending = 0
@@ -321,44 +332,54 @@
             response: Future[Any] = Future()
             self._on_call(Call(method, request, response))
             with self._track():
-                await _send_response(stream, response, self._peers.events)
+                await self._send_response(stream, response)
 
         return handle
 
+    async def _send_response(
+        self, stream: Stream[Any, Any], response: Future[Any]
+    ) -> None:
+        """Send a future's result; a disconnect doesn't cancel the future."""
+        shielded = asyncio.shield(asyncio.wrap_future(response))
+        try:
+            message = await asyncio.wait_for(shielded, RESPONSE_TIMEOUT_SECONDS)
+        except PlantainhingeError as error:
+            await _send_status(stream, _build_grpc_error(error))
+        except TimeoutError:
+            await _send_status(
+                stream, GRPCError(Status.UNKNOWN, "not answered in time")
+            )
+        else:
+            await self._send_message(stream, msgspec.msgpack.encode(message))
+
+    async def _send_message(self, stream: Stream[Any, Any], message: bytes) -> None:
+        assert self.server is not None
+        # grpclib doesn't tell its connection otherwise
+        connection = stream._stream.connection
+        async with self.server.limit_answer(connection, len(message)):
+            await stream.send_message(message)
+            metadata = build_stamp_metadata(self._peers.events)
+            await stream.send_trailing_metadata(metadata=metadata)
+
 
 async def _receive(stream: Stream[Any, Any]) -> Any:
     try:
         request = await stream.recv_message()
-    except DECODING_ERRORS as error:
+    # the second: a compressed message; the third: one that ends early
+    except (*DECODING_ERRORS, NotImplementedError, AssertionError) as error:
         raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
     if request is None:
         raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
     return request
 
 
-async def _send_response(
-    stream: Stream[Any, Any], response: Future[Any], events: EventRing | None
-) -> None:
-    """Await the future and send its result; a disconnect doesn't cancel the future."""
-    shielded = asyncio.shield(asyncio.wrap_future(response))
-    try:
-        message = await asyncio.wait_for(shielded, RESPONSE_TIMEOUT_SECONDS)
-    except PlantainhingeError as error:
-        await _send_status(stream, _build_grpc_error(error))
-    except TimeoutError:
-        await _send_status(stream, GRPCError(Status.UNKNOWN, "not answered in time"))
-    else:
-        await stream.send_message(message)
-        await stream.send_trailing_metadata(metadata=build_stamp_metadata(events))
-
-
 async def _send_status(stream: Stream[Any, Any], error: GRPCError) -> None:
     await stream.send_trailing_metadata(
         status=error.status, status_message=error.message
     )
 
 
-async def _stop(server: Server, service: "_Service") -> None:
+async def _stop(server: PeersServer, service: "_Service") -> None:
     await service.drain()
     server.close()
     await server.wait_closed()
--- a/plantainhinge/adapters/stream_http_limits.py
+++ b/plantainhinge/adapters/stream_http_limits.py
@@ -78,14 +78,17 @@
     Parameters
     ----------
     limit : int
-        Bytes that all connections may hold together. One alone may hold more, so that
-        any request within its own limits can be read in calm.
+        Bytes that all connections may hold together.
     held : int
         Bytes that they hold.
+    may_one_exceed : bool
+        Whether one alone may hold more, so that any request within its own limits can
+        be read in calm.
     """
 
     limit: int
     held: int = 0
+    may_one_exceed: bool = True
 
     def make_room(
         self, asking: Holder, size: int, connections: Iterable[Holder]
@@ -102,7 +105,7 @@
             All connections.
         """
         while self.held + size > self.limit:
-            if self.held == asking.held_bytes:
+            if self.may_one_exceed and self.held == asking.held_bytes:
                 return True
             largest = max(connections, key=lambda holder: holder.unfinished_bytes)
             if largest.unfinished_bytes <= asking.unfinished_bytes + size:
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -9,7 +9,7 @@
 from ..core.ids import Seconds
 from ..core.log_events import write_event
 from ..fleet.log_events import HandlerFailed, RequestsGivenUp
-from .stream_http_acceptor import Acceptor
+from .acceptor import Acceptor
 from .stream_http_connection import Connection
 from .stream_http_limits import ReceiveBudget, RejectionCause, ServerLimits
 from .stream_http_messages import Handler, HttpReply, HttpRequest
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -93,6 +93,22 @@
     drain_seconds: PositiveSeconds = 30.0
 
 
+class PeerLimits(_Section, frozen=True):
+    """Limits on the connections and calls of peers.
+
+    Parameters
+    ----------
+    message_bytes : int
+        Maximum size of the message of a call.
+    held_bytes : int
+        Maximum total size of the calls that are being received or handled and of the
+        answers that are being sent. Beyond it, the connection with most is closed.
+    """
+
+    message_bytes: PositiveInt = 4_194_304
+    held_bytes: PositiveInt = 33_554_432
+
+
 class Settings(_Section, frozen=True):
     """What a daemon needs to know before it can read the log.
 
@@ -114,6 +130,8 @@
         TCP ports, the same on every instance of the site.
     callers : object
         Limits on the connections and requests of callers.
+    peers : object
+        Limits on the connections and calls of peers.
     log_level : str
         Minimum level of log lines: DEBUG, INFO, WARNING or ERROR.
     metrics_endpoint : str
@@ -128,6 +146,7 @@
     instance_list_address: str
     ports: Ports = Ports()
     callers: Callers = Callers()
+    peers: PeerLimits = PeerLimits()
     log_level: str = "INFO"
     metrics_endpoint: str = ""
 
--- a/plantainhinge/daemons/process.py
+++ b/plantainhinge/daemons/process.py
@@ -134,7 +134,7 @@
         instances=HttpInstanceList(settings.instance_list_address),
         executor=executor,
         driver=LogDriver(log, CallExecutor(loop, log_pool)),
-        peers=Peers(),
+        peers=Peers(limits=settings.peers),
         metrics=metrics,
     )
 
