Count a connection that is being opened once

What callers saw: where several connections came together at the limit of a listener, one more was closed than was needed.

Cause: a connection counted among those being opened for one more turn of the event loop after it had been made.

Change: it stops counting as being opened when it is made.

--- a/plantainhinge/adapters/acceptor.py
+++ b/plantainhinge/adapters/acceptor.py
@@ -34,7 +34,7 @@
     Attributes
     ----------
     opening : int
-        Connections that are accepted and have no transport yet.
+        Connections that are accepted and not made yet, see ``note_made``.
     """
 
     def __init__(
@@ -77,6 +77,10 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
+    def note_made(self) -> None:
+        """Note that an accepted connection has been made, so that it isn't counted."""
+        self.opening -= 1
+
     def close(self) -> None:
         """Stop listening; connections that wait in the kernel are reset."""
         self._pause()
@@ -122,7 +126,6 @@
                 self._build_protocol, accepted
             )
         except OSError as error:
+            self.opening -= 1
             accepted.close()
             write_event(logger, AcceptFailed(cause=str(error)))
-        finally:
-            self.opening -= 1
--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -64,6 +64,9 @@
     def note_waiting(self, connection: "Connection", *, waits: bool) -> None:
         """Note whether a connection waits for its client, so that it may give way."""
 
+    def add(self, connection: "Connection") -> None:
+        """Keep a connection that has been made."""
+
     def remove(self, connection: "Connection") -> None:
         """Forget a connection that is closed."""
 
@@ -119,7 +122,7 @@
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(UNREAD_BYTES_MAX, low=0)
         self._transport = transport
-        self._server.connections.add(self)
+        self._server.add(self)
         self._update_waiting()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/plantainhinge/adapters/stream_http_server.py
+++ b/plantainhinge/adapters/stream_http_server.py
@@ -71,6 +71,11 @@
             self._waiting[connection] = None
         self._acceptor.resume()
 
+    def add(self, connection: Connection) -> None:
+        """Keep a connection that has been made."""
+        self.connections.add(connection)
+        self._acceptor.note_made()
+
     def remove(self, connection: Connection) -> None:
         """Forget a connection that is closed."""
         self.connections.discard(connection)
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -370,6 +370,21 @@
     assert asyncio.run(run()).endswith(b"/a")
 
 
+def test_connections_that_come_together_close_no_more_than_needed():
+    async def run():
+        limits = ServerLimits(connections=8)
+        server = HttpServer(find_free_address(), echo, limits=limits)
+        await server.start()
+        opened = await asyncio.gather(*(connect(server) for _ in range(12)))
+        await asyncio.sleep(0.2)
+        left = len(server.connections)
+        for _, writer in opened:
+            writer.close()
+        return left
+
+    assert asyncio.run(run()) == 8
+
+
 def test_a_connection_waits_while_all_others_are_being_answered():
     async def run():
         limits = ServerLimits(connections=1)
