Bound the connections of a daemon's peers

What operators saw: 500 connections to the peers' port of a gateway or a scheduler took 255 and 256 of 256 descriptors, those for callers, targets and the log among them.

Cause: nothing bounded them, and asyncio accepts a hundred at a time.

Evidence: gateway-silent-peers and scheduler-silent-peers of test_crowds.py, bound 192.

Change: at most peers.connections, 1,000 by default, and a quarter of the process's open files; at that number the connection without a call in progress whose last call is longest ago gives way to a new one. They are accepted as in the server of an instance (adapters/acceptor.py).

--- a/plantainhinge/adapters/peers_grpc.py
+++ b/plantainhinge/adapters/peers_grpc.py
@@ -231,7 +231,7 @@
     async def _start(self, ip: str, port: int, service: "_Service") -> PeersServer:
         server = PeersServer([service], codec=MessageCodec(), limits=self._limits)
         service.server = server
-        await server.start(ip, port)
+        server.listen(f"{ip}:{port}")
         return server
 
     async def _close_channels(self) -> None:
--- a/plantainhinge/adapters/peers_server.py
+++ b/plantainhinge/adapters/peers_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import resource
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -15,8 +16,11 @@
 
 from ..core.ids import Seconds
 from ..core.settings import PeerLimits
+from .acceptor import Acceptor
 from .stream_http_limits import ReceiveBudget
 
+# share of the system's limit of open files that peers' connections may take
+FILES_RATIO = 0.25
 # beyond this, bytes without any event of HTTP/2 are an endless head
 FRAMING_BYTES_MAX = 65_536
 HEADER_BYTES_MAX = 8192
@@ -41,8 +45,27 @@
         super().__init__(*arguments, **options)
         self.limits = limits
         self.budget = ReceiveBudget(limits.held_bytes, may_one_exceed=False)
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._connections_max = min(limits.connections, int(FILES_RATIO * files))
         # the one whose last call is longest ago comes first
         self._connections: dict[Connection, PeerConnection] = {}
+        self._acceptor = Acceptor(
+            self._protocol_factory, self._has_room, self._close_idle
+        )
+
+    def listen(self, address: str) -> None:
+        """Accept connections at ``host:port``."""
+        self._acceptor.start(address)
+
+    def close(self) -> None:
+        """Stop listening, and cancel all calls."""
+        self._acceptor.close()
+        for handler in self._handlers:
+            handler.close()
+
+    async def wait_closed(self) -> None:
+        """Wait until all calls have ended."""
+        await asyncio.gather(*(handler.wait_closed() for handler in self._handlers))
 
     @asynccontextmanager
     async def limit_answer(
@@ -66,13 +89,26 @@
             peer.hold_answer(-size)
 
     def add(self, connection: Connection, peer: "PeerConnection") -> None:
-        """Add a connection, or note that it has just had a call."""
-        self._connections.pop(connection, None)
+        """Keep a connection that has been made."""
         self._connections[connection] = peer
+        self._acceptor.note_made()
+        # there is one more that may give way
+        self._acceptor.resume()
+
+    def note_call(self, connection: Connection) -> None:
+        """Note that a connection has just had a call."""
+        peer = self._connections.pop(connection, None)
+        if peer is not None:
+            self._connections[connection] = peer
 
     def remove(self, connection: Connection) -> None:
         """Forget a connection that is closed."""
         self._connections.pop(connection, None)
+        self._acceptor.resume()
+
+    def note_release(self) -> None:
+        """Note that a call has ended, so that its connection may be idle."""
+        self._acceptor.resume()
 
     def make_room(self, asking: "PeerConnection", size: int) -> bool:
         """Return whether a connection may hold more, if need be at others' expense."""
@@ -82,6 +118,19 @@
         base = super()._protocol_factory()
         return PeerConnection(self, base.handler, base.config, base.h2_config)
 
+    def _has_room(self) -> bool:
+        opened = len(self._connections) + self._acceptor.opening
+        return opened < self._connections_max
+
+    def _close_idle(self) -> bool:
+        """Close the connection that has been idle longest; return False if none is."""
+        idle = (peer for peer in self._connections.values() if not peer.busy)
+        longest = next(idle, None)
+        if longest is None:
+            return False
+        longest.abort()
+        return True
+
 
 class PeerConnection(H2Protocol):
     """A peer's connection, whose calls and answers count in the server's budget."""
@@ -126,6 +175,11 @@
         if self._is_over_a_limit():
             self.abort()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call that was read whole is being handled."""
+        return any(stream in self._whole for stream in self.processor.streams)
+
     @property
     def unfinished_bytes(self) -> int:
         """Memory that it holds because its peer doesn't send or read the rest."""
@@ -190,6 +244,7 @@
     def note_release(self) -> None:
         """Note that a call has ended."""
         self._update_budget()
+        self._server.note_release()
 
     def note_event(self, event: Event) -> None:
         """Note that the peer makes progress."""
@@ -197,7 +252,7 @@
         if isinstance(event, StreamEnded):
             self._whole.add(event.stream_id)
         if isinstance(event, RequestReceived):
-            self._server.add(self.connection, self)
+            self._server.note_call(self.connection)
 
 
 class _Events(EventsProcessor):
--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -98,6 +98,9 @@
 
     Parameters
     ----------
+    connections : int
+        Maximum number of open connections, and at most a quarter of the system's limit
+        of open files. A further one closes that which has been idle longest.
     message_bytes : int
         Maximum size of the message of a call.
     held_bytes : int
@@ -105,6 +108,7 @@
         answers that are being sent. Beyond it, the connection with most is closed.
     """
 
+    connections: PositiveInt = 1000
     message_bytes: PositiveInt = 4_194_304
     held_bytes: PositiveInt = 33_554_432
 
--- a/tests/test_peers_server.py
+++ b/tests/test_peers_server.py
@@ -109,6 +109,23 @@
         assert not small.is_closed()
 
 
+def test_the_connection_that_is_idle_longest_gives_way(client):
+    with serve(connections=3) as (address, calls):
+        slow = ask(client, address, "slow")
+        while not calls:
+            time.sleep(0.01)
+        idle = [RawPeer(address) for _ in range(4)]
+        for peer in idle:
+            peer.flush()
+        other = Peers()
+        with other.connect():
+            assert ask(other, address).result(TIMEOUT_SECONDS) == RESPONSE
+        assert idle[0].is_closed()
+        assert not slow.done()
+        calls[0].response.set_result(RESPONSE)
+        assert slow.result(TIMEOUT_SECONDS) == RESPONSE
+
+
 @pytest.mark.parametrize(
     "frames",
     [
