--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -39,6 +39,7 @@
 ]
 MODULES += [PACKAGE / "daemons" / f"{name}.py" for name in DAEMONS]
 MODULES += sorted((PACKAGE / "adapters").glob("stream_http_*.py"))
+MODULES.append(PACKAGE / "adapters" / "acceptor.py")
 RECORD_ATTRIBUTES = set(logging.makeLogRecord({}).__dict__) | {"message", "asctime"}
 
 
