--- a/plantainhinge/platform/ingress.py
+++ b/plantainhinge/platform/ingress.py
@@ -40,9 +40,10 @@
 AUTHORIZATION_SCHEME = "token"
 DEFAULT_TIMEOUT_SECONDS = Seconds(3.0)
 TIMEOUT_SECONDS_MAX = Seconds(60.0)
+SPEC_BYTES_MAX = 4000
 # objects in the body of a job: the job, its steps, and braces in its payload. They are
 # counted first, as decoding takes a hundred times the memory of a short step
-OBJECTS_MAX = 1 + TASKS_MAX + 4000
+OBJECTS_MAX = 1 + TASKS_MAX + SPEC_BYTES_MAX
 
 # a larger body may hold so many steps that decoding it takes a noticeable time
 LARGE_BODY_BYTES = 16_384
@@ -273,6 +274,10 @@
         job = msgspec.json.decode(body, type=_Job)
     except DECODING_ERRORS as error:
         raise BadInputError(str(error), step="ingress.job") from error
+    size = len(job.spec.encode())
+    if size > SPEC_BYTES_MAX:
+        message = f"spec of {size} bytes; at most {SPEC_BYTES_MAX}"
+        raise BadInputError(message, step="ingress.job")
     steps = tuple(_decode_step(step) for step in job.steps)
     for index, step in enumerate(steps):
         if any(not 0 <= earlier < index for earlier in step.depends_on):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -382,6 +382,16 @@
         ingress.decode_spec(encode({"spec": "", "steps": steps}))
 
 
+# jobs with specs of 250 kB filled the memory of every owner that read them
+def test_a_spec_over_the_limit_of_the_page_is_refused():
+    for spec, size in (("x" * 4000, 4000), ("ü" * 2000, 4000)):
+        body = encode({"spec": spec, "steps": [{}]})
+        assert len(ingress.decode_spec(body).payload.encode()) == size
+    for spec in ("x" * 4001, "ü" * 2001):
+        with pytest.raises(BadInputError, match="at most 4000"):
+            ingress.decode_spec(encode({"spec": spec, "steps": [{}]}))
+
+
 # a hundred such bodies stopped an instance for seconds
 def test_too_many_steps_are_refused_without_decoding_them(monkeypatch):
     monkeypatch.setattr(ingress, "_Job", None)
