Bound the memory of accepted jobs by admission

Cause: an accepted job stays in memory, in the table with its spec, at the owner with each open task. Nothing bounded the sum.

Change: the owner's admission digest tells the memory that its jobs take up, by the number of their steps and tasks, and how much they may: 0.4 of memory_mb. An instance admits a job that takes at most half of what is left, so that large ones can't take the room of small ones; what it admitted itself counts until the owner counts it. Others get 429 with Retry-After 5 to 7.5 s, before anything is written. One job of the largest size is always admitted in calm, on an instance of 200 MB too.

--- a/plantainhinge/daemons/cell_runner.py
+++ b/plantainhinge/daemons/cell_runner.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from ..core.clock import read_monotonic, read_uptime, read_wall
 from ..core.errors import (
     ConflictError,
@@ -24,7 +26,7 @@
 from ..dispatch.leases import LeaseTerms
 from ..dispatch.orders import Command, Start
 from ..fleet.protocols import KeyedLog, WorkerCalls
-from ..jobs.admission import NO_DIGEST, AdmissionDigest
+from ..jobs.admission import MEMORY_BYTES_MAX, NO_DIGEST, AdmissionDigest
 from ..jobs.model import JobRecord
 from ..jobs.records import Cancellation
 from ..jobs.retention import Retention
@@ -82,6 +84,8 @@
         whether the log answered that it is this one.
     ask_members : callable
         See ``Confirmation``.
+    job_bytes_max : int
+        Memory that jobs may take up.
     """
 
     log: KeyedLog
@@ -94,6 +98,7 @@
     check_ownership: Callable[[], Coroutine[Any, Any, bool]]
     ask_members: Callable[[float], Coroutine[Any, Any, float]]
     metrics: Metrics = field(default_factory=NullMetrics)
+    job_bytes_max: int = MEMORY_BYTES_MAX
     cell: Cell | None = None
     _epoch: Epoch | None = None
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
@@ -181,7 +186,12 @@
         """Return how short the owned cell's capacity is."""
         if self.cell is None:
             return NO_DIGEST
-        return self.cell.measure_admission(now=read_monotonic(), wall=read_wall())
+        digest = self.cell.measure_admission(now=read_monotonic(), wall=read_wall())
+        return msgspec.structs.replace(
+            digest,
+            memory_bytes=digest.memory_bytes + self.view.table.spec_bytes,
+            memory_limit=self.job_bytes_max,
+        )
 
     async def flush(self) -> None:
         """Log the pending progress; called before the cell is released."""
--- a/plantainhinge/daemons/instance.py
+++ b/plantainhinge/daemons/instance.py
@@ -24,6 +24,7 @@
 from ..dispatch.leases import LeaseTerms
 from ..fleet.operator import BODY_BYTES_MAX
 from ..fleet.protocols import KeyedLog, WorkerCalls
+from ..jobs.admission import AdmissionGate
 from ..jobs.forwarding import (
     PassedConfigurationQuery,
     PassedDeferral,
@@ -32,17 +33,22 @@
     encode_response,
 )
 from ..jobs.ownership import build_member_name
-from ..jobs.spec_budget import SpecBudget
+from ..jobs.spec_memory import SpecBudget
 from . import instance_peers
 from .admission import AdmissionControl
 from .authentication import Authenticator
 from .call_events import PeerCallMalformed
 from .cell_runner import CellRunner
 from .deferrals import Deferrals
+from .instance_limits import (
+    JOB_MEMORY_RATIO,
+    SPEC_MEMORY_RATIO,
+    Listener,
+    compute_limits,
+)
 from .instance_peers import InstancePeers
 from .job_service import JobService
 from .job_view import JobView
-from .listener_limits import SPEC_MEMORY_RATIO, Listener, compute_limits
 from .operator_view import OperatorView
 from .ownership import Ownership
 from .ownership_events import OwnershipNotVerified, StandbyBehind
@@ -147,6 +153,7 @@
 
     def __post_init__(self) -> None:
         self.view = JobView(self.log)
+        job_bytes_max = int(JOB_MEMORY_RATIO * self.settings.memory_bytes)
         self.runner = CellRunner(
             log=self.log,
             calls=self.calls,
@@ -158,6 +165,7 @@
             check_ownership=self._verify_ownership,
             ask_members=self._ask_members,
             metrics=self.metrics,
+            job_bytes_max=job_bytes_max,
         )
         self.ownership = Ownership(
             log=self.log,
@@ -180,6 +188,7 @@
             get_owner=lambda: self.ownership.owner,
             peers=peers,
             metrics=self.metrics,
+            gate=AdmissionGate(memory_limit=job_bytes_max),
         )
         self.service = JobService(
             log=self.log,
--- a/plantainhinge/daemons/listener_limits.py
+++ b/plantainhinge/daemons/instance_limits.py
@@ -1,4 +1,4 @@
-"""Shares of an instance's memory and file descriptors that its listeners may use."""
+"""Shares of an instance's memory and file descriptors, by what they are for."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -30,6 +30,8 @@
 CONNECTIONS_MIN = 8
 # of the memory, for jobs that have been read and aren't in the log yet
 SPEC_MEMORY_RATIO = 1 / 16
+# of the memory, for the jobs of the cell, should the instance own it
+JOB_MEMORY_RATIO = 0.4
 
 
 def compute_limits(
--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -36,7 +36,7 @@
 )
 from ..jobs.outcomes import CallOutcome
 from ..jobs.records import Cancellation
-from ..jobs.spec_budget import SpecBudget
+from ..jobs.spec_memory import SpecBudget
 from ..jobs.table import JobRow
 from .admission import AdmissionControl
 from .call_events import (
@@ -134,29 +134,23 @@
             The caller's workspace; None if it needs none.
         """
         started = read_monotonic()
-        if workspace is not None and not fits_cap(spec, workspace.cap):
-            return self._report_outcome(
-                SubmitAnswered,
-                job,
-                CallOutcome.OVER_CAP,
-                started,
-                cause=workspace.name,
-            )
-        name = workspace.name if workspace is not None else NO_WORKSPACE
-        refusal = self.admission.decide(policy, spec, name)
-        if refusal is not None and await self._is_unknown(job, timeout):
-            self.admission.record(policy, name, refusal)
-            return refusal
-        record = JobRecord(
-            job=job,
-            policy=policy,
-            spec=spec,
-            accepted_at=read_wall(),
-            workspace=name,
-        )
         outcome, cause = CallOutcome.OVERLOADED, "no memory for the job"
         with self.specs.hold(spec) as has_room:
-            if has_room:
+            if workspace is not None and not fits_cap(spec, workspace.cap):
+                outcome, cause = CallOutcome.OVER_CAP, str(workspace.name)
+            elif has_room:
+                name = workspace.name if workspace is not None else NO_WORKSPACE
+                refusal = self.admission.decide(policy, spec, name)
+                if refusal is not None and await self._is_unknown(job, timeout):
+                    self.admission.record(policy, name, refusal)
+                    return refusal
+                record = JobRecord(
+                    job=job,
+                    policy=policy,
+                    spec=spec,
+                    accepted_at=read_wall(),
+                    workspace=name,
+                )
                 outcome = await self._write_job(record, started, timeout)
                 cause = policy.queue
         return self._report_outcome(SubmitAnswered, job, outcome, started, cause=cause)
--- a/plantainhinge/daemons/job_view.py
+++ b/plantainhinge/daemons/job_view.py
@@ -59,7 +59,7 @@
         """Drop all rows; the next read starts over."""
         self.job_tail.rewind()
         self.progress_tail.rewind()
-        self.table.rows.clear()
+        self.table.clear()
         self.new_records.clear()
 
     def _apply_job(self, entry: Entry) -> None:
--- a/plantainhinge/dispatch/admission.py
+++ b/plantainhinge/dispatch/admission.py
@@ -63,6 +63,9 @@
         cell.load.sequence,
         tuple(_measure_delays(cell, finite, now=now)),
         tuple(_measure_limits(cell, finite, wall=wall)),
+        memory_bytes=sum(
+            job.occurrence_bytes * len(job.occurrences) for job in cell.jobs.values()
+        ),
     )
 
 
--- a/plantainhinge/dispatch/model.py
+++ b/plantainhinge/dispatch/model.py
@@ -9,6 +9,7 @@
 from ..fleet.model import WorkerEntry, WorkerState
 from ..jobs.model import JobRecord, JobState, Step, TaskKey
 from ..jobs.records import LostAttempt
+from ..jobs.spec_memory import estimate_open_memory
 from ..placement.quotas import QuotaUsage
 from .forecast import LoadForecast, make_forecast
 
@@ -263,6 +264,8 @@
         Whether its workspace submitted it beyond its rate.
     usage : QuotaUsage
         Resources of all attempts of the cell by workspace, shared by its jobs.
+    occurrence_bytes : int
+        About how much memory one of its open occurrences takes up.
     """
 
     record: JobRecord
@@ -275,6 +278,10 @@
     occurrences: dict[int, list[OpenStep]] = field(default_factory=dict)
     surplus: bool = False
     usage: QuotaUsage[WorkspaceId] = field(default_factory=QuotaUsage)
+    occurrence_bytes: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.occurrence_bytes = estimate_open_memory(self.record.spec)
 
     @property
     def job_id(self) -> JobId:
--- a/plantainhinge/jobs/admission.py
+++ b/plantainhinge/jobs/admission.py
@@ -4,11 +4,12 @@
 decides by the newest one it has. Without a recent digest every job is admitted. A job
 is refused before anything is written, so a refused job has certainly not run.
 
-Two kinds of jobs are refused: those that would wait until their callers hardly gain
-from them any more, and those that a workspace submits beyond its rate while such jobs
-of it already wait.
+Three kinds of jobs are refused: those that would wait until their callers hardly gain
+from them any more, those that a workspace submits beyond its rate while such jobs of it
+already wait, and those for which the owner has no memory.
 """
 
+from collections import Counter as Totals
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -19,6 +20,7 @@
 from ..core.ids import Epoch, Seconds, ServiceId, WorkspaceId
 from ..core.packing import DECODING_ERRORS
 from .model import JobSpec, QueuePolicy, compute_critical_path
+from .spec_memory import estimate_memory, estimate_open_memory
 
 # a job is of little use to its caller after this multiple of the time allowed for it
 OVERDUE_FACTOR = 3.0
@@ -27,6 +29,12 @@
 RETRY_SECONDS_MAX = 30.0
 # callers that are refused at the same time are spread over this share of their wait
 RETRY_SPREAD_RATIO = 0.5
+MEMORY_BYTES_MAX = 80_000_000
+# of the memory that is left, for one job
+MEMORY_RATIO_MAX = 0.5
+MEMORY_RETRY_SECONDS = 5.0
+# time in which a job that was admitted reaches the owner's digests
+VISIBLE_SECONDS = 3.0
 
 
 class RefusalCause(Enum):
@@ -34,6 +42,7 @@
 
     TOO_LATE = "too-late"
     OVER_RATE = "over-rate"
+    NO_MEMORY = "no-memory"
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,12 +98,17 @@
     ----------
     sequence : int
         Number of the digest under its epoch.
+    memory_bytes, memory_limit : int
+        About how much memory the owner's jobs take up, and how much they may; the
+        latter is 0 if it isn't known.
     """
 
     epoch: Epoch
     sequence: int
     delays: tuple[QueueDelay, ...] = ()
     limits: tuple[WorkspaceLimit, ...] = ()
+    memory_bytes: int = 0
+    memory_limit: int = 0
 
     @property
     def version(self) -> tuple[Epoch, int]:
@@ -113,6 +127,8 @@
     ----------
     random : random.Random
         Spreads the times at which refused callers return.
+    memory_limit : int
+        Memory that the owner's jobs may take up as long as no digest says so.
 
     Attributes
     ----------
@@ -123,9 +139,12 @@
     """
 
     random: Random = field(default_factory=Random)
+    memory_limit: int = MEMORY_BYTES_MAX
     digest: AdmissionDigest = NO_DIGEST
     measured_at: float = float("-inf")
     _credits: dict[WorkspaceId, float] = field(default_factory=dict)
+    # bytes of the jobs admitted here, by the second in which they were
+    _admitted: Totals[int] = field(default_factory=Totals)
 
     def update(self, digest: AdmissionDigest, *, measured_at: float) -> None:
         """Take over a digest, unless it is older than the one known."""
@@ -142,9 +161,28 @@
         self, policy: QueuePolicy, spec: JobSpec, workspace: WorkspaceId, *, now: float
     ) -> Refusal | None:
         """Return why a job must be refused, or None if it is admitted."""
-        if not self.is_recent(now):
-            return None
-        return self._check_rate(workspace) or self._check_delay(policy, spec)
+        refusal = None
+        if self.is_recent(now):
+            refusal = self._check_rate(workspace) or self._check_delay(policy, spec)
+        return refusal or self._check_memory(spec, now)
+
+    def _check_memory(self, spec: JobSpec, now: float) -> Refusal | None:
+        """Admit jobs of which one takes up at most half of the memory that is left.
+
+        So large jobs can't take the room that small ones need. What was admitted here
+        counts until the owner has surely counted it. The newest digest counts whatever
+        its age: while there is no owner, the jobs stay.
+        """
+        counted = self.measured_at - VISIBLE_SECONDS
+        for second in [second for second in self._admitted if second + 1 < counted]:
+            del self._admitted[second]
+        limit = self.digest.memory_limit or self.memory_limit
+        left = limit - self.digest.memory_bytes - self._admitted.total()
+        size = estimate_memory(spec) + estimate_open_memory(spec)
+        if size > MEMORY_RATIO_MAX * left:
+            return self._refuse(RefusalCause.NO_MEMORY, MEMORY_RETRY_SECONDS)
+        self._admitted[int(now)] += size
+        return None
 
     def _check_rate(self, workspace: WorkspaceId) -> Refusal | None:
         """Admit the share of a workspace's jobs that is within its rate.
--- a/plantainhinge/jobs/spec_budget.py
+++ b/plantainhinge/jobs/spec_memory.py
@@ -1,4 +1,4 @@
-"""Bounds the memory of jobs that are being written to the log."""
+"""How much memory jobs take up, and a bound for those that are being written."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -6,9 +6,12 @@
 
 from .model import JobSpec
 
-# memory that a decoded step takes up, and each index of a step it depends on
+# of a decoded spec: each step, and each index of a step that it depends on
 STEP_BYTES = 512
 INDEX_BYTES = 8
+# of an open job at its owner, besides: each step and each of its tasks
+OPEN_STEP_BYTES = 640
+TASK_BYTES = 400
 
 
 @dataclass
@@ -42,3 +45,9 @@
     """Return about how many bytes of memory a decoded spec takes up."""
     indices = sum(len(step.depends_on) for step in spec.steps)
     return len(spec.payload) + STEP_BYTES * len(spec.steps) + INDEX_BYTES * indices
+
+
+def estimate_open_memory(spec: JobSpec) -> int:
+    """Return about how many bytes an occurrence of a job takes up while it is open."""
+    tasks = sum(step.count for step in spec.steps)
+    return OPEN_STEP_BYTES * len(spec.steps) + TASK_BYTES * tasks
--- a/plantainhinge/jobs/table.py
+++ b/plantainhinge/jobs/table.py
@@ -6,6 +6,7 @@
 from ..core.ids import JobId, QueueName
 from .model import FINAL_JOB_STATES, JobRecord, JobState
 from .records import Cancellation, Progress, Record
+from .spec_memory import estimate_memory
 
 
 @dataclass(slots=True)
@@ -43,13 +44,17 @@
     """
 
     rows: dict[JobId, JobRow] = field(default_factory=dict)
+    # about what the specs of all rows take up
+    spec_bytes: int = 0
 
     def apply(self, record: Record) -> None:
         """Update the job that a record is about."""
         row = self.rows.setdefault(record.job, JobRow())
         match record:
             case JobRecord():
-                row.accepted = row.accepted or record
+                if row.accepted is None:
+                    row.accepted = record
+                    self.spec_bytes += estimate_memory(record.spec)
             case Cancellation():
                 row.cancelled = True
             case Progress():
@@ -77,7 +82,14 @@
 
     def remove(self, job: JobId) -> None:
         """Remove a job whose records were deleted from the log."""
-        self.rows.pop(job, None)
+        row = self.rows.pop(job, None)
+        if row is not None and row.accepted is not None:
+            self.spec_bytes -= estimate_memory(row.accepted.spec)
+
+    def clear(self) -> None:
+        """Remove all jobs."""
+        self.rows.clear()
+        self.spec_bytes = 0
 
 
 def is_known(row: JobRow) -> bool:
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -269,6 +269,15 @@
     yield _build_head(number + 1000, f"Content-Length: {len(body)}") + b"\r\n" + body
 
 
+@crowd("many-tasks", connections=12)
+def send_many_tasks(number: int) -> Iterator[bytes]:
+    """Submit good jobs of one step with as many tasks as a job may have."""
+    body = b'{"spec":"0.1","steps":[{"count":20000,"cpu":100}]}'
+    for index in range(8):
+        head = _build_head(1000 * (number + 1) + index, f"Content-Length: {len(body)}")
+        yield head + b"\r\n" + body
+
+
 @crowd("forwarded-steps", connections=5)
 def forward_many_steps(number: int) -> Iterator[bytes]:
     """Forward a job of very many steps, as one instance does to another."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -60,6 +60,7 @@
     ("callers", "pipelined-bodies", LITTLE_MEMORY),
     ("callers", "many-steps", LITTLE_MEMORY),
     ("callers", "largest-jobs", LITTLE_MEMORY),
+    ("callers", "many-tasks", LITTLE_MEMORY),
     ("control", "large-chunk", LITTLE_MEMORY),
     ("control", "forwarded-steps", LITTLE_MEMORY),
     ("ready", "header-value", LITTLE_MEMORY),
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -12,7 +12,7 @@
 from plantainhinge.jobs.model import JobRecord, JobSpec, JobState, Step
 from plantainhinge.jobs.outcomes import CallOutcome
 from plantainhinge.jobs.records import Progress, build_key, encode_record
-from plantainhinge.jobs.spec_budget import estimate_memory
+from plantainhinge.jobs.spec_memory import estimate_memory
 
 from .keyed_log import MemoryKeyedLog
 from .simulated_cell import make_job, make_policy
