Write no job without memory whose id may be known, and count none twice

What callers saw: with ten times the crowd of many-tasks at an instance of 300 MB, 92 of 96 jobs of 8 MB were accepted, beyond the memory for jobs, and small jobs were refused from then on.

Cause: a job that admission refuses is written all the same unless the owner says that it doesn't know its id, since writing it again was harmless. The owner was too busy to say so. Besides, what an instance had admitted counted beside the digest that had it already, for up to four seconds.

Evidence: the digest said 728 MB of 120; two new tests of test_job_memory.py, red before.

Change: without memory, a job that may be known gets 504, which promises nothing, and isn't written. For a small job, what was admitted here counts only beyond the digest.

--- a/plantainhinge/daemons/job_service.py
+++ b/plantainhinge/daemons/job_service.py
@@ -16,7 +16,7 @@
 from ..core.metrics import Counter, Distribution, Metrics, NullMetrics
 from ..fleet.operator import SchedulingConfiguration, Workspace
 from ..fleet.protocols import KeyedLog
-from ..jobs.admission import Refusal
+from ..jobs.admission import Refusal, RefusalCause
 from ..jobs.forwarding import (
     PassedCancellation,
     PassedCountQuery,
@@ -54,6 +54,7 @@
 
 RETRY_AFTER_SECONDS = 1.0
 SPEC_BYTES_MAX = 16_000_000
+NO_MEMORY_CAUSE = "no memory for the job"
 TIMEOUT_SECONDS_MIN = Seconds(0.1)
 # how long an instance works on a call that another one forwarded
 FORWARDED_TIMEOUT_SECONDS = Seconds(0.7)
@@ -134,16 +135,12 @@
             The caller's workspace; None if it needs none.
         """
         started = read_monotonic()
-        outcome, cause = CallOutcome.OVERLOADED, "no memory for the job"
+        name = workspace.name if workspace is not None else NO_WORKSPACE
+        outcome, cause = CallOutcome.OVERLOADED, NO_MEMORY_CAUSE
         with self.specs.hold(spec) as has_room:
             if workspace is not None and not fits_cap(spec, workspace.cap):
-                outcome, cause = CallOutcome.OVER_CAP, str(workspace.name)
+                outcome, cause = CallOutcome.OVER_CAP, str(name)
             elif has_room:
-                name = workspace.name if workspace is not None else NO_WORKSPACE
-                refusal = self.admission.decide(policy, spec, name)
-                if refusal is not None and await self._is_unknown(job, timeout):
-                    self.admission.record(policy, name, refusal)
-                    return refusal
                 record = JobRecord(
                     job=job,
                     policy=policy,
@@ -151,10 +148,34 @@
                     accepted_at=read_wall(),
                     workspace=name,
                 )
-                outcome = await self._write_job(record, started, timeout)
-                cause = policy.queue
+                decided = await self._admit(record, timeout)
+                if isinstance(decided, Refusal):
+                    return decided
+                outcome = decided or await self._write_job(record, started, timeout)
+                cause = NO_MEMORY_CAUSE if decided else policy.queue
         return self._report_outcome(SubmitAnswered, job, outcome, started, cause=cause)
 
+    async def _admit(
+        self, record: JobRecord, timeout: Seconds
+    ) -> Refusal | CallOutcome | None:
+        """Return why a job must not be written, or None.
+
+        A job that was accepted before isn't refused, as it may be running. If that
+        can't be found out, it is written again, which is harmless unless there is no
+        memory for it.
+        """
+        policy, name = record.policy, record.workspace
+        refusal = self.admission.decide(policy, record.spec, name)
+        if refusal is None:
+            return None
+        known = await self._find_known(record.job, timeout)
+        if known is CallOutcome.UNKNOWN_JOB:
+            self.admission.record(policy, name, refusal)
+            return refusal
+        if known in UNSETTLED and refusal.cause is RefusalCause.NO_MEMORY:
+            return CallOutcome.UNCERTAIN
+        return None
+
     async def _write_job(
         self, record: JobRecord, started: float, timeout: Seconds
     ) -> CallOutcome:
@@ -167,16 +188,13 @@
             outcome = combine_outcomes(outcome, forwarded.outcome)
         return outcome
 
-    async def _is_unknown(self, job: JobId, timeout: Seconds) -> bool:
-        """Return whether a job was certainly not accepted before.
-
-        A job that is submitted again must not be refused: it may be running.
-        """
+    async def _find_known(self, job: JobId, timeout: Seconds) -> CallOutcome:
+        """Return whether a job was accepted before: DONE, UNKNOWN_JOB or unsettled."""
         answer = await self._ask_owner(PassedStateQuery(job), timeout)
         if answer.outcome in UNSETTLED and self.owns_cell():
             row = await self.lookup.find_row(job, timeout=FORWARDED_TIMEOUT_SECONDS)
-            return row is CallOutcome.UNKNOWN_JOB
-        return answer.outcome is CallOutcome.UNKNOWN_JOB
+            return row if isinstance(row, CallOutcome) else CallOutcome.DONE
+        return answer.outcome
 
     async def cancel(
         self, job: JobId, *, caller: Caller | None = None, timeout: Seconds
--- a/plantainhinge/jobs/admission.py
+++ b/plantainhinge/jobs/admission.py
@@ -32,6 +32,8 @@
 MEMORY_BYTES_MAX = 80_000_000
 # of the memory that is left, for one job
 MEMORY_RATIO_MAX = 0.5
+# of all memory, up to which a job is small
+SMALL_RATIO = 0.001
 MEMORY_RETRY_SECONDS = 5.0
 # time in which a job that was admitted reaches the owner's digests
 VISIBLE_SECONDS = 3.0
@@ -169,21 +171,31 @@
     def _check_memory(self, spec: JobSpec, now: float) -> Refusal | None:
         """Admit jobs of which one takes up at most half of the memory that is left.
 
-        So large jobs can't take the room that small ones need. What was admitted here
-        counts until the owner has surely counted it. The newest digest counts whatever
-        its age: while there is no owner, the jobs stay.
+        So large jobs can't take the room that small ones need. The newest digest counts
+        whatever its age: while there is no owner, the jobs stay.
         """
-        counted = self.measured_at - VISIBLE_SECONDS
-        for second in [second for second in self._admitted if second + 1 < counted]:
-            del self._admitted[second]
         limit = self.digest.memory_limit or self.memory_limit
-        left = limit - self.digest.memory_bytes - self._admitted.total()
         size = estimate_memory(spec) + estimate_open_memory(spec)
-        if size > MEMORY_RATIO_MAX * left:
+        if size > MEMORY_RATIO_MAX * (limit - self._measure_held(size, limit)):
             return self._refuse(RefusalCause.NO_MEMORY, MEMORY_RETRY_SECONDS)
         self._admitted[int(now)] += size
         return None
 
+    def _measure_held(self, size: int, limit: int) -> int:
+        """Return how much memory is taken, as it counts for a job of a size.
+
+        What was admitted here may be in the digest or not until it surely is. For a
+        small job it counts as if it was, so that none is refused for jobs that count
+        twice.
+        """
+        counted_before = self.measured_at - VISIBLE_SECONDS
+        for second in [each for each in self._admitted if each + 1 < counted_before]:
+            del self._admitted[second]
+        own, counted = self._admitted.total(), self.digest.memory_bytes
+        if size <= SMALL_RATIO * limit:
+            return max(own, counted)
+        return own + counted
+
     def _check_rate(self, workspace: WorkspaceId) -> Refusal | None:
         """Admit the share of a workspace's jobs that is within its rate.
 
--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -1,10 +1,15 @@
 """The bound for the memory that accepted jobs take up."""
 
+import asyncio
+
 import pytest
 from hypothesis import given, strategies as st
 
 from plantainhinge.core.ids import Epoch, JobId
+from plantainhinge.daemons.admission import AdmissionControl
 from plantainhinge.daemons.instance_limits import JOB_MEMORY_RATIO
+from plantainhinge.daemons.job_service import JobService
+from plantainhinge.daemons.job_view import JOB_TOPIC, JobView
 from plantainhinge.jobs.admission import (
     VISIBLE_SECONDS,
     AdmissionDigest,
@@ -12,9 +17,11 @@
     RefusalCause,
 )
 from plantainhinge.jobs.model import NO_WORKSPACE, TASKS_MAX, JobRecord, JobSpec, Step
+from plantainhinge.jobs.outcomes import CallOutcome
 from plantainhinge.jobs.spec_memory import estimate_memory, estimate_open_memory
 from plantainhinge.jobs.table import JobTable
 
+from .keyed_log import MemoryKeyedLog
 from .simulated_cell import (
     SimulatedCell,
     make_entry,
@@ -113,3 +120,36 @@
     after = site.cell.measure_admission(now=site.now, wall=site.now)
     assert during.memory_bytes == estimate_open_memory(record.spec)
     assert after.memory_bytes == 0
+
+
+# 92 of 96 jobs of 8 MB were written: nobody could say that they weren't known
+def test_a_job_without_memory_is_not_written_if_it_may_be_known():
+    async def submit():
+        log = MemoryKeyedLog()
+        service = JobService(
+            log=log,
+            view=JobView(log),
+            get_configuration=lambda: None,
+            owns_cell=lambda: False,
+            admission=AdmissionControl(gate=AdmissionGate(memory_limit=LIMIT)),
+        )
+        large = JobSpec(payload="", steps=(Step(count=TASKS_MAX),))
+        outcomes = [
+            await service.submit(JobId(name), POLICY, spec, timeout=0.5)
+            for name, spec in (("large", large), ("small", SMALL))
+        ]
+        return outcomes, len(log.topics[JOB_TOPIC])
+
+    outcomes, written = asyncio.run(submit())
+    assert outcomes == [CallOutcome.UNCERTAIN, CallOutcome.DONE]
+    assert written == 1
+
+
+def test_a_small_job_is_not_refused_for_jobs_that_count_twice():
+    gate = AdmissionGate(memory_limit=LIMIT)
+    large = JobSpec(payload="", steps=(Step(count=12_000),))
+    assert decide(gate, large, now=10.0) is None
+    counted = AdmissionDigest(Epoch(1), 1, memory_bytes=9_000_000, memory_limit=LIMIT)
+    gate.update(counted, measured_at=10.5)
+    assert decide(gate, large, now=10.5) is RefusalCause.NO_MEMORY
+    assert decide(gate, SMALL, now=10.5) is None
