Let go of a client that resets its connection while it is refused

What callers saw: after some thousand clients that were refused and left at once, an instance accepted no connection any more; 469 waited in the kernel.

Cause: the end of the stream can't be sent on a connection that was reset between the refusal and that. The error ended the task that answers, so that the connection, which wasn't read from either, counted as busy for ever.

Evidence: a script of 160 clients with random requests, 15 s: 193 descriptors open long after all of them had left; in the server alone, with 60 clients, 'Transport endpoint is not connected' in Connection._serve. A new test of test_stream_http.py, red before.

Change: the connection is closed then.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -352,7 +352,12 @@
             self.close()
             return
         self._phase = Phase.LINGERING
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # the client is gone
+            self._abort()
+            return
         self._transport.resume_reading()
         asyncio.get_running_loop().call_later(LINGER_SECONDS, self.close)
 
--- a/tests/test_stream_http.py
+++ b/tests/test_stream_http.py
@@ -1,6 +1,7 @@
 """The asyncio HTTP client and server, against each other and faulty peers."""
 
 import asyncio
+import errno
 import re
 from contextlib import suppress
 
@@ -556,6 +557,23 @@
     assert asyncio.run(asyncio.wait_for(run(), 30)) == (0, {})
 
 
+# such connections stayed for ever, until the listener accepted no more
+def test_a_client_that_resets_while_it_is_refused_leaves_nothing_behind(monkeypatch):
+    def fail(transport):
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    transport = asyncio.selector_events._SelectorSocketTransport
+    monkeypatch.setattr(transport, "write_eof", fail)
+
+    async def scenario(server, client):
+        _, writer = await connect(server, b"nonsense\r\n\r\n")
+        left = len(server.connections)
+        writer.close()
+        return left
+
+    assert serve(scenario) == 0
+
+
 @pytest.mark.parametrize("chunk", [1, 2, 100_000])
 def test_a_body_of_the_largest_size_is_read_in_chunks_of_any_size(chunk):
     size = 300_000
