Write no answer to a connection that is gone, and let no error hold one

What operators saw: 3,633 warnings 'socket.send() raised exception.' in 15 s of a crowd that left before its answers; they pass every limit of the log.

Cause: answers were written to connections that were closing.

Change: nothing is written then, and a connection stops being busy however its task ends.

--- a/plantainhinge/adapters/stream_http_connection.py
+++ b/plantainhinge/adapters/stream_http_connection.py
@@ -254,25 +254,28 @@
             self._update_waiting()
 
     async def _serve(self) -> None:
-        while self._queue:
-            await self._writable.wait()
-            if not self._queue:
-                break
-            exchange = self._queue[0]
-            reply = exchange.refusal
-            if exchange.request is not None:
-                reply = await self._server.respond(exchange.request)
-            assert reply is not None
-            is_last = len(self._queue) == 1 and not self._reader.receiving
-            keep_alive = exchange.keep_alive and not (self._server.draining and is_last)
-            self._write(reply, keep_alive=keep_alive)
-            self._queue.popleft()
-            if not keep_alive:
-                self._queue.clear()
-                self._end()
-            self._update_budget()
-        self._task = None
-        self._update_waiting()
+        try:
+            while self._queue:
+                await self._writable.wait()
+                if self._queue:
+                    await self._answer(self._queue[0])
+        finally:
+            self._task = None
+            self._update_waiting()
+
+    async def _answer(self, exchange: _Exchange) -> None:
+        reply = exchange.refusal
+        if exchange.request is not None:
+            reply = await self._server.respond(exchange.request)
+        assert reply is not None
+        is_last = len(self._queue) == 1 and not self._reader.receiving
+        keep_alive = exchange.keep_alive and not (self._server.draining and is_last)
+        self._write(reply, keep_alive=keep_alive)
+        self._queue.popleft()
+        if not keep_alive:
+            self._queue.clear()
+            self._end()
+        self._update_budget()
 
     def _watch_client(self, *, progressed: bool = False) -> None:
         """Limit the time that the client has for the rest of a request or its answers.
@@ -343,7 +346,7 @@
             self._transport.abort()
 
     def _write(self, reply: HttpReply, *, keep_alive: bool) -> None:
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(reply.encode(keep_alive=keep_alive))
 
     def _end(self) -> None:
