Close a connection to the gateway that breaks while it is refused

What operators saw: four lines 'uncaptured python exception, closing channel' with a stack in 15 s of a crowd of random requests at a gateway.

Cause: a connection that was closed by an error of its socket was asked to linger for its client.

Evidence: a script of 100 clients with random requests and frames at a gateway and a scheduler; a new test of test_callers_server.py.

Change: a closed connection doesn't linger.

Result: the test passes, and none of these lines in 15 s of the script; an ordinary lookup was answered 143 of 143 times beside it, in 0.1 s at most.

--- a/plantainhinge/adapters/callers_channel.py
+++ b/plantainhinge/adapters/callers_channel.py
@@ -180,7 +180,7 @@
 
     def _begin_to_linger(self) -> bool:
         """Send the end of the stream; return False if it was sent or can't be."""
-        if not self._may_linger:
+        if not self._may_linger or self.socket is None:
             return False
         self._may_linger = False
         self._linger_until = read_monotonic() + LINGER_SECONDS
--- a/tests/test_callers_server.py
+++ b/tests/test_callers_server.py
@@ -280,6 +280,18 @@
     return sum(c.total_outbufs_len for c in list(server.active_channels.values()))
 
 
+def test_a_connection_that_breaks_while_it_is_refused_is_closed():
+    here, there = socket.socketpair()
+    port = find_port()
+    with here, there, serve_callers(Application(), IP, port, LIMITS) as server:
+        channel = CallersChannel(server, here, ("", 0), server.adj, map={})
+        channel.is_refused = True
+        channel.handle_close()  # as on an error of its socket
+        channel.will_close = True
+        channel.handle_close()  # as after its last answer
+        assert channel.socket is None
+
+
 @pytest.mark.parametrize(("idle_seconds", "idle"), [(0.0, False), (60.0, True)])
 def test_a_connection_is_idle_only_after_the_grace_period(idle_seconds, idle):
     here, there = socket.socketpair()
