Write no line for each request that waits for a thread of the gateway

What operators saw: 'Task queue depth is 3', a warning, for each request that found no free thread.

Cause: waitress logs that for each task that it queues, and nothing bounds a daemon's lines.

Change: these warnings of waitress aren't written.

--- a/plantainhinge/daemons/logs.py
+++ b/plantainhinge/daemons/logs.py
@@ -17,3 +17,5 @@
     handler = logging.StreamHandler()
     handler.setFormatter(ErrorFormatter(FORMAT, style="{", static_fields=identity))
     logging.basicConfig(level=settings.log_level, handlers=[handler], force=True)
+    # a warning for each request that waits for a thread: thousands a second in a crowd
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
