--- a/plantainhinge/core/settings.py
+++ b/plantainhinge/core/settings.py
@@ -86,8 +86,8 @@
     connections: PositiveInt = 1000
     body_bytes: PositiveInt = 1_048_576
     header_bytes: PositiveInt = 16_384
-    received_bytes: PositiveInt = 33_554_432
-    unread_bytes: PositiveInt = 33_554_432
+    received_bytes: PositiveInt = 25_165_824
+    unread_bytes: PositiveInt = 16_777_216
     idle_seconds: PositiveInt = 120
     linger_seconds: NonNegativeSeconds = 3.0
     drain_seconds: PositiveSeconds = 30.0
@@ -110,7 +110,7 @@
 
     connections: PositiveInt = 1000
     message_bytes: PositiveInt = 4_194_304
-    held_bytes: PositiveInt = 33_554_432
+    held_bytes: PositiveInt = 16_777_216
 
 
 class Settings(_Section, frozen=True):
