--- a/review/kit-3/site3.py
+++ b/review/kit-3/site3.py
@@ -56,8 +56,10 @@
 
 def free_port():
     """Return a free port below those that the system gives to outgoing connections."""
+    # of a thousand for each process, so that cases beside each other seldom collide
+    first = 20_000 + 1_000 * (os.getpid() % 12)
     while True:
-        port = random.randint(20_000, 32_000)
+        port = first + random.randrange(1_000)
         if port in _taken:
             continue
         _taken.add(port)
@@ -620,8 +622,9 @@
         for run in self.running.values():
             job, _k, step, _index = self.world.parse(run.task)
             if job is not None:
-                cpu -= job.steps[step].get("cpu", 0)
-                mem -= job.steps[step].get("memMb", 0)
+                spec = job.steps[step]
+                cpu -= 0 if spec.get("fills") else spec.get("cpu", 0)
+                mem -= spec.get("memMb", 0)
         return cpu, mem
 
     def run_start(self, content):
@@ -649,7 +652,8 @@
         if job is None:
             return ""
         spec, (cpu, mem) = job.steps[step], self.free()
-        if self.guard and (spec.get("cpu", 0) > cpu or spec.get("memMb", 0) > mem):
+        needed = 0 if spec.get("fills") else spec.get("cpu", 0)
+        if self.guard and (needed > cpu or spec.get("memMb", 0) > mem):
             return "room"
         if self.tickets is None or job.queue != "advised":
             return ""
@@ -889,6 +893,16 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    def evacuate(self, zone):
+        self.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+        self.record.write(f"zone {zone} is to get nothing more")
+
+    def measure_use(self):
+        """Return the share of the processors of all workers that is in use."""
+        workers = [worker for worker in self.workers if worker.up]
+        free = sum(worker.free()[0] for worker in workers)
+        return 1 - free / sum(worker.cpu for worker in workers)
+
     async def wait_ready(self, limit=20.0):
         until = now() + limit
         for name in self.settings:
@@ -1026,8 +1040,10 @@
 
     SPAN, CALM, AFTER_RUN, MARGIN = 3.0, 4.0, 6.0, 0.5
 
-    def __init__(self, site, *, crashes_max=1_000_000):
+    def __init__(self, site, *, crashes_max=1_000_000, closed=()):
         self.site, self.active, self.calm_since = site, False, now()
+        # zones that nothing may be sent to
+        self.closed = closed
         # of runs; tasks with more of them aren't looked at
         self.crashes_max = crashes_max
         self.idle, self.reported = {}, set()
@@ -1045,9 +1061,13 @@
         for worker in self.site.workers:
             if not worker.up or worker.state != "ready" or worker.mode:
                 continue
+            if worker.zone in self.closed:
+                continue
             if step.get("constraints") and step["constraints"] not in worker.labels:
                 continue
             cpu, mem = worker.free()
+            if step.get("fills"):
+                cpu = 1_000_000_000
             room = min(
                 cpu // max(1, step.get("cpu", 1)), mem // max(1, step.get("memMb", 1))
             )
